--- /dev/null
+++ b/core/src/directory.rs
@@ -0,0 +1,72 @@
+//! Which hosts a caller should use.
+
+use crate::membership::Member;
+use crate::names::{FailureDomain, OrganisationName};
+use crate::rendezvous;
+use crate::time::{Millis, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// Addresses that a caller is given at a time.
+pub const ADDRESSES_PER_ANSWER: usize = 3;
+
+/// One host of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Address {
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Hosts in order of preference, in distinct failure domains as far as there are any.
+    pub hosts: Vec<Address>,
+    /// How long the answer may be kept.
+    pub lifetime_ms: Millis,
+}
+
+/// Chooses hosts for a caller of `organisation`.
+///
+/// The choice is stable for `lifetime`, spreads callers by `spread` (any number that differs
+/// between callers) and names hosts of distinct failure domains first.
+pub fn choose<'a, I>(
+    now: Time,
+    members: I,
+    organisation: Option<&OrganisationName>,
+    spread: u64,
+    lifetime: Millis,
+) -> Answer
+where
+    I: IntoIterator<Item = &'a Member>,
+{
+    let slot = now.0 / lifetime.0.max(1);
+    let organisation = organisation.map_or("", OrganisationName::as_str);
+    let key = format!("{organisation}/{spread}/{slot}");
+    let mut ranked: Vec<_> = members
+        .into_iter()
+        .map(|member| (rendezvous::weight(&key, member.host.as_str()), member))
+        .collect();
+    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let mut seen = HashSet::new();
+    let (mut first, second): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .map(|(_, member)| member)
+        .partition(|member| seen.insert(&member.failure_domain));
+    first.extend(second);
+    first.truncate(ADDRESSES_PER_ANSWER);
+    let hosts = first
+        .into_iter()
+        .map(|member| Address {
+            address: member.caller_address,
+            failure_domain: member.failure_domain.clone(),
+        })
+        .collect();
+    Answer {
+        hosts,
+        lifetime_ms: lifetime,
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of magnoliawinch, a serving system for generations of unknown length.
+//!
+//! Each decision is a deterministic state machine without I/O: the clock and the source of random
+//! numbers are arguments. Daemons, tests and experiments drive the same code.
+
+pub mod admission;
+pub mod catalogue;
+pub mod decision;
+pub mod delivery;
+pub mod directory;
+pub mod estimate;
+pub mod ini;
+pub mod ledger;
+pub mod membership;
+pub mod names;
+pub mod ownership;
+pub mod quarantine;
+pub mod rendezvous;
+pub mod retry;
+pub mod routing;
+pub mod service_file;
+pub mod settings;
+pub mod time;
+pub mod upstreams;
+pub mod verdict;
--- /dev/null
+++ b/core/src/membership.rs
@@ -0,0 +1,355 @@
+//! Which daemons run, as each daemon sees it.
+//!
+//! Each daemon probes a few successors on a ring of hashed host names and one random member, and
+//! every probe and reply carries a few changes. Views may differ for a while; owners chosen by
+//! rendezvous hashing over them then differ too, which costs efficiency only.
+
+use crate::ledger::Claimant;
+use crate::names::{FailureDomain, HostName};
+use crate::rendezvous;
+use crate::time::{Millis, Time};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use strum::{Display, EnumString, FromRepr};
+
+/// What is known of a member.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    EnumString,
+    FromRepr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+#[repr(u8)]
+pub enum MemberState {
+    /// It runs but has no whole configuration yet.
+    Joining = 0,
+    /// It answers and takes work.
+    Alive = 1,
+    /// It finishes its work and takes no more.
+    Leaving = 2,
+    /// It does not answer.
+    Failed = 3,
+}
+
+/// A daemon as the others know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its host.
+    pub host: HostName,
+    /// Its run; a restarted daemon has a higher one.
+    pub incarnation: u64,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where other daemons reach it.
+    pub peer_address: SocketAddr,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Its state.
+    pub state: MemberState,
+}
+
+impl Member {
+    /// Whether what `self` says replaces what `old` says.
+    fn supersedes(&self, old: &Self) -> bool {
+        (self.incarnation, self.state) > (old.incarnation, old.state)
+    }
+
+    /// The daemon's run.
+    pub fn claimant(&self) -> Claimant {
+        Claimant {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// Time between two probes of the same successor.
+pub const PROBE_EVERY: Millis = Millis(1_000);
+
+/// Silence of a successor after which it counts as failed.
+pub const FAIL_AFTER: Millis = Millis(3_500);
+
+/// Successors that each daemon probes.
+const SUCCESSORS: usize = 2;
+
+/// Changes in one message.
+const CHANGES_PER_MESSAGE: usize = 8;
+
+/// Messages that carry one change, times the logarithm of the number of members.
+const SPREAD_FACTOR: u32 = 3;
+
+/// How long a failed member is remembered.
+const FORGET_AFTER: Millis = Millis(3_600_000);
+
+/// One in this many random probes goes to a failed member, so that parted regions find each
+/// other again.
+const FAILED_PROBE_ONE_IN: u32 = 8;
+
+/// Daemons of a failure domain that read the configuration from the log.
+const READERS: usize = 2;
+
+/// The key by which readers are ranked.
+const READER_KEY: &str = "catalogue";
+
+#[derive(Clone, Debug)]
+struct Record {
+    member: Member,
+    changed_at: Time,
+    /// Messages that still carry the change.
+    spread_left: u32,
+}
+
+/// A daemon's view of all daemons.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Member,
+    records: BTreeMap<HostName, Record>,
+    /// Last sign of life of the members that are probed.
+    heard: HashMap<HostName, Time>,
+    probed_at: Option<Time>,
+    /// Changes with every change of the view.
+    version: u64,
+}
+
+impl Membership {
+    /// A view with only this daemon.
+    pub fn new(own: Member) -> Self {
+        Self {
+            own,
+            records: BTreeMap::new(),
+            heard: HashMap::new(),
+            probed_at: None,
+            version: 0,
+        }
+    }
+
+    /// This daemon.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// A number that grows with every change of the view.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// All members but this daemon.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.records.values().map(|record| &record.member)
+    }
+
+    /// The members that take work, this daemon among them unless it leaves.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(&self.own)
+            .chain(self.others())
+            .filter(|member| member.state == MemberState::Alive)
+    }
+
+    /// The member on `host`.
+    pub fn get(&self, host: &str) -> Option<&Member> {
+        match self.own.host.as_str() == host {
+            true => Some(&self.own),
+            false => self.records.get(host).map(|record| &record.member),
+        }
+    }
+
+    /// Whether the run of a daemon is over, as far as this view knows.
+    pub fn is_gone(&self, claimant: &Claimant) -> bool {
+        self.get(claimant.host.as_str()).is_some_and(|member| {
+            let is_later = member.incarnation > claimant.incarnation;
+            let is_same = member.incarnation == claimant.incarnation;
+            is_later || (is_same && member.state == MemberState::Failed)
+        })
+    }
+
+    /// Announces that this daemon takes work.
+    pub fn ready(&mut self) {
+        if self.own.state == MemberState::Joining {
+            self.own.state = MemberState::Alive;
+            self.version += 1;
+        }
+    }
+
+    /// Announces that this daemon leaves.
+    pub fn leave(&mut self) {
+        self.own.state = MemberState::Leaving;
+        self.version += 1;
+    }
+
+    /// Learns of `member` from a message or the platform's list; returns whether it is news.
+    pub fn learn(&mut self, now: Time, member: Member) -> bool {
+        if member.host == self.own.host {
+            self.refute(&member);
+            return false;
+        }
+        let old = self.records.get(&member.host);
+        if old.is_some_and(|record| !member.supersedes(&record.member)) {
+            return false;
+        }
+        if member.state != MemberState::Failed {
+            self.heard_from(now, member.host.as_str());
+        }
+        let spread_left = self.spread();
+        let record = Record {
+            changed_at: now,
+            spread_left,
+            member,
+        };
+        self.records.insert(record.member.host.clone(), record);
+        self.version += 1;
+        true
+    }
+
+    fn spread(&self) -> u32 {
+        SPREAD_FACTOR * (self.records.len() as u32 + 2).ilog2().max(1)
+    }
+
+    fn refute(&mut self, said: &Member) {
+        let is_wrong = said.incarnation >= self.own.incarnation && said.state > self.own.state;
+        if is_wrong {
+            self.own.incarnation = said.incarnation + 1;
+            self.version += 1;
+        }
+    }
+
+    /// Notes a sign of life.
+    pub fn heard_from(&mut self, now: Time, host: &str) {
+        if let Some(at) = self.heard.get_mut(host) {
+            *at = now;
+        }
+    }
+
+    /// The members to probe now, and the failure of successors that stayed silent.
+    pub fn tick<R: Rng>(&mut self, now: Time, rng: &mut R) -> Vec<Member> {
+        if self.probed_at.is_some_and(|at| now.since(at) < PROBE_EVERY) {
+            return Vec::new();
+        }
+        self.probed_at = Some(now);
+        self.forget(now);
+        let mut targets = self.successors();
+        self.fail_silent(now, &mut targets);
+        if let Some(member) = self.random_member(rng) {
+            targets.push(member);
+        }
+        targets
+    }
+
+    fn successors(&self) -> Vec<Member> {
+        let own = rendezvous::hash(self.own.host.as_str());
+        let mut ring: Vec<_> = self
+            .others()
+            .filter(|member| member.state != MemberState::Failed)
+            .map(|m| (rendezvous::hash(m.host.as_str()).wrapping_sub(own), m))
+            .collect();
+        let count = SUCCESSORS.min(ring.len());
+        if count > 0 {
+            ring.select_nth_unstable_by_key(count - 1, |(distance, _)| *distance);
+        }
+        ring.truncate(count);
+        ring.into_iter().map(|(_, member)| member.clone()).collect()
+    }
+
+    fn fail_silent(&mut self, now: Time, targets: &mut Vec<Member>) {
+        for target in targets.iter() {
+            // The time of a new successor starts with its first probe.
+            let heard = *self.heard.entry(target.host.clone()).or_insert(now);
+            if now.since(heard) >= FAIL_AFTER {
+                let failed = Member {
+                    state: MemberState::Failed,
+                    ..target.clone()
+                };
+                self.learn(now, failed);
+                self.heard.remove(&target.host);
+            }
+        }
+        targets.retain(|t| self.heard.contains_key(&t.host));
+        let probed: Vec<_> = targets.iter().map(|t| t.host.clone()).collect();
+        self.heard.retain(|host, _| probed.contains(host));
+    }
+
+    fn random_member<R: Rng>(&self, rng: &mut R) -> Option<Member> {
+        let wants_failed = rng.random_ratio(1, FAILED_PROBE_ONE_IN);
+        let candidates: Vec<_> = self
+            .others()
+            .filter(|member| (member.state == MemberState::Failed) == wants_failed)
+            .collect();
+        candidates.choose(rng).map(|member| (*member).clone())
+    }
+
+    fn forget(&mut self, now: Time) {
+        let is_kept = |_: &HostName, record: &mut Record| {
+            record.member.state <= MemberState::Alive || now.since(record.changed_at) < FORGET_AFTER
+        };
+        self.records.retain(is_kept);
+    }
+
+    /// Changes to put into a message, those told least often first.
+    pub fn changes(&mut self) -> Vec<Member> {
+        let mut open: Vec<_> = self
+            .records
+            .values_mut()
+            .filter(|record| record.spread_left > 0)
+            .collect();
+        open.sort_by_key(|record| std::cmp::Reverse(record.spread_left));
+        open.truncate(CHANGES_PER_MESSAGE);
+        let tell = |record: &mut Record| {
+            record.spread_left -= 1;
+            record.member.clone()
+        };
+        open.into_iter().map(tell).collect()
+    }
+
+    /// Every member, for a daemon that has just joined.
+    pub fn all(&self) -> Vec<Member> {
+        self.others().cloned().collect()
+    }
+
+    /// A few random members, for a daemon whose view differs.
+    pub fn some<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
+        let all: Vec<_> = self.others().collect();
+        all.sample(rng, CHANGES_PER_MESSAGE)
+            .map(|member| (*member).clone())
+            .collect()
+    }
+
+    /// Whether `host` is known at all.
+    pub fn knows(&self, host: &str) -> bool {
+        self.get(host).is_some()
+    }
+
+    /// The daemons of `failure_domain` that read the configuration from the log for the others.
+    pub fn readers(&self, failure_domain: &FailureDomain) -> Vec<&Member> {
+        let near = self
+            .others()
+            .chain(std::iter::once(&self.own))
+            .filter(|member| {
+                member.failure_domain == *failure_domain && member.state <= MemberState::Alive
+            });
+        let hosts = near.map(|member| member.host.as_str());
+        rendezvous::ranked(READER_KEY, hosts, READERS)
+            .into_iter()
+            .filter_map(|host| self.get(host))
+            .collect()
+    }
+
+    /// A digest of the view; equal views have equal digests.
+    pub fn digest(&self) -> u64 {
+        std::iter::once(&self.own)
+            .chain(self.others())
+            .map(|m| rendezvous::weight(m.host.as_str(), &format!("{}{}", m.incarnation, m.state)))
+            .fold(0, |sum, weight| sum ^ weight)
+    }
+}
--- /dev/null
+++ b/core/src/ownership.rs
@@ -0,0 +1,68 @@
+//! Which daemon decides about what, by rendezvous hashing over the members that take work.
+
+use crate::membership::{Member, Membership};
+use crate::names::{FailureDomain, UpstreamName};
+use crate::quarantine::Fingerprint;
+use crate::rendezvous;
+use std::collections::BTreeMap;
+
+/// Owners according to one view of the members.
+#[derive(Clone, Debug, Default)]
+pub struct Owners {
+    by_domain: BTreeMap<FailureDomain, Vec<Member>>,
+}
+
+impl Owners {
+    /// The owners according to `membership`.
+    pub fn new(membership: &Membership) -> Self {
+        let mut by_domain: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for member in membership.alive() {
+            let list = by_domain.entry(member.failure_domain.clone()).or_default();
+            list.push(member.clone());
+        }
+        Self { by_domain }
+    }
+
+    /// The members that take work.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.by_domain.values().flatten()
+    }
+
+    fn owner(&self, key: &str) -> Option<&Member> {
+        best(key, self.members())
+    }
+
+    /// The admission owner of an upstream: a daemon of its failure domain, or any when that
+    /// failure domain has none.
+    pub fn of_upstream(&self, name: &UpstreamName, domain: &FailureDomain) -> Option<&Member> {
+        let near = self
+            .by_domain
+            .get(domain)
+            .and_then(|list| best(name.as_str(), list));
+        near.or_else(|| self.owner(name.as_str()))
+    }
+
+    /// The owner of a ledger shard.
+    pub fn of_shard(&self, shard: u32) -> Option<&Member> {
+        self.owner(&format!("ledger-{shard}"))
+    }
+
+    /// The owner of a fingerprint.
+    pub fn of_fingerprint(&self, fingerprint: Fingerprint) -> Option<&Member> {
+        self.owner(&format!("fingerprint-{}", fingerprint.0))
+    }
+
+    /// The daemon that writes checkpoints of the configuration.
+    pub fn of_checkpoints(&self) -> Option<&Member> {
+        self.owner("checkpoints")
+    }
+}
+
+fn best<'a, I>(key: &str, members: I) -> Option<&'a Member>
+where
+    I: IntoIterator<Item = &'a Member>,
+{
+    members
+        .into_iter()
+        .max_by_key(|m| (rendezvous::weight(key, m.host.as_str()), &m.host))
+}
--- /dev/null
+++ b/core/src/quarantine.rs
@@ -0,0 +1,113 @@
+//! Requests that may have crashed upstreams.
+//!
+//! When an upstream dies, every request in progress there becomes a suspect. A suspect runs again
+//! only while no other suspect runs at the same upstream, so that a second crash names one of
+//! them. A fingerprint that meets its second crash is refused for a while.
+
+use crate::rendezvous;
+use crate::time::{Millis, Time};
+use std::collections::HashMap;
+
+/// Crashes after which a fingerprint is refused.
+pub const MAX_CRASHES: u32 = 2;
+
+/// How long a fingerprint is refused after its last crash.
+pub const REFUSED_FOR: Millis = Millis(600_000);
+
+/// How long a suspect stays one when it does not run again.
+const SUSPECT_FOR: Millis = Millis(600_000);
+
+/// Identifies equal requests of one organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request by its body's digest.
+    pub fn new(organisation: &str, service: &str, kind: &str, body_digest: &str) -> Self {
+        Self(rendezvous::hash(&format!(
+            "{organisation}/{service}/{kind}/{body_digest}"
+        )))
+    }
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Treatment {
+    /// As any other.
+    Normal,
+    /// Only where no other suspect runs.
+    Suspect,
+    /// Not at all for the given time.
+    Refused(Millis),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    crashes: u32,
+    last_crash: Time,
+}
+
+/// The crashes that this daemon knows of, as owner of their fingerprints.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    cases: HashMap<Fingerprint, Case>,
+}
+
+impl Quarantine {
+    /// A quarantine without cases.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The number of open cases.
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// Whether there is no case.
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    /// Notes that a request with this fingerprint was in progress at an upstream that died.
+    pub fn crashed(&mut self, now: Time, fingerprint: Fingerprint) -> Treatment {
+        let case = self.cases.entry(fingerprint).or_insert(Case {
+            crashes: 0,
+            last_crash: now,
+        });
+        case.crashes += 1;
+        case.last_crash = now;
+        self.treatment(now, fingerprint)
+    }
+
+    /// Notes that a suspect ran to its end.
+    pub fn completed(&mut self, fingerprint: Fingerprint) {
+        self.cases.remove(&fingerprint);
+    }
+
+    /// How a request with this fingerprint may run.
+    pub fn treatment(&mut self, now: Time, fingerprint: Fingerprint) -> Treatment {
+        let Some(case) = self.cases.get(&fingerprint) else {
+            return Treatment::Normal;
+        };
+        let age = now.since(case.last_crash);
+        let is_over = match case.crashes >= MAX_CRASHES {
+            true => age >= REFUSED_FOR,
+            false => age >= SUSPECT_FOR,
+        };
+        if is_over {
+            self.cases.remove(&fingerprint);
+            return Treatment::Normal;
+        }
+        match case.crashes >= MAX_CRASHES {
+            true => Treatment::Refused(Millis(REFUSED_FOR.0 - age.0)),
+            false => Treatment::Suspect,
+        }
+    }
+
+    /// Drops cases that are over.
+    pub fn tick(&mut self, now: Time) {
+        self.cases
+            .retain(|_, case| now.since(case.last_crash) < REFUSED_FOR.max(SUSPECT_FOR));
+    }
+}
--- /dev/null
+++ b/core/src/rendezvous.rs
@@ -0,0 +1,59 @@
+//! Rendezvous hashing: every daemon with the same members picks the same owner.
+
+use std::hash::Hasher;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+/// A 64-bit hash of `text`, the same on every daemon.
+pub fn hash(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
+}
+
+/// The weight of `member` for `key`; the highest weight owns the key.
+pub fn weight(key: &str, member: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.write(key.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(member.as_bytes());
+    hasher.finish()
+}
+
+/// The member that owns `key`, if there are members.
+pub fn owner<'a, I>(key: &str, members: I) -> Option<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    members
+        .into_iter()
+        .max_by_key(|member| (weight(key, member), *member))
+}
+
+/// The members in order of rank for `key`, at most `count` of them.
+pub fn ranked<'a, I>(key: &str, members: I, count: usize) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut ranked: Vec<_> = members
+        .into_iter()
+        .map(|member| (weight(key, member), member))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn loss_of_a_member_moves_only_its_keys() {
+        let members = ["a", "b", "c", "d"];
+        let fewer = ["a", "b", "d"];
+        let moved = (0..1000)
+            .map(|key| key.to_string())
+            .filter(|key| owner(key, members) != owner(key, fewer))
+            .filter(|key| owner(key, members) != Some("c"))
+            .count();
+        assert_eq!(moved, 0);
+    }
+}
--- /dev/null
+++ b/core/src/routing.rs
@@ -0,0 +1,261 @@
+//! Which upstreams a request tries, and in which order.
+//!
+//! An entry daemon knows upstreams only by hints from earlier answers of their owners. It asks
+//! two or three owners at most; the owners know what runs there.
+
+use crate::names::{FailureDomain, UpstreamName};
+use crate::rendezvous;
+use crate::service_file::ServiceSpec;
+use crate::time::{Millis, Time};
+use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
+use std::collections::{BTreeMap, HashMap};
+
+/// Upstreams that one request asks at most before it waits at one of them.
+pub const CANDIDATES: usize = 3;
+
+/// Age at which a hint says nothing any more.
+const HINT_LIFETIME: Millis = Millis(5_000);
+
+/// How long an upstream that failed is tried last.
+const AVOID_FOR: Millis = Millis(2_000);
+
+/// Wait that a cached prefix is worth for each of its tokens, in milliseconds.
+const PREFIX_WORTH_MS: f64 = 0.1;
+
+/// Wait that a hop to another failure domain costs, in milliseconds.
+const DISTANCE_MS: f64 = 2.0;
+
+/// Upstreams sampled for a request besides those that suit its prefix.
+const SAMPLES: usize = 4;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Hint {
+    wait_ms: f64,
+    at: Time,
+    failed_at: Option<Time>,
+    outstanding: u32,
+}
+
+/// What a request looks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Hash of the prompt's shared prefix; zero for none.
+    pub prefix: u64,
+    /// Tokens of that prefix.
+    pub prefix_tokens: u32,
+    /// Where this daemon stands.
+    pub near: &'a FailureDomain,
+    /// A failure domain that just failed the request.
+    pub avoid: Option<&'a FailureDomain>,
+}
+
+/// Why an upstream was chosen, for the decision log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its score in milliseconds of expected wait; the lowest goes first.
+    pub score_ms: f64,
+}
+
+/// Hints about upstreams and the choice among them.
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    hints: HashMap<UpstreamName, Hint>,
+}
+
+impl Router {
+    /// A router without hints.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes the wait that an owner named.
+    pub fn note_wait(&mut self, now: Time, upstream: &UpstreamName, wait: Millis) {
+        let hint = self.hints.entry(upstream.clone()).or_default();
+        hint.wait_ms = wait.0 as f64;
+        hint.at = now;
+    }
+
+    /// Notes that an attempt at an upstream failed.
+    pub fn note_failure(&mut self, now: Time, upstream: &UpstreamName) {
+        self.hints.entry(upstream.clone()).or_default().failed_at = Some(now);
+    }
+
+    /// Notes that a request starts at an upstream.
+    pub fn note_start(&mut self, upstream: &UpstreamName) {
+        self.hints.entry(upstream.clone()).or_default().outstanding += 1;
+    }
+
+    /// Notes that a request ended at an upstream.
+    pub fn note_end(&mut self, upstream: &UpstreamName) {
+        let hint = self.hints.entry(upstream.clone()).or_default();
+        hint.outstanding = hint.outstanding.saturating_sub(1);
+    }
+
+    /// Requests of this daemon in progress at an upstream.
+    pub fn outstanding(&self, upstream: &str) -> u32 {
+        self.hints.get(upstream).map_or(0, |hint| hint.outstanding)
+    }
+
+    /// The upstreams to try, best first.
+    pub fn candidates<R: Rng>(
+        &self,
+        now: Time,
+        service: &ServiceSpec,
+        is_usable: impl Fn(&UpstreamName) -> bool,
+        wish: Wish<'_>,
+        rng: &mut R,
+    ) -> Vec<Candidate> {
+        let usable: Vec<_> = service
+            .upstreams
+            .keys()
+            .filter(|name| is_usable(name))
+            .collect();
+        let mut chosen: BTreeMap<&UpstreamName, f64> = BTreeMap::new();
+        for name in self.prefix_homes(&usable, wish.prefix) {
+            let bonus = f64::from(wish.prefix_tokens) * PREFIX_WORTH_MS;
+            chosen.insert(name, self.score(now, service, name, wish, rng) - bonus);
+        }
+        for name in usable.sample(rng, SAMPLES) {
+            chosen
+                .entry(name)
+                .or_insert_with(|| self.score(now, service, name, wish, rng));
+        }
+        let mut candidates: Vec<_> = chosen
+            .into_iter()
+            .map(|(name, score_ms)| Candidate {
+                upstream: name.clone(),
+                score_ms,
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.score_ms.total_cmp(&b.score_ms));
+        candidates.truncate(CANDIDATES);
+        candidates
+    }
+
+    /// The upstream where answers with this prefix usually go.
+    fn prefix_homes<'a>(&self, usable: &[&'a UpstreamName], prefix: u64) -> Vec<&'a UpstreamName> {
+        if prefix == 0 {
+            return Vec::new();
+        }
+        let key = prefix.to_string();
+        let home = rendezvous::owner(&key, usable.iter().map(|name| name.as_str()));
+        usable
+            .iter()
+            .filter(|name| Some(name.as_str()) == home)
+            .copied()
+            .collect()
+    }
+
+    fn score<R: Rng>(
+        &self,
+        now: Time,
+        service: &ServiceSpec,
+        name: &UpstreamName,
+        wish: Wish<'_>,
+        rng: &mut R,
+    ) -> f64 {
+        let hint = self.hints.get(name).copied().unwrap_or_default();
+        let age = now.since(hint.at).0 as f64 / HINT_LIFETIME.0 as f64;
+        let mut score = hint.wait_ms * (1.0 - age).max(0.0);
+        score += f64::from(hint.outstanding);
+        if let Some(spec) = service.upstreams.get(name) {
+            let is_far = spec.failure_domain != *wish.near;
+            score += if is_far { DISTANCE_MS } else { 0.0 };
+            let is_avoided = wish.avoid == Some(&spec.failure_domain);
+            score += if is_avoided { AVOID_FOR.0 as f64 } else { 0.0 };
+        }
+        let failed = hint.failed_at.is_some_and(|at| now.since(at) < AVOID_FOR);
+        score += if failed {
+            2.0 * AVOID_FOR.0 as f64
+        } else {
+            0.0
+        };
+        score + rng.random_range(0.0..1.0)
+    }
+
+    /// Drops hints about upstreams that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&UpstreamName) -> bool) {
+        self.hints.retain(|name, _| is_known(name));
+    }
+}
+
+/// How a request goes on after an owner's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Ask this owner; the flag says whether to queue there.
+    Ask {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Whether to wait there.
+        queue: bool,
+    },
+    /// Give up: the request is not run and may come back after this time.
+    GiveUp(Millis),
+}
+
+/// One request's way through its candidates.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    candidates: Vec<UpstreamName>,
+    asked: usize,
+    waits: Vec<Millis>,
+    queued: bool,
+    retry: Millis,
+}
+
+/// Retry time when no upstream is usable.
+const NO_UPSTREAM_RETRY: Millis = Millis(1_000);
+
+impl Plan {
+    /// A plan over `candidates`, best first.
+    pub fn new(candidates: Vec<UpstreamName>) -> Self {
+        let waits = Vec::with_capacity(candidates.len());
+        Self {
+            candidates,
+            asked: 0,
+            waits,
+            queued: false,
+            retry: NO_UPSTREAM_RETRY,
+        }
+    }
+
+    /// The next step; call it first and after each answer other than a grant.
+    pub fn next_step(&mut self) -> NextStep {
+        if let Some(upstream) = self.candidates.get(self.asked) {
+            self.asked += 1;
+            // The only candidate is asked to queue at once, which saves a round trip.
+            let queue = self.candidates.len() == 1;
+            self.queued |= queue;
+            return NextStep::Ask {
+                upstream: upstream.clone(),
+                queue,
+            };
+        }
+        if self.queued {
+            return NextStep::GiveUp(self.retry);
+        }
+        self.queued = true;
+        let shortest = self.waits.iter().enumerate().min_by_key(|(_, wait)| **wait);
+        match shortest {
+            Some((place, _)) => NextStep::Ask {
+                upstream: self.candidates[place].clone(),
+                queue: true,
+            },
+            None => NextStep::GiveUp(self.retry),
+        }
+    }
+
+    /// Notes that the owner just asked has no room for `wait`.
+    pub fn busy(&mut self, wait: Millis) {
+        self.waits.push(wait);
+    }
+
+    /// Notes that the owner just asked refused, or did not answer.
+    pub fn refused(&mut self, retry: Millis) {
+        self.retry = retry;
+        self.waits.push(Millis(u64::MAX));
+    }
+}
--- /dev/null
+++ b/core/src/settings.rs
@@ -0,0 +1,93 @@
+//! Settings of one daemon.
+
+use crate::ini::{Document, IniError};
+use crate::names::{FailureDomain, HostName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Where and how one daemon runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settings {
+    /// The host's name.
+    pub host: HostName,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other daemons.
+    pub peer_address: SocketAddr,
+    /// Address for operators.
+    pub operator_address: SocketAddr,
+    /// SHA-256 digest of the operators' bearer key, in hex.
+    pub operator_key_sha256: String,
+    /// Addresses of the platform's log.
+    pub log_address: SocketAddr,
+    /// Address of the platform's list of hosts.
+    pub hosts_address: SocketAddr,
+    /// Where metrics go by UDP, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
+    /// Traffic threads.
+    pub traffic_threads: usize,
+    /// How long callers may keep a list of addresses, in milliseconds.
+    pub directory_lifetime_ms: u64,
+    /// Ledger shards; the same on every daemon.
+    pub ledger_shards: u32,
+    /// How long an idempotency key is remembered, in milliseconds.
+    pub key_validity_ms: u64,
+    /// How long a claimant may wait between its claim and its dispatch, in milliseconds.
+    pub claim_bound_ms: u64,
+    /// Open connections of callers.
+    pub max_connections: usize,
+    /// How long a caller may take to send its headers or take no data, in milliseconds.
+    pub caller_silence_ms: u64,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    pub fn parse(text: &str) -> Result<Self, IniError> {
+        let doc = Document::parse(text)?;
+        let known = ["daemon", "platform", "limits"];
+        if let Some(section) = doc.sections().keys().find(|s| !known.contains(&s.as_str())) {
+            return Err(IniError::UnknownSection {
+                section: section.clone(),
+                expected: "[daemon], [platform] or [limits]".to_owned(),
+            });
+        }
+        let mut daemon = doc.section("daemon")?;
+        let mut platform = doc.section("platform")?;
+        let mut limits = match doc.section("limits") {
+            Ok(reader) => reader,
+            Err(_) => crate::ini::SectionReader::new("limits", &Default::default()),
+        };
+        let settings = Self {
+            host: HostName::from(daemon.name("host")?),
+            failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
+            caller_address: daemon.required("caller_address")?,
+            peer_address: daemon.required("peer_address")?,
+            operator_address: daemon.required("operator_address")?,
+            operator_key_sha256: daemon.required("operator_key_sha256")?,
+            traffic_threads: daemon.number_or("traffic_threads", 2, 1..=256)? as usize,
+            log_address: platform.required("log_address")?,
+            hosts_address: platform.required("hosts_address")?,
+            metrics_address: platform.optional("metrics_address")?,
+            directory_lifetime_ms: limits.number_or(
+                "directory_lifetime_ms",
+                30_000,
+                100..=3_600_000,
+            )?,
+            ledger_shards: limits.number_or("ledger_shards", 16, 1..=4_096)? as u32,
+            key_validity_ms: limits.number_or(
+                "key_validity_ms",
+                43_200_000,
+                10_000..=604_800_000,
+            )?,
+            claim_bound_ms: limits.number_or("claim_bound_ms", 5_000, 100..=60_000)?,
+            max_connections: limits.number_or("max_connections", 10_000, 1..=1_000_000)? as usize,
+            caller_silence_ms: limits.number_or("caller_silence_ms", 30_000, 100..=3_600_000)?,
+        };
+        daemon.finish()?;
+        platform.finish()?;
+        limits.finish()?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/core/src/time.rs
@@ -0,0 +1,54 @@
+//! Virtual time as the decisions see it.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, Sub};
+
+/// A moment in milliseconds since an arbitrary start; always passed in by the caller.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+/// A span in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Time {
+    /// The span since `earlier`; zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Millis> for Time {
+    type Output = Self;
+
+    fn add(self, span: Millis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Millis> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
+impl From<Millis> for std::time::Duration {
+    fn from(span: Millis) -> Self {
+        Self::from_millis(span.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/daemon/src/clock.rs
@@ -0,0 +1,33 @@
+//! The clock that the decisions are given.
+
+use magnoliawinch::time::Time;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Milliseconds since 1970 at the daemon's start, counted on by a monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    started: Instant,
+    started_at: Time,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            started: Instant::now(),
+            started_at: Time(since_epoch.as_millis() as u64),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time(self.started_at.0 + self.started.elapsed().as_millis() as u64)
+    }
+
+    /// The start of the daemon, which serves as its incarnation.
+    pub(crate) fn started_at(&self) -> Time {
+        self.started_at
+    }
+}
--- /dev/null
+++ b/daemon/src/control/admissions.rs
@@ -0,0 +1,392 @@
+//! Admission to the upstreams that this daemon owns, and to those that others believe it owns.
+
+use super::{Control, Message};
+use crate::view::Services;
+use magnoliawinch::admission::{Admission, Bounds, Decision, Event, GrantId, LoadReport, Request};
+use magnoliawinch::estimate::Estimator;
+use magnoliawinch::names::{HostName, KindName, OrganisationName, ServiceName, UpstreamName};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_operator::UpstreamStatus;
+use magnoliawinch_peer::RenewRequest;
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Grants younger than this are kept though their holder does not name them.
+const HELD_GRACE: Millis = Millis(3_000);
+
+/// Sweeps between two load reports of an upstream.
+const SWEEPS_PER_REPORT: u64 = 2;
+
+/// A place at an upstream is wanted.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmitCall {
+    pub(crate) holder: HostName,
+    /// Names the call to `Withdraw`.
+    pub(crate) token: u64,
+    pub(crate) service: ServiceName,
+    pub(crate) upstream: UpstreamName,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) kind: KindName,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) patience: Millis,
+    pub(crate) suspect: bool,
+    pub(crate) no_queue: bool,
+}
+
+/// How the wish for a place ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmitAnswer {
+    Granted(u64),
+    Busy(Millis),
+    Refused(Millis),
+    /// This daemon does not know the upstream.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    token: u64,
+    reply: oneshot::Sender<AdmitAnswer>,
+}
+
+#[derive(Debug)]
+struct Owned {
+    admission: Admission,
+    service: ServiceName,
+    address: SocketAddr,
+    waiting: HashMap<GrantId, Waiting>,
+    leaving: bool,
+}
+
+/// Admission by upstream.
+#[derive(Debug)]
+pub(super) struct Admissions {
+    owned: HashMap<UpstreamName, Owned>,
+    grants: HashMap<GrantId, UpstreamName>,
+    estimator: Estimator,
+    next_id: u64,
+    sweeps: u64,
+}
+
+impl Admissions {
+    pub(super) fn new() -> Self {
+        Self {
+            owned: HashMap::new(),
+            grants: HashMap::new(),
+            estimator: Estimator::new(),
+            next_id: 1,
+            sweeps: 0,
+        }
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        self.owned.values().any(|owned| !owned.waiting.is_empty())
+    }
+
+    fn admit(
+        &mut self,
+        now: Time,
+        call: AdmitCall,
+        share: f64,
+        priority: u8,
+        reply: oneshot::Sender<AdmitAnswer>,
+    ) {
+        let Some(owned) = self.owned.get_mut(&call.upstream) else {
+            let _ = reply.send(AdmitAnswer::Unknown);
+            return;
+        };
+        let id = GrantId(self.next_id);
+        self.next_id += 1;
+        let curve = self
+            .estimator
+            .curve(&call.service, &call.kind, &call.organisation);
+        let request = Request {
+            id,
+            holder: call.holder,
+            organisation: call.organisation,
+            kind: call.kind,
+            share,
+            priority,
+            prompt_tokens: call.prompt_tokens,
+            curve,
+            patience_until: now + call.patience,
+            suspect: call.suspect,
+            no_queue: call.no_queue,
+        };
+        let (decision, events) = owned.admission.request(now, request);
+        owned.waiting.insert(
+            id,
+            Waiting {
+                token: call.token,
+                reply,
+            },
+        );
+        let answer = match decision {
+            Decision::Granted => Some(AdmitAnswer::Granted(id.0)),
+            Decision::Busy(wait) => Some(AdmitAnswer::Busy(wait)),
+            Decision::Refused(retry) => Some(AdmitAnswer::Refused(retry)),
+            Decision::Queued => None,
+        };
+        if let Some(answer) = answer {
+            self.answer(&call.upstream, id, answer);
+        }
+        self.apply(&call.upstream, events);
+    }
+
+    /// Answers a caller; a grant whose caller is gone is taken back.
+    fn answer(&mut self, upstream: &UpstreamName, id: GrantId, answer: AdmitAnswer) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        let Some(waiting) = owned.waiting.remove(&id) else {
+            return;
+        };
+        let is_grant = matches!(answer, AdmitAnswer::Granted(_));
+        let is_gone = waiting.reply.send(answer).is_err();
+        if is_grant && is_gone {
+            owned.admission.release(id, 0);
+        } else if is_grant {
+            self.grants.insert(id, upstream.clone());
+        }
+    }
+
+    fn apply(&mut self, upstream: &UpstreamName, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::Granted(id) => self.answer(upstream, id, AdmitAnswer::Granted(id.0)),
+                Event::Refused(id, retry) => {
+                    self.answer(upstream, id, AdmitAnswer::Refused(retry));
+                }
+            }
+        }
+    }
+
+    /// Grants what has room now.
+    pub(super) fn tick(&mut self, now: Time) {
+        let names: Vec<_> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| owned.admission.queued() > 0)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            self.tick_one(now, &name);
+        }
+    }
+
+    fn tick_one(&mut self, now: Time, name: &UpstreamName) {
+        if let Some(owned) = self.owned.get_mut(name) {
+            let events = owned.admission.tick(now);
+            self.apply(name, events);
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, upstream: &UpstreamName, token: u64) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        let found = owned
+            .waiting
+            .iter()
+            .find(|(_, waiting)| waiting.token == token);
+        if let Some(id) = found.map(|(id, _)| *id) {
+            owned.admission.withdraw(id);
+            owned.waiting.remove(&id);
+        }
+    }
+
+    /// Takes news of grants from their holder.
+    pub(super) fn renew(&mut self, now: Time, req: &RenewRequest) {
+        let holder = HostName::new(&req.host);
+        for progress in &req.grants {
+            let id = GrantId(progress.grant);
+            let Some(upstream) = self.grants.get(&id).cloned() else {
+                continue;
+            };
+            let Some(owned) = self.owned.get_mut(&upstream) else {
+                continue;
+            };
+            if !progress.ended {
+                owned.admission.progress(now, id, progress.tokens_written);
+                continue;
+            }
+            let ended = owned.admission.release(id, progress.tokens_written);
+            self.grants.remove(&id);
+            if let Some(ended) = ended.filter(|_| progress.complete) {
+                let service = owned.service.clone();
+                let (kind, organisation) = (&ended.kind, &ended.organisation);
+                self.estimator
+                    .learn(&service, kind, organisation, ended.written);
+            }
+            self.tick_one(now, &upstream);
+        }
+        let held: HashSet<_> = req.held.iter().copied().collect();
+        for owned in self.owned.values_mut() {
+            owned.admission.heard_from(now, &holder);
+            if req.full {
+                let is_held = |id: GrantId| held.contains(&id.0);
+                owned
+                    .admission
+                    .retain_held(now, &holder, HELD_GRACE, is_held);
+            }
+        }
+    }
+
+    /// Drops grants of silent holders.
+    pub(super) fn sweep(&mut self, now: Time) {
+        for owned in self.owned.values_mut() {
+            owned.admission.expire(now);
+        }
+        let owned = &self.owned;
+        self.grants.retain(|id, upstream| {
+            owned
+                .get(upstream)
+                .is_some_and(|owned| owned.admission.is_running(*id))
+        });
+    }
+
+    /// Takes over the upstreams of a new configuration.
+    pub(super) fn reconfigure(&mut self, services: &Services) {
+        let mut old = std::mem::take(&mut self.owned);
+        for service in services.values() {
+            let spec = &service.spec;
+            for (name, upstream) in &spec.upstreams {
+                let bounds = Bounds::of(spec, upstream);
+                let owned = match old.remove(name) {
+                    Some(owned) if owned.address == upstream.address => Owned {
+                        admission: owned.admission.with_bounds(bounds),
+                        service: spec.name.clone(),
+                        ..owned
+                    },
+                    _ => Owned {
+                        admission: Admission::new(bounds),
+                        service: spec.name.clone(),
+                        address: upstream.address,
+                        waiting: HashMap::new(),
+                        leaving: false,
+                    },
+                };
+                self.owned.insert(name.clone(), owned);
+            }
+        }
+    }
+
+    /// Stops granting where `is_leaving` holds, and starts again where it no longer does.
+    pub(super) fn close_where(&mut self, is_leaving: impl Fn(&UpstreamName, IpAddr) -> bool) {
+        let mut closed = Vec::new();
+        for (name, owned) in &mut self.owned {
+            let leaving = is_leaving(name, owned.address.ip());
+            if leaving == owned.leaving {
+                continue;
+            }
+            owned.leaving = leaving;
+            match leaving {
+                true => closed.push((name.clone(), owned.admission.close())),
+                false => owned.admission.open(),
+            }
+        }
+        for (name, events) in closed {
+            self.apply(&name, events);
+        }
+    }
+
+    pub(super) fn close_all(&mut self) {
+        self.close_where(|_, _| true);
+    }
+
+    /// The upstreams whose load is due to be read.
+    fn due_reports(&mut self) -> bool {
+        self.sweeps += 1;
+        self.sweeps.is_multiple_of(SWEEPS_PER_REPORT)
+    }
+
+    fn report(&mut self, now: Time, upstream: &UpstreamName, report: &LoadReport) {
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.admission.report(now, report);
+            self.tick_one(now, upstream);
+        }
+    }
+
+    pub(super) fn status(&self, now: Time) -> Vec<UpstreamStatus> {
+        let mut list: Vec<_> = self
+            .owned
+            .iter()
+            .map(|(name, owned)| UpstreamStatus {
+                upstream: name.to_string(),
+                running: owned.admission.running(),
+                queued: owned.admission.queued(),
+                utilisation: owned.admission.utilisation(now),
+                leaving: owned.leaving,
+            })
+            .collect();
+        list.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+        list
+    }
+}
+
+impl Control {
+    /// Decides about a place at an upstream.
+    pub(super) fn admit(
+        &mut self,
+        now: Time,
+        call: AdmitCall,
+        reply: oneshot::Sender<AdmitAnswer>,
+    ) {
+        let service = self.services.get(&call.service);
+        let share = service
+            .and_then(|s| s.spec.organisations.get(&call.organisation))
+            .map_or(1.0, |organisation| organisation.share);
+        let priority = service
+            .and_then(|s| s.spec.kinds.get(&call.kind))
+            .map_or(0, |kind| kind.priority);
+        self.admissions.admit(now, call, share, priority, reply);
+    }
+
+    /// Asks the upstreams that this daemon owns for their load.
+    pub(super) fn poll_loads(&mut self) {
+        if !self.admissions.due_reports() {
+            return;
+        }
+        let own = &self.members.membership.own().host;
+        for service in self.services.values() {
+            for (name, upstream) in &service.spec.upstreams {
+                let owner = self.owners.of_upstream(name, &upstream.failure_domain);
+                let is_engine = upstream.memory_tokens > 0;
+                if is_engine && owner.is_some_and(|owner| owner.host == *own) {
+                    self.poll_load(name.clone(), upstream.address);
+                }
+            }
+        }
+    }
+
+    fn poll_load(&self, upstream: UpstreamName, address: SocketAddr) {
+        let shared = Arc::clone(&self.shared);
+        self.shared.traffic.spawn(async move {
+            let report = shared.engines.load(address).await.ok();
+            let _ = shared
+                .control
+                .send(Message::Load { upstream, report })
+                .await;
+        });
+    }
+
+    /// Takes a load report.
+    pub(super) fn load(&mut self, now: Time, upstream: &UpstreamName, report: Option<LoadReport>) {
+        let Some(report) = report else {
+            self.members.upstreams.unreachable(now, upstream);
+            self.view_is_old = true;
+            return;
+        };
+        self.admissions.report(now, upstream, &report);
+        let (incarnation, draining) = (report.incarnation, report.draining);
+        if self
+            .members
+            .upstreams
+            .reported(upstream, incarnation, draining)
+        {
+            self.close_leaving();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/control/members.rs
@@ -0,0 +1,284 @@
+//! Membership and evidence about upstreams, driven over the network.
+
+use super::{Control, Message};
+use magnoliawinch::membership::{Member, Membership};
+use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstreams::{Leaving, Upstreams};
+use magnoliawinch_hosts::{HostList, HostState};
+use magnoliawinch_peer::{ProbeReply, ProbeRequest, UpstreamLeaving};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Members told at once that this daemon leaves.
+const TOLD_OF_LEAVING: usize = 16;
+
+/// Unknown hosts of the platform's list that are probed at a time.
+const SEEDS: usize = 3;
+
+/// A member's offset counts for this long when the newest configuration is looked for.
+const OFFSET_LIFETIME: Millis = Millis(10_000);
+
+/// The members and what they say.
+#[derive(Debug)]
+pub(super) struct Members {
+    pub(super) membership: Membership,
+    pub(super) upstreams: Upstreams,
+    pub(super) rng: ChaCha8Rng,
+    newest_offset: u64,
+    newest_offset_at: Time,
+    heard_any: bool,
+}
+
+impl Members {
+    pub(super) fn new(own: Member, seed: u64) -> Self {
+        Self {
+            membership: Membership::new(own),
+            upstreams: Upstreams::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            newest_offset: 0,
+            newest_offset_at: Time(0),
+            heard_any: false,
+        }
+    }
+
+    /// The newest configuration offset that any peer named.
+    pub(super) fn newest_offset(&self) -> u64 {
+        self.newest_offset
+    }
+
+    /// Whether any peer has answered.
+    pub(super) fn heard_any(&self) -> bool {
+        self.heard_any
+    }
+
+    fn note_offset(&mut self, now: Time, offset: u64) {
+        let is_old = now.since(self.newest_offset_at) > OFFSET_LIFETIME;
+        if offset >= self.newest_offset || is_old {
+            self.newest_offset = self.newest_offset.max(offset);
+            self.newest_offset_at = now;
+        }
+    }
+
+    fn learn_all(&mut self, now: Time, members: &[magnoliawinch_peer::Member]) {
+        for message in members {
+            match Member::try_from(message) {
+                Ok(member) => {
+                    self.membership.learn(now, member);
+                }
+                Err(e) => log::warn!("{e}"),
+            }
+        }
+    }
+
+    fn learn_leaving(&mut self, leaving: &[UpstreamLeaving]) -> bool {
+        let mut changed = false;
+        for notice in leaving {
+            let upstream = UpstreamName::new(&notice.upstream);
+            let leaving = Leaving {
+                upstream,
+                incarnation: notice.incarnation,
+            };
+            changed |= self.upstreams.leaves(&leaving);
+        }
+        changed
+    }
+
+    fn notices(&mut self) -> Vec<UpstreamLeaving> {
+        let notice = |leaving: Leaving| UpstreamLeaving {
+            upstream: leaving.upstream.to_string(),
+            incarnation: leaving.incarnation,
+        };
+        self.upstreams.notices().into_iter().map(notice).collect()
+    }
+
+    fn sender(&self) -> Option<magnoliawinch_peer::Member> {
+        Some(self.membership.own().into())
+    }
+}
+
+impl Control {
+    /// Probes the members that are due.
+    pub(super) fn send_probes(&mut self, now: Time) {
+        let members = &mut self.members;
+        let targets = members.membership.tick(now, &mut members.rng);
+        for target in targets {
+            self.send_probe(target.peer_address, Some(target.host));
+        }
+    }
+
+    fn send_probe(&mut self, address: SocketAddr, host: Option<HostName>) {
+        let req = ProbeRequest {
+            sender: self.members.sender(),
+            changes: self.changes(),
+            catalogue_offset: self.configuration.through().0,
+            table_digest: self.members.membership.digest(),
+            leaving: self.members.notices(),
+        };
+        let shared = Arc::clone(&self.shared);
+        self.shared.traffic.spawn(async move {
+            let probe = shared
+                .peers
+                .call(address, PROBE_TIMEOUT, |mut peer| async move {
+                    peer.probe(req).await
+                });
+            match probe.await {
+                Ok(answer) => {
+                    let _ = shared.control.send(Message::Probed(answer)).await;
+                }
+                Err(e) => {
+                    shared.peers.forget(address);
+                    let host = host.as_ref().map_or("a listed host", HostName::as_str);
+                    log::debug!("probe of {host} failed: {e}");
+                }
+            }
+        });
+    }
+
+    fn changes(&mut self) -> Vec<magnoliawinch_peer::Member> {
+        self.members
+            .membership
+            .changes()
+            .iter()
+            .map(Into::into)
+            .collect()
+    }
+
+    /// Answers a probe.
+    pub(super) fn probe(
+        &mut self,
+        now: Time,
+        req: &ProbeRequest,
+        reply: oneshot::Sender<ProbeReply>,
+    ) {
+        let sender = req.sender.as_ref();
+        let is_new = sender.is_some_and(|m| !self.members.membership.knows(&m.host));
+        let differs = req.table_digest != self.members.membership.digest();
+        self.take_news(
+            now,
+            sender,
+            &req.changes,
+            &req.leaving,
+            req.catalogue_offset,
+        );
+        let members = &mut self.members;
+        let changes = match (is_new, differs) {
+            (true, _) => members.membership.all(),
+            (false, true) => {
+                let mut changes = members.membership.changes();
+                changes.extend(members.membership.some(&mut members.rng));
+                changes
+            }
+            (false, false) => members.membership.changes(),
+        };
+        let _ = reply.send(ProbeReply {
+            sender: self.members.sender(),
+            changes: changes.iter().map(Into::into).collect(),
+            catalogue_offset: self.configuration.through().0,
+            leaving: self.members.notices(),
+        });
+    }
+
+    /// Takes the answer to a probe.
+    pub(super) fn probed(&mut self, now: Time, answer: &ProbeReply) {
+        self.members.heard_any = true;
+        let sender = answer.sender.as_ref();
+        self.take_news(
+            now,
+            sender,
+            &answer.changes,
+            &answer.leaving,
+            answer.catalogue_offset,
+        );
+        if let Some(sender) = sender {
+            self.members.membership.heard_from(now, &sender.host);
+        }
+        self.check_ready();
+    }
+
+    fn take_news(
+        &mut self,
+        now: Time,
+        sender: Option<&magnoliawinch_peer::Member>,
+        changes: &[magnoliawinch_peer::Member],
+        leaving: &[UpstreamLeaving],
+        offset: u64,
+    ) {
+        self.members.note_offset(now, offset);
+        if let Some(sender) = sender {
+            self.members.learn_all(now, std::slice::from_ref(sender));
+        }
+        self.members.learn_all(now, changes);
+        if self.members.learn_leaving(leaving) {
+            self.close_leaving();
+        }
+    }
+
+    /// Takes the platform's list: finds peers, and evidence that hosts leave.
+    pub(super) fn listed(&mut self, now: Time, list: &HostList) {
+        let mut changed = false;
+        let mut seeds = Vec::new();
+        for host in &list.hosts {
+            let leaving = host.state == HostState::Leaving;
+            match host.daemon {
+                None => {
+                    changed |= self
+                        .members
+                        .upstreams
+                        .listed(host.ip, host.incarnation, leaving);
+                }
+                Some(daemon) if !self.members.membership.knows(host.host.as_str()) => {
+                    seeds.push(daemon.peer);
+                }
+                Some(_) => {}
+            }
+        }
+        // The hash spreads daemons that start together over different seeds.
+        let own = self.shared.settings.host.clone();
+        seeds.sort_by_key(|seed| {
+            magnoliawinch::rendezvous::weight(own.as_str(), &format!("{seed}{}", now.0))
+        });
+        for seed in seeds.into_iter().take(SEEDS) {
+            self.send_probe(seed, None);
+        }
+        if changed {
+            self.close_leaving();
+        }
+    }
+
+    /// Tells some members at once that this daemon leaves; the rest learn it from them.
+    pub(super) fn announce(&mut self) {
+        let others: Vec<_> = self
+            .members
+            .membership
+            .alive()
+            .take(TOLD_OF_LEAVING)
+            .map(|member| (member.peer_address, member.host.clone()))
+            .collect();
+        for (address, host) in others {
+            self.send_probe(address, Some(host));
+        }
+    }
+
+    /// An upstream said that it leaves.
+    pub(super) fn upstream_leaves(&mut self, upstream: &UpstreamName) {
+        if self.members.upstreams.refused_as_leaving(upstream) {
+            self.close_leaving();
+        }
+    }
+
+    /// Stops granting places at upstreams that leave.
+    pub(super) fn close_leaving(&mut self) {
+        let upstreams = &self.members.upstreams;
+        self.admissions
+            .close_where(|name, ip| upstreams.is_leaving(name.as_str(), ip));
+        self.view_is_old = true;
+    }
+}
--- /dev/null
+++ b/daemon/src/control/thread.rs
@@ -0,0 +1,75 @@
+//! Runs the control state on a thread of its own.
+
+use super::{Control, Mailbox};
+use std::io;
+use std::thread::JoinHandle;
+use tokio::runtime::Builder;
+use tokio::time::{Instant, sleep_until};
+
+/// Messages handled between two ticks at the most.
+const MAX_BATCH: usize = 256;
+
+/// The running thread; it ends when every sender of its mailbox is gone or `stop` was sent.
+#[derive(Debug)]
+pub(crate) struct ControlThread {
+    handle: JoinHandle<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    pub(crate) fn start(
+        control: Control,
+        mailbox: Mailbox,
+        stop: tokio::sync::watch::Receiver<bool>,
+    ) -> io::Result<Self> {
+        let rt = Builder::new_current_thread().enable_time().build()?;
+        let handle = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || rt.block_on(run(control, mailbox, stop)))?;
+        Ok(Self { handle })
+    }
+
+    /// Whether the thread has ended.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.handle.is_finished()
+    }
+}
+
+async fn run(
+    mut control: Control,
+    mut mailbox: Mailbox,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+) {
+    let mut next_tick = Instant::now();
+    loop {
+        tokio::select! {
+            message = mailbox.recv() => match message {
+                Some(message) => control.handle(message),
+                None => return,
+            },
+            () = sleep_until(next_tick) => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        for _ in 0..MAX_BATCH {
+            match mailbox.try_recv() {
+                Ok(message) => control.handle(message),
+                Err(_) => break,
+            }
+        }
+        control.tick();
+        next_tick = Instant::now() + control.next_tick().into();
+    }
+}
+
+/// Processor time that the calling thread has used, in milliseconds; zero where the platform does
+/// not tell.
+pub(crate) fn cpu_ms() -> u64 {
+    const NANOS_PER_MILLI: u64 = 1_000_000;
+    let stat = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos: u64 = stat
+        .split_whitespace()
+        .next()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
+    nanos / NANOS_PER_MILLI
+}
--- /dev/null
+++ b/daemon/src/daemon.rs
@@ -0,0 +1,265 @@
+//! Starts and stops a daemon.
+
+use crate::clock::Clock;
+use crate::control::{Control, ControlThread, Message};
+use crate::follow::follow;
+use crate::grants::keep_grants;
+use crate::metrics::Metrics;
+use crate::peer_server::PeerService;
+use crate::shared::{Parts, Shared};
+use crate::view::View;
+use crate::{operator, traffic};
+use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::settings::Settings;
+use magnoliawinch_http::{ServerLimits, serve};
+use magnoliawinch_peer::PeerServer;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use tonic::transport::server::TcpIncoming;
+
+/// Messages that wait for the control thread.
+const MAILBOX: usize = 8_192;
+
+/// Time between two readings of the platform's list.
+const LIST_EVERY: Duration = Duration::from_secs(5);
+
+/// Time between two readings until a peer is known.
+const FIRST_LIST_EVERY: Duration = Duration::from_millis(250);
+
+/// Time between two looks at the requests in progress while the daemon leaves.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Why a daemon does not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {key} {address}: {source}")]
+    Listen {
+        /// The setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// Metrics cannot be sent.
+    #[error("cannot send metrics: {0}")]
+    Metrics(io::Error),
+    /// The control thread cannot be started.
+    #[error("cannot start the control thread: {0}")]
+    Control(io::Error),
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    shared: Arc<Shared>,
+    leave: Arc<Notify>,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+    serving: Vec<JoinHandle<()>>,
+    control: ControlThread,
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| StartError::Listen {
+        key,
+        address,
+        source,
+    })
+}
+
+impl Daemon {
+    /// Starts a daemon whose traffic runs on the current runtime.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let callers = listen("caller_address", settings.caller_address).await?;
+        let peers = listen("peer_address", settings.peer_address).await?;
+        let operators = listen("operator_address", settings.operator_address).await?;
+        let clock = Clock::new();
+        let own = Member {
+            host: settings.host.clone(),
+            incarnation: clock.started_at().0,
+            failure_domain: settings.failure_domain.clone(),
+            peer_address: settings.peer_address,
+            caller_address: settings.caller_address,
+            state: MemberState::Joining,
+        };
+        let (control_tx, control_rx) = mpsc::channel(MAILBOX);
+        let (grants_tx, grants_rx) = mpsc::unbounded_channel();
+        let seed = magnoliawinch::rendezvous::weight(
+            settings.host.as_str(),
+            &clock.started_at().0.to_string(),
+        );
+        let parts = Parts {
+            clock,
+            view: View::new(own.clone()),
+            control: control_tx,
+            grants: grants_tx,
+            metrics: Metrics::new(settings.metrics_address).map_err(StartError::Metrics)?,
+            traffic: Handle::current(),
+            seed,
+        };
+        let shared = Arc::new(Shared::new(settings, parts));
+        let (stop, stopped) = watch::channel(false);
+        let control = Control::new(Arc::clone(&shared), own);
+        let control = ControlThread::start(control, control_rx, stopped.clone())
+            .map_err(StartError::Control)?;
+        let leave = Arc::new(Notify::new());
+        let serving = vec![
+            tokio::spawn(serve_callers(Arc::clone(&shared), callers, stopped.clone())),
+            tokio::spawn(serve_operators(
+                Arc::clone(&shared),
+                Arc::clone(&leave),
+                operators,
+                stopped.clone(),
+            )),
+            tokio::spawn(serve_peers(Arc::clone(&shared), peers, stopped)),
+        ];
+        let tasks = vec![
+            tokio::spawn(follow(Arc::clone(&shared))),
+            tokio::spawn(keep_grants(Arc::clone(&shared), grants_rx)),
+            tokio::spawn(read_list(Arc::clone(&shared))),
+        ];
+        log::info!("daemon of host {} started", shared.settings.host);
+        Ok(Self {
+            shared,
+            leave,
+            stop,
+            tasks,
+            serving,
+            control,
+        })
+    }
+
+    /// Whether the daemon takes requests.
+    pub fn is_ready(&self) -> bool {
+        let view = self.shared.view.load();
+        view.ready && view.own.state == MemberState::Alive
+    }
+
+    /// The number of daemons that this one believes to take work.
+    pub fn members(&self) -> usize {
+        self.shared.view.load().owners.members().count()
+    }
+
+    /// The last configuration offset that is in force here.
+    pub fn through(&self) -> u64 {
+        self.shared.view.load().through.0
+    }
+
+    /// Waits until an operator asks the daemon to leave.
+    pub async fn asked_to_leave(&self) {
+        self.leave.notified().await;
+    }
+
+    /// Leaves without cutting a request: tells the others, serves callers that hold old answers
+    /// until those expire, and ends when no request is in progress.
+    pub async fn leave(self) {
+        self.shared.leaving.store(true, Ordering::Release);
+        let _ = self.shared.control.send(Message::Leave).await;
+        let lifetime = Duration::from_millis(self.shared.settings.directory_lifetime_ms);
+        let until = Instant::now() + lifetime;
+        log::info!("host {} leaves", self.shared.settings.host);
+        while Instant::now() < until || self.shared.in_progress() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
+        self.end().await;
+    }
+
+    /// Ends when the requests in progress have ended.
+    async fn end(mut self) {
+        let _ = self.stop.send(true);
+        for task in self.serving.drain(..) {
+            let _ = task.await;
+        }
+        log::info!("daemon of host {} ended", self.shared.settings.host);
+    }
+
+    /// Ends at once, as a crash does.
+    pub fn kill(self) {
+        drop(self);
+    }
+
+    /// Whether the control thread runs.
+    pub fn control_is_running(&self) -> bool {
+        !self.control.is_finished()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+        self.tasks
+            .iter()
+            .chain(&self.serving)
+            .for_each(JoinHandle::abort);
+    }
+}
+
+async fn serve_callers(shared: Arc<Shared>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let limits = ServerLimits {
+        max_connections: shared.settings.max_connections,
+        header_timeout: Duration::from_millis(shared.settings.caller_silence_ms),
+        ..ServerLimits::default()
+    };
+    serve(listener, limits, stop, move |req| {
+        traffic::handle(Arc::clone(&shared), req)
+    })
+    .await;
+}
+
+async fn serve_operators(
+    shared: Arc<Shared>,
+    leave: Arc<Notify>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) {
+    serve(listener, ServerLimits::default(), stop, move |req| {
+        operator::handle(Arc::clone(&shared), Arc::clone(&leave), req)
+    })
+    .await;
+}
+
+async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let stopped = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let server = tonic::transport::Server::builder()
+        .add_service(PeerServer::new(PeerService::new(shared)))
+        .serve_with_incoming_shutdown(incoming, stopped);
+    if let Err(e) = server.await {
+        log::error!("serving peers failed: {e}");
+    }
+}
+
+/// Reads the platform's list of hosts until the daemon ends.
+async fn read_list(shared: Arc<Shared>) {
+    loop {
+        match shared.hosts.list().await {
+            Ok(list) => {
+                if shared.control.send(Message::Listed(list)).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => log::warn!("reading the platform's list failed: {e}"),
+        }
+        let is_alone = shared.view.load().owners.members().count() < 2;
+        sleep(if is_alone {
+            FIRST_LIST_EVERY
+        } else {
+            LIST_EVERY
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/daemon/src/decisions.rs
@@ -0,0 +1,51 @@
+//! Logs decision lines and keeps the latest ones for `explain`.
+
+use magnoliawinch::decision::{Decision, Line};
+use magnoliawinch::names::{HostName, ServiceName};
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+/// Lines that are kept in memory.
+const MAX_LINES: usize = 20_000;
+
+/// The latest decision lines of this daemon.
+#[derive(Debug)]
+pub(crate) struct Decisions {
+    host: HostName,
+    lines: Mutex<VecDeque<Line>>,
+}
+
+impl Decisions {
+    pub(crate) fn new(host: &HostName) -> Self {
+        Self {
+            host: host.clone(),
+            lines: Mutex::new(VecDeque::new()),
+        }
+    }
+
+    /// Logs a decision about a request.
+    pub(crate) fn log(&self, request: &str, service: &ServiceName, decision: Decision) {
+        let line = Line {
+            request: request.to_owned(),
+            service: service.clone(),
+            host: self.host.clone(),
+            decision,
+        };
+        line.log();
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.len() >= MAX_LINES {
+            lines.pop_front();
+        }
+        lines.push_back(line);
+    }
+
+    /// The lines of one request.
+    pub(crate) fn of(&self, request: &str) -> Vec<Line> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines
+            .iter()
+            .filter(|line| line.request == request)
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/daemon/src/grants.rs
@@ -0,0 +1,184 @@
+//! Tells admission owners how grants go on and when they end.
+
+use crate::control::Message;
+use crate::shared::Shared;
+use magnoliawinch::membership::Member;
+use magnoliawinch::names::HostName;
+use magnoliawinch_peer::{GrantProgress, RenewRequest};
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+
+/// News that gather before one message to an owner.
+const LINGER: Duration = Duration::from_millis(5);
+
+/// Time between messages to an owner while grants are held.
+const HEARTBEAT: Duration = Duration::from_secs(4);
+
+/// Time for a message to an owner.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Tokens of the first progress report; each later one comes at twice the tokens.
+const FIRST_REPORT_TOKENS: u32 = 32;
+
+/// News of one grant.
+#[derive(Debug)]
+pub(crate) struct GrantNews {
+    owner: Member,
+    progress: GrantProgress,
+    /// Whether the grant is new here.
+    taken: bool,
+}
+
+pub(crate) type GrantSender = mpsc::UnboundedSender<GrantNews>;
+
+/// A place at an upstream; dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Grant {
+    owner: Member,
+    id: u64,
+    written: u32,
+    next_report: u32,
+    complete: bool,
+    news: GrantSender,
+}
+
+impl Grant {
+    pub(crate) fn new(owner: Member, id: u64, news: GrantSender) -> Self {
+        let grant = Self {
+            owner,
+            id,
+            written: 0,
+            next_report: FIRST_REPORT_TOKENS,
+            complete: false,
+            news,
+        };
+        grant.send(false, true);
+        grant
+    }
+
+    pub(crate) fn owner(&self) -> &HostName {
+        &self.owner.host
+    }
+
+    /// Notes one more token.
+    pub(crate) fn wrote_token(&mut self) {
+        self.written += 1;
+        if self.written == self.next_report {
+            self.next_report *= 2;
+            self.send(false, false);
+        }
+    }
+
+    /// Notes that the answer came to its natural end.
+    pub(crate) fn completed(&mut self) {
+        self.complete = true;
+    }
+
+    fn send(&self, ended: bool, taken: bool) {
+        let progress = GrantProgress {
+            grant: self.id,
+            tokens_written: self.written,
+            ended,
+            complete: self.complete,
+        };
+        // The keeper ends only with the daemon; grants then expire at their owners.
+        let _ = self.news.send(GrantNews {
+            owner: self.owner.clone(),
+            progress,
+            taken,
+        });
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        self.send(true, false);
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    owner: Member,
+    ids: HashSet<u64>,
+    told_at: Instant,
+    news: Vec<GrantProgress>,
+}
+
+/// Sends the news of all grants of this daemon, batched by owner.
+pub(crate) async fn keep_grants(shared: Arc<Shared>, mut rx: mpsc::UnboundedReceiver<GrantNews>) {
+    let mut held: HashMap<HostName, Held> = HashMap::new();
+    loop {
+        tokio::select! {
+            news = rx.recv() => match news {
+                Some(news) => take(&mut held, news),
+                None => return,
+            },
+            () = sleep(HEARTBEAT / 4) => {}
+        }
+        sleep(LINGER).await;
+        while let Ok(news) = rx.try_recv() {
+            take(&mut held, news);
+        }
+        for held in held.values_mut() {
+            tell(&shared, held).await;
+        }
+        held.retain(|_, held| !held.ids.is_empty());
+    }
+}
+
+fn take(held: &mut HashMap<HostName, Held>, news: GrantNews) {
+    let entry = held.entry(news.owner.host.clone()).or_insert_with(|| Held {
+        owner: news.owner,
+        ids: HashSet::new(),
+        told_at: Instant::now(),
+        news: Vec::new(),
+    });
+    if news.taken {
+        entry.ids.insert(news.progress.grant);
+        return;
+    }
+    if news.progress.ended {
+        entry.ids.remove(&news.progress.grant);
+    }
+    entry.news.push(news.progress);
+}
+
+async fn tell(shared: &Arc<Shared>, held: &mut Held) {
+    let is_due = held.told_at.elapsed() >= HEARTBEAT && !held.ids.is_empty();
+    if held.news.is_empty() && !is_due {
+        return;
+    }
+    if is_due {
+        held.told_at = Instant::now();
+    }
+    let req = RenewRequest {
+        host: shared.settings.host.to_string(),
+        host_incarnation: shared.clock.started_at().0,
+        grants: std::mem::take(&mut held.news),
+        full: is_due,
+        held: if is_due {
+            held.ids.iter().copied().collect()
+        } else {
+            Vec::new()
+        },
+    };
+    if held.owner.host == shared.settings.host {
+        let _ = shared.control.send(Message::Renew(req)).await;
+        return;
+    }
+    let address = held.owner.peer_address;
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        let call = shared
+            .peers
+            .call(address, RENEW_TIMEOUT, |mut peer| async move {
+                peer.renew(req).await
+            });
+        if let Err(e) = call.await {
+            log::debug!("renewal failed: {e}");
+        }
+    });
+}
--- /dev/null
+++ b/daemon/src/ledger.rs
@@ -0,0 +1,132 @@
+//! Claims and outcomes of calls that must run at most once, at the owners of their shards.
+
+use crate::control::{ClaimCall, Message};
+use crate::peer_server::ClaimCode;
+use crate::shared::Shared;
+use magnoliawinch::ledger::{Claim, ClaimAnswer, Outcome, shard_of};
+use magnoliawinch::time::Millis;
+use magnoliawinch_peer::{ClaimReply, ClaimRequest, SettleRequest};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time for an owner's answer beyond the time it may wait for the log.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for one attempt to record an outcome.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Attempts to record an outcome.
+const SETTLE_ATTEMPTS: u32 = 20;
+
+/// Wait between these attempts.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Asks for the right to dispatch; an owner that does not answer counts as an unavailable log.
+pub(crate) async fn claim(shared: &Arc<Shared>, claim: Claim, patience: Millis) -> ClaimAnswer {
+    let shard = shard_of(&claim.key, shared.settings.ledger_shards);
+    let view = shared.view.load_full();
+    let Some(owner) = view.owners.of_shard(shard).cloned() else {
+        return ClaimAnswer::LogUnavailable;
+    };
+    if owner.host == shared.settings.host {
+        let call = ClaimCall {
+            shard,
+            claim,
+            patience,
+        };
+        let answer = shared.ask(|reply| Message::Claim { call, reply }).await;
+        return answer.unwrap_or(ClaimAnswer::LogUnavailable);
+    }
+    let req = ClaimRequest {
+        shard,
+        key: claim.key,
+        body_digest: claim.body_digest,
+        host: claim.claimant.host.to_string(),
+        host_incarnation: claim.claimant.incarnation,
+        nonce: claim.nonce,
+        patience_ms: patience.0.min(u64::from(u32::MAX)) as u32,
+    };
+    let limit = Duration::from(patience) + ANSWER_TIMEOUT;
+    let result = shared
+        .peers
+        .call(owner.peer_address, limit, |mut peer| async move {
+            peer.claim(req).await
+        })
+        .await;
+    match result {
+        Ok(reply) => read_reply(&reply).unwrap_or(ClaimAnswer::LogUnavailable),
+        Err(e) => {
+            log::warn!(
+                "owner {} of ledger shard {shard} did not answer: {e}",
+                owner.host
+            );
+            ClaimAnswer::LogUnavailable
+        }
+    }
+}
+
+fn read_reply(reply: &ClaimReply) -> Option<ClaimAnswer> {
+    Some(match ClaimCode::from_repr(reply.decision)? {
+        ClaimCode::Won => ClaimAnswer::Won,
+        ClaimCode::Running => ClaimAnswer::Running,
+        ClaimCode::Released => ClaimAnswer::Released,
+        ClaimCode::Finished => ClaimAnswer::Finished(serde_json::from_str(&reply.outcome).ok()?),
+        ClaimCode::OtherBody => ClaimAnswer::OtherBody,
+        ClaimCode::LogUnavailable => ClaimAnswer::LogUnavailable,
+    })
+}
+
+/// Records an outcome; returns whether the log confirmed it.
+pub(crate) async fn settle(shared: &Arc<Shared>, key: &str, nonce: u64, outcome: &Outcome) -> bool {
+    let shard = shard_of(key, shared.settings.ledger_shards);
+    for _ in 0..SETTLE_ATTEMPTS {
+        if settle_once(shared, shard, key, nonce, outcome).await {
+            return true;
+        }
+        sleep(SETTLE_PAUSE).await;
+    }
+    log::error!("the outcome of \"{key}\" could not be recorded");
+    false
+}
+
+async fn settle_once(
+    shared: &Arc<Shared>,
+    shard: u32,
+    key: &str,
+    nonce: u64,
+    outcome: &Outcome,
+) -> bool {
+    let view = shared.view.load_full();
+    let Some(owner) = view.owners.of_shard(shard) else {
+        return false;
+    };
+    if owner.host == shared.settings.host {
+        let (key, outcome) = (key.to_owned(), outcome.clone());
+        let settled = shared.ask(|reply| Message::Settle {
+            shard,
+            key,
+            nonce,
+            outcome,
+            reply,
+        });
+        return tokio::time::timeout(SETTLE_TIMEOUT, settled)
+            .await
+            .ok()
+            .flatten()
+            .is_some();
+    }
+    let req = SettleRequest {
+        shard,
+        key: key.to_owned(),
+        nonce,
+        outcome: serde_json::to_string(outcome).unwrap_or_default(),
+    };
+    shared
+        .peers
+        .call(owner.peer_address, SETTLE_TIMEOUT, |mut peer| async move {
+            peer.settle(req).await
+        })
+        .await
+        .is_ok_and(|reply| reply.recorded)
+}
--- /dev/null
+++ b/daemon/src/peer_server.rs
@@ -0,0 +1,317 @@
+//! Answers other daemons.
+
+use crate::control::{AdmitAnswer, AdmitCall, ClaimCall, Message};
+use crate::shared::Shared;
+use magnoliawinch::catalogue::Offset;
+use magnoliawinch::ledger::{Claim, ClaimAnswer, Claimant, Outcome};
+use magnoliawinch::names::{HostName, KindName, OrganisationName, ServiceName, UpstreamName};
+use magnoliawinch::quarantine::{Fingerprint, Treatment};
+use magnoliawinch::time::Millis;
+use magnoliawinch_peer::{
+    AdmitReply, AdmitRequest, ClaimReply, ClaimRequest, FollowReply, FollowRequest, InForceReply,
+    InForceRequest, LogRecord, Peer, ProbeReply, ProbeRequest, RenewReply, RenewRequest,
+    SettleReply, SettleRequest, SuspectReply, SuspectRequest,
+};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use strum::{EnumIter, FromRepr};
+use tokio::sync::oneshot;
+use tonic::{Request, Response, Status};
+
+/// Decisions of an admission owner on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr, EnumIter)]
+#[repr(u32)]
+pub(crate) enum AdmitCode {
+    Granted = 0,
+    Busy = 1,
+    Refused = 2,
+    Unknown = 3,
+}
+
+/// Answers of a ledger owner on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr, EnumIter)]
+#[repr(u32)]
+pub(crate) enum ClaimCode {
+    Won = 0,
+    Running = 1,
+    Released = 2,
+    Finished = 3,
+    OtherBody = 4,
+    LogUnavailable = 5,
+}
+
+/// Reports about fingerprints on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr, EnumIter)]
+#[repr(u32)]
+pub(crate) enum SuspectReport {
+    Ask = 0,
+    Crashed = 1,
+    Completed = 2,
+}
+
+/// Numbers calls of `admit`, so that they can be withdrawn.
+static TOKENS: AtomicU64 = AtomicU64::new(1);
+
+/// A number for a call of `admit`.
+pub(crate) fn next_token() -> u64 {
+    TOKENS.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Withdraws a wish for a place unless it was answered.
+pub(crate) struct Withdrawal {
+    shared: Arc<Shared>,
+    upstream: UpstreamName,
+    token: u64,
+    answered: bool,
+}
+
+impl Withdrawal {
+    pub(crate) fn new(shared: &Arc<Shared>, upstream: &UpstreamName, token: u64) -> Self {
+        let (shared, upstream) = (Arc::clone(shared), upstream.clone());
+        Self {
+            shared,
+            upstream,
+            token,
+            answered: false,
+        }
+    }
+
+    pub(crate) fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let message = Message::Withdraw {
+            upstream: self.upstream.clone(),
+            token: self.token,
+        };
+        let shared = Arc::clone(&self.shared);
+        self.shared.traffic.spawn(async move {
+            let _ = shared.control.send(message).await;
+        });
+    }
+}
+
+/// The service that other daemons call.
+#[derive(Debug)]
+pub(crate) struct PeerService {
+    shared: Arc<Shared>,
+}
+
+impl PeerService {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T, Status> {
+        self.shared
+            .ask(message)
+            .await
+            .ok_or_else(|| Status::unavailable("the daemon ends"))
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
+        let req = req.into_inner();
+        self.ask(|reply| Message::Probe { req, reply })
+            .await
+            .map(Response::new)
+    }
+
+    async fn admit(&self, req: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
+        let req = req.into_inner();
+        let token = next_token();
+        let upstream = UpstreamName::new(&req.upstream);
+        let withdrawal = Withdrawal::new(&self.shared, &upstream, token);
+        let call = AdmitCall {
+            holder: HostName::new(&req.host),
+            token,
+            service: ServiceName::new(&req.service),
+            upstream,
+            organisation: OrganisationName::new(&req.organisation),
+            kind: KindName::new(&req.kind),
+            prompt_tokens: req.prompt_tokens,
+            patience: Millis(u64::from(req.patience_ms)),
+            suspect: req.suspect,
+            no_queue: req.no_queue,
+        };
+        let answer = self.ask(|reply| Message::Admit { call, reply }).await?;
+        withdrawal.answered();
+        Ok(Response::new(admit_reply(answer)))
+    }
+
+    async fn renew(&self, req: Request<RenewRequest>) -> Result<Response<RenewReply>, Status> {
+        let message = Message::Renew(req.into_inner());
+        let sent = self.shared.control.send(message).await;
+        sent.map_err(|_| Status::unavailable("the daemon ends"))?;
+        Ok(Response::new(RenewReply {}))
+    }
+
+    async fn claim(&self, req: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let req = req.into_inner();
+        let host = HostName::new(&req.host);
+        let call = ClaimCall {
+            shard: req.shard,
+            claim: Claim {
+                key: req.key,
+                body_digest: req.body_digest,
+                claimant: Claimant {
+                    host,
+                    incarnation: req.host_incarnation,
+                },
+                nonce: req.nonce,
+            },
+            patience: Millis(u64::from(req.patience_ms)),
+        };
+        let answer = self.ask(|reply| Message::Claim { call, reply }).await?;
+        Ok(Response::new(claim_reply(&answer)))
+    }
+
+    async fn settle(&self, req: Request<SettleRequest>) -> Result<Response<SettleReply>, Status> {
+        let req = req.into_inner();
+        let outcome: Outcome = serde_json::from_str(&req.outcome)
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let (shard, key, nonce) = (req.shard, req.key, req.nonce);
+        self.ask(|reply| Message::Settle {
+            shard,
+            key,
+            nonce,
+            outcome,
+            reply,
+        })
+        .await?;
+        Ok(Response::new(SettleReply { recorded: true }))
+    }
+
+    async fn follow(&self, req: Request<FollowRequest>) -> Result<Response<FollowReply>, Status> {
+        let req = req.into_inner();
+        let (host, from) = (req.host, Offset(req.from));
+        let wait = Millis(u64::from(req.wait_ms));
+        let answer = self
+            .ask(|reply| Message::Follow {
+                host,
+                from,
+                wait,
+                reply,
+            })
+            .await?;
+        let record = |r: magnoliawinch_log::LogRecord| LogRecord {
+            offset: r.offset.0,
+            at_ms: r.at_ms.0,
+            data: r.data,
+        };
+        Ok(Response::new(FollowReply {
+            records: answer.records.into_iter().map(record).collect(),
+            next: answer.next.0,
+            first: answer.first.0,
+            snapshot: answer.snapshot.unwrap_or_default(),
+        }))
+    }
+
+    async fn suspect(
+        &self,
+        req: Request<SuspectRequest>,
+    ) -> Result<Response<SuspectReply>, Status> {
+        let req = req.into_inner();
+        let fingerprint = Fingerprint(req.fingerprint);
+        let treatment = match SuspectReport::from_repr(req.report) {
+            Some(SuspectReport::Ask) => {
+                self.ask(|reply| Message::Treatment { fingerprint, reply })
+                    .await?
+            }
+            Some(SuspectReport::Crashed) => {
+                self.ask(|reply| Message::Crashed { fingerprint, reply })
+                    .await?
+            }
+            Some(SuspectReport::Completed) => {
+                let message = Message::SuspectCompleted(fingerprint);
+                let _ = self.shared.control.send(message).await;
+                Treatment::Normal
+            }
+            None => return Err(Status::invalid_argument("unknown report")),
+        };
+        Ok(Response::new(suspect_reply(treatment)))
+    }
+
+    async fn in_force(
+        &self,
+        req: Request<InForceRequest>,
+    ) -> Result<Response<InForceReply>, Status> {
+        let offset = Offset(req.into_inner().offset);
+        let answer = self.ask(|reply| Message::InForce { offset, reply }).await?;
+        let names = |hosts: Vec<HostName>| hosts.iter().map(HostName::to_string).collect();
+        Ok(Response::new(InForceReply {
+            reached: names(answer.reached),
+            behind: names(answer.behind),
+        }))
+    }
+}
+
+fn admit_reply(answer: AdmitAnswer) -> AdmitReply {
+    let millis = |m: Millis| m.0.min(u64::from(u32::MAX)) as u32;
+    let reply = AdmitReply::default();
+    match answer {
+        AdmitAnswer::Granted(grant) => AdmitReply {
+            decision: AdmitCode::Granted as u32,
+            grant,
+            ..reply
+        },
+        AdmitAnswer::Busy(wait) => AdmitReply {
+            decision: AdmitCode::Busy as u32,
+            expected_wait_ms: millis(wait),
+            ..reply
+        },
+        AdmitAnswer::Refused(retry) => AdmitReply {
+            decision: AdmitCode::Refused as u32,
+            retry_after_ms: millis(retry),
+            ..reply
+        },
+        AdmitAnswer::Unknown => AdmitReply {
+            decision: AdmitCode::Unknown as u32,
+            ..reply
+        },
+    }
+}
+
+fn claim_reply(answer: &ClaimAnswer) -> ClaimReply {
+    let (code, outcome) = match answer {
+        ClaimAnswer::Won => (ClaimCode::Won, None),
+        ClaimAnswer::Running => (ClaimCode::Running, None),
+        ClaimAnswer::Released => (ClaimCode::Released, None),
+        ClaimAnswer::Finished(outcome) => (ClaimCode::Finished, Some(outcome)),
+        ClaimAnswer::OtherBody => (ClaimCode::OtherBody, None),
+        ClaimAnswer::LogUnavailable => (ClaimCode::LogUnavailable, None),
+    };
+    let outcome = outcome.map(|o| serde_json::to_string(o).unwrap_or_default());
+    ClaimReply {
+        decision: code as u32,
+        outcome: outcome.unwrap_or_default(),
+    }
+}
+
+fn suspect_reply(treatment: Treatment) -> SuspectReply {
+    match treatment {
+        Treatment::Normal => SuspectReply {
+            suspect: false,
+            refused_for_ms: 0,
+        },
+        Treatment::Suspect => SuspectReply {
+            suspect: true,
+            refused_for_ms: 0,
+        },
+        Treatment::Refused(Millis(ms)) => SuspectReply {
+            suspect: true,
+            refused_for_ms: ms.min(u64::from(u32::MAX)) as u32,
+        },
+    }
+}
--- /dev/null
+++ b/daemon/src/shared.rs
@@ -0,0 +1,130 @@
+//! What all tasks of one daemon share.
+
+use crate::clock::Clock;
+use crate::control::Message;
+use crate::decisions::Decisions;
+use crate::grants::GrantSender;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::view::View;
+use arc_swap::ArcSwap;
+use magnoliawinch::retry::Budget;
+use magnoliawinch::routing::Router;
+use magnoliawinch::settings::Settings;
+use magnoliawinch_engine::EngineClient;
+use magnoliawinch_hosts::HostsClient;
+use magnoliawinch_log::LogClient;
+use magnoliawinch_service::ServiceClient;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+
+/// Shared by the tasks of one daemon.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) control: mpsc::Sender<Message>,
+    pub(crate) grants: GrantSender,
+    pub(crate) peers: Peers,
+    pub(crate) engines: EngineClient,
+    pub(crate) services: ServiceClient,
+    pub(crate) log: LogClient,
+    pub(crate) hosts: HostsClient,
+    pub(crate) decisions: Decisions,
+    pub(crate) metrics: Metrics,
+    pub(crate) traffic: Handle,
+    routing: Mutex<Routing>,
+    in_progress: AtomicU64,
+    pub(crate) leaving: AtomicBool,
+}
+
+/// Routing state of the traffic threads.
+#[derive(Debug)]
+pub(crate) struct Routing {
+    pub(crate) router: Router,
+    pub(crate) budget: Budget,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+/// What a daemon is made of besides its settings.
+pub(crate) struct Parts {
+    pub(crate) clock: Clock,
+    pub(crate) view: View,
+    pub(crate) control: mpsc::Sender<Message>,
+    pub(crate) grants: GrantSender,
+    pub(crate) metrics: Metrics,
+    pub(crate) traffic: Handle,
+    pub(crate) seed: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, parts: Parts) -> Self {
+        let routing = Routing {
+            router: Router::new(),
+            budget: Budget::new(),
+            rng: ChaCha8Rng::seed_from_u64(parts.seed),
+        };
+        Self {
+            clock: parts.clock,
+            view: ArcSwap::from_pointee(parts.view),
+            control: parts.control,
+            grants: parts.grants,
+            peers: Peers::new(),
+            engines: EngineClient::new(),
+            services: ServiceClient::new(),
+            log: LogClient::new(settings.log_address),
+            hosts: HostsClient::new(settings.hosts_address),
+            decisions: Decisions::new(&settings.host),
+            metrics: parts.metrics,
+            traffic: parts.traffic,
+            routing: Mutex::new(routing),
+            in_progress: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    pub(crate) fn routing(&self) -> MutexGuard<'_, Routing> {
+        self.routing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a message to the control thread and waits for its answer.
+    pub(crate) async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.control.send(message(tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    /// Requests in progress.
+    pub(crate) fn in_progress(&self) -> u64 {
+        self.in_progress.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        InProgress {
+            shared: Arc::clone(self),
+        }
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/daemon/src/view.rs
@@ -0,0 +1,90 @@
+//! What traffic threads see of the control state.
+
+use magnoliawinch::catalogue::{Offset, State};
+use magnoliawinch::membership::Member;
+use magnoliawinch::names::{OrganisationName, ServiceName};
+use magnoliawinch::ownership::Owners;
+use magnoliawinch::service_file::ServiceSpec;
+use magnoliawinch::upstreams::Upstreams;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A service with its keys by digest.
+#[derive(Debug)]
+pub(crate) struct ServiceView {
+    pub(crate) spec: Arc<ServiceSpec>,
+    keys: HashMap<String, OrganisationName>,
+}
+
+impl ServiceView {
+    fn new(spec: &Arc<ServiceSpec>) -> Self {
+        let keys = spec
+            .organisations
+            .iter()
+            .flat_map(|(name, organisation)| {
+                organisation
+                    .key_sha256
+                    .iter()
+                    .map(|digest| (digest.clone(), name.clone()))
+            })
+            .collect();
+        Self {
+            spec: Arc::clone(spec),
+            keys,
+        }
+    }
+
+    /// The organisation whose key has this digest.
+    pub(crate) fn organisation(&self, key_digest: &str) -> Option<&OrganisationName> {
+        self.keys.get(key_digest)
+    }
+}
+
+/// Services by name, kept from one configuration to the next where they did not change.
+pub(crate) type Services = HashMap<ServiceName, Arc<ServiceView>>;
+
+/// The services of `state`; those that `old` already has are taken over.
+pub(crate) fn services(state: &State, old: &Services) -> Services {
+    let view = |spec: &Arc<ServiceSpec>| {
+        let kept = old
+            .get(&spec.name)
+            .filter(|view| Arc::ptr_eq(&view.spec, spec));
+        let view = kept.map_or_else(|| Arc::new(ServiceView::new(spec)), Arc::clone);
+        (spec.name.clone(), view)
+    };
+    state.specs().map(view).collect()
+}
+
+/// A snapshot of the control state.
+#[derive(Clone, Debug)]
+pub(crate) struct View {
+    pub(crate) ready: bool,
+    pub(crate) own: Member,
+    pub(crate) through: Offset,
+    pub(crate) services: Arc<Services>,
+    pub(crate) owners: Arc<Owners>,
+    pub(crate) upstreams: Arc<Upstreams>,
+    /// Daemons of this failure domain that read the configuration from the log.
+    pub(crate) readers: Vec<Member>,
+}
+
+impl View {
+    pub(crate) fn new(own: Member) -> Self {
+        Self {
+            ready: false,
+            own,
+            through: Offset(0),
+            services: Arc::default(),
+            owners: Arc::default(),
+            upstreams: Arc::default(),
+            readers: Vec::new(),
+        }
+    }
+
+    /// Whether any service knows the key with this digest.
+    pub(crate) fn knows_key(&self, key_digest: &str) -> Option<&OrganisationName> {
+        self.services
+            .values()
+            .find_map(|service| service.organisation(key_digest))
+    }
+}
--- /dev/null
+++ b/fakes/src/engine.rs
@@ -0,0 +1,7 @@
+//! A stand-in for a model engine.
+
+pub mod model;
+mod server;
+
+pub use model::{EngineModel, Job, ModelParameters, Output};
+pub use server::{EngineFaults, FakeEngine, GenerationRecord, prompt_for};
--- /dev/null
+++ b/fakes/src/engine/server.rs
@@ -0,0 +1,590 @@
+//! The stand-in engine as an HTTP server.
+
+use super::model::{EngineModel, Job, ModelParameters, Output};
+use crate::reply::{not_run, query_number, status_response};
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::{BodyExt, Either, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use magnoliawinch::admission::LoadReport;
+use magnoliawinch::delivery::EngineEvent;
+use magnoliawinch::rendezvous;
+use magnoliawinch_engine::StartGeneration;
+use magnoliawinch_http::{Body, BodyAborted, ServerLimits, json_response, serve};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Marks the length of the answer in a prompt; only this stand-in reads it.
+const LENGTH_MARK: &str = "#length=";
+
+/// Marks a prompt that crashes the engine.
+const CRASH_MARK: &str = "#crash";
+
+/// Length of an answer whose prompt names none, in tokens.
+const DEFAULT_LENGTH: u32 = 32;
+
+/// Largest request, in bytes.
+const MAX_REQUEST_BYTES: usize = 16_777_216;
+
+/// Time between signs of life on a stream that has nothing to say.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Time that an idle engine waits for work.
+const IDLE_WAIT: Duration = Duration::from_millis(50);
+
+/// Pieces that wait for a slow reader.
+const STREAM_BUFFER: usize = 64;
+
+/// A prompt whose answer has `length` tokens at this stand-in.
+pub fn prompt_for(text: &str, length: u32) -> String {
+    format!("{text} {LENGTH_MARK}{length}")
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineFaults {
+    /// Streams stand still without being closed.
+    pub stall_streams: bool,
+    /// Each stream sends every token twice.
+    pub repeat_tokens: bool,
+    /// Each first stream leaves out this token.
+    pub skip_token: Option<u64>,
+    /// Each first stream carries one event of another generation.
+    pub cross_streams: bool,
+    /// New generations are refused, and the engine says that it leaves.
+    pub draining: bool,
+    /// New generations are refused as not run.
+    pub refuse: bool,
+    /// Load reports say that the engine drains.
+    pub report_draining: bool,
+}
+
+/// What one generation did, for checks from outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GenerationRecord {
+    /// The prompt.
+    pub prompt: String,
+    /// Tokens written.
+    pub written: u64,
+    /// Whether it ended by itself.
+    pub complete: bool,
+}
+
+#[derive(Debug)]
+struct Generation {
+    number: u64,
+    prompt: String,
+    run: u64,
+    tokens: u64,
+    complete: bool,
+    cancelled: bool,
+    streams: u32,
+    readers: u32,
+    changed: Arc<Notify>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    model: EngineModel,
+    generations: HashMap<String, Generation>,
+    numbers: HashMap<u64, String>,
+    faults: EngineFaults,
+    incarnation: u64,
+    reports: VecDeque<(Instant, LoadReport)>,
+    report_lag: Duration,
+    started: u64,
+    dead: bool,
+}
+
+/// Numbers runs of generations, so that two runs never write the same text.
+static RUNS: AtomicU64 = AtomicU64::new(1);
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct FakeEngine {
+    inner: Arc<Mutex<Inner>>,
+    address: SocketAddr,
+    work: Arc<Notify>,
+    tasks: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FakeEngine {
+    /// Starts an engine on `listener` whose load reports lag by `report_lag`.
+    pub fn start(
+        listener: TcpListener,
+        parameters: ModelParameters,
+        incarnation: u64,
+        report_lag: Duration,
+    ) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Mutex::new(Inner {
+            model: EngineModel::new(parameters),
+            generations: HashMap::new(),
+            numbers: HashMap::new(),
+            faults: EngineFaults::default(),
+            incarnation,
+            reports: VecDeque::new(),
+            report_lag,
+            started: 0,
+            dead: false,
+        }));
+        let work = Arc::new(Notify::new());
+        let (stop, stopped) = watch::channel(false);
+        let died = Arc::new(Notify::new());
+        let handler = Handler {
+            inner: Arc::clone(&inner),
+            work: Arc::clone(&work),
+            died: Arc::clone(&died),
+        };
+        let serving = serve(listener, ServerLimits::default(), stopped, move |req| {
+            let handler = handler.clone();
+            async move { handler.handle(req).await }
+        });
+        let server = async move {
+            tokio::select! {
+                () = serving => {}
+                () = died.notified() => {}
+            }
+        };
+        let steps = run_steps(Arc::clone(&inner), Arc::clone(&work));
+        let tasks = vec![tokio::spawn(server), tokio::spawn(steps)];
+        Ok(Self {
+            inner,
+            address,
+            work,
+            tasks,
+            stop,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what goes wrong.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        lock(&self.inner).faults = faults;
+    }
+
+    /// Slows its steps.
+    pub fn set_slowness(&self, slowness: f64) {
+        lock(&self.inner).model.set_slowness(slowness);
+    }
+
+    /// Dies: every stream breaks, nothing answers any more.
+    pub fn kill(&self) {
+        lock(&self.inner).die();
+        let _ = self.stop.send(true);
+        self.work.notify_waiters();
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+
+    /// Whether it died.
+    pub fn is_dead(&self) -> bool {
+        lock(&self.inner).dead
+    }
+
+    /// What its generations did.
+    pub fn records(&self) -> Vec<GenerationRecord> {
+        let record = |generation: &Generation| GenerationRecord {
+            prompt: generation.prompt.clone(),
+            written: generation.tokens,
+            complete: generation.complete,
+        };
+        lock(&self.inner).generations.values().map(record).collect()
+    }
+
+    /// Generations that it started.
+    pub fn started(&self) -> u64 {
+        lock(&self.inner).started
+    }
+
+    /// Preemptions so far.
+    pub fn preemptions(&self) -> u64 {
+        lock(&self.inner).model.preemptions()
+    }
+}
+
+impl Drop for FakeEngine {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs the model in real or virtual time.
+async fn run_steps(inner: Arc<Mutex<Inner>>, work: Arc<Notify>) {
+    let mut next = Instant::now();
+    loop {
+        let step_ms = {
+            let mut inner = lock(&inner);
+            if inner.dead {
+                return;
+            }
+            (!inner.model.is_idle()).then(|| inner.step())
+        };
+        match step_ms {
+            Some(ms) => {
+                next = next.max(Instant::now() - Duration::from_millis(20));
+                next += Duration::from_secs_f64(ms / 1_000.0);
+                tokio::time::sleep_until(next).await;
+            }
+            None => {
+                let _ = timeout(IDLE_WAIT, work.notified()).await;
+                lock(&inner).note_load();
+                next = Instant::now();
+            }
+        }
+    }
+}
+
+impl Inner {
+    fn die(&mut self) {
+        self.dead = true;
+        for generation in self.generations.values() {
+            generation.changed.notify_waiters();
+        }
+    }
+
+    fn step(&mut self) -> f64 {
+        let mut outputs = Vec::new();
+        let ms = self.model.step(&mut outputs);
+        for output in outputs {
+            self.apply(output);
+        }
+        self.note_load();
+        ms
+    }
+
+    fn apply(&mut self, output: Output) {
+        let (id, ended) = match output {
+            Output::Token { id, .. } => (id, false),
+            Output::End { id } => (id, true),
+            Output::Preempted { .. } => return,
+        };
+        let Some(generation) = self
+            .numbers
+            .get(&id)
+            .and_then(|name| self.generations.get_mut(name))
+        else {
+            return;
+        };
+        generation.tokens += u64::from(!ended);
+        generation.complete |= ended;
+        generation.changed.notify_waiters();
+    }
+
+    fn note_load(&mut self) {
+        let report = LoadReport {
+            incarnation: self.incarnation,
+            running: self.model.running() as u32,
+            waiting: self.model.waiting() as u32,
+            used_tokens: self.model.used_tokens(),
+            step_ms: self.model.last_step_ms(),
+            preemptions: self.model.preemptions(),
+            draining: self.faults.draining || self.faults.report_draining,
+            lag_ms: self.report_lag.as_millis() as u64,
+        };
+        let now = Instant::now();
+        self.reports.push_back((now, report));
+        let is_old = |(at, _): &(Instant, LoadReport)| now - *at > self.report_lag;
+        while self.reports.len() > 1 && is_old(&self.reports[1]) {
+            self.reports.pop_front();
+        }
+    }
+
+    fn start(&mut self, start: StartGeneration) {
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let length = marked_length(&start.prompt).unwrap_or(DEFAULT_LENGTH);
+        self.started += 1;
+        self.model.submit(Job {
+            id: number,
+            prompt_tokens: start.prompt_tokens,
+            prefix: start.prefix,
+            prefix_tokens: start.prefix_tokens.min(start.prompt_tokens),
+            length: length.min(start.max_tokens),
+            priority: start.priority,
+        });
+        let generation = Generation {
+            number,
+            run: number,
+            prompt: start.prompt,
+            tokens: 0,
+            complete: false,
+            cancelled: false,
+            streams: 0,
+            readers: 0,
+            changed: Arc::new(Notify::new()),
+        };
+        self.numbers.insert(number, start.generation.clone());
+        self.generations.insert(start.generation, generation);
+    }
+}
+
+fn marked_length(prompt: &str) -> Option<u32> {
+    let (_, tail) = prompt.rsplit_once(LENGTH_MARK)?;
+    let digits: String = tail.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+#[derive(Clone, Debug)]
+struct Handler {
+    inner: Arc<Mutex<Inner>>,
+    work: Arc<Notify>,
+    died: Arc<Notify>,
+}
+
+impl Handler {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        let id = path.strip_prefix("/generations/");
+        match (req.method(), path.as_str(), id) {
+            (&Method::POST, "/generations", _) => self.start(req).await,
+            (&Method::GET, "/load", _) => self.load(),
+            (&Method::GET, _, Some(id)) => {
+                let from = query_number(req.uri().query(), "from").unwrap_or(0);
+                self.stream(id, from)
+            }
+            (&Method::DELETE, _, Some(id)) => {
+                let unwatched = query_number(req.uri().query(), "unwatched") == Some(1);
+                self.cancel(id, unwatched)
+            }
+            _ => status_response(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn start(&self, req: Request<Incoming>) -> Response<Body> {
+        let faults = lock(&self.inner).faults;
+        if faults.draining || faults.refuse {
+            return not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                faults.draining,
+                "no new work",
+            );
+        }
+        let body = match Limited::new(req.into_body(), MAX_REQUEST_BYTES)
+            .collect()
+            .await
+        {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return not_run(StatusCode::BAD_REQUEST, false, &e.to_string()),
+        };
+        let start: StartGeneration = match serde_json::from_slice(&body) {
+            Ok(start) => start,
+            Err(e) => return not_run(StatusCode::BAD_REQUEST, false, &e.to_string()),
+        };
+        let id = start.generation.clone();
+        let crashes = start.prompt.contains(CRASH_MARK);
+        {
+            let mut inner = lock(&self.inner);
+            if !inner.generations.contains_key(&id) {
+                inner.start(start);
+            }
+        }
+        self.work.notify_waiters();
+        if crashes {
+            self.crash_soon();
+        }
+        self.stream(&id, 0)
+    }
+
+    /// Dies a few steps later, while other work is in progress.
+    fn crash_soon(&self) {
+        const CRASH_AFTER: Duration = Duration::from_millis(30);
+        let handler = self.clone();
+        tokio::spawn(async move {
+            sleep(CRASH_AFTER).await;
+            lock(&handler.inner).die();
+            handler.died.notify_one();
+        });
+    }
+
+    fn load(&self) -> Response<Body> {
+        let inner = lock(&self.inner);
+        if inner.dead {
+            return status_response(StatusCode::BAD_GATEWAY, "dead");
+        }
+        match inner.reports.front() {
+            Some((_, report)) => json_response(StatusCode::OK, report),
+            None => status_response(StatusCode::SERVICE_UNAVAILABLE, "no report yet"),
+        }
+    }
+
+    fn cancel(&self, id: &str, unwatched: bool) -> Response<Body> {
+        let mut inner = lock(&self.inner);
+        let Some(generation) = inner.generations.get_mut(id) else {
+            return status_response(StatusCode::NOT_FOUND, "unknown generation");
+        };
+        if unwatched && generation.readers > 0 {
+            return status_response(StatusCode::OK, "watched");
+        }
+        generation.cancelled = true;
+        generation.changed.notify_waiters();
+        let number = generation.number;
+        inner.model.cancel(number);
+        status_response(StatusCode::OK, "cancelled")
+    }
+
+    fn stream(&self, id: &str, from: u64) -> Response<Body> {
+        let mut inner = lock(&self.inner);
+        if inner.dead {
+            return status_response(StatusCode::BAD_GATEWAY, "dead");
+        }
+        let faults = inner.faults;
+        let Some(generation) = inner.generations.get_mut(id) else {
+            return status_response(StatusCode::NOT_FOUND, "unknown generation");
+        };
+        generation.streams += 1;
+        generation.readers += 1;
+        let is_first = generation.streams == 1;
+        let (sender, body) = Channel::new(STREAM_BUFFER);
+        let stream = Stream {
+            inner: Arc::clone(&self.inner),
+            id: id.to_owned(),
+            next: from,
+            changed: Arc::clone(&generation.changed),
+            skip: faults.skip_token.filter(|_| is_first),
+            cross: faults.cross_streams && is_first,
+        };
+        tokio::spawn(stream.run(sender));
+        Response::new(Either::Right(body))
+    }
+}
+
+/// Follows one generation for one reader.
+struct Stream {
+    inner: Arc<Mutex<Inner>>,
+    id: String,
+    next: u64,
+    changed: Arc<Notify>,
+    skip: Option<u64>,
+    cross: bool,
+}
+
+enum Progress {
+    Events(Vec<EngineEvent>),
+    Ended(Vec<EngineEvent>),
+    Dead,
+}
+
+impl Stream {
+    async fn run(mut self, sender: Sender<Bytes, BodyAborted>) {
+        self.follow(sender).await;
+        if let Some(generation) = lock(&self.inner).generations.get_mut(&self.id) {
+            generation.readers -= 1;
+        }
+    }
+
+    async fn follow(&mut self, mut sender: Sender<Bytes, BodyAborted>) {
+        let changed = Arc::clone(&self.changed);
+        loop {
+            let notified = changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            let (events, is_over) = match self.progress() {
+                Progress::Events(events) => (events, false),
+                Progress::Ended(events) => (events, true),
+                Progress::Dead => return sender.abort(BodyAborted),
+            };
+            if !events.is_empty() && sender.send_data(lines(&events)).await.is_err() {
+                return;
+            }
+            if is_over {
+                return;
+            }
+            if timeout(HEARTBEAT, notified).await.is_err() && !self.is_stalled() {
+                let beat = lines(&[EngineEvent::Heartbeat]);
+                if sender.send_data(beat).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn is_stalled(&self) -> bool {
+        lock(&self.inner).faults.stall_streams
+    }
+
+    fn progress(&mut self) -> Progress {
+        let inner = lock(&self.inner);
+        if inner.dead {
+            return Progress::Dead;
+        }
+        if inner.faults.stall_streams {
+            return Progress::Events(Vec::new());
+        }
+        let Some(generation) = inner.generations.get(&self.id) else {
+            return Progress::Dead;
+        };
+        let mut events = Vec::new();
+        if self.cross && generation.tokens > 0 {
+            self.cross = false;
+            events.push(token("another-generation", self.next, "crossed"));
+        }
+        while self.next < generation.tokens {
+            let index = self.next;
+            self.next += 1;
+            if self.skip == Some(index) {
+                continue;
+            }
+            let text = token_text(generation, index);
+            events.push(token(&self.id, index, &text));
+            if inner.faults.repeat_tokens {
+                events.push(token(&self.id, index, &text));
+            }
+        }
+        if generation.cancelled {
+            let reason = "cancelled".to_owned();
+            events.push(EngineEvent::Failed {
+                generation: self.id.clone(),
+                reason,
+            });
+            return Progress::Ended(events);
+        }
+        if generation.complete {
+            let tokens = generation.tokens;
+            events.push(EngineEvent::End {
+                generation: self.id.clone(),
+                tokens,
+            });
+            return Progress::Ended(events);
+        }
+        Progress::Events(events)
+    }
+}
+
+fn token(id: &str, index: u64, text: &str) -> EngineEvent {
+    EngineEvent::Token {
+        generation: id.to_owned(),
+        index,
+        text: text.to_owned(),
+    }
+}
+
+/// Names the token's place, its prompt and its run, so that a caller can tell a mixed answer.
+fn token_text(generation: &Generation, index: u64) -> String {
+    let prompt = rendezvous::hash(&generation.prompt);
+    format!("{index}.{prompt:x}.{:x} ", generation.run)
+}
+
+fn lines(events: &[EngineEvent]) -> Bytes {
+    let mut buf = Vec::new();
+    for event in events {
+        buf.extend(serde_json::to_vec(event).unwrap_or_default());
+        buf.push(b'\n');
+    }
+    Bytes::from(buf)
+}
--- /dev/null
+++ b/fakes/src/service.rs
@@ -0,0 +1,182 @@
+//! A stand-in for a plain service that counts what ran.
+
+use crate::reply::{not_run, status_response};
+use http_body_util::channel::Channel;
+use http_body_util::{BodyExt, Either, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use magnoliawinch_http::{Body, BodyAborted, ServerLimits, json_response, serve};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Largest request, in bytes.
+const MAX_REQUEST_BYTES: usize = 1_048_576;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceFaults {
+    /// Calls are refused before any work.
+    pub refuse: bool,
+    /// Calls are refused, and the service says that it leaves.
+    pub draining: bool,
+    /// Calls run, but their connections break before the answer.
+    pub lose_answers: bool,
+    /// Each call takes this long.
+    pub work: Duration,
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallAnswer {
+    /// The idempotency key, or the request id without one.
+    pub key: String,
+    /// The body that was sent.
+    pub echo: String,
+    /// Unique for each run.
+    pub run: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    runs: HashMap<String, u64>,
+    total: u64,
+    faults: ServiceFaults,
+}
+
+/// Counts of runs that several stand-ins share.
+#[derive(Clone, Debug, Default)]
+pub struct RunCounts {
+    inner: Arc<Mutex<HashMap<String, u64>>>,
+}
+
+impl RunCounts {
+    /// Runs by key.
+    pub fn all(&self) -> HashMap<String, u64> {
+        self.inner
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Runs of `key`.
+    pub fn of(&self, key: &str) -> u64 {
+        self.all().get(key).copied().unwrap_or(0)
+    }
+
+    fn add(&self, key: &str) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        *inner.entry(key.to_owned()).or_default() += 1;
+    }
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct FakeService {
+    inner: Arc<Mutex<Inner>>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FakeService {
+    /// Starts a service on `listener` that adds its runs to `counts`.
+    pub fn start(listener: TcpListener, counts: RunCounts) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let (stop, stopped) = watch::channel(false);
+        let served = Arc::clone(&inner);
+        let task = tokio::spawn(serve(
+            listener,
+            ServerLimits::default(),
+            stopped,
+            move |req| handle(Arc::clone(&served), counts.clone(), req),
+        ));
+        Ok(Self {
+            inner,
+            address,
+            task,
+            _stop: stop,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what goes wrong.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        lock(&self.inner).faults = faults;
+    }
+
+    /// Calls that ran here.
+    pub fn total(&self) -> u64 {
+        lock(&self.inner).total
+    }
+}
+
+impl Drop for FakeService {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// An answer that breaks off before its end.
+fn broken_answer() -> Response<Body> {
+    let (sender, body) = Channel::new(1);
+    sender.abort(BodyAborted);
+    Response::new(Either::Right(body))
+}
+
+async fn handle(
+    inner: Arc<Mutex<Inner>>,
+    counts: RunCounts,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let faults = lock(&inner).faults;
+    if faults.refuse || faults.draining {
+        return not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            faults.draining,
+            "no new work",
+        );
+    }
+    if req.uri().path() == "/load" {
+        return status_response(StatusCode::OK, "{}");
+    }
+    let header = |name| req.headers().get(name).and_then(|v| v.to_str().ok());
+    let key = header("idempotency-key")
+        .or_else(|| header("x-request-id"))
+        .unwrap_or("");
+    let key = key.to_owned();
+    let Ok(body) = Limited::new(req.into_body(), MAX_REQUEST_BYTES)
+        .collect()
+        .await
+    else {
+        return not_run(StatusCode::BAD_REQUEST, false, "the body broke off");
+    };
+    counts.add(&key);
+    let run = {
+        let mut inner = lock(&inner);
+        *inner.runs.entry(key.clone()).or_default() += 1;
+        inner.total += 1;
+        inner.total
+    };
+    sleep(faults.work).await;
+    if faults.lose_answers {
+        return broken_answer();
+    }
+    let echo = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    json_response(StatusCode::OK, &CallAnswer { key, echo, run })
+}
--- /dev/null
+++ b/http/src/server.rs
@@ -0,0 +1,121 @@
+//! An HTTP server with bounds on connections, headers and silence.
+
+use bytes::Bytes;
+use http_body_util::channel::Channel;
+use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use serde::Serialize;
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+/// The sender of a streamed body went away before its end.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the answer was cut")]
+pub struct BodyAborted;
+
+/// The body of an answer: whole or streamed.
+pub type Body = Either<Full<Bytes>, Channel<Bytes, BodyAborted>>;
+
+/// A whole body.
+pub fn full_body(bytes: impl Into<Bytes>) -> Body {
+    Either::Left(Full::new(bytes.into()))
+}
+
+/// An answer with a JSON body.
+pub fn json_response(status: StatusCode, body: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(full_body(bytes));
+    *response.status_mut() = status;
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
+    response
+}
+
+/// The smallest buffer that the HTTP library accepts, in bytes.
+const MIN_BUF_BYTES: usize = 8_192;
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Open connections; further ones wait to be accepted.
+    pub max_connections: usize,
+    /// Time that a peer may take to send its headers.
+    pub header_timeout: Duration,
+    /// Size of the headers, in bytes.
+    pub header_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 10_000,
+            header_timeout: Duration::from_secs(10),
+            header_bytes: 16_384,
+        }
+    }
+}
+
+/// Tells a server to stop accepting, finish what is in progress, and end.
+pub type Shutdown = watch::Receiver<bool>;
+
+/// Serves `listener` with `handler` until `shutdown` turns true and all requests have ended.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    mut shutdown: Shutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let places = Arc::new(Semaphore::new(limits.max_connections));
+    let graceful = GracefulShutdown::new();
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            break;
+        };
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => continue,
+            },
+            _ = shutdown.wait_for(|stop| *stop) => break,
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |req| {
+            let answer = handler(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = builder(limits).serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A peer that breaks its own connection is no error of this server.
+            let _ = connection.await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn builder(limits: ServerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUF_BYTES));
+    builder
+}
--- /dev/null
+++ b/peer/src/convert.rs
@@ -0,0 +1,60 @@
+//! Conversions between messages and the types of the decisions.
+
+use crate::generated;
+use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::names::{FailureDomain, HostName, is_valid};
+use thiserror::Error;
+
+/// A member in a message cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("member \"{host}\" has no usable {field}")]
+pub struct BadMember {
+    /// Its host.
+    pub host: String,
+    /// The field.
+    pub field: &'static str,
+}
+
+impl From<&Member> for generated::Member {
+    fn from(member: &Member) -> Self {
+        Self {
+            host: member.host.to_string(),
+            incarnation: member.incarnation,
+            failure_domain: member.failure_domain.to_string(),
+            peer_address: member.peer_address.to_string(),
+            caller_address: member.caller_address.to_string(),
+            state: member.state as u32,
+        }
+    }
+}
+
+impl TryFrom<&generated::Member> for Member {
+    type Error = BadMember;
+
+    fn try_from(message: &generated::Member) -> Result<Self, BadMember> {
+        let bad = |field| BadMember {
+            host: message.host.clone(),
+            field,
+        };
+        if !is_valid(&message.host) {
+            return Err(bad("host"));
+        }
+        let state = u8::try_from(message.state)
+            .ok()
+            .and_then(MemberState::from_repr);
+        Ok(Self {
+            host: HostName::new(&message.host),
+            incarnation: message.incarnation,
+            failure_domain: FailureDomain::new(&message.failure_domain),
+            peer_address: message
+                .peer_address
+                .parse()
+                .map_err(|_| bad("peer address"))?,
+            caller_address: message
+                .caller_address
+                .parse()
+                .map_err(|_| bad("caller address"))?,
+            state: state.ok_or_else(|| bad("state"))?,
+        })
+    }
+}
--- /dev/null
+++ b/peer/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between daemons, over gRPC.
+
+/// Code generated from `proto/peer.proto` by `cargo run -p xtask`.
+#[allow(missing_docs, clippy::all, clippy::pedantic, unused_qualifications)]
+#[rustfmt::skip]
+pub mod generated {
+    include!("generated/magnoliawinch.peer.rs");
+}
+
+mod convert;
+
+pub use convert::BadMember;
+pub use generated::peer_client::PeerClient;
+pub use generated::peer_server::{Peer, PeerServer};
+pub use generated::*;
--- /dev/null
+++ b/testbed/src/bed.rs
@@ -0,0 +1,353 @@
+//! Starts and stops the stand-ins and the daemons.
+
+use crate::deployment::{FAILURE_DOMAINS, guidance_file, parts_file};
+use magnoliawinch::catalogue::{Change, Offset, Record};
+use magnoliawinch::ini::Document;
+use magnoliawinch::names::{FailureDomain, HostName, ServiceName};
+use magnoliawinch::service_file::key_digest;
+use magnoliawinch::settings::Settings;
+use magnoliawinch_fakes::engine::{FakeEngine, ModelParameters};
+use magnoliawinch_fakes::hosts::FakeHosts;
+use magnoliawinch_fakes::log::FakeLog;
+use magnoliawinch_fakes::service::{FakeService, RunCounts};
+use magnoliawinch_hosts::{DaemonAddresses, Host, HostState};
+use magnoliawinchd::{Daemon, StartError};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// The operators' key of every daemon of a testbed.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+/// The stream of the configuration.
+pub const CATALOGUE_STREAM: &str = "catalogue";
+
+/// Why a testbed does not start.
+#[derive(Debug, Error)]
+pub enum BedError {
+    /// A socket or a thread cannot be had.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// A daemon does not start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// The daemons were not ready in time.
+    #[error("only {ready} of {all} daemons were ready after {after:?}")]
+    NotReady {
+        /// Daemons that were.
+        ready: usize,
+        /// All daemons.
+        all: usize,
+        /// The time that was given.
+        after: Duration,
+    },
+}
+
+/// Size and speed of a testbed.
+#[derive(Clone, Debug)]
+pub struct BedOptions {
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// Size and speed of the engines.
+    pub model: ModelParameters,
+    /// Lag of the engines' load reports.
+    pub report_lag: Duration,
+    /// Lag of the platform's list.
+    pub list_lag: Duration,
+    /// How long callers may keep addresses.
+    pub directory_lifetime: Duration,
+    /// Traffic threads of each daemon.
+    pub traffic_threads: usize,
+}
+
+impl Default for BedOptions {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            engines: 3,
+            services: 2,
+            model: ModelParameters::default(),
+            report_lag: Duration::from_millis(200),
+            list_lag: Duration::from_secs(30),
+            directory_lifetime: Duration::from_millis(1_000),
+            traffic_threads: 1,
+        }
+    }
+}
+
+/// A daemon with a runtime of its own, so that it can be killed as a whole.
+#[derive(Debug)]
+struct BedDaemon {
+    settings: Settings,
+    runtime: Option<Runtime>,
+    daemon: Option<Daemon>,
+}
+
+/// A running testbed.
+#[derive(Debug)]
+pub struct Bed {
+    /// The platform's log.
+    pub log: FakeLog,
+    /// The platform's list.
+    pub list: FakeHosts,
+    /// Model engines.
+    pub engines: Vec<FakeEngine>,
+    /// Plain services.
+    pub services: Vec<FakeService>,
+    /// What the plain services ran.
+    pub counts: RunCounts,
+    options: BedOptions,
+    daemons: Vec<BedDaemon>,
+}
+
+async fn listen(ip: [u8; 4]) -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::from(ip), 0)).await
+}
+
+/// The address of a port that was free a moment ago.
+async fn free_address(ip: [u8; 4]) -> io::Result<SocketAddr> {
+    listen(ip).await?.local_addr()
+}
+
+impl Bed {
+    /// Starts everything, publishes both services and waits until every daemon is ready.
+    pub async fn start(options: BedOptions) -> Result<Self, BedError> {
+        let mut bed = Self::start_platform(options).await?;
+        bed.publish_services();
+        for place in 0..bed.options.daemons {
+            bed.start_daemon(place).await?;
+        }
+        bed.wait_ready(Duration::from_secs(20)).await?;
+        Ok(bed)
+    }
+
+    /// Starts the stand-ins and reserves the daemons' addresses.
+    pub async fn start_platform(options: BedOptions) -> Result<Self, BedError> {
+        let log = FakeLog::start(listen([127, 0, 0, 1]).await?)?;
+        let mut engines = Vec::new();
+        for place in 0..options.engines {
+            let listener = listen([127, 0, 2, place as u8 + 1]).await?;
+            engines.push(FakeEngine::start(
+                listener,
+                options.model,
+                1,
+                options.report_lag,
+            )?);
+        }
+        let counts = RunCounts::default();
+        let mut services = Vec::new();
+        for place in 0..options.services {
+            let listener = listen([127, 0, 3, place as u8 + 1]).await?;
+            services.push(FakeService::start(listener, counts.clone())?);
+        }
+        let list_listener = listen([127, 0, 0, 1]).await?;
+        let list_address = list_listener.local_addr()?;
+        let mut daemons = Vec::new();
+        for place in 0..options.daemons {
+            let settings = settings(place, log.address(), list_address, &options).await?;
+            daemons.push(BedDaemon {
+                settings,
+                runtime: None,
+                daemon: None,
+            });
+        }
+        let hosts = daemons
+            .iter()
+            .map(|d| listed(&d.settings, HostState::Live))
+            .collect();
+        let list = FakeHosts::start(list_listener, hosts, options.list_lag)?;
+        Ok(Self {
+            log,
+            list,
+            engines,
+            services,
+            counts,
+            options,
+            daemons,
+        })
+    }
+
+    /// Puts both service files into the log.
+    pub fn publish_services(&self) {
+        let engines: Vec<_> = self.engines.iter().map(FakeEngine::address).collect();
+        let services: Vec<_> = self.services.iter().map(FakeService::address).collect();
+        self.append_service(
+            &guidance_file(&engines, self.options.model.memory_tokens),
+            1,
+        );
+        self.append_service(&parts_file(&services), 2);
+    }
+
+    /// Appends the first revision of a service without a daemon.
+    pub fn append_service(&self, text: &str, nonce: u64) -> Offset {
+        let document = Document::parse(text).expect("the testbed's files are valid");
+        let name = document.sections()["service"]["name"].clone();
+        let change = Change::between(
+            &ServiceName::new(&name),
+            Offset(0),
+            &Document::default(),
+            &document,
+        )
+        .expect("a new service differs from nothing")
+        .with_author(nonce, "testbed");
+        let data = serde_json::to_string(&Record::Change(change)).expect("changes are JSON");
+        self.log.append(CATALOGUE_STREAM, &data)
+    }
+
+    /// Starts the daemon of host `place`.
+    pub async fn start_daemon(&mut self, place: usize) -> Result<(), BedError> {
+        let settings = self.daemons[place].settings.clone();
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(self.options.traffic_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let started = runtime.spawn(Daemon::start(settings)).await;
+        let daemon = started.map_err(io::Error::other)??;
+        self.daemons[place].daemon = Some(daemon);
+        self.daemons[place].runtime = Some(runtime);
+        Ok(())
+    }
+
+    /// Waits until every started daemon takes requests and knows all others.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<(), BedError> {
+        let until = Instant::now() + limit;
+        loop {
+            let running: Vec<_> = self
+                .daemons
+                .iter()
+                .filter_map(|d| d.daemon.as_ref())
+                .collect();
+            let all = running.len();
+            let is_ready = |d: &&&Daemon| d.is_ready() && d.members() == all;
+            let ready = running.iter().filter(is_ready).count();
+            if ready == all {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                return Err(BedError::NotReady {
+                    ready,
+                    all,
+                    after: limit,
+                });
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Kills the daemon of host `place` as a crash does.
+    pub fn kill_daemon(&mut self, place: usize) {
+        let bed_daemon = &mut self.daemons[place];
+        if let Some(daemon) = bed_daemon.daemon.take() {
+            daemon.kill();
+        }
+        if let Some(runtime) = bed_daemon.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Lets the daemon of host `place` leave; the handle ends when it has.
+    pub fn drain_daemon(&mut self, place: usize) -> Option<JoinHandle<()>> {
+        let bed_daemon = &mut self.daemons[place];
+        let daemon = bed_daemon.daemon.take()?;
+        let runtime = bed_daemon.runtime.take()?;
+        let left = runtime.spawn(daemon.leave());
+        Some(tokio::spawn(async move {
+            let _ = left.await;
+            runtime.shutdown_background();
+        }))
+    }
+
+    /// The running daemon of host `place`.
+    pub fn daemon(&self, place: usize) -> Option<&Daemon> {
+        self.daemons[place].daemon.as_ref()
+    }
+
+    /// The settings of host `place`.
+    pub fn settings(&self, place: usize) -> &Settings {
+        &self.daemons[place].settings
+    }
+
+    /// Where callers reach the daemons.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons
+            .iter()
+            .map(|d| d.settings.caller_address)
+            .collect()
+    }
+
+    /// Where operators reach the daemons.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        self.daemons
+            .iter()
+            .map(|d| d.settings.operator_address)
+            .collect()
+    }
+
+    /// The hosts as the platform's list has them.
+    pub fn listed_hosts(&self) -> Vec<Host> {
+        self.daemons
+            .iter()
+            .map(|d| listed(&d.settings, HostState::Live))
+            .collect()
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        for place in 0..self.daemons.len() {
+            self.kill_daemon(place);
+        }
+    }
+}
+
+fn listed(settings: &Settings, state: HostState) -> Host {
+    Host {
+        host: settings.host.clone(),
+        ip: settings.peer_address.ip(),
+        failure_domain: settings.failure_domain.clone(),
+        state,
+        incarnation: 1,
+        daemon: Some(DaemonAddresses {
+            peer: settings.peer_address,
+            caller: settings.caller_address,
+        }),
+    }
+}
+
+async fn settings(
+    place: usize,
+    log_address: SocketAddr,
+    hosts_address: SocketAddr,
+    options: &BedOptions,
+) -> Result<Settings, BedError> {
+    let ip = [127, 0, 1, place as u8 + 1];
+    debug_assert!(IpAddr::from(ip).is_loopback());
+    Ok(Settings {
+        host: HostName::from(format!("entry-{place}")),
+        failure_domain: FailureDomain::new(FAILURE_DOMAINS[place % FAILURE_DOMAINS.len()]),
+        caller_address: free_address(ip).await?,
+        peer_address: free_address(ip).await?,
+        operator_address: free_address(ip).await?,
+        operator_key_sha256: key_digest(OPERATOR_KEY),
+        log_address,
+        hosts_address,
+        metrics_address: None,
+        traffic_threads: options.traffic_threads,
+        directory_lifetime_ms: options.directory_lifetime.as_millis() as u64,
+        ledger_shards: 4,
+        key_validity_ms: 3_600_000,
+        claim_bound_ms: 5_000,
+        max_connections: 10_000,
+        caller_silence_ms: 30_000,
+    })
+}
