Command line, demo and open-loop load

Cause: the path ran only inside a test; nobody could see or measure it.

What came: check, publish, status, hosts, explain, drain, demo and load. The demo counts what callers and upstreams saw, apart from the daemons' counters.

--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,43 @@
+//! The command line for operators: checks and publishes files, shows what the system does, and
+//! measures it.
+
+mod commands;
+mod options;
+mod output;
+
+use commands::CommandError;
+use gumdrop::Options;
+use options::{Arguments, Command};
+use std::process::ExitCode;
+
+/// Runs the command that the arguments name.
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(command) = arguments.command else {
+        eprintln!("{}", Arguments::usage());
+        if let Some(list) = Arguments::command_list() {
+            eprintln!("\nCommands:\n{list}");
+        }
+        return ExitCode::from(output::EXIT_BAD_INPUT);
+    };
+    match dispatch(command) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("magnoliawinch: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+fn dispatch(command: Command) -> Result<ExitCode, CommandError> {
+    match command {
+        Command::Check(options) => commands::check::run(&options),
+        Command::Publish(options) => commands::publish::run(&options),
+        Command::Status(options) => commands::status::run(&options),
+        Command::Hosts(options) => commands::hosts::run(&options),
+        Command::Explain(options) => commands::explain::run(&options),
+        Command::Drain(options) => commands::drain::run(&options),
+        Command::Demo(options) => commands::demo::run(&options),
+        Command::Load(options) => commands::load::run(&options),
+    }
+}
--- /dev/null
+++ b/cli/src/options.rs
@@ -0,0 +1,224 @@
+//! Arguments of the command line.
+
+use gumdrop::Options;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Arguments before the command.
+#[derive(Debug, Options)]
+pub(crate) struct Arguments {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "validate settings and service files")]
+    Check(CheckOptions),
+    #[options(help = "publish the service files of a directory")]
+    Publish(PublishOptions),
+    #[options(help = "show the state of a daemon")]
+    Status(OperatorOptions),
+    #[options(help = "show which addresses a caller would be told")]
+    Hosts(HostsOptions),
+    #[options(help = "show the decisions about one request")]
+    Explain(ExplainOptions),
+    #[options(help = "let a daemon finish its requests and end")]
+    Drain(OperatorOptions),
+    #[options(help = "run daemons, callers and stand-ins in one process")]
+    Demo(DemoOptions),
+    #[options(help = "send open-loop load")]
+    Load(LoadOptions),
+}
+
+/// Arguments of `check`.
+#[derive(Debug, Options)]
+pub(crate) struct CheckOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(
+        free,
+        help = "settings (*.settings.ini) and service files (*.service.ini)"
+    )]
+    pub(crate) files: Vec<PathBuf>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of commands that ask a daemon.
+#[derive(Debug, Options)]
+pub(crate) struct OperatorOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(
+        no_short,
+        required,
+        help = "the daemon's operator address",
+        meta = "ADDRESS"
+    )]
+    pub(crate) daemon: Option<SocketAddr>,
+    #[options(
+        no_short,
+        required,
+        help = "file with the operators' key",
+        meta = "FILE"
+    )]
+    pub(crate) key_file: Option<PathBuf>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `publish`.
+#[derive(Debug, Options)]
+pub(crate) struct PublishOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(free, required, help = "directory to collect *.service.ini from")]
+    pub(crate) directory: Option<PathBuf>,
+    #[options(
+        no_short,
+        required,
+        help = "a daemon's operator address",
+        meta = "ADDRESS"
+    )]
+    pub(crate) daemon: Option<SocketAddr>,
+    #[options(
+        no_short,
+        required,
+        help = "file with the operators' key",
+        meta = "FILE"
+    )]
+    pub(crate) key_file: Option<PathBuf>,
+    #[options(
+        no_short,
+        help = "who publishes; the user's name by default",
+        meta = "NAME"
+    )]
+    pub(crate) author: Option<String>,
+    #[options(no_short, help = "show what would change and stop")]
+    pub(crate) dry_run: bool,
+    #[options(
+        no_short,
+        help = "seconds to wait until it is in force",
+        default = "10"
+    )]
+    pub(crate) wait_seconds: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `hosts`.
+#[derive(Debug, Options)]
+pub(crate) struct HostsOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(
+        no_short,
+        required,
+        help = "a daemon's caller address",
+        meta = "ADDRESS"
+    )]
+    pub(crate) host: Option<SocketAddr>,
+    #[options(
+        no_short,
+        required,
+        help = "file with the organisation's key",
+        meta = "FILE"
+    )]
+    pub(crate) key_file: Option<PathBuf>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub(crate) struct ExplainOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(
+        free,
+        required,
+        help = "the request's id, from the header x-request-id"
+    )]
+    pub(crate) request: Option<String>,
+    #[options(
+        no_short,
+        required,
+        help = "the daemon's operator address",
+        meta = "ADDRESS"
+    )]
+    pub(crate) daemon: Option<SocketAddr>,
+    #[options(
+        no_short,
+        required,
+        help = "file with the operators' key",
+        meta = "FILE"
+    )]
+    pub(crate) key_file: Option<PathBuf>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `demo`.
+#[derive(Debug, Options)]
+pub(crate) struct DemoOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "how long callers send requests", default = "10")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "seed of all chance", default = "1")]
+    pub(crate) seed: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `load`.
+#[derive(Debug, Options)]
+pub(crate) struct LoadOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(
+        no_short,
+        help = "daemons' caller addresses; a daemon and an engine of its own when absent",
+        meta = "ADDRESS"
+    )]
+    pub(crate) host: Vec<SocketAddr>,
+    #[options(no_short, help = "file with the organisation's key", meta = "FILE")]
+    pub(crate) key_file: Option<PathBuf>,
+    #[options(no_short, help = "the service", default = "repair-guidance")]
+    pub(crate) service: String,
+    #[options(no_short, help = "the kind", default = "walkthrough")]
+    pub(crate) kind: String,
+    #[options(no_short, help = "requests a second", default = "50")]
+    pub(crate) rate: f64,
+    #[options(no_short, help = "how long requests are started", default = "10")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "tokens of each answer", default = "64")]
+    pub(crate) length: u32,
+    #[options(
+        no_short,
+        help = "milliseconds of an engine step, without --host",
+        default = "5"
+    )]
+    pub(crate) step_ms: f64,
+    #[options(
+        no_short,
+        help = "\"direct\" also sends the load straight to the engine"
+    )]
+    pub(crate) baseline: Option<Baseline>,
+    #[options(no_short, help = "seed of the arrivals", default = "1")]
+    pub(crate) seed: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// What a load is compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Baseline {
+    /// The same load straight to the engine.
+    Direct,
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,7 +3,10 @@
 
 pub mod answer;
 pub mod bed;
+pub mod demo;
 pub mod deployment;
+pub mod figures;
+pub mod load;
 pub mod user;
 
 pub use answer::{AnswerCheck, AnswerError};
--- a/testbed/src/user.rs
+++ b/testbed/src/user.rs
@@ -8,6 +8,7 @@
 use magnoliawinch_caller::sse::Event;
 use magnoliawinch_caller::{Code, ErrorBody, GenerationRequest};
 use magnoliawinch_fakes::engine::prompt_for;
+use magnoliawinch_fakes::service::RunCounts;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -47,6 +48,29 @@
     pub refusals: u32,
     /// Times that the stream was resumed.
     pub resumes: u32,
+    /// Prompts that were refused as not run.
+    pub not_run: Vec<String>,
+}
+
+impl Times {
+    fn note_refusal(&mut self, request: &GenerationRequest, error: &ErrorBody) {
+        self.refusals += 1;
+        if error.verdict == Verdict::NotRun {
+            self.not_run.push(request.prompt.clone());
+        }
+    }
+}
+
+/// A request whose prompt differs from one try to the next.
+fn request_for(text: &str, attempt: u32, length: u32) -> GenerationRequest {
+    let text = match attempt {
+        0 => text.to_owned(),
+        _ => format!("{text} (try {attempt})"),
+    };
+    GenerationRequest {
+        prompt: prompt_for(&text, length),
+        max_tokens: None,
+    }
 }
 
 /// A caller of the testbed.
@@ -57,6 +81,8 @@
     hosts: Vec<SocketAddr>,
     hosts_until: Instant,
     turn: usize,
+    counts: Option<RunCounts>,
+    not_run_but_ran: u64,
 }
 
 impl User {
@@ -68,9 +94,32 @@
             hosts: Vec::new(),
             hosts_until: Instant::now(),
             turn,
+            counts: None,
+            not_run_but_ran: 0,
         }
     }
 
+    /// The same caller, which checks each "not run" of a call against what upstreams ran.
+    pub fn with_counts(self, counts: &RunCounts) -> Self {
+        Self {
+            counts: Some(counts.clone()),
+            ..self
+        }
+    }
+
+    /// Calls that were refused as not run though an upstream had run them.
+    pub fn not_run_but_ran(&self) -> u64 {
+        self.not_run_but_ran
+    }
+
+    fn check_not_run(&mut self, key: Option<&str>, error: &ErrorBody) {
+        let runs = key
+            .zip(self.counts.as_ref())
+            .map(|(key, counts)| counts.of(key));
+        let ran = runs.is_some_and(|runs| runs > 0);
+        self.not_run_but_ran += u64::from(ran && error.verdict == Verdict::NotRun);
+    }
+
     /// A host to use, asked for anew when the last answer has expired.
     async fn host(&mut self) -> SocketAddr {
         if Instant::now() >= self.hosts_until {
@@ -132,13 +181,10 @@
         text: &str,
         length: u32,
     ) -> (Ending, Times) {
-        let request = GenerationRequest {
-            prompt: prompt_for(text, length),
-            max_tokens: None,
-        };
         let mut times = Times::default();
         let started = Instant::now();
-        for _ in 0..MAX_TRIES {
+        for attempt in 0..MAX_TRIES {
+            let request = request_for(text, attempt, length);
             let host = self.host().await;
             match self.caller.generate(host, service, kind, &request).await {
                 Ok(stream) => {
@@ -147,10 +193,10 @@
                     return (ending, times);
                 }
                 Err(CallerError::System(error)) => {
+                    times.note_refusal(&request, &error);
                     if !self.wait_as_told(&error).await {
                         return (Ending::Refused(error), times);
                     }
-                    times.refusals += 1;
                 }
                 Err(_) => {
                     self.next_host();
@@ -230,13 +276,10 @@
         text: &str,
         length: u32,
     ) -> (Ending, Times) {
-        let request = GenerationRequest {
-            prompt: prompt_for(text, length),
-            max_tokens: None,
-        };
         let mut times = Times::default();
         let started = Instant::now();
-        for _ in 0..MAX_TRIES {
+        for attempt in 0..MAX_TRIES {
+            let request = request_for(text, attempt, length);
             let host = self.host().await;
             match self
                 .caller
@@ -251,10 +294,10 @@
                     return (ending, times);
                 }
                 Err(CallerError::System(error)) => {
+                    times.note_refusal(&request, &error);
                     if !self.wait_as_told(&error).await {
                         return (Ending::Refused(error), times);
                     }
-                    times.refusals += 1;
                 }
                 Err(_) => {
                     self.next_host();
@@ -280,6 +323,7 @@
             match self.caller.call(host, service, kind, key, body).await {
                 Ok(answer) => return Ok(answer),
                 Err(CallerError::System(error)) => {
+                    self.check_not_run(key, &error);
                     if !self.wait_as_told(&error).await {
                         return Err(Ending::Refused(error));
                     }
