--- a/core/src/catalogue.rs
+++ b/core/src/catalogue.rs
@@ -329,7 +329,7 @@
     Ok(Some(Arc::new(spec)))
 }
 
-/// The most text in one checkpoint part, in bytes.
+/// The usual text of one checkpoint part, in bytes.
 pub const CHECKPOINT_PART_BYTES: usize = 65_536;
 
 /// The most unfinished checkpoints that are kept in memory.
@@ -494,13 +494,14 @@
         None
     }
 
-    /// The state as records to append; `None` when this reader's state is not whole.
-    pub fn checkpoint(&self, id: u64) -> Option<Vec<Record>> {
+    /// The state as records of at most `part_bytes` of text each; `None` when this reader's state
+    /// is not whole.
+    pub fn checkpoint(&self, id: u64, part_bytes: usize) -> Option<Vec<Record>> {
         if self.hole.is_some() {
             return None;
         }
         let text = self.state()?.to_json();
-        let pieces = split_text(&text, CHECKPOINT_PART_BYTES);
+        let pieces = split_text(&text, part_bytes);
         let parts = pieces.len() as u32;
         let record = |(part, text): (usize, String)| {
             Record::CheckpointPart(CheckpointPart {
--- a/daemon/src/control/catalogue.rs
+++ b/daemon/src/control/catalogue.rs
@@ -1,7 +1,9 @@
 //! The configuration: folding, relaying, publishing and checkpoints.
 
 use super::{Control, Message};
-use magnoliawinch::catalogue::{Catalogue, Change, Folded, Offset, Record, State};
+use magnoliawinch::catalogue::{
+    CHECKPOINT_PART_BYTES, Catalogue, Change, Folded, Offset, Record, State,
+};
 use magnoliawinch::names::HostName;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_log::{LogRecord, Page};
@@ -368,7 +370,10 @@
         }
         configuration.checkpoint_at = now;
         let id = configuration.rng.random_range(1..u64::MAX);
-        let Some(parts) = configuration.catalogue.checkpoint(id) else {
+        let Some(parts) = configuration
+            .catalogue
+            .checkpoint(id, CHECKPOINT_PART_BYTES)
+        else {
             return;
         };
         let shared = Arc::clone(&self.shared);
