--- a/caller/src/client.rs
+++ b/caller/src/client.rs
@@ -55,10 +55,7 @@
 impl Caller {
     /// A caller with the bearer key `key`.
     pub fn new(key: &str) -> Self {
-        Self {
-            client: Client::new(),
-            key: key.to_owned(),
-        }
+        Self { client: Client::new(), key: key.to_owned() }
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> request::Builder {
@@ -68,10 +65,7 @@
     /// Asks `host` which addresses to use.
     pub async fn hosts(&self, host: SocketAddr) -> Result<Answer, CallerError> {
         let req = self.request(Method::GET, "/v1/hosts", Bytes::new()).build();
-        let reply = self
-            .client
-            .send(host, req, Reuse::Recent, Duration::from_secs(2))
-            .await?;
+        let reply = self.client.send(host, req, Reuse::Recent, Duration::from_secs(2)).await?;
         let reply = check(reply).await?;
         Ok(reply.json(MAX_ANSWER_BYTES).await?)
     }
@@ -111,16 +105,9 @@
         host: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<TokenStream, CallerError> {
-        let reply = self
-            .client
-            .send(host, req, Reuse::Recent, HEAD_TIMEOUT)
-            .await?;
+        let reply = self.client.send(host, req, Reuse::Recent, HEAD_TIMEOUT).await?;
         let reply = check(reply).await?;
-        Ok(TokenStream {
-            body: reply.into_body(),
-            reader: Reader::new(),
-            received: 0,
-        })
+        Ok(TokenStream { body: reply.into_body(), reader: Reader::new(), received: 0 })
     }
 
     /// Runs a generation of a kind that is delivered whole.
@@ -134,10 +121,7 @@
         let body = serde_json::to_vec(request).unwrap_or_default();
         let path = format!("/v1/generations/{service}/{kind}");
         let req = self.request(Method::POST, &path, Bytes::from(body)).build();
-        let reply = self
-            .client
-            .send(host, req, Reuse::Recent, HEAD_TIMEOUT)
-            .await?;
+        let reply = self.client.send(host, req, Reuse::Recent, HEAD_TIMEOUT).await?;
         let reply = check(reply).await?;
         Ok(reply.json(MAX_ANSWER_BYTES).await?)
     }
@@ -157,10 +141,7 @@
             Some(key) => builder.header(IDEMPOTENCY_KEY, key).build(),
             None => builder.build(),
         };
-        let reply = self
-            .client
-            .send(host, req, Reuse::Recent, HEAD_TIMEOUT)
-            .await?;
+        let reply = self.client.send(host, req, Reuse::Recent, HEAD_TIMEOUT).await?;
         let reply = check(reply).await?;
         Ok(reply.bytes(MAX_ANSWER_BYTES).await?)
     }
@@ -169,10 +150,7 @@
     pub async fn cancel(&self, host: SocketAddr, generation: &str) -> Result<(), CallerError> {
         let path = format!("/v1/generations/{generation}");
         let req = self.request(Method::DELETE, &path, Bytes::new()).build();
-        let reply = self
-            .client
-            .send(host, req, Reuse::Recent, HEAD_TIMEOUT)
-            .await?;
+        let reply = self.client.send(host, req, Reuse::Recent, HEAD_TIMEOUT).await?;
         check(reply).await?;
         Ok(())
     }
@@ -185,9 +163,7 @@
     let bytes = reply.bytes(MAX_ANSWER_BYTES).await?;
     match serde_json::from_slice(&bytes) {
         Ok(error) => Err(CallerError::System(error)),
-        Err(_) => Err(CallerError::Malformed(
-            String::from_utf8_lossy(&bytes).into_owned(),
-        )),
+        Err(_) => Err(CallerError::Malformed(String::from_utf8_lossy(&bytes).into_owned())),
     }
 }
 
@@ -210,9 +186,7 @@
             match timeout(STREAM_SILENCE, self.body.piece()).await {
                 Ok(Some(Ok(piece))) => self.reader.push(&piece),
                 _ => {
-                    return Err(CallerError::Broken {
-                        received: self.received,
-                    });
+                    return Err(CallerError::Broken { received: self.received });
                 }
             }
         }
--- a/caller/src/client/request.rs
+++ b/caller/src/client/request.rs
@@ -26,9 +26,7 @@
 
     pub(super) fn header(mut self, name: &'static str, value: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(value) {
-            self.req
-                .headers_mut()
-                .insert(HeaderName::from_static(name), value);
+            self.req.headers_mut().insert(HeaderName::from_static(name), value);
         }
         self
     }
--- a/caller/src/error.rs
+++ b/caller/src/error.rs
@@ -108,9 +108,6 @@
 
     /// The same error with a time to come back.
     pub fn with_retry_after(self, retry_after_ms: u64) -> Self {
-        Self {
-            retry_after_ms: Some(retry_after_ms),
-            ..self
-        }
+        Self { retry_after_ms: Some(retry_after_ms), ..self }
     }
 }
--- a/caller/src/generation_id.rs
+++ b/caller/src/generation_id.rs
@@ -36,12 +36,7 @@
         key_digest: &str,
     ) -> Self {
         let tag = tag(service, upstream, nonce, key_digest);
-        Self {
-            service: service.clone(),
-            upstream: upstream.clone(),
-            nonce,
-            tag,
-        }
+        Self { service: service.clone(), upstream: upstream.clone(), nonce, tag }
     }
 
     /// Whether the generation belongs to the organisation whose key has `key_digest`.
@@ -65,12 +60,7 @@
 
 impl fmt::Display for GenerationId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            service,
-            upstream,
-            nonce,
-            tag,
-        } = self;
+        let Self { service, upstream, nonce, tag } = self;
         write!(f, "{service}~{upstream}~{nonce:016x}~{}", hex::encode(tag))
     }
 }
--- a/caller/src/sse.rs
+++ b/caller/src/sse.rs
@@ -95,19 +95,13 @@
 }
 
 fn parse(block: &str) -> Option<Event> {
-    let field = |name: &str| {
-        block
-            .lines()
-            .find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
-    };
+    let field =
+        |name: &str| block.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
     let data = field("data")?;
     match field("event")? {
         "token" => {
             let id = field("id")?.to_owned();
-            Some(Event::Token {
-                id,
-                data: serde_json::from_str(data).ok()?,
-            })
+            Some(Event::Token { id, data: serde_json::from_str(data).ok()? })
         }
         "end" => Some(Event::End(serde_json::from_str(data).ok()?)),
         "error" => Some(Event::Error(serde_json::from_str(data).ok()?)),
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -3,6 +3,7 @@
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod drain;
+pub(crate) mod experiment;
 pub(crate) mod explain;
 pub(crate) mod hosts;
 pub(crate) mod load;
@@ -44,6 +45,9 @@
     /// The testbed did not start.
     #[error(transparent)]
     Bed(#[from] BedError),
+    /// A picture cannot be drawn.
+    #[error(transparent)]
+    Plot(#[from] magnoliawinch_experiments::crowd::PlotError),
     /// The runtime cannot be started.
     #[error("cannot start: {0}")]
     Runtime(#[from] io::Error),
--- a/cli/src/commands/check.rs
+++ b/cli/src/commands/check.rs
@@ -42,25 +42,16 @@
     let mut checked = Vec::new();
     for file in &options.files {
         let error = check(file)?.map(|e| e.to_string());
-        checked.push(Checked {
-            file: file.clone(),
-            error,
-        });
+        checked.push(Checked { file: file.clone(), error });
     }
-    let count = checked
-        .iter()
-        .filter(|checked| checked.error.is_some())
-        .count();
+    let count = checked.iter().filter(|checked| checked.error.is_some()).count();
     match options.json {
         true => print_json(&checked),
         false => checked.iter().for_each(print),
     }
     match count {
         0 => Ok(ExitCode::SUCCESS),
-        _ => Err(CommandError::BadFiles {
-            count,
-            all: checked.len(),
-        }),
+        _ => Err(CommandError::BadFiles { count, all: checked.len() }),
     }
 }
 
--- a/cli/src/commands/demo.rs
+++ b/cli/src/commands/demo.rs
@@ -16,9 +16,7 @@
         false => print(&report),
     }
     let violations = report.violations();
-    violations
-        .iter()
-        .for_each(|promise| eprintln!("does not hold: {promise}"));
+    violations.iter().for_each(|promise| eprintln!("does not hold: {promise}"));
     match violations.is_empty() {
         true => Ok(ExitCode::SUCCESS),
         false => Ok(ExitCode::from(EXIT_REFUSED)),
@@ -29,10 +27,7 @@
     print_rows(&[
         ("generations", report.generations.to_string()),
         ("whole and in order", report.whole_in_order.to_string()),
-        (
-            "broken by the dead engine",
-            report.broken_streams.to_string(),
-        ),
+        ("broken by the dead engine", report.broken_streams.to_string()),
         ("resumed at another host", report.resumed.to_string()),
         ("refused", report.generations_refused.to_string()),
         ("orders", report.orders.to_string()),
@@ -40,17 +35,8 @@
         ("\"not run\" but ran", report.not_run_but_ran.to_string()),
         ("preemptions", report.preemptions.to_string()),
         ("stall p99", format!("{:.1} ms", report.stall_ms_p99)),
-        (
-            "between tokens p95",
-            format!("{:.1} ms", report.inter_token_ms_p95),
-        ),
-        (
-            "between tokens p99",
-            format!("{:.1} ms", report.inter_token_ms_p99),
-        ),
-        (
-            "first token p95",
-            format!("{:.1} ms", report.first_token_ms_p95),
-        ),
+        ("between tokens p95", format!("{:.1} ms", report.inter_token_ms_p95)),
+        ("between tokens p99", format!("{:.1} ms", report.inter_token_ms_p99)),
+        ("first token p95", format!("{:.1} ms", report.first_token_ms_p95)),
     ]);
 }
--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -7,10 +7,7 @@
 
 /// Asks the daemon that served the request for its decision lines.
 pub(crate) fn run(options: &ExplainOptions) -> Result<ExitCode, CommandError> {
-    let request = options
-        .request
-        .as_deref()
-        .ok_or(CommandError::Missing("REQUEST-ID"))?;
+    let request = options.request.as_deref().ok_or(CommandError::Missing("REQUEST-ID"))?;
     let operator = operator(options.daemon, options.key_file.as_deref())?;
     let explanation = block_on(operator.explain(request))??;
     if options.json {
--- a/cli/src/commands/load.rs
+++ b/cli/src/commands/load.rs
@@ -41,10 +41,7 @@
                 service: options.service.clone(),
                 kind: options.kind.clone(),
             };
-            Compared {
-                daemons: block_on(load::run(&load, &target))?,
-                direct: None,
-            }
+            Compared { daemons: block_on(load::run(&load, &target))?, direct: None }
         }
     };
     match options.json {
@@ -108,10 +105,7 @@
         ("started", figures.started.to_string()),
         ("whole", figures.whole.to_string()),
         ("failed", figures.failed.to_string()),
-        (
-            "tokens a second",
-            format!("{:.0}", figures.tokens_per_second),
-        ),
+        ("tokens a second", format!("{:.0}", figures.tokens_per_second)),
         ("first token p50", ms(figures.first_token_ms_p50)),
         ("first token p95", ms(figures.first_token_ms_p95)),
         ("first token p99", ms(figures.first_token_ms_p99)),
--- a/cli/src/commands/publish.rs
+++ b/cli/src/commands/publish.rs
@@ -33,10 +33,7 @@
 }
 
 fn service_files(directory: &Path) -> Result<Vec<PathBuf>, CommandError> {
-    let unreadable = |source| CommandError::Read {
-        path: directory.to_owned(),
-        source,
-    };
+    let unreadable = |source| CommandError::Read { path: directory.to_owned(), source };
     let mut files = Vec::new();
     for entry in std::fs::read_dir(directory).map_err(unreadable)? {
         let path = entry.map_err(unreadable)?.path();
@@ -69,11 +66,7 @@
         let parsed = Document::parse(&text)
             .and_then(|document| Ok((ServiceSpec::from_document(&document)?.name, document)));
         match parsed {
-            Ok((name, document)) => files.push(ServiceFile {
-                path,
-                name,
-                document,
-            }),
+            Ok((name, document)) => files.push(ServiceFile { path, name, document }),
             Err(e) => eprintln!("{}: {e}", path.display()),
         }
     }
@@ -85,10 +78,7 @@
 
 /// Publishes every file that differs from what is in force.
 pub(crate) fn run(options: &PublishOptions) -> Result<ExitCode, CommandError> {
-    let directory = options
-        .directory
-        .as_deref()
-        .ok_or(CommandError::Missing("DIR"))?;
+    let directory = options.directory.as_deref().ok_or(CommandError::Missing("DIR"))?;
     let files = read_files(directory)?;
     let operator = operator(options.daemon, options.key_file.as_deref())?;
     let outcomes = block_on(async {
@@ -103,10 +93,7 @@
         false => outcomes.iter().for_each(print),
     }
     let is_refused = |outcome: &Outcome| {
-        matches!(
-            outcome.published,
-            Some(Published::Refused { .. } | Published::Unknown { .. })
-        )
+        matches!(outcome.published, Some(Published::Refused { .. } | Published::Unknown { .. }))
     };
     match outcomes.iter().any(is_refused) {
         true => Ok(ExitCode::from(EXIT_REFUSED)),
@@ -120,12 +107,7 @@
     file: ServiceFile,
 ) -> Result<Outcome, CommandError> {
     let current = operator.service(file.name.as_str()).await?;
-    let change = Change::between(
-        &file.name,
-        current.revision,
-        &current.document,
-        &file.document,
-    );
+    let change = Change::between(&file.name, current.revision, &current.document, &file.document);
     let mut outcome = Outcome {
         file: file.path,
         service: file.name,
@@ -143,20 +125,15 @@
     if options.dry_run {
         return Ok(outcome);
     }
-    let author = options
-        .author
-        .clone()
-        .or_else(|| std::env::var("USER").ok());
+    let author = options.author.clone().or_else(|| std::env::var("USER").ok());
     let change = change.with_author(0, &author.unwrap_or_else(|| "operator".to_owned()));
     let started = Instant::now();
     let published = operator.publish(change).await?;
     if let Published::Accepted { revision } = published {
         let limit = Duration::from_secs(options.wait_seconds);
         let in_force = wait_in_force(operator, revision, started, limit).await?;
-        outcome.in_force_after_ms = in_force
-            .behind
-            .is_empty()
-            .then(|| started.elapsed().as_millis());
+        outcome.in_force_after_ms =
+            in_force.behind.is_empty().then(|| started.elapsed().as_millis());
         outcome.in_force = Some(in_force);
     }
     outcome.published = Some(published);
@@ -180,14 +157,8 @@
 
 fn print(outcome: &Outcome) {
     println!("{} ({})", outcome.service, outcome.file.display());
-    outcome
-        .put
-        .iter()
-        .for_each(|section| println!("  changed [{section}]"));
-    outcome
-        .removed
-        .iter()
-        .for_each(|section| println!("  removed [{section}]"));
+    outcome.put.iter().for_each(|section| println!("  changed [{section}]"));
+    outcome.removed.iter().for_each(|section| println!("  removed [{section}]"));
     match &outcome.published {
         None if outcome.put.is_empty() && outcome.removed.is_empty() => {
             println!("  no change");
@@ -199,11 +170,7 @@
     }
     if let Some(in_force) = &outcome.in_force {
         let names = |hosts: &[magnoliawinch::names::HostName]| {
-            hosts
-                .iter()
-                .map(|host| host.as_str().to_owned())
-                .collect::<Vec<_>>()
-                .join(", ")
+            hosts.iter().map(|host| host.as_str().to_owned()).collect::<Vec<_>>().join(", ")
         };
         println!("  in force on {}", names(&in_force.reached));
         if !in_force.behind.is_empty() {
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -24,16 +24,10 @@
         ("ready", status.ready.to_string()),
         ("configuration", status.through.0.to_string()),
         ("requests in progress", status.in_progress.to_string()),
-        (
-            "control processor time",
-            format!("{} ms", status.control_cpu_ms),
-        ),
+        ("control processor time", format!("{} ms", status.control_cpu_ms)),
     ]);
     for member in &status.others {
-        println!(
-            "member {} in {}: {}",
-            member.host, member.failure_domain, member.state
-        );
+        println!("member {} in {}: {}", member.host, member.failure_domain, member.state);
     }
     for upstream in &status.upstreams {
         let leaving = if upstream.leaving { ", leaving" } else { "" };
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -39,5 +39,6 @@
         Command::Drain(options) => commands::drain::run(&options),
         Command::Demo(options) => commands::demo::run(&options),
         Command::Load(options) => commands::load::run(&options),
+        Command::Experiment(options) => commands::experiment::run(&options),
     }
 }
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -1,6 +1,7 @@
 //! Arguments of the command line.
 
 use gumdrop::Options;
+use magnoliawinch_experiments::crowd::{Deployment, Policy};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -32,6 +33,8 @@
     Demo(DemoOptions),
     #[options(help = "send open-loop load")]
     Load(LoadOptions),
+    #[options(help = "run an experiment")]
+    Experiment(ExperimentOptions),
 }
 
 /// Arguments of `check`.
@@ -39,10 +42,7 @@
 pub(crate) struct CheckOptions {
     #[options(help = "show this help")]
     pub(crate) help: bool,
-    #[options(
-        free,
-        help = "settings (*.settings.ini) and service files (*.service.ini)"
-    )]
+    #[options(free, help = "settings (*.settings.ini) and service files (*.service.ini)")]
     pub(crate) files: Vec<PathBuf>,
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
@@ -53,19 +53,9 @@
 pub(crate) struct OperatorOptions {
     #[options(help = "show this help")]
     pub(crate) help: bool,
-    #[options(
-        no_short,
-        required,
-        help = "the daemon's operator address",
-        meta = "ADDRESS"
-    )]
+    #[options(no_short, required, help = "the daemon's operator address", meta = "ADDRESS")]
     pub(crate) daemon: Option<SocketAddr>,
-    #[options(
-        no_short,
-        required,
-        help = "file with the operators' key",
-        meta = "FILE"
-    )]
+    #[options(no_short, required, help = "file with the operators' key", meta = "FILE")]
     pub(crate) key_file: Option<PathBuf>,
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
@@ -78,33 +68,15 @@
     pub(crate) help: bool,
     #[options(free, required, help = "directory to collect *.service.ini from")]
     pub(crate) directory: Option<PathBuf>,
-    #[options(
-        no_short,
-        required,
-        help = "a daemon's operator address",
-        meta = "ADDRESS"
-    )]
+    #[options(no_short, required, help = "a daemon's operator address", meta = "ADDRESS")]
     pub(crate) daemon: Option<SocketAddr>,
-    #[options(
-        no_short,
-        required,
-        help = "file with the operators' key",
-        meta = "FILE"
-    )]
+    #[options(no_short, required, help = "file with the operators' key", meta = "FILE")]
     pub(crate) key_file: Option<PathBuf>,
-    #[options(
-        no_short,
-        help = "who publishes; the user's name by default",
-        meta = "NAME"
-    )]
+    #[options(no_short, help = "who publishes; the user's name by default", meta = "NAME")]
     pub(crate) author: Option<String>,
     #[options(no_short, help = "show what would change and stop")]
     pub(crate) dry_run: bool,
-    #[options(
-        no_short,
-        help = "seconds to wait until it is in force",
-        default = "10"
-    )]
+    #[options(no_short, help = "seconds to wait until it is in force", default = "10")]
     pub(crate) wait_seconds: u64,
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
@@ -115,19 +87,9 @@
 pub(crate) struct HostsOptions {
     #[options(help = "show this help")]
     pub(crate) help: bool,
-    #[options(
-        no_short,
-        required,
-        help = "a daemon's caller address",
-        meta = "ADDRESS"
-    )]
+    #[options(no_short, required, help = "a daemon's caller address", meta = "ADDRESS")]
     pub(crate) host: Option<SocketAddr>,
-    #[options(
-        no_short,
-        required,
-        help = "file with the organisation's key",
-        meta = "FILE"
-    )]
+    #[options(no_short, required, help = "file with the organisation's key", meta = "FILE")]
     pub(crate) key_file: Option<PathBuf>,
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
@@ -138,25 +100,11 @@
 pub(crate) struct ExplainOptions {
     #[options(help = "show this help")]
     pub(crate) help: bool,
-    #[options(
-        free,
-        required,
-        help = "the request's id, from the header x-request-id"
-    )]
+    #[options(free, required, help = "the request's id, from the header x-request-id")]
     pub(crate) request: Option<String>,
-    #[options(
-        no_short,
-        required,
-        help = "the daemon's operator address",
-        meta = "ADDRESS"
-    )]
+    #[options(no_short, required, help = "the daemon's operator address", meta = "ADDRESS")]
     pub(crate) daemon: Option<SocketAddr>,
-    #[options(
-        no_short,
-        required,
-        help = "file with the operators' key",
-        meta = "FILE"
-    )]
+    #[options(no_short, required, help = "file with the operators' key", meta = "FILE")]
     pub(crate) key_file: Option<PathBuf>,
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
@@ -198,16 +146,9 @@
     pub(crate) seconds: u64,
     #[options(no_short, help = "tokens of each answer", default = "64")]
     pub(crate) length: u32,
-    #[options(
-        no_short,
-        help = "milliseconds of an engine step, without --host",
-        default = "5"
-    )]
+    #[options(no_short, help = "milliseconds of an engine step, without --host", default = "5")]
     pub(crate) step_ms: f64,
-    #[options(
-        no_short,
-        help = "\"direct\" also sends the load straight to the engine"
-    )]
+    #[options(no_short, help = "\"direct\" also sends the load straight to the engine")]
     pub(crate) baseline: Option<Baseline>,
     #[options(no_short, help = "seed of the arrivals", default = "1")]
     pub(crate) seed: u64,
@@ -222,3 +163,48 @@
     /// The same load straight to the engine.
     Direct,
 }
+
+/// Arguments of `experiment`.
+#[derive(Debug, Options)]
+pub(crate) struct ExperimentOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<ExperimentCommand>,
+}
+
+/// The experiments.
+#[derive(Debug, Options)]
+pub(crate) enum ExperimentCommand {
+    #[options(help = "compare policies on crowded engines under a virtual clock")]
+    Crowd(CrowdOptions),
+}
+
+/// Arguments of `experiment crowd`.
+#[derive(Debug, Options)]
+pub(crate) struct CrowdOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, required, help = "peachtree or lo-presti")]
+    pub(crate) deployment: Option<Deployment>,
+    #[options(no_short, help = "seed of all chance", default = "1")]
+    pub(crate) seed: u64,
+    #[options(no_short, help = "load as a part of capacity", default = "0.9")]
+    pub(crate) load: f64,
+    #[options(no_short, help = "load in the middle third of the time")]
+    pub(crate) surge: Option<f64>,
+    #[options(no_short, help = "seconds of arrivals", default = "600")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "lag of load reports", default = "500")]
+    pub(crate) report_lag_ms: u64,
+    #[options(no_short, help = "one engine dies at half the time")]
+    pub(crate) engine_loss: bool,
+    #[options(no_short, help = "one engine is slow in the second third of the time")]
+    pub(crate) grey_engine: bool,
+    #[options(no_short, help = "only these policies")]
+    pub(crate) policy: Vec<Policy>,
+    #[options(no_short, help = "draw the figures into an SVG file", meta = "FILE")]
+    pub(crate) plot: Option<PathBuf>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -14,7 +14,7 @@
 use crate::service_file::{Limits, Objective, ServiceSpec, UpstreamSpec};
 use crate::time::{Millis, Time};
 use load::{Footprint, Projection};
-use queue::FairQueue;
+use queue::{Barrier, FairQueue};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -92,13 +92,13 @@
 const MIN_HEADROOM: f64 = 0.5;
 
 /// Headroom added as preemptions come to weigh everything, in standard deviations.
-const PREEMPTION_HEADROOM: f64 = 3.0;
+const PREEMPTION_HEADROOM: f64 = 1.4;
 
 /// Part of the target between tokens that a step may use when tail latency weighs nothing.
 const STEP_PART: f64 = 0.95;
 
 /// Part taken off as tail latency and stalls come to weigh everything.
-const TAIL_STEP_PART: f64 = 0.25;
+const TAIL_STEP_PART: f64 = 0.385;
 
 /// Part of an engine's memory that projections may use; the rest is lost in partly used blocks.
 const USABLE_MEMORY: f64 = 0.97;
@@ -227,7 +227,8 @@
         if self.closed {
             return (Decision::Refused(MIN_RETRY), Vec::new());
         }
-        if self.queue.is_empty() && self.fits(now, &request) {
+        if self.queue.lets_pass(now, &request) && self.fits(now, &request) {
+            self.queue.charge(&request);
             self.grant(now, request);
             return (Decision::Granted, Vec::new());
         }
@@ -249,7 +250,7 @@
                 None => return (Decision::Refused(retry_time(wait)), events),
             }
         }
-        self.queue.push(request);
+        self.queue.push(now, request);
         events.extend(self.tick(now));
         (Decision::Queued, events)
     }
@@ -261,11 +262,8 @@
             let wait = self.expected_wait(now, &request);
             events.push(Event::Refused(request.id, retry_time(wait)));
         }
-        while let Some(next) = self.queue.peek() {
-            if self.closed || !self.fits(now, next) {
-                break;
-            }
-            let Some(request) = self.queue.pop() else {
+        while let Some(organisation) = self.next_that_fits(now) {
+            let Some(request) = self.queue.pop(&organisation) else {
                 break;
             };
             events.push(Event::Granted(request.id));
@@ -274,6 +272,22 @@
         events
     }
 
+    /// The organisation whose first request may start now. Requests that do not fit are passed by
+    /// those of higher priority, and for a part of their patience by any that fits.
+    fn next_that_fits(&self, now: Time) -> Option<OrganisationName> {
+        if self.closed {
+            return None;
+        }
+        let mut barrier = Barrier::default();
+        for waiting in self.queue.heads() {
+            if barrier.lets_pass(&waiting.request) && self.fits(now, &waiting.request) {
+                return Some(waiting.request.organisation.clone());
+            }
+            barrier.add(now, waiting);
+        }
+        None
+    }
+
     fn grant(&mut self, now: Time, request: Request) {
         self.holders.insert(request.holder.clone(), now);
         let running = Running {
@@ -305,11 +319,7 @@
     /// Releases a grant.
     pub fn release(&mut self, id: GrantId, written: u32) -> Option<Ended> {
         let running = self.running.remove(&id)?;
-        Some(Ended {
-            organisation: running.organisation,
-            kind: running.kind,
-            written,
-        })
+        Some(Ended { organisation: running.organisation, kind: running.kind, written })
     }
 
     /// Withdraws a request that waits.
@@ -341,11 +351,9 @@
 
     /// Drops the grants of holders that are silent.
     pub fn expire(&mut self, now: Time) {
-        self.holders
-            .retain(|_, heard_at| now.since(*heard_at) < GRANT_LIFETIME);
+        self.holders.retain(|_, heard_at| now.since(*heard_at) < GRANT_LIFETIME);
         let holders = &self.holders;
-        self.running
-            .retain(|_, running| holders.contains_key(&running.holder));
+        self.running.retain(|_, running| holders.contains_key(&running.holder));
     }
 
     /// Learns from a load report of the upstream.
@@ -412,9 +420,7 @@
         let size = f64::from(request.prompt_tokens) + request.curve.mean() * 0.5;
         let by_memory = self.bounds.memory_tokens / size.max(1.0);
         let by_step = self.step.concurrency_at(self.bounds.step_ms);
-        let count = by_memory
-            .min(by_step)
-            .clamp(1.0, self.bounds.max_running as f64);
+        let count = by_memory.min(by_step).clamp(1.0, self.bounds.max_running as f64);
         count / self.step.step_ms(count)
     }
 
@@ -435,11 +441,9 @@
     /// Part of the bounds in use, from 0 to 1 and more, as a hint for routers.
     pub fn utilisation(&self, now: Time) -> f64 {
         let step_ms = self.step.step_ms(self.concurrency());
-        let mut projection = Projection::new(self.foreign_tokens);
-        for running in self.running.values() {
-            projection.add(now, step_ms, &running.footprint);
-        }
-        let memory = projection.peak(self.bounds.headroom) / self.bounds.memory_tokens.max(1.0);
+        let tokens: f64 =
+            self.running.values().map(|running| running.footprint.tokens(now, step_ms)).sum();
+        let memory = (tokens + self.foreign_tokens) / self.bounds.memory_tokens.max(1.0);
         let step = self.concurrency() / self.step.concurrency_at(self.bounds.step_ms).max(1.0);
         memory.max(step)
     }
--- a/core/src/admission/load.rs
+++ b/core/src/admission/load.rs
@@ -64,13 +64,8 @@
 impl StepModel {
     /// A model that knows only the assumption.
     pub fn new() -> Self {
-        let mut model = Self {
-            weight: 0.0,
-            count: 0.0,
-            step: 0.0,
-            count_count: 0.0,
-            count_step: 0.0,
-        };
+        let mut model =
+            Self { weight: 0.0, count: 0.0, step: 0.0, count_count: 0.0, count_step: 0.0 };
         for count in PRIOR_POINTS {
             model.add(PRIOR_WEIGHT, count, PRIOR_BASE_MS + PRIOR_SLOPE_MS * count);
         }
@@ -155,9 +150,8 @@
 }
 
 /// Steps ahead at which memory is projected.
-const HORIZONS: [f64; 12] = [
-    0.0, 16.0, 32.0, 64.0, 128.0, 256.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0,
-];
+const HORIZONS: [f64; 12] =
+    [0.0, 16.0, 32.0, 64.0, 128.0, 256.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0];
 
 /// The projected memory of an upstream at each horizon.
 #[derive(Clone, Debug)]
@@ -168,10 +162,7 @@
 
 impl Projection {
     pub(super) fn new(foreign_tokens: f64) -> Self {
-        Self {
-            mean: [foreign_tokens; HORIZONS.len()],
-            variance: [0.0; HORIZONS.len()],
-        }
+        Self { mean: [foreign_tokens; HORIZONS.len()], variance: [0.0; HORIZONS.len()] }
     }
 
     pub(super) fn add(&mut self, now: Time, step_ms: f64, footprint: &Footprint) {
@@ -187,10 +178,6 @@
     /// The largest memory over all horizons, `headroom` standard deviations above the mean.
     pub(super) fn peak(&self, headroom: f64) -> f64 {
         let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
-        self.mean
-            .iter()
-            .zip(&self.variance)
-            .map(at)
-            .fold(0.0, f64::max)
+        self.mean.iter().zip(&self.variance).map(at).fold(0.0, f64::max)
     }
 }
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -13,24 +13,68 @@
     f64::from(request.prompt_tokens) * PROMPT_COST + request.curve.mean()
 }
 
+/// Part of its patience for which a request that does not fit lets others of its priority pass.
+const PASSED_PART: f64 = 0.5;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) request: Request,
+    since: Time,
+}
+
+impl Waiting {
+    /// Whether others of its priority may still pass it.
+    fn lets_equals_pass(&self, now: Time) -> bool {
+        let patience = self.request.patience_until.since(self.since).0 as f64;
+        (now.since(self.since).0 as f64) < patience * PASSED_PART
+    }
+}
+
+/// Requests that do not fit, before others that might.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Barrier {
+    /// Only requests above this priority may pass.
+    priority: Option<u8>,
+}
+
+impl Barrier {
+    pub(super) fn lets_pass(self, request: &Request) -> bool {
+        self.priority.is_none_or(|priority| request.priority > priority)
+    }
+
+    pub(super) fn add(&mut self, now: Time, waiting: &Waiting) {
+        if !waiting.lets_equals_pass(now) {
+            self.priority = self.priority.max(Some(waiting.request.priority));
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Line {
     share: f64,
     /// Cost served so far over the share.
     virtual_time: f64,
     /// Sorted: the next one is last.
-    requests: Vec<Request>,
+    requests: Vec<Waiting>,
 }
 
 impl Line {
     fn cost(&self) -> f64 {
-        self.requests.iter().map(cost).sum()
+        self.requests.iter().map(|waiting| cost(&waiting.request)).sum()
+    }
+
+    /// The cost of what has at least this priority.
+    fn cost_from(&self, priority: u8) -> f64 {
+        let counts = |waiting: &&Waiting| waiting.request.priority >= priority;
+        self.requests.iter().filter(counts).map(|waiting| cost(&waiting.request)).sum()
     }
 
-    fn insert(&mut self, request: Request) {
-        let goes_before = |other: &Request| other.priority >= request.priority;
-        let place = self.requests.partition_point(|other| !goes_before(other));
-        self.requests.insert(place, request);
+    fn insert(&mut self, waiting: Waiting) {
+        let priority = waiting.request.priority;
+        let goes_after = |other: &Waiting| other.request.priority < priority;
+        let place = self.requests.partition_point(goes_after);
+        self.requests.insert(place, waiting);
     }
 }
 
@@ -55,35 +99,47 @@
         self.len == 0
     }
 
-    pub(super) fn push(&mut self, request: Request) {
+    pub(super) fn push(&mut self, now: Time, request: Request) {
         let floor = self.virtual_time;
         let line = self.lines.entry(request.organisation.clone()).or_default();
         if line.requests.is_empty() {
             line.virtual_time = line.virtual_time.max(floor);
         }
         line.share = request.share;
-        line.insert(request);
+        line.insert(Waiting { request, since: now });
         self.len += 1;
     }
 
-    fn next_line(&self) -> Option<&OrganisationName> {
-        self.lines
-            .iter()
-            .filter(|(_, line)| !line.requests.is_empty())
-            .min_by(|a, b| a.1.virtual_time.total_cmp(&b.1.virtual_time))
-            .map(|(organisation, _)| organisation)
+    /// Whether a newcomer that fits may start before everything that waits.
+    pub(super) fn lets_pass(&self, now: Time, request: &Request) -> bool {
+        let mut barrier = Barrier::default();
+        self.heads().for_each(|waiting| barrier.add(now, waiting));
+        barrier.lets_pass(request)
     }
 
-    pub(super) fn peek(&self) -> Option<&Request> {
-        let organisation = self.next_line()?;
-        self.lines.get(organisation)?.requests.last()
+    /// Counts a request that started without waiting as served.
+    pub(super) fn charge(&mut self, request: &Request) {
+        if self.is_empty() {
+            return;
+        }
+        let floor = self.virtual_time;
+        let line = self.lines.entry(request.organisation.clone()).or_default();
+        line.share = request.share;
+        line.virtual_time = line.virtual_time.max(floor) + cost(request) / request.share;
     }
 
-    pub(super) fn pop(&mut self) -> Option<Request> {
-        let organisation = self.next_line()?.clone();
-        let line = self.lines.get_mut(&organisation)?;
-        let request = line.requests.pop()?;
-        self.virtual_time = line.virtual_time;
+    /// The first request of each organisation, in the order in which they are due.
+    pub(super) fn heads(&self) -> impl Iterator<Item = &Waiting> {
+        let mut lines: Vec<_> = self.lines.values().filter(|l| !l.requests.is_empty()).collect();
+        lines.sort_by(|a, b| a.virtual_time.total_cmp(&b.virtual_time));
+        lines.into_iter().filter_map(|line| line.requests.last())
+    }
+
+    /// Takes the first request of an organisation.
+    pub(super) fn pop(&mut self, organisation: &OrganisationName) -> Option<Request> {
+        let line = self.lines.get_mut(organisation)?;
+        let request = line.requests.pop()?.request;
+        self.virtual_time = self.virtual_time.max(line.virtual_time);
         line.virtual_time += cost(&request) / line.share;
         self.len -= 1;
         self.forget_idle();
@@ -93,8 +149,7 @@
     /// Drops lines that are empty and have no debt.
     fn forget_idle(&mut self) {
         let now = self.virtual_time;
-        self.lines
-            .retain(|_, line| !line.requests.is_empty() || line.virtual_time > now);
+        self.lines.retain(|_, line| !line.requests.is_empty() || line.virtual_time > now);
     }
 
     /// Takes out what has waited too long.
@@ -113,7 +168,8 @@
     fn take_out(&mut self, is_out: impl Fn(&Request) -> bool) -> Vec<Request> {
         let mut out = Vec::new();
         for line in self.lines.values_mut() {
-            out.extend(line.requests.extract_if(.., |request| is_out(request)));
+            let taken = line.requests.extract_if(.., |waiting| is_out(&waiting.request));
+            out.extend(taken.map(|waiting| waiting.request));
         }
         self.len -= out.len();
         out
@@ -131,34 +187,25 @@
         if *heaviest == request.organisation {
             return None;
         }
-        let id = line.requests.first()?.id;
+        let id = line.requests.first()?.request.id;
         line.requests.remove(0);
         self.len -= 1;
         Some(id)
     }
 
-    /// Cost that is served before a request would be, including its own organisation's.
+    /// Cost that is served before a request would be, including its own organisation's. What has
+    /// a lower priority lets the request pass.
     pub(super) fn cost_ahead_of(&self, request: &Request) -> f64 {
         let own = self.lines.get(&request.organisation);
-        let own_ahead: f64 = own.map_or(0.0, |line| {
-            line.requests
-                .iter()
-                .filter(|r| r.priority >= request.priority)
-                .map(cost)
-                .sum()
-        });
+        let own_ahead = own.map_or(0.0, |line| line.cost_from(request.priority));
         let debt = own.map_or(0.0, |line| (line.virtual_time - self.virtual_time).max(0.0));
-        let finish = debt + own_ahead / request.share;
-        let others: f64 = self
-            .lines
-            .iter()
-            .filter(|(name, _)| **name != request.organisation)
-            .map(|(_, line)| {
-                let before = finish - (line.virtual_time - self.virtual_time).max(0.0);
-                line.cost()
-                    .min((before.max(0.0) + cost(request) / request.share) * line.share)
-            })
-            .sum();
-        own_ahead + others
+        let finish = debt + (own_ahead + cost(request)) / request.share;
+        let before = |line: &Line| {
+            let start = (line.virtual_time - self.virtual_time).max(0.0);
+            let served = (finish - start).max(0.0) * line.share;
+            line.cost_from(request.priority).min(served)
+        };
+        let others = self.lines.iter().filter(|(name, _)| **name != request.organisation);
+        own_ahead + others.map(|(_, line)| before(line)).sum::<f64>()
     }
 }
--- a/core/src/catalogue.rs
+++ b/core/src/catalogue.rs
@@ -86,11 +86,7 @@
 
     /// The same change with `nonce` and `author`.
     pub fn with_author(self, nonce: u64, author: &str) -> Self {
-        Self {
-            nonce,
-            author: author.to_owned(),
-            ..self
-        }
+        Self { nonce, author: author.to_owned(), ..self }
     }
 }
 
@@ -246,9 +242,7 @@
 
     /// All services in force.
     pub fn specs(&self) -> impl Iterator<Item = &Arc<ServiceSpec>> {
-        self.services
-            .values()
-            .filter_map(|entry| entry.spec.as_ref())
+        self.services.values().filter_map(|entry| entry.spec.as_ref())
     }
 
     fn apply(&mut self, offset: Offset, change: &Change) -> Folded {
@@ -262,14 +256,9 @@
                 service: change.service.clone(),
                 base: change.base.0,
                 current: revision.0,
-                winner: current
-                    .map(|entry| entry.author.clone())
-                    .unwrap_or_default(),
-            };
-            return Folded::Refused {
-                nonce: change.nonce,
-                refusal,
+                winner: current.map(|entry| entry.author.clone()).unwrap_or_default(),
             };
+            return Folded::Refused { nonce: change.nonce, refusal };
         }
         let document = patched(current, change);
         match checked(&document, change) {
@@ -281,17 +270,10 @@
                     document,
                     spec,
                 };
-                self.services
-                    .insert(change.service.clone(), Arc::new(entry));
-                Folded::Accepted {
-                    nonce: change.nonce,
-                    service: change.service.clone(),
-                }
+                self.services.insert(change.service.clone(), Arc::new(entry));
+                Folded::Accepted { nonce: change.nonce, service: change.service.clone() }
             }
-            Err(refusal) => Folded::Refused {
-                nonce: change.nonce,
-                refusal,
-            },
+            Err(refusal) => Folded::Refused { nonce: change.nonce, refusal },
         }
     }
 }
@@ -300,9 +282,7 @@
     if change.withdraw {
         return Document::default();
     }
-    let mut document = current
-        .map(|entry| entry.document.clone())
-        .unwrap_or_default();
+    let mut document = current.map(|entry| entry.document.clone()).unwrap_or_default();
     for section in &change.remove {
         document.remove(section);
     }
@@ -316,15 +296,10 @@
     if change.withdraw {
         return Ok(None);
     }
-    let spec = ServiceSpec::from_document(document).map_err(|error| Refusal::Invalid {
-        service: change.service.clone(),
-        error,
-    })?;
+    let spec = ServiceSpec::from_document(document)
+        .map_err(|error| Refusal::Invalid { service: change.service.clone(), error })?;
     if spec.name != change.service {
-        return Err(Refusal::OtherName {
-            service: change.service.clone(),
-            other: spec.name,
-        });
+        return Err(Refusal::OtherName { service: change.service.clone(), other: spec.name });
     }
     Ok(Some(Arc::new(spec)))
 }
@@ -434,10 +409,7 @@
             return Ok(Folded::Old);
         }
         if offset != self.next_offset() {
-            return Err(Gap {
-                through: self.next_offset().previous().0,
-                found: offset.0,
-            });
+            return Err(Gap { through: self.next_offset().previous().0, found: offset.0 });
         }
         self.records_since_checkpoint += 1;
         let folded = match serde_json::from_str(data) {
@@ -479,10 +451,7 @@
         if part.parts == 0 || part.parts > MAX_CHECKPOINT_PARTS || part.part >= part.parts {
             return None;
         }
-        let pieces = self
-            .parts
-            .entry(part.id)
-            .or_insert_with(|| vec![None; part.parts as usize]);
+        let pieces = self.parts.entry(part.id).or_insert_with(|| vec![None; part.parts as usize]);
         *pieces.get_mut(part.part as usize)? = Some(part.text);
         if pieces.iter().all(Option::is_some) {
             let pieces = self.parts.remove(&part.id)?;
--- a/core/src/delivery.rs
+++ b/core/src/delivery.rs
@@ -112,13 +112,7 @@
 impl Delivery {
     /// Follows `generation` from `next`, allowing `silence` without an event.
     pub fn new(generation: &str, next: u64, now: Time, silence: Millis) -> Self {
-        Self {
-            generation: generation.to_owned(),
-            next,
-            heard_at: now,
-            silence,
-            complete: false,
-        }
+        Self { generation: generation.to_owned(), next, heard_at: now, silence, complete: false }
     }
 
     /// The index due next, from which to resume.
@@ -146,11 +140,7 @@
         self.heard_at = now;
         match event {
             EngineEvent::Heartbeat => Ok(Step::Pass),
-            EngineEvent::Token {
-                generation,
-                index,
-                text,
-            } => {
+            EngineEvent::Token { generation, index, text } => {
                 self.check_generation(&generation)?;
                 self.token(index, text)
             }
@@ -168,9 +158,7 @@
     /// Checks the time.
     pub fn tick(&self, now: Time) -> Result<(), StreamError> {
         match now >= self.silent_at() {
-            true => Err(StreamError::Silent {
-                silence: self.silence,
-            }),
+            true => Err(StreamError::Silent { silence: self.silence }),
             false => Ok(()),
         }
     }
@@ -180,10 +168,7 @@
             return Ok(());
         }
         let expected = self.generation.clone();
-        Err(StreamError::OtherGeneration {
-            expected,
-            found: found.to_owned(),
-        })
+        Err(StreamError::OtherGeneration { expected, found: found.to_owned() })
     }
 
     fn token(&mut self, index: u64, text: String) -> Result<Step, StreamError> {
@@ -191,10 +176,7 @@
             return Ok(Step::Pass);
         }
         if index > self.next {
-            return Err(StreamError::Gap {
-                expected: self.next,
-                found: index,
-            });
+            return Err(StreamError::Gap { expected: self.next, found: index });
         }
         self.next += 1;
         Ok(Step::Release { index, text })
@@ -202,16 +184,10 @@
 
     fn end(&mut self, said: u64) -> Result<Step, StreamError> {
         if said > self.next {
-            return Err(StreamError::Gap {
-                expected: self.next,
-                found: said,
-            });
+            return Err(StreamError::Gap { expected: self.next, found: said });
         }
         if said < self.next {
-            return Err(StreamError::EndMismatch {
-                said,
-                next: self.next,
-            });
+            return Err(StreamError::EndMismatch { said, next: self.next });
         }
         self.complete = true;
         Ok(Step::Complete)
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -65,8 +65,5 @@
             failure_domain: member.failure_domain.clone(),
         })
         .collect();
-    Answer {
-        hosts,
-        lifetime_ms: lifetime,
-    }
+    Answer { hosts, lifetime_ms: lifetime }
 }
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -42,10 +42,7 @@
 
 impl Histogram {
     fn new() -> Self {
-        Self {
-            weights: [0.0; BUCKETS],
-            next_weight: 1.0,
-        }
+        Self { weights: [0.0; BUCKETS], next_weight: 1.0 }
     }
 
     fn add(&mut self, length: u32) {
@@ -92,10 +89,7 @@
     pub fn exact(length: u32) -> Self {
         let mut histogram = Histogram::new();
         histogram.add(length);
-        Self {
-            mean: f64::from(length),
-            ..Self::new(&histogram.weights)
-        }
+        Self { mean: f64::from(length), ..Self::new(&histogram.weights) }
     }
 
     /// The expected length, in tokens.
@@ -129,9 +123,7 @@
         let first = position(written) as usize;
         (first.min(BUCKETS)..=BUCKETS)
             .find(|bucket| self.survival[*bucket] <= target)
-            .map_or(lower_bound(BUCKETS), |bucket| {
-                lower_bound(bucket).max(written)
-            })
+            .map_or(lower_bound(BUCKETS), |bucket| lower_bound(bucket).max(written))
     }
 
     /// The expected number of tokens still to come after `written`.
@@ -175,14 +167,12 @@
     }
 
     fn kind(&mut self, service: &ServiceName, kind: &KindName) -> &mut KindLengths {
-        self.kinds
-            .entry((service.clone(), kind.clone()))
-            .or_insert_with(|| KindLengths {
-                all: Histogram::new(),
-                by_organisation: HashMap::new(),
-                curves: HashMap::new(),
-                answers: 0,
-            })
+        self.kinds.entry((service.clone(), kind.clone())).or_insert_with(|| KindLengths {
+            all: Histogram::new(),
+            by_organisation: HashMap::new(),
+            curves: HashMap::new(),
+            answers: 0,
+        })
     }
 
     /// Learns from an answer that ended by itself after `length` tokens.
--- a/core/src/ini.rs
+++ b/core/src/ini.rs
@@ -96,10 +96,7 @@
 impl Document {
     /// Reads `text`.
     pub fn parse(text: &str) -> Result<Self, IniError> {
-        let opt = ini::ParseOption {
-            enabled_escape: false,
-            ..ini::ParseOption::default()
-        };
+        let opt = ini::ParseOption { enabled_escape: false, ..ini::ParseOption::default() };
         let ini = ini::Ini::load_from_str_opt(text, opt).map_err(|e| IniError::Syntax {
             line: e.line + 1,
             column: e.col + 1,
@@ -126,9 +123,7 @@
             }
         }
         match self.sections.insert(name.to_owned(), keys) {
-            Some(_) => Err(IniError::RepeatedSection {
-                section: name.to_owned(),
-            }),
+            Some(_) => Err(IniError::RepeatedSection { section: name.to_owned() }),
             None => Ok(()),
         }
     }
@@ -153,18 +148,14 @@
         let keys = self
             .sections
             .get(name)
-            .ok_or_else(|| IniError::MissingSection {
-                section: name.to_owned(),
-            })?;
+            .ok_or_else(|| IniError::MissingSection { section: name.to_owned() })?;
         Ok(SectionReader::new(name, keys))
     }
 }
 
 fn reject_leading_keys(properties: &ini::Properties) -> Result<(), IniError> {
     match properties.iter().next() {
-        Some((key, _)) => Err(IniError::NoSection {
-            key: key.to_owned(),
-        }),
+        Some((key, _)) => Err(IniError::NoSection { key: key.to_owned() }),
         None => Ok(()),
     }
 }
@@ -179,10 +170,7 @@
 impl SectionReader {
     /// Reads `keys` of the section `section`.
     pub fn new(section: &str, keys: &Keys) -> Self {
-        Self {
-            section: section.to_owned(),
-            keys: keys.clone(),
-        }
+        Self { section: section.to_owned(), keys: keys.clone() }
     }
 
     /// The value of `key`, which must be there.
@@ -242,11 +230,7 @@
         if crate::names::is_valid(&value) {
             return Ok(value);
         }
-        Err(self.bad_value(
-            key,
-            &value,
-            "expected lower-case letters, digits and hyphens",
-        ))
+        Err(self.bad_value(key, &value, "expected lower-case letters, digits and hyphens"))
     }
 
     /// The error for a value of `key` that cannot be used.
@@ -262,10 +246,7 @@
     /// Refuses keys that are left.
     pub fn finish(self) -> Result<(), IniError> {
         match self.keys.into_keys().next() {
-            Some(key) => Err(IniError::UnknownKey {
-                section: self.section,
-                key,
-            }),
+            Some(key) => Err(IniError::UnknownKey { section: self.section, key }),
             None => Ok(()),
         }
     }
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -50,20 +50,12 @@
 impl Outcome {
     /// The outcome of a call that was proved not to have run.
     pub fn not_run() -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            status: 0,
-            body: None,
-        }
+        Self { verdict: Verdict::NotRun, status: 0, body: None }
     }
 
     /// The outcome of a call about which nothing is known.
     pub fn may_have_run() -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            status: 0,
-            body: None,
-        }
+        Self { verdict: Verdict::MayHaveRun, status: 0, body: None }
     }
 }
 
@@ -138,12 +130,7 @@
 impl Shard {
     /// A shard that remembers keys for `validity`.
     pub fn new(validity: Millis) -> Self {
-        Self {
-            keys: HashMap::new(),
-            validity,
-            released_early: HashMap::new(),
-            swept_at: Time(0),
-        }
+        Self { keys: HashMap::new(), validity, released_early: HashMap::new(), swept_at: Time(0) }
     }
 
     /// What is known of `key` at the log's time `now`.
@@ -170,11 +157,7 @@
         self.sweep(at);
         match fact {
             Fact::Claim(claim) => Some(self.fold_claim(at, claim)),
-            Fact::Outcome {
-                key,
-                nonce,
-                outcome,
-            } => {
+            Fact::Outcome { key, nonce, outcome } => {
                 self.fold_outcome(at, key, *nonce, outcome);
                 None
             }
@@ -183,10 +166,7 @@
 
     fn fold_claim(&mut self, at: Time, claim: &Claim) -> Standing {
         if let Some(state) = self.get(&claim.key, at) {
-            let is_released = state
-                .outcome
-                .as_ref()
-                .is_some_and(|o| o.verdict == Verdict::NotRun);
+            let is_released = state.outcome.as_ref().is_some_and(|o| o.verdict == Verdict::NotRun);
             if state.nonce == claim.nonce && !is_released {
                 return Standing::Won;
             }
@@ -217,10 +197,7 @@
             return;
         };
         // The first outcome stands, but one that knows more replaces "may have run".
-        let replaces = state
-            .outcome
-            .as_ref()
-            .is_none_or(|old| old.verdict == Verdict::MayHaveRun);
+        let replaces = state.outcome.as_ref().is_none_or(|old| old.verdict == Verdict::MayHaveRun);
         if replaces {
             state.outcome = Some(outcome.clone());
         }
@@ -232,9 +209,7 @@
         }
         self.swept_at = at;
         let validity = self.validity;
-        self.keys
-            .retain(|_, state| at.since(state.claimed_at) < validity);
-        self.released_early
-            .retain(|_, released_at| at.since(*released_at) < validity);
+        self.keys.retain(|_, state| at.since(state.claimed_at) < validity);
+        self.released_early.retain(|_, released_at| at.since(*released_at) < validity);
     }
 }
--- a/core/src/ledger/owner.rs
+++ b/core/src/ledger/owner.rs
@@ -121,17 +121,12 @@
     /// Takes a claim that its claimant waits for until `until`.
     pub fn claim(&mut self, claim: Claim, until: Time) {
         self.pending.push(Fact::Claim(claim.clone()));
-        self.claims
-            .insert(claim.nonce, WaitingClaim { claim, until });
+        self.claims.insert(claim.nonce, WaitingClaim { claim, until });
     }
 
     /// Takes the outcome of a claim.
     pub fn settle(&mut self, key: &str, nonce: u64, outcome: Outcome) {
-        let fact = Fact::Outcome {
-            key: key.to_owned(),
-            nonce,
-            outcome,
-        };
+        let fact = Fact::Outcome { key: key.to_owned(), nonce, outcome };
         self.pending.push(fact.clone());
         self.outcomes.insert(nonce, fact);
     }
@@ -152,20 +147,13 @@
     }
 
     fn give_up(&mut self, now: Time) -> Vec<Action> {
-        let over: Vec<_> = self
-            .claims
-            .iter()
-            .filter(|(_, c)| c.until <= now)
-            .map(|(nonce, _)| *nonce)
-            .collect();
+        let over: Vec<_> =
+            self.claims.iter().filter(|(_, c)| c.until <= now).map(|(nonce, _)| *nonce).collect();
         let mut actions = Vec::new();
         for nonce in over {
             self.claims.remove(&nonce);
             self.abandoned.insert(nonce);
-            actions.push(Action::Answer {
-                nonce,
-                answer: ClaimAnswer::LogUnavailable,
-            });
+            actions.push(Action::Answer { nonce, answer: ClaimAnswer::LogUnavailable });
         }
         let abandoned = &self.abandoned;
         let is_wanted =
@@ -174,10 +162,7 @@
         for losers in self.losers.values_mut() {
             for loser in losers.extract_if(.., |loser| loser.until <= now) {
                 let answer = ClaimAnswer::Running;
-                actions.push(Action::Answer {
-                    nonce: loser.nonce,
-                    answer,
-                });
+                actions.push(Action::Answer { nonce: loser.nonce, answer });
             }
         }
         self.losers.retain(|_, losers| !losers.is_empty());
@@ -246,10 +231,7 @@
         };
         match standing {
             Standing::Won => {
-                actions.push(Action::Answer {
-                    nonce: claim.nonce,
-                    answer: ClaimAnswer::Won,
-                });
+                actions.push(Action::Answer { nonce: claim.nonce, answer: ClaimAnswer::Won });
             }
             Standing::Lost(state) => self.answer_lost(&waiting, &state, actions),
         }
@@ -263,15 +245,8 @@
             until: waiting.until,
         };
         match answer_from(&loser.body_digest, state) {
-            Some(answer) => actions.push(Action::Answer {
-                nonce: loser.nonce,
-                answer,
-            }),
-            None => self
-                .losers
-                .entry(claim.key.clone())
-                .or_default()
-                .push(loser),
+            Some(answer) => actions.push(Action::Answer { nonce: loser.nonce, answer }),
+            None => self.losers.entry(claim.key.clone()).or_default().push(loser),
         }
     }
 
@@ -284,10 +259,7 @@
         };
         for loser in losers {
             if let Some(answer) = answer_from(&loser.body_digest, state) {
-                actions.push(Action::Answer {
-                    nonce: loser.nonce,
-                    answer,
-                });
+                actions.push(Action::Answer { nonce: loser.nonce, answer });
             }
         }
     }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -69,10 +69,7 @@
 
     /// The daemon's run.
     pub fn claimant(&self) -> Claimant {
-        Claimant {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-        }
+        Claimant { host: self.host.clone(), incarnation: self.incarnation }
     }
 }
 
@@ -127,13 +124,7 @@
 impl Membership {
     /// A view with only this daemon.
     pub fn new(own: Member) -> Self {
-        Self {
-            own,
-            records: BTreeMap::new(),
-            heard: HashMap::new(),
-            probed_at: None,
-            version: 0,
-        }
+        Self { own, records: BTreeMap::new(), heard: HashMap::new(), probed_at: None, version: 0 }
     }
 
     /// This daemon.
@@ -203,11 +194,7 @@
             self.heard_from(now, member.host.as_str());
         }
         let spread_left = self.spread();
-        let record = Record {
-            changed_at: now,
-            spread_left,
-            member,
-        };
+        let record = Record { changed_at: now, spread_left, member };
         self.records.insert(record.member.host.clone(), record);
         self.version += 1;
         true
@@ -267,10 +254,7 @@
             // The time of a new successor starts with its first probe.
             let heard = *self.heard.entry(target.host.clone()).or_insert(now);
             if now.since(heard) >= FAIL_AFTER {
-                let failed = Member {
-                    state: MemberState::Failed,
-                    ..target.clone()
-                };
+                let failed = Member { state: MemberState::Failed, ..target.clone() };
                 self.learn(now, failed);
                 self.heard.remove(&target.host);
             }
@@ -298,11 +282,8 @@
 
     /// Changes to put into a message, those told least often first.
     pub fn changes(&mut self) -> Vec<Member> {
-        let mut open: Vec<_> = self
-            .records
-            .values_mut()
-            .filter(|record| record.spread_left > 0)
-            .collect();
+        let mut open: Vec<_> =
+            self.records.values_mut().filter(|record| record.spread_left > 0).collect();
         open.sort_by_key(|record| std::cmp::Reverse(record.spread_left));
         open.truncate(CHANGES_PER_MESSAGE);
         let tell = |record: &mut Record| {
@@ -320,9 +301,7 @@
     /// A few random members, for a daemon whose view differs.
     pub fn some<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
         let all: Vec<_> = self.others().collect();
-        all.sample(rng, CHANGES_PER_MESSAGE)
-            .map(|member| (*member).clone())
-            .collect()
+        all.sample(rng, CHANGES_PER_MESSAGE).map(|member| (*member).clone()).collect()
     }
 
     /// Whether `host` is known at all.
@@ -332,12 +311,9 @@
 
     /// The daemons of `failure_domain` that read the configuration from the log for the others.
     pub fn readers(&self, failure_domain: &FailureDomain) -> Vec<&Member> {
-        let near = self
-            .others()
-            .chain(std::iter::once(&self.own))
-            .filter(|member| {
-                member.failure_domain == *failure_domain && member.state <= MemberState::Alive
-            });
+        let near = self.others().chain(std::iter::once(&self.own)).filter(|member| {
+            member.failure_domain == *failure_domain && member.state <= MemberState::Alive
+        });
         let hosts = near.map(|member| member.host.as_str());
         rendezvous::ranked(READER_KEY, hosts, READERS)
             .into_iter()
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -35,10 +35,7 @@
     /// The admission owner of an upstream: a daemon of its failure domain, or any when that
     /// failure domain has none.
     pub fn of_upstream(&self, name: &UpstreamName, domain: &FailureDomain) -> Option<&Member> {
-        let near = self
-            .by_domain
-            .get(domain)
-            .and_then(|list| best(name.as_str(), list));
+        let near = self.by_domain.get(domain).and_then(|list| best(name.as_str(), list));
         near.or_else(|| self.owner(name.as_str()))
     }
 
@@ -62,7 +59,5 @@
 where
     I: IntoIterator<Item = &'a Member>,
 {
-    members
-        .into_iter()
-        .max_by_key(|m| (rendezvous::weight(key, m.host.as_str()), &m.host))
+    members.into_iter().max_by_key(|m| (rendezvous::weight(key, m.host.as_str()), &m.host))
 }
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -24,9 +24,7 @@
 impl Fingerprint {
     /// The fingerprint of a request by its body's digest.
     pub fn new(organisation: &str, service: &str, kind: &str, body_digest: &str) -> Self {
-        Self(rendezvous::hash(&format!(
-            "{organisation}/{service}/{kind}/{body_digest}"
-        )))
+        Self(rendezvous::hash(&format!("{organisation}/{service}/{kind}/{body_digest}")))
     }
 }
 
@@ -71,10 +69,7 @@
 
     /// Notes that a request with this fingerprint was in progress at an upstream that died.
     pub fn crashed(&mut self, now: Time, fingerprint: Fingerprint) -> Treatment {
-        let case = self.cases.entry(fingerprint).or_insert(Case {
-            crashes: 0,
-            last_crash: now,
-        });
+        let case = self.cases.entry(fingerprint).or_insert(Case { crashes: 0, last_crash: now });
         case.crashes += 1;
         case.last_crash = now;
         self.treatment(now, fingerprint)
@@ -107,7 +102,6 @@
 
     /// Drops cases that are over.
     pub fn tick(&mut self, now: Time) {
-        self.cases
-            .retain(|_, case| now.since(case.last_crash) < REFUSED_FOR.max(SUSPECT_FOR));
+        self.cases.retain(|_, case| now.since(case.last_crash) < REFUSED_FOR.max(SUSPECT_FOR));
     }
 }
--- a/core/src/rendezvous.rs
+++ b/core/src/rendezvous.rs
@@ -22,9 +22,7 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    members
-        .into_iter()
-        .max_by_key(|member| (weight(key, member), *member))
+    members.into_iter().max_by_key(|member| (weight(key, member), *member))
 }
 
 /// The members in order of rank for `key`, at most `count` of them.
@@ -32,10 +30,8 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    let mut ranked: Vec<_> = members
-        .into_iter()
-        .map(|member| (weight(key, member), member))
-        .collect();
+    let mut ranked: Vec<_> =
+        members.into_iter().map(|member| (weight(key, member), member)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.truncate(count);
     ranked.into_iter().map(|(_, member)| member).collect()
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -36,9 +36,7 @@
 impl Budget {
     /// A budget with its floor.
     pub fn new() -> Self {
-        Self {
-            tokens: BUDGET_FLOOR,
-        }
+        Self { tokens: BUDGET_FLOOR }
     }
 
     /// Earns a part of a retry with a new request.
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -23,15 +23,20 @@
 /// Wait that a cached prefix is worth for each of its tokens, in milliseconds.
 const PREFIX_WORTH_MS: f64 = 0.1;
 
+/// Wait that an upstream's use of all its bounds counts as, in milliseconds.
+const UTILISATION_MS: f64 = 100.0;
+
 /// Wait that a hop to another failure domain costs, in milliseconds.
 const DISTANCE_MS: f64 = 2.0;
 
 /// Upstreams sampled for a request besides those that suit its prefix.
-const SAMPLES: usize = 4;
+const SAMPLES: usize = 16;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Hint {
     wait_ms: f64,
+    /// Part of the upstream's bounds in use.
+    utilisation: f64,
     at: Time,
     failed_at: Option<Time>,
     outstanding: u32,
@@ -71,10 +76,17 @@
         Self::default()
     }
 
-    /// Notes the wait that an owner named.
-    pub fn note_wait(&mut self, now: Time, upstream: &UpstreamName, wait: Millis) {
+    /// Notes the wait that an owner named and the part of the upstream's bounds in use.
+    pub fn note_load(
+        &mut self,
+        now: Time,
+        upstream: &UpstreamName,
+        wait: Millis,
+        utilisation: f64,
+    ) {
         let hint = self.hints.entry(upstream.clone()).or_default();
         hint.wait_ms = wait.0 as f64;
+        hint.utilisation = utilisation;
         hint.at = now;
     }
 
@@ -108,27 +120,18 @@
         wish: Wish<'_>,
         rng: &mut R,
     ) -> Vec<Candidate> {
-        let usable: Vec<_> = service
-            .upstreams
-            .keys()
-            .filter(|name| is_usable(name))
-            .collect();
+        let usable: Vec<_> = service.upstreams.keys().filter(|name| is_usable(name)).collect();
         let mut chosen: BTreeMap<&UpstreamName, f64> = BTreeMap::new();
         for name in self.prefix_homes(&usable, wish.prefix) {
             let bonus = f64::from(wish.prefix_tokens) * PREFIX_WORTH_MS;
             chosen.insert(name, self.score(now, service, name, wish, rng) - bonus);
         }
         for name in usable.sample(rng, SAMPLES) {
-            chosen
-                .entry(name)
-                .or_insert_with(|| self.score(now, service, name, wish, rng));
+            chosen.entry(name).or_insert_with(|| self.score(now, service, name, wish, rng));
         }
         let mut candidates: Vec<_> = chosen
             .into_iter()
-            .map(|(name, score_ms)| Candidate {
-                upstream: name.clone(),
-                score_ms,
-            })
+            .map(|(name, score_ms)| Candidate { upstream: name.clone(), score_ms })
             .collect();
         candidates.sort_by(|a, b| a.score_ms.total_cmp(&b.score_ms));
         candidates.truncate(CANDIDATES);
@@ -142,11 +145,7 @@
         }
         let key = prefix.to_string();
         let home = rendezvous::owner(&key, usable.iter().map(|name| name.as_str()));
-        usable
-            .iter()
-            .filter(|name| Some(name.as_str()) == home)
-            .copied()
-            .collect()
+        usable.iter().filter(|name| Some(name.as_str()) == home).copied().collect()
     }
 
     fn score<R: Rng>(
@@ -159,7 +158,7 @@
     ) -> f64 {
         let hint = self.hints.get(name).copied().unwrap_or_default();
         let age = now.since(hint.at).0 as f64 / HINT_LIFETIME.0 as f64;
-        let mut score = hint.wait_ms * (1.0 - age).max(0.0);
+        let mut score = (hint.wait_ms + hint.utilisation * UTILISATION_MS) * (1.0 - age).max(0.0);
         score += f64::from(hint.outstanding);
         if let Some(spec) = service.upstreams.get(name) {
             let is_far = spec.failure_domain != *wish.near;
@@ -168,11 +167,7 @@
             score += if is_avoided { AVOID_FOR.0 as f64 } else { 0.0 };
         }
         let failed = hint.failed_at.is_some_and(|at| now.since(at) < AVOID_FOR);
-        score += if failed {
-            2.0 * AVOID_FOR.0 as f64
-        } else {
-            0.0
-        };
+        score += if failed { 2.0 * AVOID_FOR.0 as f64 } else { 0.0 };
         score + rng.random_range(0.0..1.0)
     }
 
@@ -213,13 +208,7 @@
     /// A plan over `candidates`, best first.
     pub fn new(candidates: Vec<UpstreamName>) -> Self {
         let waits = Vec::with_capacity(candidates.len());
-        Self {
-            candidates,
-            asked: 0,
-            waits,
-            queued: false,
-            retry: NO_UPSTREAM_RETRY,
-        }
+        Self { candidates, asked: 0, waits, queued: false, retry: NO_UPSTREAM_RETRY }
     }
 
     /// The next step; call it first and after each answer other than a grant.
@@ -229,10 +218,7 @@
             // The only candidate is asked to queue at once, which saves a round trip.
             let queue = self.candidates.len() == 1;
             self.queued |= queue;
-            return NextStep::Ask {
-                upstream: upstream.clone(),
-                queue,
-            };
+            return NextStep::Ask { upstream: upstream.clone(), queue };
         }
         if self.queued {
             return NextStep::GiveUp(self.retry);
@@ -240,10 +226,9 @@
         self.queued = true;
         let shortest = self.waits.iter().enumerate().min_by_key(|(_, wait)| **wait);
         match shortest {
-            Some((place, _)) => NextStep::Ask {
-                upstream: self.candidates[place].clone(),
-                queue: true,
-            },
+            Some((place, _)) => {
+                NextStep::Ask { upstream: self.candidates[place].clone(), queue: true }
+            }
             None => NextStep::GiveUp(self.retry),
         }
     }
--- a/core/src/service_file.rs
+++ b/core/src/service_file.rs
@@ -51,11 +51,7 @@
 
 impl Default for Objective {
     fn default() -> Self {
-        Self {
-            stall: 1.0,
-            tail_latency: 1.0,
-            preemption: 1.0,
-        }
+        Self { stall: 1.0, tail_latency: 1.0, preemption: 1.0 }
     }
 }
 
@@ -199,9 +195,7 @@
             ("upstream", self.upstreams.is_empty()),
         ] {
             if missing {
-                return Err(IniError::MissingSection {
-                    section: format!("{role} NAME"),
-                });
+                return Err(IniError::MissingSection { section: format!("{role} NAME") });
             }
         }
         Ok(self)
@@ -281,10 +275,7 @@
         return Err(reader.bad_value("share", &share.to_string(), "expected more than 0"));
     }
     let digests: String = reader.required("key_sha256")?;
-    let key_sha256: Vec<_> = digests
-        .split_whitespace()
-        .map(str::to_ascii_lowercase)
-        .collect();
+    let key_sha256: Vec<_> = digests.split_whitespace().map(str::to_ascii_lowercase).collect();
     let is_digest = |d: &String| d.len() == 64 && d.bytes().all(|b| b.is_ascii_hexdigit());
     if key_sha256.is_empty() || !key_sha256.iter().all(is_digest) {
         return Err(reader.bad_value("key_sha256", &digests, "expected 64 hex digits each"));
--- a/core/src/upstreams.rs
+++ b/core/src/upstreams.rs
@@ -46,17 +46,11 @@
     pub fn reported(&mut self, upstream: &UpstreamName, incarnation: u64, draining: bool) -> bool {
         let state = self.states.entry(upstream.clone()).or_default();
         if incarnation > state.incarnation {
-            *state = State {
-                incarnation,
-                ..State::default()
-            };
+            *state = State { incarnation, ..State::default() };
         }
         state.down_until = Time(0);
         match draining {
-            true => self.leaves(&Leaving {
-                upstream: upstream.clone(),
-                incarnation,
-            }),
+            true => self.leaves(&Leaving { upstream: upstream.clone(), incarnation }),
             false => false,
         }
     }
@@ -76,14 +70,8 @@
 
     /// Notes a refusal that said the upstream leaves, whichever run it is.
     pub fn refused_as_leaving(&mut self, upstream: &UpstreamName) -> bool {
-        let incarnation = self
-            .states
-            .get(upstream)
-            .map_or(0, |state| state.incarnation);
-        self.leaves(&Leaving {
-            upstream: upstream.clone(),
-            incarnation,
-        })
+        let incarnation = self.states.get(upstream).map_or(0, |state| state.incarnation);
+        self.leaves(&Leaving { upstream: upstream.clone(), incarnation })
     }
 
     /// Notes that an upstream could not be reached.
@@ -121,16 +109,10 @@
     /// Notices to put into a message.
     pub fn notices(&mut self) -> Vec<Leaving> {
         const PER_MESSAGE: usize = 8;
-        let open = self
-            .states
-            .iter_mut()
-            .filter(|(_, state)| state.spread_left > 0);
+        let open = self.states.iter_mut().filter(|(_, state)| state.spread_left > 0);
         let tell = |(upstream, state): (&UpstreamName, &mut State)| {
             state.spread_left -= 1;
-            Leaving {
-                upstream: upstream.clone(),
-                incarnation: state.incarnation,
-            }
+            Leaving { upstream: upstream.clone(), incarnation: state.incarnation }
         };
         open.take(PER_MESSAGE).map(tell).collect()
     }
--- a/core/tests/catalogue.rs
+++ b/core/tests/catalogue.rs
@@ -15,11 +15,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// An operator publishes what it makes of a reader's state.
-    Publish {
-        reader: usize,
-        service: usize,
-        valid: bool,
-    },
+    Publish { reader: usize, service: usize, valid: bool },
     /// The last append is repeated, as after a lost answer.
     Repeat,
     /// A reader reads some records.
@@ -44,22 +40,11 @@
                 valid: !u8::arbitrary(g).is_multiple_of(5),
             },
             4 => Self::Repeat,
-            5..=8 => Self::Read {
-                reader,
-                count: usize::arbitrary(g) % 6 + 1,
-            },
+            5..=8 => Self::Read { reader, count: usize::arbitrary(g) % 6 + 1 },
             9 => Self::Restart { reader },
-            10 => Self::Adopt {
-                reader,
-                from: usize::arbitrary(g) % READERS,
-            },
-            11 | 12 => Self::Checkpoint {
-                reader,
-                parts: usize::arbitrary(g) % 12,
-            },
-            _ => Self::Retain {
-                count: usize::arbitrary(g) % 8,
-            },
+            10 => Self::Adopt { reader, from: usize::arbitrary(g) % READERS },
+            11 | 12 => Self::Checkpoint { reader, parts: usize::arbitrary(g) % 12 },
+            _ => Self::Retain { count: usize::arbitrary(g) % 8 },
         }
     }
 }
@@ -75,29 +60,19 @@
 }
 
 fn section(pairs: &[(&str, &str)]) -> Keys {
-    pairs
-        .iter()
-        .map(|(key, value)| ((*key).to_owned(), (*value).to_owned()))
-        .collect()
+    pairs.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect()
 }
 
 /// A whole service file whose queue length tells one revision from another.
 fn sections(service: &str, mark: u64, valid: bool) -> BTreeMap<String, Keys> {
     let digest = "0".repeat(64);
-    let queue = if valid {
-        mark.to_string()
-    } else {
-        "many".to_owned()
-    };
+    let queue = if valid { mark.to_string() } else { "many".to_owned() };
     [
         ("service", section(&[("name", service), ("type", "plain")])),
         ("limits", section(&[("queue_length", &queue)])),
         ("kind order", section(&[("idempotent", "false")])),
         ("organisation a", section(&[("key_sha256", &digest)])),
-        (
-            "upstream u",
-            section(&[("address", "127.0.0.1:9"), ("failure_domain", "z")]),
-        ),
+        ("upstream u", section(&[("address", "127.0.0.1:9"), ("failure_domain", "z")])),
     ]
     .into_iter()
     .map(|(name, keys)| (name.to_owned(), keys))
@@ -138,24 +113,13 @@
     fn append(&mut self, data: String) {
         self.log.push(data.clone());
         let offset = Offset(self.log.len() as u64);
-        self.reference
-            .fold(offset, &data)
-            .expect("the reference misses nothing");
-        self.states.push(
-            self.reference
-                .state()
-                .expect("the reference is whole")
-                .clone(),
-        );
+        self.reference.fold(offset, &data).expect("the reference misses nothing");
+        self.states.push(self.reference.state().expect("the reference is whole").clone());
     }
 
     fn step(&mut self, step: Step) -> Result<(), String> {
         match step {
-            Step::Publish {
-                reader,
-                service,
-                valid,
-            } => self.publish(reader, service, valid),
+            Step::Publish { reader, service, valid } => self.publish(reader, service, valid),
             Step::Repeat => {
                 if let Some(last) = self.log.last().cloned() {
                     self.append(last);
@@ -211,9 +175,7 @@
             let Some(data) = self.log.get(offset.0 as usize - 1) else {
                 return;
             };
-            catalogue
-                .fold(offset, data)
-                .expect("records are read in order");
+            catalogue.fold(offset, data).expect("records are read in order");
         }
     }
 
@@ -246,10 +208,7 @@
             };
             let expected = &self.states[state.through.0 as usize];
             if state.services != expected.services {
-                return Err(format!(
-                    "reader {place} differs at offset {}",
-                    state.through.0
-                ));
+                return Err(format!("reader {place} differs at offset {}", state.through.0));
             }
             for (name, entry) in &state.services {
                 let shown = self.shown.entry((place, name.clone())).or_insert(Offset(0));
@@ -308,13 +267,8 @@
     world.publish(0, 0, true);
     world.first = before;
     world.read(1, 100);
-    let restored = world.readers[1]
-        .state()
-        .expect("the checkpoint is complete");
-    assert_eq!(
-        restored.services,
-        world.states.last().expect("there are states").services
-    );
+    let restored = world.readers[1].state().expect("the checkpoint is complete");
+    assert_eq!(restored.services, world.states.last().expect("there are states").services);
     assert_eq!(restored.services.len(), SERVICES);
 }
 
@@ -337,12 +291,10 @@
     };
     let folded: Vec<_> = [(1, change(7)), (2, change(8)), (3, change(7))]
         .into_iter()
-        .map(
-            |(offset, data)| match catalogue.fold(Offset(offset), &data) {
-                Ok(Folded::Refused { refusal, .. }) => format!("refused: {refusal}"),
-                other => format!("{other:?}"),
-            },
-        )
+        .map(|(offset, data)| match catalogue.fold(Offset(offset), &data) {
+            Ok(Folded::Refused { refusal, .. }) => format!("refused: {refusal}"),
+            other => format!("{other:?}"),
+        })
         .collect();
     insta::assert_debug_snapshot!(folded);
 }
--- a/core/tests/delivery.rs
+++ b/core/tests/delivery.rs
@@ -52,18 +52,11 @@
 
 fn token(generation: &str, index: u64) -> EngineEvent {
     let text = format!("{generation}.{index}");
-    EngineEvent::Token {
-        generation: generation.to_owned(),
-        index,
-        text,
-    }
+    EngineEvent::Token { generation: generation.to_owned(), index, text }
 }
 
 fn end(tokens: u64) -> EngineEvent {
-    EngineEvent::End {
-        generation: "own".to_owned(),
-        tokens,
-    }
+    EngineEvent::End { generation: "own".to_owned(), tokens }
 }
 
 struct World {
@@ -80,14 +73,7 @@
     fn new(variant: Variant) -> Self {
         let now = Time(0);
         let delivery = Delivery::new("own", 0, now, SILENCE);
-        Self {
-            variant,
-            now,
-            delivery,
-            cursor: 0,
-            received: Vec::new(),
-            over: false,
-        }
+        Self { variant, now, delivery, cursor: 0, received: Vec::new(), over: false }
     }
 
     fn resume(&mut self) {
@@ -146,17 +132,13 @@
 fn run(variant: Variant, steps: &[Step]) -> Result<(), String> {
     let mut world = World::new(variant);
     steps.iter().for_each(|step| world.step(*step));
-    let expected: Vec<_> = (0..world.received.len() as u64)
-        .map(|index| format!("own.{index}"))
-        .collect();
+    let expected: Vec<_> =
+        (0..world.received.len() as u64).map(|index| format!("own.{index}")).collect();
     if world.received != expected {
         return Err(format!("the caller received {:?}", world.received));
     }
     if world.delivery.is_complete() && world.received.len() as u64 != LENGTH {
-        return Err(format!(
-            "complete after {} of {LENGTH} tokens",
-            world.received.len()
-        ));
+        return Err(format!("complete after {} of {LENGTH} tokens", world.received.len()));
     }
     Ok(())
 }
@@ -180,20 +162,14 @@
 fn each_fault_has_its_error() {
     let fresh = || Delivery::new("own", 3, Time(0), SILENCE);
     let errors: Vec<StreamError> = [
-        fresh()
-            .event(Time(1), token("other", 3))
-            .expect_err("crossed"),
+        fresh().event(Time(1), token("other", 3)).expect_err("crossed"),
         fresh().event(Time(1), token("own", 5)).expect_err("gap"),
         fresh().event(Time(1), end(9)).expect_err("end after a gap"),
-        fresh()
-            .event(Time(1), end(2))
-            .expect_err("end before the tokens"),
+        fresh().event(Time(1), end(2)).expect_err("end before the tokens"),
         fresh().tick(Time(1_000)).expect_err("silence"),
     ]
     .into();
-    let lines: Vec<_> = errors
-        .iter()
-        .map(|e| format!("{e} (may resume: {})", e.may_resume()))
-        .collect();
+    let lines: Vec<_> =
+        errors.iter().map(|e| format!("{e} (may resume: {})", e.may_resume())).collect();
     insta::assert_debug_snapshot!(lines);
 }
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -30,11 +30,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// A caller sends the call to a host, which asks an owner.
-    Claim {
-        owner: usize,
-        key: usize,
-        body: usize,
-    },
+    Claim { owner: usize, key: usize, body: usize },
     /// An owner does what is due, its append ends well, and it reads the log.
     Commit { owner: usize },
     /// An owner does what is due.
@@ -70,23 +66,14 @@
             },
             3 | 4 => Self::Tick { owner },
             5 | 6 => {
-                let ends = [
-                    AppendEnd::Recorded,
-                    AppendEnd::AnswerLost,
-                    AppendEnd::Failed,
-                ];
-                Self::Append {
-                    owner,
-                    end: *g.choose(&ends).expect("there are ends"),
-                }
+                let ends = [AppendEnd::Recorded, AppendEnd::AnswerLost, AppendEnd::Failed];
+                Self::Append { owner, end: *g.choose(&ends).expect("there are ends") }
             }
             7 | 8 => Self::Read { owner },
             9 => Self::Restart { owner },
             10 => {
                 let spans = [1, 10, 500, 3_000, 10_000, 70_000];
-                Self::Advance {
-                    ms: *g.choose(&spans).expect("there are spans"),
-                }
+                Self::Advance { ms: *g.choose(&spans).expect("there are spans") }
             }
             11 | 12 => Self::Dispatch { pick },
             13 => Self::Release { pick, owner },
@@ -176,10 +163,7 @@
         let claim = Claim {
             key: format!("key-{key}"),
             body_digest: format!("body-{body}"),
-            claimant: Claimant {
-                host: HostName::new("entry"),
-                incarnation: nonce,
-            },
+            claimant: Claimant { host: HostName::new("entry"), incarnation: nonce },
             nonce,
         };
         self.owners[owner].claim(claim.clone(), self.now + PATIENCE);
@@ -237,9 +221,7 @@
             h.answer == Some(ClaimAnswer::Won) && !h.settled && h.dispatched == wants_dispatched
         };
         let found: Vec<_> = self.holders.iter().enumerate().filter(won).collect();
-        found
-            .get(pick % found.len().max(1))
-            .map(|(place, _)| *place)
+        found.get(pick % found.len().max(1)).map(|(place, _)| *place)
     }
 
     fn dispatch(&mut self, pick: usize) -> Result<(), String> {
@@ -269,11 +251,7 @@
         let holder = &mut self.holders[place];
         holder.settled = true;
         let outcome = match dispatched {
-            true => Outcome {
-                verdict: Verdict::Ran,
-                status: 200,
-                body: None,
-            },
+            true => Outcome { verdict: Verdict::Ran, status: 200, body: None },
             false => Outcome::not_run(),
         };
         let (key, nonce) = (holder.claim.key.clone(), holder.claim.nonce);
@@ -338,10 +316,7 @@
     Claim {
         key: "order-1".to_owned(),
         body_digest: body.to_owned(),
-        claimant: Claimant {
-            host: HostName::new("entry"),
-            incarnation: 1,
-        },
+        claimant: Claimant { host: HostName::new("entry"), incarnation: 1 },
         nonce,
     }
 }
@@ -351,11 +326,7 @@
     let (mut owner, mut log) = (ShardOwner::new(VALIDITY), Vec::new());
     owner.claim(claim_of(1, "a"), Time(2_000));
     let mut answers = settle_all(&mut owner, &mut log, Time(10));
-    let outcome = Outcome {
-        verdict: Verdict::Ran,
-        status: 201,
-        body: Some("bill".to_owned()),
-    };
+    let outcome = Outcome { verdict: Verdict::Ran, status: 201, body: Some("bill".to_owned()) };
     owner.settle("order-1", 1, outcome);
     answers.extend(settle_all(&mut owner, &mut log, Time(20)));
     // Another owner knows only what the log says.
--- a/daemon/src/admit.rs
+++ b/daemon/src/admit.rs
@@ -1,8 +1,8 @@
 //! Asks admission owners for a place at an upstream.
 
-use crate::control::{AdmitAnswer, AdmitCall, Message};
+use crate::control::{AdmitAnswer, AdmitCall, AdmitResult, Message};
 use crate::grants::Grant;
-use crate::peer_server::{AdmitCode, Withdrawal, next_token};
+use crate::peer_server::{AdmitCode, THOUSANDTHS, Withdrawal, next_token};
 use crate::shared::Shared;
 use magnoliawinch::membership::Member;
 use magnoliawinch::time::Millis;
@@ -26,19 +26,32 @@
     Silent,
 }
 
-/// Asks `owner` for a place as `call` says.
+/// Asks `owner` for a place as `call` says, and notes what it tells of the upstream's load.
 pub(crate) async fn admit(shared: &Arc<Shared>, owner: &Member, call: AdmitCall) -> Admitted {
+    let upstream = call.upstream.clone();
     let answer = match owner.host == shared.settings.host {
         true => admit_here(shared, call).await,
         false => admit_there(shared, owner, call).await,
     };
-    match answer {
-        Some(AdmitAnswer::Granted(id)) => {
+    let Some(AdmitAnswer { result, utilisation }) = answer else {
+        return Admitted::Silent;
+    };
+    let now = shared.clock.now();
+    let note = |wait| shared.routing().router.note_load(now, &upstream, wait, utilisation);
+    match result {
+        AdmitResult::Granted(id) => {
+            note(Millis(0));
             Admitted::Granted(Grant::new(owner.clone(), id, shared.grants.clone()))
         }
-        Some(AdmitAnswer::Busy(wait)) => Admitted::Busy(wait),
-        Some(AdmitAnswer::Refused(retry)) => Admitted::Refused(retry),
-        Some(AdmitAnswer::Unknown) | None => Admitted::Silent,
+        AdmitResult::Busy(wait) => {
+            note(wait);
+            Admitted::Busy(wait)
+        }
+        AdmitResult::Refused(retry) => {
+            note(retry);
+            Admitted::Refused(retry)
+        }
+        AdmitResult::Unknown => Admitted::Silent,
     }
 }
 
@@ -52,11 +65,7 @@
 }
 
 async fn admit_there(shared: &Arc<Shared>, owner: &Member, call: AdmitCall) -> Option<AdmitAnswer> {
-    let wait = if call.no_queue {
-        Duration::ZERO
-    } else {
-        call.patience.into()
-    };
+    let wait = if call.no_queue { Duration::ZERO } else { call.patience.into() };
     let req = AdmitRequest {
         service: call.service.to_string(),
         upstream: call.upstream.to_string(),
@@ -71,9 +80,7 @@
     let limit = wait + ANSWER_TIMEOUT;
     let result = shared
         .peers
-        .call(owner.peer_address, limit, |mut peer| async move {
-            peer.admit(req).await
-        })
+        .call(owner.peer_address, limit, |mut peer| async move { peer.admit(req).await })
         .await;
     match result {
         Ok(reply) => read_reply(&reply),
@@ -86,10 +93,11 @@
 
 fn read_reply(reply: &AdmitReply) -> Option<AdmitAnswer> {
     let millis = |ms: u32| Millis(u64::from(ms));
-    match AdmitCode::from_repr(reply.decision)? {
-        AdmitCode::Granted => Some(AdmitAnswer::Granted(reply.grant)),
-        AdmitCode::Busy => Some(AdmitAnswer::Busy(millis(reply.expected_wait_ms))),
-        AdmitCode::Refused => Some(AdmitAnswer::Refused(millis(reply.retry_after_ms))),
-        AdmitCode::Unknown => Some(AdmitAnswer::Unknown),
-    }
+    let result = match AdmitCode::from_repr(reply.decision)? {
+        AdmitCode::Granted => AdmitResult::Granted(reply.grant),
+        AdmitCode::Busy => AdmitResult::Busy(millis(reply.expected_wait_ms)),
+        AdmitCode::Refused => AdmitResult::Refused(millis(reply.retry_after_ms)),
+        AdmitCode::Unknown => AdmitResult::Unknown,
+    };
+    Some(AdmitAnswer { result, utilisation: f64::from(reply.utilisation) / THOUSANDTHS })
 }
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -13,13 +13,8 @@
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            started: Instant::now(),
-            started_at: Time(since_epoch.as_millis() as u64),
-        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), started_at: Time(since_epoch.as_millis() as u64) }
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -6,7 +6,7 @@
 mod members;
 mod thread;
 
-pub(crate) use admissions::{AdmitAnswer, AdmitCall};
+pub(crate) use admissions::{AdmitAnswer, AdmitCall, AdmitResult};
 pub(crate) use catalogue::{FollowAnswer, NextRead, STREAM};
 pub(crate) use ledgers::ClaimCall;
 pub(crate) use thread::{ControlThread, cpu_ms};
@@ -36,28 +36,19 @@
 #[derive(Debug)]
 pub(crate) enum Message {
     /// A place at an upstream is wanted.
-    Admit {
-        call: AdmitCall,
-        reply: oneshot::Sender<AdmitAnswer>,
-    },
+    Admit { call: AdmitCall, reply: oneshot::Sender<AdmitAnswer> },
     /// A caller of `Admit` stopped waiting.
     Withdraw { upstream: UpstreamName, token: u64 },
     /// News of grants.
     Renew(RenewRequest),
     /// A load report, or its absence.
-    Load {
-        upstream: UpstreamName,
-        report: Option<LoadReport>,
-    },
+    Load { upstream: UpstreamName, report: Option<LoadReport> },
     /// An upstream said that it leaves.
     UpstreamLeaves(UpstreamName),
     /// An upstream could not be reached.
     UpstreamUnreachable(UpstreamName),
     /// Another daemon probes this one.
-    Probe {
-        req: ProbeRequest,
-        reply: oneshot::Sender<ProbeReply>,
-    },
+    Probe { req: ProbeRequest, reply: oneshot::Sender<ProbeReply> },
     /// A probe was answered.
     Probed(ProbeReply),
     /// The platform's list.
@@ -65,70 +56,31 @@
     /// The configuration follower asks what to read.
     NextRead(oneshot::Sender<NextRead>),
     /// Records of the configuration stream; the answer says whether they joined up.
-    CataloguePage {
-        page: Page,
-        reply: oneshot::Sender<bool>,
-    },
+    CataloguePage { page: Page, reply: oneshot::Sender<bool> },
     /// The whole configuration from a peer.
-    CatalogueState {
-        state: Box<State>,
-        reply: oneshot::Sender<bool>,
-    },
+    CatalogueState { state: Box<State>, reply: oneshot::Sender<bool> },
     /// A follower reads the configuration here.
-    Follow {
-        host: String,
-        from: Offset,
-        wait: Millis,
-        reply: oneshot::Sender<FollowAnswer>,
-    },
+    Follow { host: String, from: Offset, wait: Millis, reply: oneshot::Sender<FollowAnswer> },
     /// An operator publishes a change.
-    Publish {
-        change: Box<Change>,
-        reply: oneshot::Sender<Published>,
-    },
+    Publish { change: Box<Change>, reply: oneshot::Sender<Published> },
     /// The append of a published change failed for sure or perhaps.
     PublishFailed { nonce: u64, reason: String },
     /// An operator asks for a service.
-    Service {
-        name: String,
-        reply: oneshot::Sender<ServiceInForce>,
-    },
+    Service { name: String, reply: oneshot::Sender<ServiceInForce> },
     /// Which followers of this relay have folded an offset.
-    InForce {
-        offset: Offset,
-        reply: oneshot::Sender<InForce>,
-    },
+    InForce { offset: Offset, reply: oneshot::Sender<InForce> },
     /// A claim of a call.
-    Claim {
-        call: ClaimCall,
-        reply: oneshot::Sender<ClaimAnswer>,
-    },
+    Claim { call: ClaimCall, reply: oneshot::Sender<ClaimAnswer> },
     /// The outcome of a claimed call; the answer comes when it is in the log.
-    Settle {
-        shard: u32,
-        key: String,
-        nonce: u64,
-        outcome: Outcome,
-        reply: oneshot::Sender<()>,
-    },
+    Settle { shard: u32, key: String, nonce: u64, outcome: Outcome, reply: oneshot::Sender<()> },
     /// Records of a ledger shard; the answer says whether to go on reading.
-    LedgerPage {
-        shard: u32,
-        page: Option<Page>,
-        reply: oneshot::Sender<Option<Offset>>,
-    },
+    LedgerPage { shard: u32, page: Option<Page>, reply: oneshot::Sender<Option<Offset>> },
     /// An append to a ledger shard ended.
     LedgerAppended { shard: u32, succeeded: bool },
     /// Asks how a fingerprint may run.
-    Treatment {
-        fingerprint: Fingerprint,
-        reply: oneshot::Sender<Treatment>,
-    },
+    Treatment { fingerprint: Fingerprint, reply: oneshot::Sender<Treatment> },
     /// A request with this fingerprint was in progress at an upstream that died.
-    Crashed {
-        fingerprint: Fingerprint,
-        reply: oneshot::Sender<Treatment>,
-    },
+    Crashed { fingerprint: Fingerprint, reply: oneshot::Sender<Treatment> },
     /// A suspect ran to its end.
     SuspectCompleted(Fingerprint),
     /// This daemon leaves.
@@ -202,12 +154,7 @@
             Message::NextRead(reply) => self.next_read(now, reply),
             Message::CataloguePage { page, reply } => self.catalogue_page(now, &page, reply),
             Message::CatalogueState { state, reply } => self.catalogue_state(*state, reply),
-            Message::Follow {
-                host,
-                from,
-                wait,
-                reply,
-            } => {
+            Message::Follow { host, from, wait, reply } => {
                 self.configuration.follow(now, host, from, wait, reply);
             }
             Message::Publish { change, reply } => self.publish(now, *change, reply),
@@ -222,16 +169,9 @@
                 let _ = reply.send(self.configuration.in_force(now, &own, offset));
             }
             Message::Claim { call, reply } => self.claim(now, call, reply),
-            Message::Settle {
-                shard,
-                key,
-                nonce,
-                outcome,
-                reply,
-            } => {
+            Message::Settle { shard, key, nonce, outcome, reply } => {
                 let shared = &self.shared;
-                self.ledgers
-                    .settle(shared, now, shard, &key, nonce, outcome, reply);
+                self.ledgers.settle(shared, now, shard, &key, nonce, outcome, reply);
             }
             Message::LedgerPage { shard, page, reply } => {
                 let next = self.ledgers.page(&self.shared, now, shard, page);
@@ -272,8 +212,7 @@
         self.quarantine.tick(now);
         self.admissions.sweep(now);
         let membership = &self.members.membership;
-        self.ledgers
-            .sweep(now, |claimant| membership.is_gone(claimant));
+        self.ledgers.sweep(now, |claimant| membership.is_gone(claimant));
         self.write_checkpoint_if_due(now);
         self.poll_loads();
     }
@@ -283,11 +222,7 @@
         const BUSY: Millis = Millis(5);
         const IDLE: Millis = Millis(50);
         let is_busy = self.ledgers.is_waiting() || self.admissions.is_waiting();
-        if is_busy || self.view_is_old {
-            BUSY
-        } else {
-            IDLE
-        }
+        if is_busy || self.view_is_old { BUSY } else { IDLE }
     }
 
     /// Publishes a new view when the old one is out of date.
@@ -319,7 +254,8 @@
 
     fn leave(&mut self) {
         self.members.membership.leave();
-        self.admissions.close_all();
+        let now = self.now();
+        self.admissions.close_all(now);
         self.announce();
         self.view_is_old = true;
         self.publish_view(self.now() + VIEW_EVERY);
@@ -348,11 +284,8 @@
         }
         self.admissions.reconfigure(&self.services);
         let services = &self.services;
-        let is_known = |name: &UpstreamName| {
-            services
-                .values()
-                .any(|s| s.spec.upstreams.contains_key(name))
-        };
+        let is_known =
+            |name: &UpstreamName| services.values().any(|s| s.spec.upstreams.contains_key(name));
         self.members.upstreams.retain(is_known);
         self.view_is_old = true;
     }
--- a/daemon/src/control/admissions.rs
+++ b/daemon/src/control/admissions.rs
@@ -35,9 +35,16 @@
     pub(crate) no_queue: bool,
 }
 
+/// How the wish for a place ended, and the part of the upstream's bounds in use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct AdmitAnswer {
+    pub(crate) result: AdmitResult,
+    pub(crate) utilisation: f64,
+}
+
 /// How the wish for a place ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AdmitAnswer {
+pub(crate) enum AdmitResult {
     Granted(u64),
     Busy(Millis),
     Refused(Millis),
@@ -94,14 +101,12 @@
         reply: oneshot::Sender<AdmitAnswer>,
     ) {
         let Some(owned) = self.owned.get_mut(&call.upstream) else {
-            let _ = reply.send(AdmitAnswer::Unknown);
+            let _ = reply.send(AdmitAnswer { result: AdmitResult::Unknown, utilisation: 0.0 });
             return;
         };
         let id = GrantId(self.next_id);
         self.next_id += 1;
-        let curve = self
-            .estimator
-            .curve(&call.service, &call.kind, &call.organisation);
+        let curve = self.estimator.curve(&call.service, &call.kind, &call.organisation);
         let request = Request {
             id,
             holder: call.holder,
@@ -116,35 +121,30 @@
             no_queue: call.no_queue,
         };
         let (decision, events) = owned.admission.request(now, request);
-        owned.waiting.insert(
-            id,
-            Waiting {
-                token: call.token,
-                reply,
-            },
-        );
+        owned.waiting.insert(id, Waiting { token: call.token, reply });
         let answer = match decision {
-            Decision::Granted => Some(AdmitAnswer::Granted(id.0)),
-            Decision::Busy(wait) => Some(AdmitAnswer::Busy(wait)),
-            Decision::Refused(retry) => Some(AdmitAnswer::Refused(retry)),
+            Decision::Granted => Some(AdmitResult::Granted(id.0)),
+            Decision::Busy(wait) => Some(AdmitResult::Busy(wait)),
+            Decision::Refused(retry) => Some(AdmitResult::Refused(retry)),
             Decision::Queued => None,
         };
         if let Some(answer) = answer {
-            self.answer(&call.upstream, id, answer);
+            self.answer(now, &call.upstream, id, answer);
         }
-        self.apply(&call.upstream, events);
+        self.apply(now, &call.upstream, events);
     }
 
     /// Answers a caller; a grant whose caller is gone is taken back.
-    fn answer(&mut self, upstream: &UpstreamName, id: GrantId, answer: AdmitAnswer) {
+    fn answer(&mut self, now: Time, upstream: &UpstreamName, id: GrantId, result: AdmitResult) {
         let Some(owned) = self.owned.get_mut(upstream) else {
             return;
         };
         let Some(waiting) = owned.waiting.remove(&id) else {
             return;
         };
-        let is_grant = matches!(answer, AdmitAnswer::Granted(_));
-        let is_gone = waiting.reply.send(answer).is_err();
+        let is_grant = matches!(result, AdmitResult::Granted(_));
+        let utilisation = owned.admission.utilisation(now);
+        let is_gone = waiting.reply.send(AdmitAnswer { result, utilisation }).is_err();
         if is_grant && is_gone {
             owned.admission.release(id, 0);
         } else if is_grant {
@@ -152,12 +152,12 @@
         }
     }
 
-    fn apply(&mut self, upstream: &UpstreamName, events: Vec<Event>) {
+    fn apply(&mut self, now: Time, upstream: &UpstreamName, events: Vec<Event>) {
         for event in events {
             match event {
-                Event::Granted(id) => self.answer(upstream, id, AdmitAnswer::Granted(id.0)),
+                Event::Granted(id) => self.answer(now, upstream, id, AdmitResult::Granted(id.0)),
                 Event::Refused(id, retry) => {
-                    self.answer(upstream, id, AdmitAnswer::Refused(retry));
+                    self.answer(now, upstream, id, AdmitResult::Refused(retry));
                 }
             }
         }
@@ -179,7 +179,7 @@
     fn tick_one(&mut self, now: Time, name: &UpstreamName) {
         if let Some(owned) = self.owned.get_mut(name) {
             let events = owned.admission.tick(now);
-            self.apply(name, events);
+            self.apply(now, name, events);
         }
     }
 
@@ -187,10 +187,7 @@
         let Some(owned) = self.owned.get_mut(upstream) else {
             return;
         };
-        let found = owned
-            .waiting
-            .iter()
-            .find(|(_, waiting)| waiting.token == token);
+        let found = owned.waiting.iter().find(|(_, waiting)| waiting.token == token);
         if let Some(id) = found.map(|(id, _)| *id) {
             owned.admission.withdraw(id);
             owned.waiting.remove(&id);
@@ -217,8 +214,7 @@
             if let Some(ended) = ended.filter(|_| progress.complete) {
                 let service = owned.service.clone();
                 let (kind, organisation) = (&ended.kind, &ended.organisation);
-                self.estimator
-                    .learn(&service, kind, organisation, ended.written);
+                self.estimator.learn(&service, kind, organisation, ended.written);
             }
             self.tick_one(now, &upstream);
         }
@@ -227,9 +223,7 @@
             owned.admission.heard_from(now, &holder);
             if req.full {
                 let is_held = |id: GrantId| held.contains(&id.0);
-                owned
-                    .admission
-                    .retain_held(now, &holder, HELD_GRACE, is_held);
+                owned.admission.retain_held(now, &holder, HELD_GRACE, is_held);
             }
         }
     }
@@ -241,9 +235,7 @@
         }
         let owned = &self.owned;
         self.grants.retain(|id, upstream| {
-            owned
-                .get(upstream)
-                .is_some_and(|owned| owned.admission.is_running(*id))
+            owned.get(upstream).is_some_and(|owned| owned.admission.is_running(*id))
         });
     }
 
@@ -274,7 +266,11 @@
     }
 
     /// Stops granting where `is_leaving` holds, and starts again where it no longer does.
-    pub(super) fn close_where(&mut self, is_leaving: impl Fn(&UpstreamName, IpAddr) -> bool) {
+    pub(super) fn close_where(
+        &mut self,
+        now: Time,
+        is_leaving: impl Fn(&UpstreamName, IpAddr) -> bool,
+    ) {
         let mut closed = Vec::new();
         for (name, owned) in &mut self.owned {
             let leaving = is_leaving(name, owned.address.ip());
@@ -288,12 +284,12 @@
             }
         }
         for (name, events) in closed {
-            self.apply(&name, events);
+            self.apply(now, &name, events);
         }
     }
 
-    pub(super) fn close_all(&mut self) {
-        self.close_where(|_, _| true);
+    pub(super) fn close_all(&mut self, now: Time) {
+        self.close_where(now, |_, _| true);
     }
 
     /// The upstreams whose load is due to be read.
@@ -338,9 +334,8 @@
         let share = service
             .and_then(|s| s.spec.organisations.get(&call.organisation))
             .map_or(1.0, |organisation| organisation.share);
-        let priority = service
-            .and_then(|s| s.spec.kinds.get(&call.kind))
-            .map_or(0, |kind| kind.priority);
+        let priority =
+            service.and_then(|s| s.spec.kinds.get(&call.kind)).map_or(0, |kind| kind.priority);
         self.admissions.admit(now, call, share, priority, reply);
     }
 
@@ -365,10 +360,7 @@
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
             let report = shared.engines.load(address).await.ok();
-            let _ = shared
-                .control
-                .send(Message::Load { upstream, report })
-                .await;
+            let _ = shared.control.send(Message::Load { upstream, report }).await;
         });
     }
 
@@ -381,11 +373,7 @@
         };
         self.admissions.report(now, upstream, &report);
         let (incarnation, draining) = (report.incarnation, report.draining);
-        if self
-            .members
-            .upstreams
-            .reported(upstream, incarnation, draining)
-        {
+        if self.members.upstreams.reported(upstream, incarnation, draining) {
             self.close_leaving();
         }
     }
--- a/daemon/src/control/catalogue.rs
+++ b/daemon/src/control/catalogue.rs
@@ -131,11 +131,7 @@
     }
 
     fn keep(&mut self, record: LogRecord) {
-        if self
-            .kept
-            .back()
-            .is_some_and(|last| last.offset.next() != record.offset)
-        {
+        if self.kept.back().is_some_and(|last| last.offset.next() != record.offset) {
             self.kept.clear();
         }
         self.kept.push_back(record);
@@ -147,12 +143,9 @@
     fn tell_publisher(&mut self, offset: Offset, folded: &Folded) {
         let (nonce, result) = match folded {
             Folded::Accepted { nonce, .. } => (nonce, Published::Accepted { revision: offset }),
-            Folded::Refused { nonce, refusal } => (
-                nonce,
-                Published::Refused {
-                    reason: refusal.to_string(),
-                },
-            ),
+            Folded::Refused { nonce, refusal } => {
+                (nonce, Published::Refused { reason: refusal.to_string() })
+            }
             _ => return,
         };
         if let Some(publisher) = self.publishers.remove(nonce) {
@@ -185,20 +178,14 @@
         reply: oneshot::Sender<FollowAnswer>,
     ) {
         self.followers.insert(host, Follower { from, at: now });
-        self.waiting.push(WaitingFollower {
-            from,
-            until: now + wait,
-            reply,
-        });
+        self.waiting.push(WaitingFollower { from, until: now + wait, reply });
         self.answer_followers(now);
     }
 
     fn answer_followers(&mut self, now: Time) {
         let next = self.catalogue.next_offset();
-        let due: Vec<_> = self
-            .waiting
-            .extract_if(.., |f| f.from < next || f.until <= now)
-            .collect();
+        let due: Vec<_> =
+            self.waiting.extract_if(.., |f| f.from < next || f.until <= now).collect();
         for follower in due {
             let answer = self.answer_from(follower.from);
             let _ = follower.reply.send(answer);
@@ -211,34 +198,16 @@
         if from < kept_first {
             let has_all = !self.catalogue.has_hole();
             let snapshot = self.state().filter(|_| has_all).map(State::to_json);
-            return FollowAnswer {
-                records: Vec::new(),
-                first: kept_first,
-                next,
-                snapshot,
-            };
-        }
-        let records = self
-            .kept
-            .iter()
-            .filter(|record| record.offset >= from)
-            .cloned()
-            .collect();
-        FollowAnswer {
-            records,
-            first: from,
-            next,
-            snapshot: None,
+            return FollowAnswer { records: Vec::new(), first: kept_first, next, snapshot };
         }
+        let records = self.kept.iter().filter(|record| record.offset >= from).cloned().collect();
+        FollowAnswer { records, first: from, next, snapshot: None }
     }
 
     /// Which followers of this relay have folded `offset`.
     pub(super) fn in_force(&self, now: Time, own: &HostName, offset: Offset) -> InForce {
         let mut answer = InForce::default();
-        let recent = self
-            .followers
-            .iter()
-            .filter(|(_, f)| now.since(f.at) < FOLLOWER_LIFETIME);
+        let recent = self.followers.iter().filter(|(_, f)| now.since(f.at) < FOLLOWER_LIFETIME);
         let own_next = self.catalogue.next_offset();
         let all = recent
             .map(|(host, follower)| (HostName::new(host), follower.from))
@@ -266,8 +235,7 @@
             let reason = "the log did not confirm the change in time".to_owned();
             self.publish_failed(nonce, reason);
         }
-        self.followers
-            .retain(|_, follower| now.since(follower.at) < FOLLOWER_LIFETIME);
+        self.followers.retain(|_, follower| now.since(follower.at) < FOLLOWER_LIFETIME);
     }
 }
 
@@ -275,10 +243,8 @@
     /// Tells the follower what to read.
     pub(super) fn next_read(&mut self, _now: Time, reply: oneshot::Sender<NextRead>) {
         let catalogue = &self.configuration.catalogue;
-        let _ = reply.send(NextRead {
-            from: catalogue.next_offset(),
-            wants_state: catalogue.has_hole(),
-        });
+        let _ = reply
+            .send(NextRead { from: catalogue.next_offset(), wants_state: catalogue.has_hole() });
     }
 
     /// Folds records of the configuration stream.
@@ -332,10 +298,7 @@
             nonce => nonce,
         };
         let change = Change { nonce, ..change };
-        let publisher = Publisher {
-            until: now + PUBLISH_PATIENCE,
-            reply,
-        };
+        let publisher = Publisher { until: now + PUBLISH_PATIENCE, reply };
         self.configuration.publishers.insert(nonce, publisher);
         let data = serde_json::to_string(&Record::Change(change)).unwrap_or_default();
         let shared = Arc::clone(&self.shared);
@@ -350,10 +313,7 @@
                 sleep(PAUSE).await;
             }
             let reason = "the log did not take the change; it may still turn up".to_owned();
-            let _ = shared
-                .control
-                .send(Message::PublishFailed { nonce, reason })
-                .await;
+            let _ = shared.control.send(Message::PublishFailed { nonce, reason }).await;
         });
     }
 
@@ -370,10 +330,7 @@
         }
         configuration.checkpoint_at = now;
         let id = configuration.rng.random_range(1..u64::MAX);
-        let Some(parts) = configuration
-            .catalogue
-            .checkpoint(id, CHECKPOINT_PART_BYTES)
-        else {
+        let Some(parts) = configuration.catalogue.checkpoint(id, CHECKPOINT_PART_BYTES) else {
             return;
         };
         let shared = Arc::clone(&self.shared);
--- a/daemon/src/control/ledgers.rs
+++ b/daemon/src/control/ledgers.rs
@@ -48,9 +48,7 @@
 
 impl Ledgers {
     pub(super) fn new() -> Self {
-        Self {
-            shards: HashMap::new(),
-        }
+        Self { shards: HashMap::new() }
     }
 
     pub(super) fn is_waiting(&self) -> bool {
@@ -195,10 +193,7 @@
             sleep(READ_RETRY).await;
         }
         let succeeded = result.is_ok();
-        let _ = task
-            .control
-            .send(Message::LedgerAppended { shard, succeeded })
-            .await;
+        let _ = task.control.send(Message::LedgerAppended { shard, succeeded }).await;
     });
 }
 
@@ -209,13 +204,7 @@
     loop {
         let page = shared.log.read(&stream, from, READ_WAIT).await;
         let failed = page.is_err();
-        let next = shared
-            .ask(|reply| Message::LedgerPage {
-                shard,
-                page: page.ok(),
-                reply,
-            })
-            .await;
+        let next = shared.ask(|reply| Message::LedgerPage { shard, page: page.ok(), reply }).await;
         match next.flatten() {
             Some(next) => from = next,
             None => return,
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -82,10 +82,7 @@
         let mut changed = false;
         for notice in leaving {
             let upstream = UpstreamName::new(&notice.upstream);
-            let leaving = Leaving {
-                upstream,
-                incarnation: notice.incarnation,
-            };
+            let leaving = Leaving { upstream, incarnation: notice.incarnation };
             changed |= self.upstreams.leaves(&leaving);
         }
         changed
@@ -126,9 +123,7 @@
         self.shared.traffic.spawn(async move {
             let probe = shared
                 .peers
-                .call(address, PROBE_TIMEOUT, |mut peer| async move {
-                    peer.probe(req).await
-                });
+                .call(address, PROBE_TIMEOUT, |mut peer| async move { peer.probe(req).await });
             match probe.await {
                 Ok(answer) => {
                     let _ = shared.control.send(Message::Probed(answer)).await;
@@ -143,12 +138,7 @@
     }
 
     fn changes(&mut self) -> Vec<magnoliawinch_peer::Member> {
-        self.members
-            .membership
-            .changes()
-            .iter()
-            .map(Into::into)
-            .collect()
+        self.members.membership.changes().iter().map(Into::into).collect()
     }
 
     /// Answers a probe.
@@ -161,13 +151,7 @@
         let sender = req.sender.as_ref();
         let is_new = sender.is_some_and(|m| !self.members.membership.knows(&m.host));
         let differs = req.table_digest != self.members.membership.digest();
-        self.take_news(
-            now,
-            sender,
-            &req.changes,
-            &req.leaving,
-            req.catalogue_offset,
-        );
+        self.take_news(now, sender, &req.changes, &req.leaving, req.catalogue_offset);
         let members = &mut self.members;
         let changes = match (is_new, differs) {
             (true, _) => members.membership.all(),
@@ -190,13 +174,7 @@
     pub(super) fn probed(&mut self, now: Time, answer: &ProbeReply) {
         self.members.heard_any = true;
         let sender = answer.sender.as_ref();
-        self.take_news(
-            now,
-            sender,
-            &answer.changes,
-            &answer.leaving,
-            answer.catalogue_offset,
-        );
+        self.take_news(now, sender, &answer.changes, &answer.leaving, answer.catalogue_offset);
         if let Some(sender) = sender {
             self.members.membership.heard_from(now, &sender.host);
         }
@@ -229,10 +207,7 @@
             let leaving = host.state == HostState::Leaving;
             match host.daemon {
                 None => {
-                    changed |= self
-                        .members
-                        .upstreams
-                        .listed(host.ip, host.incarnation, leaving);
+                    changed |= self.members.upstreams.listed(host.ip, host.incarnation, leaving);
                 }
                 Some(daemon) if !self.members.membership.knows(host.host.as_str()) => {
                     seeds.push(daemon.peer);
@@ -276,9 +251,9 @@
 
     /// Stops granting places at upstreams that leave.
     pub(super) fn close_leaving(&mut self) {
+        let now = self.shared.clock.now();
         let upstreams = &self.members.upstreams;
-        self.admissions
-            .close_where(|name, ip| upstreams.is_leaving(name.as_str(), ip));
+        self.admissions.close_where(now, |name, ip| upstreams.is_leaving(name.as_str(), ip));
         self.view_is_old = true;
     }
 }
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -72,11 +72,7 @@
 
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| StartError::Listen {
-        key,
-        address,
-        source,
-    })
+    listener.map_err(|source| StartError::Listen { key, address, source })
 }
 
 impl Daemon {
@@ -131,14 +127,7 @@
             tokio::spawn(read_list(Arc::clone(&shared))),
         ];
         log::info!("daemon of host {} started", shared.settings.host);
-        Ok(Self {
-            shared,
-            leave,
-            stop,
-            tasks,
-            serving,
-            control,
-        })
+        Ok(Self { shared, leave, stop, tasks, serving, control })
     }
 
     /// Whether the daemon takes requests.
@@ -199,10 +188,7 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         let _ = self.stop.send(true);
-        self.tasks
-            .iter()
-            .chain(&self.serving)
-            .for_each(JoinHandle::abort);
+        self.tasks.iter().chain(&self.serving).for_each(JoinHandle::abort);
     }
 }
 
@@ -212,10 +198,7 @@
         header_timeout: Duration::from_millis(shared.settings.caller_silence_ms),
         ..ServerLimits::default()
     };
-    serve(listener, limits, stop, move |req| {
-        traffic::handle(Arc::clone(&shared), req)
-    })
-    .await;
+    serve(listener, limits, stop, move |req| traffic::handle(Arc::clone(&shared), req)).await;
 }
 
 async fn serve_operators(
@@ -255,11 +238,6 @@
             Err(e) => log::warn!("reading the platform's list failed: {e}"),
         }
         let is_alone = shared.view.load().owners.members().count() < 2;
-        sleep(if is_alone {
-            FIRST_LIST_EVERY
-        } else {
-            LIST_EVERY
-        })
-        .await;
+        sleep(if is_alone { FIRST_LIST_EVERY } else { LIST_EVERY }).await;
     }
 }
--- a/daemon/src/decisions.rs
+++ b/daemon/src/decisions.rs
@@ -17,10 +17,7 @@
 
 impl Decisions {
     pub(crate) fn new(host: &HostName) -> Self {
-        Self {
-            host: host.clone(),
-            lines: Mutex::new(VecDeque::new()),
-        }
+        Self { host: host.clone(), lines: Mutex::new(VecDeque::new()) }
     }
 
     /// Logs a decision about a request.
@@ -42,10 +39,6 @@
     /// The lines of one request.
     pub(crate) fn of(&self, request: &str) -> Vec<Line> {
         let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
-        lines
-            .iter()
-            .filter(|line| line.request == request)
-            .cloned()
-            .collect()
+        lines.iter().filter(|line| line.request == request).cloned().collect()
     }
 }
--- a/daemon/src/follow.rs
+++ b/daemon/src/follow.rs
@@ -61,17 +61,11 @@
     let view = shared.view.load();
     let own = &shared.settings.host;
     let others: Vec<_> = view.owners.members().filter(|m| m.host != *own).collect();
-    others
-        .get(turn % others.len().max(1))
-        .map(|member| (*member).clone())
+    others.get(turn % others.len().max(1)).map(|member| (*member).clone())
 }
 
 async fn read_log(shared: &Arc<Shared>, next: NextRead) -> bool {
-    match shared
-        .log
-        .read(crate::control::STREAM, next.from, READ_WAIT)
-        .await
-    {
+    match shared.log.read(crate::control::STREAM, next.from, READ_WAIT).await {
         Ok(page) => fold(shared, page).await,
         Err(e) => {
             log::warn!("reading the configuration from the log failed: {e}");
@@ -81,10 +75,7 @@
 }
 
 async fn fold(shared: &Arc<Shared>, page: Page) -> bool {
-    shared
-        .ask(|reply| Message::CataloguePage { page, reply })
-        .await
-        .unwrap_or(false)
+    shared.ask(|reply| Message::CataloguePage { page, reply }).await.unwrap_or(false)
 }
 
 async fn read_relay(shared: &Arc<Shared>, relay: &Member, next: NextRead) -> bool {
@@ -96,9 +87,7 @@
     let limit = READ_WAIT + ANSWER_TIMEOUT;
     let call = shared
         .peers
-        .call(relay.peer_address, limit, |mut peer| async move {
-            peer.follow(req).await
-        });
+        .call(relay.peer_address, limit, |mut peer| async move { peer.follow(req).await });
     match call.await {
         Ok(answer) => take(shared, next, answer).await,
         Err(e) => {
@@ -114,10 +103,7 @@
             return false;
         };
         let state = Box::new(state);
-        return shared
-            .ask(|reply| Message::CatalogueState { state, reply })
-            .await
-            .unwrap_or(false);
+        return shared.ask(|reply| Message::CatalogueState { state, reply }).await.unwrap_or(false);
     }
     // Without a whole state of its own, this daemon cannot use records from the middle.
     if next.wants_state || answer.first > next.from.0 {
@@ -132,10 +118,6 @@
             data: record.data,
         })
         .collect();
-    let page = Page {
-        first: next.from,
-        end: Offset(answer.next),
-        records,
-    };
+    let page = Page { first: next.from, end: Offset(answer.next), records };
     fold(shared, page).await
 }
--- a/daemon/src/grants.rs
+++ b/daemon/src/grants.rs
@@ -47,14 +47,8 @@
 
 impl Grant {
     pub(crate) fn new(owner: Member, id: u64, news: GrantSender) -> Self {
-        let grant = Self {
-            owner,
-            id,
-            written: 0,
-            next_report: FIRST_REPORT_TOKENS,
-            complete: false,
-            news,
-        };
+        let grant =
+            Self { owner, id, written: 0, next_report: FIRST_REPORT_TOKENS, complete: false, news };
         grant.send(false, true);
         grant
     }
@@ -85,11 +79,7 @@
             complete: self.complete,
         };
         // The keeper ends only with the daemon; grants then expire at their owners.
-        let _ = self.news.send(GrantNews {
-            owner: self.owner.clone(),
-            progress,
-            taken,
-        });
+        let _ = self.news.send(GrantNews { owner: self.owner.clone(), progress, taken });
     }
 }
 
@@ -159,11 +149,7 @@
         host_incarnation: shared.clock.started_at().0,
         grants: std::mem::take(&mut held.news),
         full: is_due,
-        held: if is_due {
-            held.ids.iter().copied().collect()
-        } else {
-            Vec::new()
-        },
+        held: if is_due { held.ids.iter().copied().collect() } else { Vec::new() },
     };
     if held.owner.host == shared.settings.host {
         let _ = shared.control.send(Message::Renew(req)).await;
@@ -174,9 +160,7 @@
     tokio::spawn(async move {
         let call = shared
             .peers
-            .call(address, RENEW_TIMEOUT, |mut peer| async move {
-                peer.renew(req).await
-            });
+            .call(address, RENEW_TIMEOUT, |mut peer| async move { peer.renew(req).await });
         if let Err(e) = call.await {
             log::debug!("renewal failed: {e}");
         }
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -30,11 +30,7 @@
         return ClaimAnswer::LogUnavailable;
     };
     if owner.host == shared.settings.host {
-        let call = ClaimCall {
-            shard,
-            claim,
-            patience,
-        };
+        let call = ClaimCall { shard, claim, patience };
         let answer = shared.ask(|reply| Message::Claim { call, reply }).await;
         return answer.unwrap_or(ClaimAnswer::LogUnavailable);
     }
@@ -50,17 +46,12 @@
     let limit = Duration::from(patience) + ANSWER_TIMEOUT;
     let result = shared
         .peers
-        .call(owner.peer_address, limit, |mut peer| async move {
-            peer.claim(req).await
-        })
+        .call(owner.peer_address, limit, |mut peer| async move { peer.claim(req).await })
         .await;
     match result {
         Ok(reply) => read_reply(&reply).unwrap_or(ClaimAnswer::LogUnavailable),
         Err(e) => {
-            log::warn!(
-                "owner {} of ledger shard {shard} did not answer: {e}",
-                owner.host
-            );
+            log::warn!("owner {} of ledger shard {shard} did not answer: {e}", owner.host);
             ClaimAnswer::LogUnavailable
         }
     }
@@ -103,18 +94,8 @@
     };
     if owner.host == shared.settings.host {
         let (key, outcome) = (key.to_owned(), outcome.clone());
-        let settled = shared.ask(|reply| Message::Settle {
-            shard,
-            key,
-            nonce,
-            outcome,
-            reply,
-        });
-        return tokio::time::timeout(SETTLE_TIMEOUT, settled)
-            .await
-            .ok()
-            .flatten()
-            .is_some();
+        let settled = shared.ask(|reply| Message::Settle { shard, key, nonce, outcome, reply });
+        return tokio::time::timeout(SETTLE_TIMEOUT, settled).await.ok().flatten().is_some();
     }
     let req = SettleRequest {
         shard,
@@ -124,9 +105,7 @@
     };
     shared
         .peers
-        .call(owner.peer_address, SETTLE_TIMEOUT, |mut peer| async move {
-            peer.settle(req).await
-        })
+        .call(owner.peer_address, SETTLE_TIMEOUT, |mut peer| async move { peer.settle(req).await })
         .await
         .is_ok_and(|reply| reply.recorded)
 }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -19,9 +19,7 @@
     /// Sends metrics to `address` by UDP, or nowhere.
     pub(crate) fn new(address: Option<SocketAddr>) -> std::io::Result<Self> {
         let Some(address) = address else {
-            return Ok(Self {
-                client: StatsdClient::from_sink(PREFIX, NopMetricSink),
-            });
+            return Ok(Self { client: StatsdClient::from_sink(PREFIX, NopMetricSink) });
         };
         let socket = UdpSocket::bind(("0.0.0.0", 0))?;
         socket.set_nonblocking(true)?;
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -34,10 +34,7 @@
 }
 
 fn refusal(status: StatusCode, message: impl Into<String>) -> Refusal {
-    Refusal {
-        status,
-        message: message.into(),
-    }
+    Refusal { status, message: message.into() }
 }
 
 /// Answers one request of an operator.
@@ -51,29 +48,18 @@
         Err(refusal) => Err(refusal),
     };
     answer.unwrap_or_else(|refusal| {
-        json_response(
-            refusal.status,
-            &ErrorBody {
-                message: refusal.message,
-            },
-        )
+        json_response(refusal.status, &ErrorBody { message: refusal.message })
     })
 }
 
 fn authorise(shared: &Shared, req: &Request<Incoming>) -> Result<(), Refusal> {
-    let header = req
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     let key = header.and_then(|value| value.strip_prefix("Bearer "));
     let is_right =
         key.is_some_and(|key| key_digest(key.trim()) == shared.settings.operator_key_sha256);
     match is_right {
         true => Ok(()),
-        false => Err(refusal(
-            StatusCode::UNAUTHORIZED,
-            "the operator key is missing or wrong",
-        )),
+        false => Err(refusal(StatusCode::UNAUTHORIZED, "the operator key is missing or wrong")),
     }
 }
 
@@ -88,23 +74,18 @@
         (&Method::GET, Some("status"), None) => Ok(ok(&status(shared).await?)),
         (&Method::GET, Some("services"), Some(name)) => {
             let name = name.to_owned();
-            Ok(ok(
-                &ask(shared, |reply| Message::Service { name, reply }).await?
-            ))
+            Ok(ok(&ask(shared, |reply| Message::Service { name, reply }).await?))
         }
         (&Method::GET, Some("in-force"), None) => in_force(shared, &req).await,
-        (&Method::GET, Some("explain"), Some(request)) => Ok(ok(&Explanation {
-            lines: shared.decisions.of(request),
-        })),
+        (&Method::GET, Some("explain"), Some(request)) => {
+            Ok(ok(&Explanation { lines: shared.decisions.of(request) }))
+        }
         (&Method::POST, Some("changes"), None) => publish(shared, req).await,
         (&Method::POST, Some("drain"), None) => {
             leave.notify_one();
             Ok(ok(&status(shared).await?))
         }
-        _ => Err(refusal(
-            StatusCode::NOT_FOUND,
-            format!("path \"{path}\" does not exist"),
-        )),
+        _ => Err(refusal(StatusCode::NOT_FOUND, format!("path \"{path}\" does not exist"))),
     }
 }
 
@@ -125,16 +106,12 @@
 }
 
 async fn publish(shared: &Shared, req: Request<Incoming>) -> Answer {
-    let body = Limited::new(req.into_body(), MAX_CHANGE_BYTES)
-        .collect()
-        .await;
+    let body = Limited::new(req.into_body(), MAX_CHANGE_BYTES).collect().await;
     let body = body.map_err(|e| refusal(StatusCode::BAD_REQUEST, e.to_string()))?;
     let publish: Publish = serde_json::from_slice(&body.to_bytes())
         .map_err(|e| refusal(StatusCode::BAD_REQUEST, e.to_string()))?;
     let change = Box::new(publish.change);
-    Ok(ok(
-        &ask(shared, |reply| Message::Publish { change, reply }).await?
-    ))
+    Ok(ok(&ask(shared, |reply| Message::Publish { change, reply }).await?))
 }
 
 /// Asks the relays of every failure domain which daemons have folded an offset.
@@ -149,23 +126,13 @@
         if let Some(answer) = ask_relay(shared, member, offset).await {
             reached.extend(answer.reached);
         }
-        if view
-            .owners
-            .members()
-            .all(|member| reached.contains(&member.host))
-        {
+        if view.owners.members().all(|member| reached.contains(&member.host)) {
             break;
         }
     }
     let behind = view.owners.members().map(|m| &m.host);
-    let behind = behind
-        .filter(|host| !reached.contains(*host))
-        .cloned()
-        .collect();
-    Ok(ok(&InForce {
-        reached: reached.into_iter().collect(),
-        behind,
-    }))
+    let behind = behind.filter(|host| !reached.contains(*host)).cloned().collect();
+    Ok(ok(&InForce { reached: reached.into_iter().collect(), behind }))
 }
 
 async fn ask_relay(shared: &Arc<Shared>, relay: &Member, offset: Offset) -> Option<InForce> {
@@ -173,15 +140,10 @@
         return shared.ask(|reply| Message::InForce { offset, reply }).await;
     }
     let req = InForceRequest { offset: offset.0 };
-    let call = shared
-        .peers
-        .call(relay.peer_address, RELAY_TIMEOUT, |mut peer| async move {
-            peer.in_force(req).await
-        });
+    let call = shared.peers.call(relay.peer_address, RELAY_TIMEOUT, |mut peer| async move {
+        peer.in_force(req).await
+    });
     let answer = call.await.ok()?;
     let names = |hosts: Vec<String>| hosts.into_iter().map(HostName::from).collect();
-    Some(InForce {
-        reached: names(answer.reached),
-        behind: names(answer.behind),
-    })
+    Some(InForce { reached: names(answer.reached), behind: names(answer.behind) })
 }
--- a/daemon/src/options.rs
+++ b/daemon/src/options.rs
@@ -49,12 +49,8 @@
 }
 
 fn read(path: &Path) -> Result<Settings, OptionsError> {
-    let text = std::fs::read_to_string(path).map_err(|source| OptionsError::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    Settings::parse(&text).map_err(|source| OptionsError::Settings {
-        path: path.to_owned(),
-        source,
-    })
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| OptionsError::Read { path: path.to_owned(), source })?;
+    Settings::parse(&text)
+        .map_err(|source| OptionsError::Settings { path: path.to_owned(), source })
 }
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! Answers other daemons.
 
-use crate::control::{AdmitAnswer, AdmitCall, ClaimCall, Message};
+use crate::control::{AdmitAnswer, AdmitCall, AdmitResult, ClaimCall, Message};
 use crate::shared::Shared;
 use magnoliawinch::catalogue::Offset;
 use magnoliawinch::ledger::{Claim, ClaimAnswer, Claimant, Outcome};
@@ -18,6 +18,9 @@
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
 
+/// Thousandths in 1, for parts on the wire.
+pub(crate) const THOUSANDTHS: f64 = 1_000.0;
+
 /// Decisions of an admission owner on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr, EnumIter)]
 #[repr(u32)]
@@ -68,12 +71,7 @@
 impl Withdrawal {
     pub(crate) fn new(shared: &Arc<Shared>, upstream: &UpstreamName, token: u64) -> Self {
         let (shared, upstream) = (Arc::clone(shared), upstream.clone());
-        Self {
-            shared,
-            upstream,
-            token,
-            answered: false,
-        }
+        Self { shared, upstream, token, answered: false }
     }
 
     pub(crate) fn answered(mut self) {
@@ -86,10 +84,7 @@
         if self.answered {
             return;
         }
-        let message = Message::Withdraw {
-            upstream: self.upstream.clone(),
-            token: self.token,
-        };
+        let message = Message::Withdraw { upstream: self.upstream.clone(), token: self.token };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
             let _ = shared.control.send(message).await;
@@ -112,10 +107,7 @@
         &self,
         message: impl FnOnce(oneshot::Sender<T>) -> Message,
     ) -> Result<T, Status> {
-        self.shared
-            .ask(message)
-            .await
-            .ok_or_else(|| Status::unavailable("the daemon ends"))
+        self.shared.ask(message).await.ok_or_else(|| Status::unavailable("the daemon ends"))
     }
 }
 
@@ -123,9 +115,7 @@
 impl Peer for PeerService {
     async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
         let req = req.into_inner();
-        self.ask(|reply| Message::Probe { req, reply })
-            .await
-            .map(Response::new)
+        self.ask(|reply| Message::Probe { req, reply }).await.map(Response::new)
     }
 
     async fn admit(&self, req: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
@@ -165,10 +155,7 @@
             claim: Claim {
                 key: req.key,
                 body_digest: req.body_digest,
-                claimant: Claimant {
-                    host,
-                    incarnation: req.host_incarnation,
-                },
+                claimant: Claimant { host, incarnation: req.host_incarnation },
                 nonce: req.nonce,
             },
             patience: Millis(u64::from(req.patience_ms)),
@@ -182,14 +169,7 @@
         let outcome: Outcome = serde_json::from_str(&req.outcome)
             .map_err(|e| Status::invalid_argument(e.to_string()))?;
         let (shard, key, nonce) = (req.shard, req.key, req.nonce);
-        self.ask(|reply| Message::Settle {
-            shard,
-            key,
-            nonce,
-            outcome,
-            reply,
-        })
-        .await?;
+        self.ask(|reply| Message::Settle { shard, key, nonce, outcome, reply }).await?;
         Ok(Response::new(SettleReply { recorded: true }))
     }
 
@@ -197,14 +177,7 @@
         let req = req.into_inner();
         let (host, from) = (req.host, Offset(req.from));
         let wait = Millis(u64::from(req.wait_ms));
-        let answer = self
-            .ask(|reply| Message::Follow {
-                host,
-                from,
-                wait,
-                reply,
-            })
-            .await?;
+        let answer = self.ask(|reply| Message::Follow { host, from, wait, reply }).await?;
         let record = |r: magnoliawinch_log::LogRecord| LogRecord {
             offset: r.offset.0,
             at_ms: r.at_ms.0,
@@ -226,12 +199,10 @@
         let fingerprint = Fingerprint(req.fingerprint);
         let treatment = match SuspectReport::from_repr(req.report) {
             Some(SuspectReport::Ask) => {
-                self.ask(|reply| Message::Treatment { fingerprint, reply })
-                    .await?
+                self.ask(|reply| Message::Treatment { fingerprint, reply }).await?
             }
             Some(SuspectReport::Crashed) => {
-                self.ask(|reply| Message::Crashed { fingerprint, reply })
-                    .await?
+                self.ask(|reply| Message::Crashed { fingerprint, reply }).await?
             }
             Some(SuspectReport::Completed) => {
                 let message = Message::SuspectCompleted(fingerprint);
@@ -259,27 +230,21 @@
 
 fn admit_reply(answer: AdmitAnswer) -> AdmitReply {
     let millis = |m: Millis| m.0.min(u64::from(u32::MAX)) as u32;
-    let reply = AdmitReply::default();
-    match answer {
-        AdmitAnswer::Granted(grant) => AdmitReply {
-            decision: AdmitCode::Granted as u32,
-            grant,
-            ..reply
-        },
-        AdmitAnswer::Busy(wait) => AdmitReply {
-            decision: AdmitCode::Busy as u32,
-            expected_wait_ms: millis(wait),
-            ..reply
-        },
-        AdmitAnswer::Refused(retry) => AdmitReply {
+    let utilisation = (answer.utilisation * THOUSANDTHS) as u32;
+    let reply = AdmitReply { utilisation, ..AdmitReply::default() };
+    match answer.result {
+        AdmitResult::Granted(grant) => {
+            AdmitReply { decision: AdmitCode::Granted as u32, grant, ..reply }
+        }
+        AdmitResult::Busy(wait) => {
+            AdmitReply { decision: AdmitCode::Busy as u32, expected_wait_ms: millis(wait), ..reply }
+        }
+        AdmitResult::Refused(retry) => AdmitReply {
             decision: AdmitCode::Refused as u32,
             retry_after_ms: millis(retry),
             ..reply
         },
-        AdmitAnswer::Unknown => AdmitReply {
-            decision: AdmitCode::Unknown as u32,
-            ..reply
-        },
+        AdmitResult::Unknown => AdmitReply { decision: AdmitCode::Unknown as u32, ..reply },
     }
 }
 
@@ -293,25 +258,15 @@
         ClaimAnswer::LogUnavailable => (ClaimCode::LogUnavailable, None),
     };
     let outcome = outcome.map(|o| serde_json::to_string(o).unwrap_or_default());
-    ClaimReply {
-        decision: code as u32,
-        outcome: outcome.unwrap_or_default(),
-    }
+    ClaimReply { decision: code as u32, outcome: outcome.unwrap_or_default() }
 }
 
 fn suspect_reply(treatment: Treatment) -> SuspectReply {
     match treatment {
-        Treatment::Normal => SuspectReply {
-            suspect: false,
-            refused_for_ms: 0,
-        },
-        Treatment::Suspect => SuspectReply {
-            suspect: true,
-            refused_for_ms: 0,
-        },
-        Treatment::Refused(Millis(ms)) => SuspectReply {
-            suspect: true,
-            refused_for_ms: ms.min(u64::from(u32::MAX)) as u32,
-        },
+        Treatment::Normal => SuspectReply { suspect: false, refused_for_ms: 0 },
+        Treatment::Suspect => SuspectReply { suspect: true, refused_for_ms: 0 },
+        Treatment::Refused(Millis(ms)) => {
+            SuspectReply { suspect: true, refused_for_ms: ms.min(u64::from(u32::MAX)) as u32 }
+        }
     }
 }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -28,16 +28,10 @@
     Address(SocketAddr),
     /// The call failed.
     #[error("peer {address}: {status}")]
-    Failed {
-        address: SocketAddr,
-        status: Box<Status>,
-    },
+    Failed { address: SocketAddr, status: Box<Status> },
     /// The time was over.
     #[error("no answer from peer {address} within {after:?}")]
-    Timeout {
-        address: SocketAddr,
-        after: Duration,
-    },
+    Timeout { address: SocketAddr, after: Duration },
 }
 
 /// Channels by address.
@@ -68,10 +62,7 @@
 
     /// Forgets the connection, so that the next call opens a new one.
     pub(crate) fn forget(&self, address: SocketAddr) {
-        self.channels
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&address);
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
     /// Makes one call within `limit`. A connection that stays silent is not used again.
@@ -87,16 +78,10 @@
         let client = PeerClient::new(self.channel(address)?);
         match timeout(limit, call(client)).await {
             Ok(Ok(response)) => Ok(response.into_inner()),
-            Ok(Err(status)) => Err(PeerError::Failed {
-                address,
-                status: Box::new(status),
-            }),
+            Ok(Err(status)) => Err(PeerError::Failed { address, status: Box::new(status) }),
             Err(_) => {
                 self.forget(address);
-                Err(PeerError::Timeout {
-                    address,
-                    after: limit,
-                })
+                Err(PeerError::Timeout { address, after: limit })
             }
         }
     }
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -111,9 +111,7 @@
     /// Counts a request as in progress until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>) -> InProgress {
         self.in_progress.fetch_add(1, Ordering::AcqRel);
-        InProgress {
-            shared: Arc::clone(self),
-        }
+        InProgress { shared: Arc::clone(self) }
     }
 }
 
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -48,25 +48,12 @@
 ) -> Result<Response<Body>, ErrorBody> {
     let path = req.uri().path().to_owned();
     let mut parts = path.trim_start_matches('/').split('/');
-    let parts = [
-        parts.next(),
-        parts.next(),
-        parts.next(),
-        parts.next(),
-        parts.next(),
-    ];
+    let parts = [parts.next(), parts.next(), parts.next(), parts.next(), parts.next()];
     match (req.method(), parts) {
         (&Method::GET, [Some("v1"), Some("hosts"), None, ..]) => hosts(shared, &req),
-        (
-            &Method::POST,
-            [
-                Some("v1"),
-                Some("generations"),
-                Some(service),
-                Some(kind),
-                None,
-            ],
-        ) => generations::start(shared, request_id, service, kind, req).await,
+        (&Method::POST, [Some("v1"), Some("generations"), Some(service), Some(kind), None]) => {
+            generations::start(shared, request_id, service, kind, req).await
+        }
         (&Method::GET, [Some("v1"), Some("generations"), Some(id), None, _]) => {
             resume::resume(shared, request_id, &parse_id(id)?, &req).await
         }
@@ -90,10 +77,7 @@
 
 /// The same answer for a generation that does not exist and one of another organisation.
 fn unknown_generation(text: &str) -> ErrorBody {
-    ErrorBody::new(
-        Code::NotFound,
-        format!("generation \"{text}\" does not exist"),
-    )
+    ErrorBody::new(Code::NotFound, format!("generation \"{text}\" does not exist"))
 }
 
 /// Answers which addresses to use.
@@ -113,24 +97,16 @@
 
 fn error_response(shared: &Shared, error: ErrorBody) -> Response<Body> {
     const MILLIS_PER_SECOND: u64 = 1_000;
-    let names_hosts = matches!(
-        error.code,
-        Code::Overloaded | Code::NotReady | Code::NoUpstream
-    );
+    let names_hosts = matches!(error.code, Code::Overloaded | Code::NotReady | Code::NoUpstream);
     let error = match names_hosts {
-        true => ErrorBody {
-            hosts: directory_answer(shared, None).hosts,
-            ..error
-        },
+        true => ErrorBody { hosts: directory_answer(shared, None).hosts, ..error },
         false => error,
     };
     let status = StatusCode::from_u16(error.code.status());
     let mut response = json_response(status.unwrap_or(StatusCode::BAD_GATEWAY), &error);
     if let Some(ms) = error.retry_after_ms {
         let seconds = ms.div_ceil(MILLIS_PER_SECOND);
-        response
-            .headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
--- a/daemon/src/traffic/auth.rs
+++ b/daemon/src/traffic/auth.rs
@@ -33,10 +33,7 @@
         let error = ErrorBody::new(Code::NotReady, "this host has no configuration yet");
         return Err(error.with_retry_after(NOT_READY_RETRY_MS));
     }
-    let header = req
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
     match header.and_then(|value| value.strip_prefix("Bearer ")) {
         Some(key) => Ok(key_digest(key.trim())),
         None => Err(ErrorBody::new(Code::NoKey, "the request has no bearer key")),
@@ -68,27 +65,17 @@
     if view.knows_key(&key_digest).is_none() {
         return Err(wrong_key());
     }
-    let service = view
-        .services
-        .get(service)
-        .ok_or_else(|| unknown_service(service))?;
+    let service = view.services.get(service).ok_or_else(|| unknown_service(service))?;
     let organisation = service.organisation(&key_digest).cloned().ok_or_else(|| {
         let name = &service.spec.name;
         let message = format!("the organisation may not use service \"{name}\"");
         ErrorBody::new(Code::NotAllowed, message)
     })?;
-    Ok(Access {
-        organisation,
-        key_digest,
-        service: Arc::clone(service),
-    })
+    Ok(Access { organisation, key_digest, service: Arc::clone(service) })
 }
 
 fn unknown_service(service: &str) -> ErrorBody {
-    ErrorBody::new(
-        Code::NotFound,
-        format!("service \"{service}\" does not exist"),
-    )
+    ErrorBody::new(Code::NotFound, format!("service \"{service}\" does not exist"))
 }
 
 /// Checks that the caller may use `kind` of `service`, which must be of `service_type`.
@@ -104,15 +91,10 @@
         return Err(unknown_service(service));
     }
     let found = access.service.spec.kinds.get_key_value(kind);
-    let (kind_name, kind) = found
-        .map(|(name, kind)| (name.clone(), kind.clone()))
-        .ok_or_else(|| {
+    let (kind_name, kind) =
+        found.map(|(name, kind)| (name.clone(), kind.clone())).ok_or_else(|| {
             let message = format!("kind \"{kind}\" does not exist in service \"{service}\"");
             ErrorBody::new(Code::NotFound, message)
         })?;
-    Ok(KindAccess {
-        access,
-        kind_name,
-        kind,
-    })
+    Ok(KindAccess { access, kind_name, kind })
 }
--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -75,29 +75,17 @@
     let idempotency_key = idempotency_key(&req, access.kind.idempotent)?;
     let max_bytes = access.access.service.spec.limits.body_bytes;
     let body = read_body(shared, req.into_body(), max_bytes).await?;
-    shared.metrics.count(
-        "requests",
-        &access.access.service.spec.name,
-        &access.kind_name,
-    );
+    shared.metrics.count("requests", &access.access.service.spec.name, &access.kind_name);
     shared.routing().budget.earn();
     let request_id = request_id.to_owned();
-    let job = Job {
-        request_id,
-        access,
-        idempotency_key,
-        body,
-        deadline,
-    };
+    let job = Job { request_id, access, idempotency_key, body, deadline };
     // The call goes on though its caller leaves, so that its outcome is recorded.
     let (task, in_progress) = (Arc::clone(shared), shared.enter());
     let running = tokio::spawn(async move {
         let _in_progress = in_progress;
         match &job.idempotency_key {
             Some(key) if !job.access.kind.idempotent => run_once(&task, &job, key).await,
-            _ => run(&task, &job, None)
-                .await
-                .map_err(|failure| failure.error),
+            _ => run(&task, &job, None).await.map_err(|failure| failure.error),
         }
     });
     match running.await {
@@ -118,10 +106,7 @@
 }
 
 fn idempotency_key(req: &Request<Incoming>, idempotent: bool) -> Result<Option<String>, ErrorBody> {
-    let key = req
-        .headers()
-        .get(IDEMPOTENCY_KEY)
-        .and_then(|value| value.to_str().ok());
+    let key = req.headers().get(IDEMPOTENCY_KEY).and_then(|value| value.to_str().ok());
     match key {
         None if !idempotent => {
             let message = "the call is not idempotent and needs the header \"idempotency-key\"";
@@ -139,10 +124,7 @@
 async fn run_once(shared: &Arc<Shared>, job: &Job, key: &str) -> Result<Answer, ErrorBody> {
     let access = &job.access.access;
     let service = &access.service.spec.name;
-    let key = format!(
-        "{}/{service}/{}/{key}",
-        access.organisation, job.access.kind_name
-    );
+    let key = format!("{}/{service}/{}/{key}", access.organisation, job.access.kind_name);
     let claimed = match claim(shared, job, &key).await? {
         Claimed::Won(won) => won,
         Claimed::Answered(answer) => return Ok(answer),
@@ -166,14 +148,8 @@
 
 fn outcome_of(answer: &Answer) -> Outcome {
     let is_kept = answer.body.len() <= KEPT_ANSWER_BYTES;
-    let body = String::from_utf8(answer.body.to_vec())
-        .ok()
-        .filter(|_| is_kept);
-    Outcome {
-        verdict: Verdict::Ran,
-        status: answer.status,
-        body,
-    }
+    let body = String::from_utf8(answer.body.to_vec()).ok().filter(|_| is_kept);
+    Outcome { verdict: Verdict::Ran, status: answer.status, body }
 }
 
 /// What became of a claim.
@@ -207,16 +183,9 @@
             },
             nonce,
         };
-        let patience = job
-            .time_left(shared)
-            .min(Millis(shared.settings.claim_bound_ms));
+        let patience = job.time_left(shared).min(Millis(shared.settings.claim_bound_ms));
         let answer = ledger::claim(shared, claim, patience).await;
-        job.log(
-            shared,
-            Decision::Claimed {
-                answer: claim_name(&answer).to_owned(),
-            },
-        );
+        job.log(shared, Decision::Claimed { answer: claim_name(&answer).to_owned() });
         match answer {
             ClaimAnswer::Won => return Ok(Claimed::Won(Won { nonce, at })),
             ClaimAnswer::Released if job.time_left(shared) > Millis(0) => {
@@ -254,10 +223,9 @@
 /// The error of a claim that did not win.
 fn lost(answer: &ClaimAnswer) -> ErrorBody {
     match answer {
-        ClaimAnswer::OtherBody => ErrorBody::new(
-            Code::KeyReused,
-            "the idempotency key was used with another body",
-        ),
+        ClaimAnswer::OtherBody => {
+            ErrorBody::new(Code::KeyReused, "the idempotency key was used with another body")
+        }
         ClaimAnswer::LogUnavailable => {
             let message = "the platform's log cannot be reached; the call was not run";
             ErrorBody::new(Code::LogUnavailable, message).with_retry_after(IN_PROGRESS_RETRY_MS)
@@ -274,20 +242,11 @@
 /// The answer of a call that ran before, when it is kept.
 fn finished(outcome: Outcome) -> Result<Answer, ErrorBody> {
     if let (Verdict::Ran, Some(body)) = (outcome.verdict, outcome.body) {
-        return Ok(Answer {
-            status: outcome.status,
-            body: Bytes::from(body),
-        });
+        return Ok(Answer { status: outcome.status, body: Bytes::from(body) });
     }
     let (code, message) = match outcome.verdict {
-        Verdict::Ran => (
-            Code::AnswerNotKept,
-            "the call ran, but its answer is not kept",
-        ),
-        _ => (
-            Code::UpstreamFailed,
-            "the call with this key may have run; nothing more is known",
-        ),
+        Verdict::Ran => (Code::AnswerNotKept, "the call ran, but its answer is not kept"),
+        _ => (Code::UpstreamFailed, "the call with this key may have run; nothing more is known"),
     };
     Err(ErrorBody::new(code, message).with_verdict(outcome.verdict))
 }
@@ -311,24 +270,12 @@
         let now = shared.clock.now();
         if dispatch_until.is_some_and(|until| now >= until) {
             let message = "the claim was too old to dispatch; the call was not run".to_owned();
-            return Err(failed(
-                job,
-                shared,
-                Code::DeadlineExceeded,
-                message,
-                verdict,
-            ));
+            return Err(failed(job, shared, Code::DeadlineExceeded, message, verdict));
         }
         let e = match send(shared, job, &upstream, &spec).await {
             Ok(answer) => {
                 let result = u64::from(answer.status);
-                job.log(
-                    shared,
-                    Decision::Ended {
-                        result,
-                        verdict: Verdict::Ran,
-                    },
-                );
+                job.log(shared, Decision::Ended { result, verdict: Verdict::Ran });
                 return Ok(answer);
             }
             Err(e) => e,
@@ -348,30 +295,17 @@
         match wait {
             Some(wait) => sleep(wait.into()).await,
             None => {
-                return Err(failed(
-                    job,
-                    shared,
-                    Code::UpstreamFailed,
-                    e.to_string(),
-                    verdict,
-                ));
+                return Err(failed(job, shared, Code::UpstreamFailed, e.to_string(), verdict));
             }
         }
     }
 }
 
 fn failed(job: &Job, shared: &Shared, code: Code, message: String, verdict: Verdict) -> Failure {
-    let error = ErrorBody::new(code, message)
-        .with_verdict(verdict)
-        .with_retry_after(IN_PROGRESS_RETRY_MS);
+    let error =
+        ErrorBody::new(code, message).with_verdict(verdict).with_retry_after(IN_PROGRESS_RETRY_MS);
     let retry_after_ms = error.retry_after_ms;
-    job.log(
-        shared,
-        Decision::Refused {
-            code: code.to_string(),
-            retry_after_ms,
-        },
-    );
+    job.log(shared, Decision::Refused { code: code.to_string(), retry_after_ms });
     Failure { verdict, error }
 }
 
@@ -385,28 +319,15 @@
     let service = &job.access.access.service.spec;
     let is_usable = |name: &UpstreamName| {
         service.upstreams.get(name).is_some_and(|spec| {
-            !spec.leaving
-                && view
-                    .upstreams
-                    .is_usable(now, name.as_str(), spec.address.ip())
+            !spec.leaving && view.upstreams.is_usable(now, name.as_str(), spec.address.ip())
         })
     };
-    let wish = Wish {
-        prefix: 0,
-        prefix_tokens: 0,
-        near: &shared.settings.failure_domain,
-        avoid,
-    };
+    let wish = Wish { prefix: 0, prefix_tokens: 0, near: &shared.settings.failure_domain, avoid };
     let mut routing = shared.routing();
     let routing = &mut *routing;
-    let candidates = routing
-        .router
-        .candidates(now, service, is_usable, wish, &mut routing.rng);
+    let candidates = routing.router.candidates(now, service, is_usable, wish, &mut routing.rng);
     drop(view);
-    let ranked = candidates
-        .iter()
-        .map(|c| (c.upstream.clone(), c.score_ms))
-        .collect();
+    let ranked = candidates.iter().map(|c| (c.upstream.clone(), c.score_ms)).collect();
     job.log(shared, Decision::Candidates { ranked });
     let chosen = candidates.into_iter().next()?.upstream;
     let spec = service.upstreams.get(&chosen)?.clone();
--- a/daemon/src/traffic/generations.rs
+++ b/daemon/src/traffic/generations.rs
@@ -37,9 +37,7 @@
     let body_digest = key_digest(&String::from_utf8_lossy(&body));
     let job = job(request_id, access, request, &body_digest, arrived);
     let spec = &job.access.access.service.spec;
-    shared
-        .metrics
-        .count("requests", &spec.name, &job.access.kind_name);
+    shared.metrics.count("requests", &spec.name, &job.access.kind_name);
     match job.access.kind.delivery {
         Delivery::Stream => {
             let attempt = Attempt::first(shared, &job).await?;
@@ -66,11 +64,7 @@
         request_id: request_id.to_owned(),
         prompt_tokens: request.prompt.len().div_ceil(BYTES_PER_TOKEN).max(1) as u32,
         prefix,
-        prefix_tokens: if prefix == 0 {
-            0
-        } else {
-            (PREFIX_BYTES / BYTES_PER_TOKEN) as u32
-        },
+        prefix_tokens: if prefix == 0 { 0 } else { (PREFIX_BYTES / BYTES_PER_TOKEN) as u32 },
         max_tokens: request.max_tokens.unwrap_or(limit).min(limit),
         prompt: request.prompt,
         fingerprint,
--- a/daemon/src/traffic/resume.rs
+++ b/daemon/src/traffic/resume.rs
@@ -36,13 +36,7 @@
     if !id.belongs_to(&access.key_digest) {
         return Err(unknown());
     }
-    let spec = access
-        .service
-        .spec
-        .upstreams
-        .get(&id.upstream)
-        .cloned()
-        .ok_or_else(unknown)?;
+    let spec = access.service.spec.upstreams.get(&id.upstream).cloned().ok_or_else(unknown)?;
     Ok((access, spec))
 }
 
@@ -58,11 +52,7 @@
     let service = &access.service.spec;
     let silence = Millis(service.limits.silence_ms);
     let run = Run::resume(shared, request_id, id.clone(), &spec, silence, from).await;
-    let longest = service
-        .kinds
-        .values()
-        .map(|kind: &KindSpec| kind.deadline_ms)
-        .max();
+    let longest = service.kinds.values().map(|kind: &KindSpec| kind.deadline_ms).max();
     match run {
         Ok(run) => {
             let left = Duration::from_millis(longest.unwrap_or_default());
@@ -101,11 +91,7 @@
 ) -> Result<Response<Body>, ErrorBody> {
     let (_, spec) = find(shared, id, req)?;
     let generation = id.to_string();
-    match shared
-        .engines
-        .cancel(spec.address, &generation, false)
-        .await
-    {
+    match shared.engines.cancel(spec.address, &generation, false).await {
         Ok(()) => Ok(json_response(StatusCode::OK, &Cancelled { generation })),
         Err(e) => {
             let error = ErrorBody::new(Code::UpstreamFailed, e.to_string());
--- a/daemon/src/traffic/run.rs
+++ b/daemon/src/traffic/run.rs
@@ -65,17 +65,9 @@
     pub(super) fn refuse(&self, shared: &Shared, error: ErrorBody) -> ErrorBody {
         let code = error.code.to_string();
         let retry_after_ms = error.retry_after_ms;
-        self.log(
-            shared,
-            Decision::Refused {
-                code,
-                retry_after_ms,
-            },
-        );
+        self.log(shared, Decision::Refused { code, retry_after_ms });
         let service = &self.access.access.service.spec.name;
-        shared
-            .metrics
-            .count("refusals", service, &self.access.kind_name);
+        shared.metrics.count("refusals", service, &self.access.kind_name);
         error
     }
 }
@@ -99,10 +91,7 @@
 impl Outstanding {
     fn new(shared: &Arc<Shared>, upstream: &UpstreamName) -> Self {
         shared.routing().router.note_start(upstream);
-        Self {
-            shared: Arc::clone(shared),
-            upstream: upstream.clone(),
-        }
+        Self { shared: Arc::clone(shared), upstream: upstream.clone() }
     }
 }
 
@@ -171,10 +160,7 @@
         from: u64,
     ) -> Result<Self, EngineError> {
         let limit = silence.into();
-        let events = shared
-            .engines
-            .resume(spec.address, &id.to_string(), from, limit)
-            .await?;
+        let events = shared.engines.resume(spec.address, &id.to_string(), from, limit).await?;
         let counted = Outstanding::new(shared, &id.upstream);
         let place = Place {
             upstream: id.upstream.clone(),
@@ -248,32 +234,19 @@
     fn failure(&mut self, verdict: Verdict, reason: String, died: bool) -> RunFailure {
         self.ended = true;
         if died {
-            self.shared
-                .routing()
-                .router
-                .note_failure(self.shared.clock.now(), &self.id.upstream);
+            self.shared.routing().router.note_failure(self.shared.clock.now(), &self.id.upstream);
             let message = Message::UpstreamUnreachable(self.id.upstream.clone());
             let _ = self.shared.control.try_send(message);
         }
-        RunFailure {
-            verdict,
-            reason,
-            died,
-        }
+        RunFailure { verdict, reason, died }
     }
 
     /// Resumes the same generation on a new connection.
     async fn reconnect(&mut self, reason: &str) -> Result<(), RunFailure> {
         let next_index = self.tokens();
         let upstream = self.id.upstream.clone();
-        let decision = Decision::Resumed {
-            upstream,
-            next_index,
-            reason: reason.to_owned(),
-        };
-        self.shared
-            .decisions
-            .log(&self.request_id, &self.id.service, decision);
+        let decision = Decision::Resumed { upstream, next_index, reason: reason.to_owned() };
+        self.shared.decisions.log(&self.request_id, &self.id.service, decision);
         let address = self.place.spec.address;
         let id = self.id.to_string();
         let mut last = reason.to_owned();
@@ -283,12 +256,7 @@
             }
             self.resumes += 1;
             let limit = RESUME_TIMEOUT;
-            match self
-                .shared
-                .engines
-                .resume(address, &id, next_index, limit)
-                .await
-            {
+            match self.shared.engines.resume(address, &id, next_index, limit).await {
                 Ok(events) => {
                     self.events = events;
                     self.delivery.reconnected(self.shared.clock.now());
@@ -386,13 +354,7 @@
             let domain = place.spec.failure_domain.clone();
             match start(shared, job, place).await {
                 Ok((run, first)) => {
-                    return Ok(Self {
-                        count,
-                        verdict,
-                        run,
-                        first,
-                        treatment,
-                    });
+                    return Ok(Self { count, verdict, run, first, treatment });
                 }
                 Err(failure) => {
                     verdict = verdict.and_then(failure.verdict);
@@ -441,9 +403,7 @@
         }
         None => {
             let error = ErrorBody::new(Code::UpstreamFailed, failure.reason);
-            let error = error
-                .with_verdict(verdict)
-                .with_retry_after(NO_RETRY_AFTER.0);
+            let error = error.with_verdict(verdict).with_retry_after(NO_RETRY_AFTER.0);
             Err(job.refuse(shared, error))
         }
     }
@@ -491,11 +451,7 @@
         Err(_) => {
             let reason = "the deadline passed before the first token".to_owned();
             run.cancel().await;
-            Err(RunFailure {
-                verdict: Verdict::Ran,
-                reason,
-                died: false,
-            })
+            Err(RunFailure { verdict: Verdict::Ran, reason, died: false })
         }
     }
 }
@@ -513,11 +469,7 @@
     if let Some(message) = message {
         let _ = shared.control.try_send(message);
     }
-    RunFailure {
-        verdict: e.verdict(),
-        reason: e.to_string(),
-        died,
-    }
+    RunFailure { verdict: e.verdict(), reason: e.to_string(), died }
 }
 
 /// Asks or tells the owner of a fingerprint; without its answer the request runs as any other.
@@ -533,15 +485,10 @@
     if owner.host == shared.settings.host {
         return ask_here(shared, fingerprint, report).await;
     }
-    let req = SuspectRequest {
-        fingerprint: fingerprint.0,
-        report: report as u32,
-    };
-    let call = shared
-        .peers
-        .call(owner.peer_address, SUSPECT_TIMEOUT, |mut peer| async move {
-            peer.suspect(req).await
-        });
+    let req = SuspectRequest { fingerprint: fingerprint.0, report: report as u32 };
+    let call = shared.peers.call(owner.peer_address, SUSPECT_TIMEOUT, |mut peer| async move {
+        peer.suspect(req).await
+    });
     match call.await {
         Ok(reply) if reply.refused_for_ms > 0 => {
             Treatment::Refused(Millis(u64::from(reply.refused_for_ms)))
@@ -557,21 +504,10 @@
     report: SuspectReport,
 ) -> Treatment {
     let answer = match report {
-        SuspectReport::Ask => {
-            shared
-                .ask(|reply| Message::Treatment { fingerprint, reply })
-                .await
-        }
-        SuspectReport::Crashed => {
-            shared
-                .ask(|reply| Message::Crashed { fingerprint, reply })
-                .await
-        }
+        SuspectReport::Ask => shared.ask(|reply| Message::Treatment { fingerprint, reply }).await,
+        SuspectReport::Crashed => shared.ask(|reply| Message::Crashed { fingerprint, reply }).await,
         SuspectReport::Completed => {
-            let _ = shared
-                .control
-                .send(Message::SuspectCompleted(fingerprint))
-                .await;
+            let _ = shared.control.send(Message::SuspectCompleted(fingerprint)).await;
             None
         }
     };
@@ -594,9 +530,7 @@
         let is_usable = |name: &UpstreamName| {
             service.upstreams.get(name).is_some_and(|spec| {
                 !spec.leaving
-                    && view
-                        .upstreams
-                        .is_usable(asked_at, name.as_str(), spec.address.ip())
+                    && view.upstreams.is_usable(asked_at, name.as_str(), spec.address.ip())
             })
         };
         let wish = Wish {
@@ -605,17 +539,12 @@
             near: &shared.settings.failure_domain,
             avoid,
         };
-        routing
-            .router
-            .candidates(asked_at, service, is_usable, wish, &mut routing.rng)
+        routing.router.candidates(asked_at, service, is_usable, wish, &mut routing.rng)
     };
     job.log(
         shared,
         Decision::Candidates {
-            ranked: candidates
-                .iter()
-                .map(|c| (c.upstream.clone(), c.score_ms))
-                .collect(),
+            ranked: candidates.iter().map(|c| (c.upstream.clone(), c.score_ms)).collect(),
         },
     );
     if candidates.is_empty() {
@@ -694,7 +623,6 @@
     grant: Grant,
 ) -> Place {
     let now = shared.clock.now();
-    shared.routing().router.note_wait(now, &upstream, Millis(0));
     job.log(
         shared,
         Decision::Chosen {
@@ -704,27 +632,12 @@
         },
     );
     let counted = Outstanding::new(shared, &upstream);
-    Place {
-        upstream,
-        spec: spec.clone(),
-        grant: Some(grant),
-        _counted: counted,
-    }
+    Place { upstream, spec: spec.clone(), grant: Some(grant), _counted: counted }
 }
 
 fn note_busy(shared: &Shared, job: &Job, upstream: &UpstreamName, wait: Millis) {
-    shared
-        .routing()
-        .router
-        .note_wait(shared.clock.now(), upstream, wait);
     let expected_wait_ms = wait.0;
-    job.log(
-        shared,
-        Decision::Busy {
-            upstream: upstream.clone(),
-            expected_wait_ms,
-        },
-    );
+    job.log(shared, Decision::Busy { upstream: upstream.clone(), expected_wait_ms });
 }
 
 /// Routes without an owner, within a small share that every daemon may use.
@@ -750,12 +663,7 @@
         },
     );
     let counted = Outstanding::new(shared, upstream);
-    Ok(Place {
-        upstream: upstream.clone(),
-        spec: spec.clone(),
-        grant: None,
-        _counted: counted,
-    })
+    Ok(Place { upstream: upstream.clone(), spec: spec.clone(), grant: None, _counted: counted })
 }
 
 fn overloaded(service: &magnoliawinch::names::ServiceName, retry: Millis) -> ErrorBody {
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -62,9 +62,7 @@
     let (response, pump) = open(shared, &attempt.run.id, left);
     let service = job.access.access.service.spec.name.clone();
     let waited = Duration::from(shared.clock.now().since(job.arrived));
-    shared
-        .metrics
-        .time("first_token", &service, &job.access.kind_name, waited);
+    shared.metrics.time("first_token", &service, &job.access.kind_name, waited);
     let in_progress = shared.enter();
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
@@ -140,8 +138,7 @@
                 Ok(Err(failure)) => return Err(Stopped::Failed(failure)),
                 Err(_) if Instant::now() >= self.deadline => return Err(Stopped::Deadline),
                 Err(_) => {
-                    self.send(Bytes::from_static(sse::KEEP_ALIVE.as_bytes()))
-                        .await?;
+                    self.send(Bytes::from_static(sse::KEEP_ALIVE.as_bytes())).await?;
                 }
             }
         }
--- a/daemon/src/traffic/whole.rs
+++ b/daemon/src/traffic/whole.rs
@@ -23,13 +23,7 @@
             Ok(Ok(answer)) => {
                 attempt.succeeded(shared, job).await;
                 let result = answer.tokens;
-                job.log(
-                    shared,
-                    Decision::Ended {
-                        result,
-                        verdict: Verdict::Ran,
-                    },
-                );
+                job.log(shared, Decision::Ended { result, verdict: Verdict::Ran });
                 return Ok(json_response(StatusCode::OK, &answer));
             }
             Ok(Err(failure)) => attempt = attempt.again(shared, job, failure).await?,
@@ -51,11 +45,7 @@
         match output {
             Output::Token { text: piece, .. } => text.push_str(&piece),
             Output::Complete(tokens) => {
-                return Ok(WholeAnswer {
-                    generation,
-                    tokens,
-                    text,
-                });
+                return Ok(WholeAnswer { generation, tokens, text });
             }
         }
         output = attempt.run.next().await?;
--- a/daemon/src/view.rs
+++ b/daemon/src/view.rs
@@ -22,16 +22,10 @@
             .organisations
             .iter()
             .flat_map(|(name, organisation)| {
-                organisation
-                    .key_sha256
-                    .iter()
-                    .map(|digest| (digest.clone(), name.clone()))
+                organisation.key_sha256.iter().map(|digest| (digest.clone(), name.clone()))
             })
             .collect();
-        Self {
-            spec: Arc::clone(spec),
-            keys,
-        }
+        Self { spec: Arc::clone(spec), keys }
     }
 
     /// The organisation whose key has this digest.
@@ -46,9 +40,7 @@
 /// The services of `state`; those that `old` already has are taken over.
 pub(crate) fn services(state: &State, old: &Services) -> Services {
     let view = |spec: &Arc<ServiceSpec>| {
-        let kept = old
-            .get(&spec.name)
-            .filter(|view| Arc::ptr_eq(&view.spec, spec));
+        let kept = old.get(&spec.name).filter(|view| Arc::ptr_eq(&view.spec, spec));
         let view = kept.map_or_else(|| Arc::new(ServiceView::new(spec)), Arc::clone);
         (spec.name.clone(), view)
     };
@@ -83,8 +75,6 @@
 
     /// Whether any service knows the key with this digest.
     pub(crate) fn knows_key(&self, key_digest: &str) -> Option<&OrganisationName> {
-        self.services
-            .values()
-            .find_map(|service| service.organisation(key_digest))
+        self.services.values().find_map(|service| service.organisation(key_digest))
     }
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -147,15 +147,9 @@
         generation: &str,
         unwatched: bool,
     ) -> Result<(), EngineError> {
-        let path = format!(
-            "/generations/{generation}?unwatched={}",
-            u8::from(unwatched)
-        );
+        let path = format!("/generations/{generation}?unwatched={}", u8::from(unwatched));
         let req = json_request(Method::DELETE, &path, None::<&()>);
-        let reply = self
-            .client
-            .send(address, req, Reuse::Recent, CANCEL_TIMEOUT)
-            .await?;
+        let reply = self.client.send(address, req, Reuse::Recent, CANCEL_TIMEOUT).await?;
         reply.bytes(MAX_REFUSAL_BYTES).await?;
         Ok(())
     }
@@ -163,14 +157,7 @@
     /// Reads the engine's load.
     pub async fn load(&self, address: SocketAddr) -> Result<LoadReport, SendError> {
         self.client
-            .json(
-                address,
-                Method::GET,
-                "/load",
-                None::<&()>,
-                LOAD_TIMEOUT,
-                MAX_REFUSAL_BYTES,
-            )
+            .json(address, Method::GET, "/load", None::<&()>, LOAD_TIMEOUT, MAX_REFUSAL_BYTES)
             .await
     }
 }
@@ -190,20 +177,11 @@
     let address = reply.address();
     let verdict = reply.header(VERDICT_HEADER).and_then(|v| v.parse().ok());
     let draining = reply.header(DRAINING_HEADER) == Some("true");
-    let incarnation = reply
-        .header(INCARNATION_HEADER)
-        .and_then(|v| v.parse().ok());
+    let incarnation = reply.header(INCARNATION_HEADER).and_then(|v| v.parse().ok());
     let reason = match reply.bytes(MAX_REFUSAL_BYTES).await {
         Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
         Err(e) => e.to_string(),
     };
     let verdict = verdict.unwrap_or(Verdict::MayHaveRun);
-    EngineError::Refused {
-        address,
-        status,
-        verdict,
-        draining,
-        incarnation,
-        reason,
-    }
+    EngineError::Refused { address, status, verdict, draining, incarnation, reason }
 }
--- /dev/null
+++ b/experiments/src/crowd/workload.rs
@@ -0,0 +1,341 @@
+//! Arrivals as the users' deployments have them.
+
+use super::Options;
+use magnoliawinch::names::{FailureDomain, KindName, OrganisationName, ServiceName, UpstreamName};
+use magnoliawinch::service_file::{
+    Delivery, KindSpec, Limits, Objective, OrganisationSpec, ServiceSpec, ServiceType, UpstreamSpec,
+};
+use magnoliawinch_fakes::engine::ModelParameters;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddr};
+use strum::{Display, EnumString};
+
+/// Engines of a pool.
+pub(super) const ENGINES: usize = 10;
+
+/// Organisations of a deployment.
+const ORGANISATIONS: usize = 10;
+
+/// Shared prefixes of each kind.
+const PREFIXES: u64 = 40;
+
+/// Longest answer, in tokens.
+const MAX_LENGTH: f64 = 16_384.0;
+
+/// Whose deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Deployment {
+    /// Parts: repair guidance and classifications.
+    Peachtree,
+    /// Appraisals: long reports and stone classifications.
+    LoPresti,
+}
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub(super) struct KindProfile {
+    pub(super) name: KindName,
+    pub(super) spec: KindSpec,
+    /// Part of all requests.
+    part: f64,
+    prompt: (u32, u32),
+    prefix_tokens: u32,
+    /// Median length.
+    median: f64,
+    /// Standard deviation of the length's logarithm.
+    sigma: f64,
+}
+
+/// Sizes of a deployment.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    pub(super) model: ModelParameters,
+    pub(super) daemons: usize,
+    pub(super) domains: usize,
+    pub(super) hop_ms: u64,
+    pub(super) kinds: Vec<KindProfile>,
+    pub(super) service: ServiceSpec,
+}
+
+fn kind(weight: f64, priority: u8, delivery: Delivery, limits_ms: (u64, u64)) -> KindSpec {
+    let (first_token_ms, deadline_ms) = limits_ms;
+    KindSpec { weight, priority, delivery, idempotent: true, deadline_ms, first_token_ms }
+}
+
+impl Profile {
+    /// The sizes of the brief.
+    pub fn new(deployment: Deployment) -> Self {
+        match deployment {
+            Deployment::Peachtree => peachtree(),
+            Deployment::LoPresti => lo_presti(),
+        }
+    }
+
+    /// Requests a second that the pool carries at the target between tokens with full memory.
+    fn capacity_per_second(&self) -> f64 {
+        let mean = |value: &dyn Fn(&KindProfile) -> f64| -> f64 {
+            self.kinds.iter().map(|kind| kind.part * value(kind)).sum()
+        };
+        let prompt = mean(&|kind| kind.own_prompt());
+        let length = mean(&|kind| kind.mean_length());
+        // Memory that an answer holds, over the steps for which it holds it.
+        let held =
+            mean(&|kind| kind.own_prompt() * kind.mean_length() + kind.mean_square_length() / 2.0);
+        let footprint = held / length;
+        let m = &self.model;
+        let by_memory = m.memory_tokens as f64 / footprint;
+        let target = self.service.limits.inter_token_ms as f64;
+        let per_answer = m.answer_ms + m.context_ms * footprint;
+        let by_step = (target - m.base_ms) / per_answer;
+        let count = by_memory.min(by_step).min(m.max_running as f64);
+        let mut rate = 0.0;
+        for _ in 0..50 {
+            let prefill = (m.prefill_ms * prompt * rate).min(0.9);
+            let step = (m.base_ms + per_answer * count) / (1.0 - prefill);
+            rate = f64::midpoint(rate, count / (length * step));
+        }
+        const MILLIS_PER_SECOND: f64 = 1_000.0;
+        rate * MILLIS_PER_SECOND * ENGINES as f64
+    }
+}
+
+fn peachtree() -> Profile {
+    let kinds = vec![
+        KindProfile {
+            name: KindName::new("walkthrough"),
+            spec: kind(5.0, 5, Delivery::Stream, (1_800, 60_000)),
+            part: 0.7,
+            prompt: (300, 1_500),
+            prefix_tokens: 256,
+            median: 180.0,
+            sigma: 1.0,
+        },
+        KindProfile {
+            name: KindName::new("classification"),
+            spec: kind(1.0, 7, Delivery::Whole, (1_800, 10_000)),
+            part: 0.3,
+            prompt: (500, 700),
+            prefix_tokens: 256,
+            median: 12.0,
+            sigma: 0.5,
+        },
+    ];
+    let model = ModelParameters { memory_tokens: 60_000, ..ModelParameters::default() };
+    let objective = Objective { stall: 3.0, tail_latency: 3.0, preemption: 1.0 };
+    let service = service("repair-guidance", objective, &kinds, &model, 3);
+    Profile { model, daemons: 9, domains: 3, hop_ms: 1, kinds, service }
+}
+
+fn lo_presti() -> Profile {
+    let kinds = vec![
+        KindProfile {
+            name: KindName::new("appraisal"),
+            spec: kind(5.0, 3, Delivery::Whole, (60_000, 900_000)),
+            part: 0.5,
+            prompt: (800, 2_400),
+            prefix_tokens: 512,
+            median: 700.0,
+            sigma: 1.0,
+        },
+        KindProfile {
+            name: KindName::new("stone"),
+            spec: kind(2.0, 8, Delivery::Stream, (1_800, 10_000)),
+            part: 0.5,
+            prompt: (300, 500),
+            prefix_tokens: 128,
+            median: 20.0,
+            sigma: 0.5,
+        },
+    ];
+    let model = ModelParameters { memory_tokens: 60_000, ..ModelParameters::default() };
+    let objective = Objective { stall: 1.0, tail_latency: 1.0, preemption: 5.0 };
+    let service = service("appraisals", objective, &kinds, &model, 4);
+    Profile { model, daemons: 8, domains: 4, hop_ms: 1, kinds, service }
+}
+
+fn service(
+    name: &str,
+    objective: Objective,
+    kinds: &[KindProfile],
+    model: &ModelParameters,
+    domains: usize,
+) -> ServiceSpec {
+    let upstream = |place: usize| {
+        let spec = UpstreamSpec {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, place as u16 + 1)),
+            failure_domain: domain_of(place, domains),
+            memory_tokens: model.memory_tokens,
+            max_running: model.max_running,
+            checks_fencing: true,
+            leaving: false,
+        };
+        (UpstreamName::from(format!("engine-{place}")), spec)
+    };
+    let organisation = |place: usize| {
+        let spec = OrganisationSpec { share: share_of(place), key_sha256: Vec::new() };
+        (organisation_name(place), spec)
+    };
+    ServiceSpec {
+        name: ServiceName::new(name),
+        service_type: ServiceType::Generation,
+        objective,
+        limits: Limits {
+            queue_length: 500,
+            body_bytes: 1,
+            max_tokens: MAX_LENGTH as u32,
+            inter_token_ms: 56,
+            first_token_ms: 1_800,
+            silence_ms: 2_000,
+        },
+        kinds: kinds.iter().map(|kind| (kind.name.clone(), kind.spec.clone())).collect(),
+        organisations: (0..ORGANISATIONS).map(organisation).collect(),
+        upstreams: (0..ENGINES).map(upstream).collect(),
+    }
+}
+
+pub(super) fn domain_of(place: usize, domains: usize) -> FailureDomain {
+    FailureDomain::from(format!("domain-{}", place % domains))
+}
+
+fn organisation_name(place: usize) -> OrganisationName {
+    OrganisationName::from(format!("organisation-{place}"))
+}
+
+/// A few organisations are large.
+fn share_of(place: usize) -> f64 {
+    match place {
+        0 => 4.0,
+        1 | 2 => 2.0,
+        _ => 1.0,
+    }
+}
+
+/// Part of the arrivals: the largest organisation sends more than its share.
+fn demand_of(place: usize) -> f64 {
+    match place {
+        0 => 8.0,
+        1 | 2 => 2.0,
+        _ => 0.6,
+    }
+}
+
+impl KindProfile {
+    /// Mean length of a prompt without its shared prefix.
+    fn own_prompt(&self) -> f64 {
+        let whole = f64::midpoint(self.prompt.0.into(), self.prompt.1.into());
+        whole - f64::from(self.prefix_tokens)
+    }
+
+    fn mean_length(&self) -> f64 {
+        self.median * mean_scale(1) * (self.sigma * self.sigma / 2.0).exp()
+    }
+
+    fn mean_square_length(&self) -> f64 {
+        self.median * self.median * mean_scale(2) * (2.0 * self.sigma * self.sigma).exp()
+    }
+
+    fn length<R: RngExt>(&self, rng: &mut R, scale: f64) -> u32 {
+        let length = self.median * scale * (self.sigma * normal(rng)).exp();
+        length.clamp(1.0, MAX_LENGTH) as u32
+    }
+}
+
+/// Organisations differ in how long their answers are.
+fn scale_of(organisation: usize) -> f64 {
+    0.6 + 0.1 * organisation as f64
+}
+
+/// The mean of a power of the scale over all requests.
+fn mean_scale(power: i32) -> f64 {
+    let demand: f64 = (0..ORGANISATIONS).map(demand_of).sum();
+    let part = |place| demand_of(place) / demand * scale_of(place).powi(power);
+    (0..ORGANISATIONS).map(part).sum()
+}
+
+/// A number of the standard normal distribution, by the polar form of Box and Muller.
+fn normal<R: RngExt>(rng: &mut R) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    pub(super) at_ms: f64,
+    pub(super) entry: usize,
+    pub(super) organisation: OrganisationName,
+    pub(super) kind: usize,
+    pub(super) prompt_tokens: u32,
+    pub(super) prefix: u64,
+    pub(super) prefix_tokens: u32,
+    pub(super) length: u32,
+}
+
+/// The arrivals of one run, the same for every policy.
+#[derive(Clone, Debug)]
+pub(super) struct Workload {
+    pub(super) profile: Profile,
+    pub(super) arrivals: Vec<Arrival>,
+    capacity: f64,
+}
+
+impl Workload {
+    pub(super) fn new(options: &Options) -> Self {
+        const MILLIS_PER_SECOND: f64 = 1_000.0;
+        let profile = Profile::new(options.deployment);
+        let capacity = profile.capacity_per_second();
+        let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let span_ms = options.seconds as f64 * MILLIS_PER_SECOND;
+        let mut arrivals = Vec::new();
+        let mut at_ms = 0.0;
+        loop {
+            let is_surge = (span_ms / 3.0..span_ms * 2.0 / 3.0).contains(&at_ms);
+            let load = options.surge.filter(|_| is_surge).unwrap_or(options.load);
+            let gap = -(1.0 - rng.random::<f64>()).ln() / (capacity * load);
+            at_ms += gap * MILLIS_PER_SECOND;
+            if at_ms >= span_ms {
+                break;
+            }
+            arrivals.push(arrival(&profile, at_ms, &mut rng));
+        }
+        Self { profile, arrivals, capacity }
+    }
+
+    pub(super) fn capacity_per_second(&self) -> f64 {
+        self.capacity
+    }
+}
+
+fn pick<R: RngExt>(rng: &mut R, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let total: f64 = weights.clone().sum();
+    let mut left = rng.random::<f64>() * total;
+    for (place, weight) in weights.enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return place;
+        }
+    }
+    0
+}
+
+fn arrival<R: RngExt>(profile: &Profile, at_ms: f64, rng: &mut R) -> Arrival {
+    let kind_place = pick(rng, profile.kinds.iter().map(|kind| kind.part));
+    let kind = &profile.kinds[kind_place];
+    let organisation = pick(rng, (0..ORGANISATIONS).map(demand_of));
+    // A few prefixes are popular.
+    let prefix = (PREFIXES as f64 * rng.random::<f64>().powi(3)) as u64;
+    Arrival {
+        at_ms,
+        entry: rng.random_range(0..profile.daemons),
+        organisation: organisation_name(organisation),
+        kind: kind_place,
+        prompt_tokens: rng.random_range(kind.prompt.0..=kind.prompt.1),
+        prefix: 1 + kind_place as u64 * PREFIXES + prefix,
+        prefix_tokens: kind.prefix_tokens,
+        length: kind.length(rng, scale_of(organisation)),
+    }
+}
--- /dev/null
+++ b/experiments/src/lib.rs
@@ -0,0 +1,3 @@
+//! Experiments that drive the decisions and the stand-in engines under one virtual clock.
+
+pub mod crowd;
--- a/fakes/src/engine/model.rs
+++ b/fakes/src/engine/model.rs
@@ -159,21 +159,14 @@
     pub fn submit(&mut self, job: Job) {
         self.order += 1;
         let to_prefill = job.prompt_tokens;
-        let slot = Slot {
-            job,
-            written: 0,
-            to_prefill,
-            order: self.order,
-        };
+        let slot = Slot { job, written: 0, to_prefill, order: self.order };
         self.enqueue(slot);
     }
 
     /// Keeps the queue in order of priority and arrival.
     fn enqueue(&mut self, slot: Slot) {
         let rank = |s: &Slot| (std::cmp::Reverse(s.job.priority), s.order);
-        let place = self
-            .waiting
-            .partition_point(|other| rank(other) < rank(&slot));
+        let place = self.waiting.partition_point(|other| rank(other) < rank(&slot));
         self.waiting.insert(place, slot);
     }
 
@@ -219,12 +212,7 @@
     /// Memory in use by answers, in tokens; idle prefixes do not count.
     pub fn used_tokens(&self) -> u64 {
         let own: u64 = self.running.iter().map(Slot::blocks).sum();
-        let shared: u64 = self
-            .prefixes
-            .values()
-            .filter(|p| p.users > 0)
-            .map(prefix_blocks)
-            .sum();
+        let shared: u64 = self.prefixes.values().filter(|p| p.users > 0).map(prefix_blocks).sum();
         (own + shared) * BLOCK_TOKENS
     }
 
@@ -302,11 +290,7 @@
             return;
         }
         self.prefix_misses += 1;
-        let prefix = Prefix {
-            tokens: slot.job.prefix_tokens,
-            users: 1,
-            used_at_step: self.steps,
-        };
+        let prefix = Prefix { tokens: slot.job.prefix_tokens, users: 1, used_at_step: self.steps };
         self.prefixes.insert(slot.job.prefix, prefix);
     }
 
@@ -328,10 +312,7 @@
             self.leave_prefix(&slot);
             self.preemptions += 1;
             let tokens = slot.context() as u32;
-            outputs.push(Output::Preempted {
-                id: slot.job.id,
-                tokens,
-            });
+            outputs.push(Output::Preempted { id: slot.job.id, tokens });
             slot.to_prefill = tokens;
             self.enqueue(slot);
         }
@@ -343,11 +324,7 @@
         self.start_waiting();
         self.make_room_for_step(outputs);
         let prefilled = self.prefill();
-        let decoding = self
-            .running
-            .iter()
-            .filter(|slot| slot.to_prefill == 0)
-            .count();
+        let decoding = self.running.iter().filter(|slot| slot.to_prefill == 0).count();
         let context: u64 = self.running.iter().map(Slot::context).sum();
         let p = self.parameters;
         let ms = p.base_ms
@@ -376,10 +353,7 @@
                 continue;
             }
             if slot.written < slot.job.length {
-                outputs.push(Output::Token {
-                    id: slot.job.id,
-                    index: slot.written,
-                });
+                outputs.push(Output::Token { id: slot.job.id, index: slot.written });
                 slot.written += 1;
             }
             if slot.written >= slot.job.length {
--- a/fakes/src/engine/server.rs
+++ b/fakes/src/engine/server.rs
@@ -144,11 +144,8 @@
         let work = Arc::new(Notify::new());
         let (stop, stopped) = watch::channel(false);
         let died = Arc::new(Notify::new());
-        let handler = Handler {
-            inner: Arc::clone(&inner),
-            work: Arc::clone(&work),
-            died: Arc::clone(&died),
-        };
+        let handler =
+            Handler { inner: Arc::clone(&inner), work: Arc::clone(&work), died: Arc::clone(&died) };
         let serving = serve(listener, ServerLimits::default(), stopped, move |req| {
             let handler = handler.clone();
             async move { handler.handle(req).await }
@@ -161,13 +158,7 @@
         };
         let steps = run_steps(Arc::clone(&inner), Arc::clone(&work));
         let tasks = vec![tokio::spawn(server), tokio::spawn(steps)];
-        Ok(Self {
-            inner,
-            address,
-            work,
-            tasks,
-            stop,
-        })
+        Ok(Self { inner, address, work, tasks, stop })
     }
 
     /// Where it listens.
@@ -275,10 +266,8 @@
             Output::End { id } => (id, true),
             Output::Preempted { .. } => return,
         };
-        let Some(generation) = self
-            .numbers
-            .get(&id)
-            .and_then(|name| self.generations.get_mut(name))
+        let Some(generation) =
+            self.numbers.get(&id).and_then(|name| self.generations.get_mut(name))
         else {
             return;
         };
@@ -369,16 +358,9 @@
     async fn start(&self, req: Request<Incoming>) -> Response<Body> {
         let faults = lock(&self.inner).faults;
         if faults.draining || faults.refuse {
-            return not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                faults.draining,
-                "no new work",
-            );
+            return not_run(StatusCode::SERVICE_UNAVAILABLE, faults.draining, "no new work");
         }
-        let body = match Limited::new(req.into_body(), MAX_REQUEST_BYTES)
-            .collect()
-            .await
-        {
+        let body = match Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) => return not_run(StatusCode::BAD_REQUEST, false, &e.to_string()),
         };
@@ -548,18 +530,12 @@
         }
         if generation.cancelled {
             let reason = "cancelled".to_owned();
-            events.push(EngineEvent::Failed {
-                generation: self.id.clone(),
-                reason,
-            });
+            events.push(EngineEvent::Failed { generation: self.id.clone(), reason });
             return Progress::Ended(events);
         }
         if generation.complete {
             let tokens = generation.tokens;
-            events.push(EngineEvent::End {
-                generation: self.id.clone(),
-                tokens,
-            });
+            events.push(EngineEvent::End { generation: self.id.clone(), tokens });
             return Progress::Ended(events);
         }
         Progress::Events(events)
@@ -567,11 +543,7 @@
 }
 
 fn token(id: &str, index: u64, text: &str) -> EngineEvent {
-    EngineEvent::Token {
-        generation: id.to_owned(),
-        index,
-        text: text.to_owned(),
-    }
+    EngineEvent::Token { generation: id.to_owned(), index, text: text.to_owned() }
 }
 
 /// Names the token's place, its prompt and its run, so that a caller can tell a mixed answer.
--- a/fakes/src/hosts.rs
+++ b/fakes/src/hosts.rs
@@ -28,10 +28,7 @@
         while self.lists.len() > 1 && is_shown(&self.lists[1]) {
             self.lists.pop_front();
         }
-        self.lists
-            .front()
-            .map(|(_, list)| list.clone())
-            .unwrap_or_default()
+        self.lists.front().map(|(_, list)| list.clone()).unwrap_or_default()
     }
 }
 
@@ -53,32 +50,18 @@
     pub fn start(listener: TcpListener, hosts: Vec<Host>, lag: Duration) -> std::io::Result<Self> {
         let address = listener.local_addr()?;
         let lists = VecDeque::from([(Instant::now(), HostList { hosts })]);
-        let inner = Arc::new(Mutex::new(Inner {
-            lists,
-            lag,
-            down: false,
-        }));
+        let inner = Arc::new(Mutex::new(Inner { lists, lag, down: false }));
         let (stop, stopped) = watch::channel(false);
         let served = Arc::clone(&inner);
-        let task = tokio::spawn(serve(
-            listener,
-            ServerLimits::default(),
-            stopped,
-            move |_| {
-                let mut inner = lock(&served);
-                let response = match inner.down {
-                    true => status_response(StatusCode::SERVICE_UNAVAILABLE, "the list is down"),
-                    false => json_response(StatusCode::OK, &inner.shown()),
-                };
-                async move { response }
-            },
-        ));
-        Ok(Self {
-            inner,
-            address,
-            task,
-            _stop: stop,
-        })
+        let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, move |_| {
+            let mut inner = lock(&served);
+            let response = match inner.down {
+                true => status_response(StatusCode::SERVICE_UNAVAILABLE, "the list is down"),
+                false => json_response(StatusCode::OK, &inner.shown()),
+            };
+            async move { response }
+        }));
+        Ok(Self { inner, address, task, _stop: stop })
     }
 
     /// Where it listens.
@@ -88,9 +71,7 @@
 
     /// Changes the list; readers see it after the lag.
     pub fn set(&self, hosts: Vec<Host>) {
-        lock(&self.inner)
-            .lists
-            .push_back((Instant::now(), HostList { hosts }));
+        lock(&self.inner).lists.push_back((Instant::now(), HostList { hosts }));
     }
 
     /// Takes the list down or brings it back.
