--- a/fakes/src/log.rs
+++ b/fakes/src/log.rs
@@ -85,27 +85,15 @@
             second: 0,
             appends_this_second: 0,
         };
-        let handler = Handler {
-            inner: Arc::new(Mutex::new(inner)),
-            appended: Arc::new(Notify::new()),
-        };
+        let handler =
+            Handler { inner: Arc::new(Mutex::new(inner)), appended: Arc::new(Notify::new()) };
         let (stop, stopped) = watch::channel(false);
         let served = handler.clone();
-        let task = tokio::spawn(serve(
-            listener,
-            ServerLimits::default(),
-            stopped,
-            move |req| {
-                let handler = served.clone();
-                async move { handler.handle(req).await }
-            },
-        ));
-        Ok(Self {
-            handler,
-            address,
-            task,
-            _stop: stop,
-        })
+        let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, move |req| {
+            let handler = served.clone();
+            async move { handler.handle(req).await }
+        }));
+        Ok(Self { handler, address, task, _stop: stop })
     }
 
     /// Where it listens.
@@ -136,11 +124,7 @@
     /// The records of a stream.
     pub fn records(&self, stream: &str) -> Vec<LogRecord> {
         let inner = lock(&self.handler.inner);
-        inner
-            .streams
-            .get(stream)
-            .map(|s| s.records.clone())
-            .unwrap_or_default()
+        inner.streams.get(stream).map(|s| s.records.clone()).unwrap_or_default()
     }
 
     /// Appends and reads so far.
@@ -161,11 +145,7 @@
         let at_ms = Time(self.started.elapsed().as_millis() as u64);
         let stream = self.streams.entry(stream.to_owned()).or_default();
         let offset = Offset(stream.end());
-        stream.records.push(LogRecord {
-            offset,
-            at_ms,
-            data,
-        });
+        stream.records.push(LogRecord { offset, at_ms, data });
         self.appends += 1;
         offset
     }
@@ -177,38 +157,24 @@
             self.appends_this_second = 0;
         }
         self.appends_this_second += 1;
-        self.faults
-            .max_appends_per_second
-            .is_none_or(|max| self.appends_this_second <= max)
+        self.faults.max_appends_per_second.is_none_or(|max| self.appends_this_second <= max)
     }
 }
 
 impl Stream {
     fn end(&self) -> u64 {
-        self.records
-            .last()
-            .map_or(self.first.max(1), |record| record.offset.0 + 1)
+        self.records.last().map_or(self.first.max(1), |record| record.offset.0 + 1)
     }
 
     fn page(&self, from: u64) -> Page {
         let mut bytes = 0;
-        let skipped = self
-            .records
-            .partition_point(|record| record.offset.0 < from);
+        let skipped = self.records.partition_point(|record| record.offset.0 < from);
         let fits = |record: &&LogRecord| {
             bytes += record.data.len();
             bytes <= MAX_PAGE_BYTES || record.offset.0 == from
         };
-        let records = self.records[skipped..]
-            .iter()
-            .take_while(fits)
-            .cloned()
-            .collect();
-        Page {
-            first: Offset(self.first.max(1)),
-            end: Offset(self.end()),
-            records,
-        }
+        let records = self.records[skipped..].iter().take_while(fits).cloned().collect();
+        Page { first: Offset(self.first.max(1)), end: Offset(self.end()), records }
     }
 }
 
@@ -220,9 +186,7 @@
             return status_response(StatusCode::SERVICE_UNAVAILABLE, "the log is down");
         }
         let path = req.uri().path().to_owned();
-        let stream = path
-            .strip_prefix("/streams/")
-            .and_then(|p| p.strip_suffix("/records"));
+        let stream = path.strip_prefix("/streams/").and_then(|p| p.strip_suffix("/records"));
         match (req.method(), stream) {
             (&Method::POST, Some(stream)) => self.append(stream, req, faults).await,
             (&Method::GET, Some(stream)) => self.read(stream, &req).await,
@@ -239,10 +203,7 @@
         if !lock(&self.inner).takes_append() {
             return status_response(StatusCode::TOO_MANY_REQUESTS, "too many appends");
         }
-        let Ok(body) = Limited::new(req.into_body(), MAX_RECORD_BYTES)
-            .collect()
-            .await
-        else {
+        let Ok(body) = Limited::new(req.into_body(), MAX_RECORD_BYTES).collect().await else {
             return status_response(StatusCode::PAYLOAD_TOO_LARGE, "record too large");
         };
         let append: Append = match serde_json::from_slice(&body.to_bytes()) {
@@ -277,10 +238,6 @@
 
     fn page(&self, stream: &str, from: u64) -> Page {
         let mut inner = lock(&self.inner);
-        inner
-            .streams
-            .entry(stream.to_owned())
-            .or_default()
-            .page(from)
+        inner.streams.entry(stream.to_owned()).or_default().page(from)
     }
 }
--- a/fakes/src/reply.rs
+++ b/fakes/src/reply.rs
@@ -25,7 +25,5 @@
 /// The value of `key` in a query string, as a number.
 pub fn query_number(query: Option<&str>, key: &str) -> Option<u64> {
     let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .filter(|(name, _)| *name == key)
-        .find_map(|(_, value)| value.parse().ok())
+    pairs.filter(|(name, _)| *name == key).find_map(|(_, value)| value.parse().ok())
 }
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -59,10 +59,7 @@
 impl RunCounts {
     /// Runs by key.
     pub fn all(&self) -> HashMap<String, u64> {
-        self.inner
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Runs of `key`.
@@ -96,18 +93,10 @@
         let inner = Arc::new(Mutex::new(Inner::default()));
         let (stop, stopped) = watch::channel(false);
         let served = Arc::clone(&inner);
-        let task = tokio::spawn(serve(
-            listener,
-            ServerLimits::default(),
-            stopped,
-            move |req| handle(Arc::clone(&served), counts.clone(), req),
-        ));
-        Ok(Self {
-            inner,
-            address,
-            task,
-            _stop: stop,
-        })
+        let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, move |req| {
+            handle(Arc::clone(&served), counts.clone(), req)
+        }));
+        Ok(Self { inner, address, task, _stop: stop })
     }
 
     /// Where it listens.
@@ -146,24 +135,15 @@
 ) -> Response<Body> {
     let faults = lock(&inner).faults;
     if faults.refuse || faults.draining {
-        return not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            faults.draining,
-            "no new work",
-        );
+        return not_run(StatusCode::SERVICE_UNAVAILABLE, faults.draining, "no new work");
     }
     if req.uri().path() == "/load" {
         return status_response(StatusCode::OK, "{}");
     }
     let header = |name| req.headers().get(name).and_then(|v| v.to_str().ok());
-    let key = header("idempotency-key")
-        .or_else(|| header("x-request-id"))
-        .unwrap_or("");
+    let key = header("idempotency-key").or_else(|| header("x-request-id")).unwrap_or("");
     let key = key.to_owned();
-    let Ok(body) = Limited::new(req.into_body(), MAX_REQUEST_BYTES)
-        .collect()
-        .await
-    else {
+    let Ok(body) = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await else {
         return not_run(StatusCode::BAD_REQUEST, false, "the body broke off");
     };
     counts.add(&key);
--- a/hosts/src/lib.rs
+++ b/hosts/src/lib.rs
@@ -71,23 +71,13 @@
 impl HostsClient {
     /// A client of the list at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(),
-            address,
-        }
+        Self { client: Client::new(), address }
     }
 
     /// Reads the list.
     pub async fn list(&self) -> Result<HostList, SendError> {
         self.client
-            .json(
-                self.address,
-                Method::GET,
-                "/hosts",
-                None::<&()>,
-                LIST_TIMEOUT,
-                MAX_LIST_BYTES,
-            )
+            .json(self.address, Method::GET, "/hosts", None::<&()>, LIST_TIMEOUT, MAX_LIST_BYTES)
             .await
     }
 }
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -124,10 +124,7 @@
         let attempt = self.attempt(address, req, reuse);
         match timeout(limit, attempt).await {
             Ok(result) => result,
-            Err(_) => Err(SendError::Timeout {
-                address,
-                after: limit,
-            }),
+            Err(_) => Err(SendError::Timeout { address, after: limit }),
         }
     }
 
@@ -160,12 +157,7 @@
     }
 
     fn reply(&self, address: SocketAddr, response: Response<Incoming>, sender: Sender) -> Reply {
-        Reply {
-            response,
-            sender,
-            address,
-            client: self.clone(),
-        }
+        Reply { response, sender, address, client: self.clone() }
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
@@ -179,10 +171,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(address).or_default();
         if list.len() < MAX_IDLE_PER_ADDRESS {
-            list.push(Idle {
-                sender,
-                since: Instant::now(),
-            });
+            list.push(Idle { sender, since: Instant::now() });
         }
     }
 
@@ -203,10 +192,7 @@
         };
         match timeout(limit, whole).await {
             Ok(result) => result,
-            Err(_) => Err(SendError::Timeout {
-                address,
-                after: limit,
-            }),
+            Err(_) => Err(SendError::Timeout { address, after: limit }),
         }
     }
 }
@@ -217,9 +203,7 @@
     path: &str,
     body: Option<&impl Serialize>,
 ) -> Request<Full<Bytes>> {
-    let bytes = body
-        .map(|b| serde_json::to_vec(b).unwrap_or_default())
-        .unwrap_or_default();
+    let bytes = body.map(|b| serde_json::to_vec(b).unwrap_or_default()).unwrap_or_default();
     Request::builder()
         .method(method)
         .uri(path)
@@ -236,21 +220,15 @@
         Ok(Err(e)) => return Err(failed(e.to_string())),
         Err(_) => return Err(failed(format!("no answer within {CONNECT_TIMEOUT:?}"))),
     };
-    stream
-        .set_nodelay(true)
-        .map_err(|e| failed(e.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| failed(e.to_string()))?;
+    stream.set_nodelay(true).map_err(|e| failed(e.to_string()))?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
     tokio::spawn(connection);
     Ok(sender)
 }
 
 fn no_answer(address: SocketAddr, e: &hyper::Error) -> SendError {
-    SendError::NoAnswer {
-        address,
-        reason: e.to_string(),
-    }
+    SendError::NoAnswer { address, reason: e.to_string() }
 }
 
 /// An answer whose body has not been read.
@@ -280,27 +258,16 @@
 
     /// The body, to be read as it arrives; the connection is not used again.
     pub fn into_body(self) -> Body {
-        Body {
-            incoming: self.response.into_body(),
-            _sender: self.sender,
-        }
+        Body { incoming: self.response.into_body(), _sender: self.sender }
     }
 
     /// Reads the whole body of at most `max_bytes` and keeps the connection.
     pub async fn bytes(self, max_bytes: usize) -> Result<Bytes, SendError> {
         let status = self.status();
         let address = self.address;
-        let bad = |reason: String| SendError::BadAnswer {
-            address,
-            status,
-            reason,
-        };
+        let bad = |reason: String| SendError::BadAnswer { address, status, reason };
         let limited = Limited::new(self.response.into_body(), max_bytes);
-        let bytes = limited
-            .collect()
-            .await
-            .map_err(|e| bad(e.to_string()))?
-            .to_bytes();
+        let bytes = limited.collect().await.map_err(|e| bad(e.to_string()))?.to_bytes();
         self.client.keep_idle(address, self.sender);
         Ok(bytes)
     }
@@ -309,11 +276,7 @@
     pub async fn json<T: DeserializeOwned>(self, max_bytes: usize) -> Result<T, SendError> {
         let status = self.status();
         let address = self.address;
-        let bad = |reason: String| SendError::BadAnswer {
-            address,
-            status,
-            reason,
-        };
+        let bad = |reason: String| SendError::BadAnswer { address, status, reason };
         let bytes = self.bytes(max_bytes).await?;
         if !status.is_success() {
             return Err(bad(String::from_utf8_lossy(&bytes).into_owned()));
--- a/http/src/lines.rs
+++ b/http/src/lines.rs
@@ -40,12 +40,7 @@
 impl<T: DeserializeOwned> JsonLines<T> {
     /// Reads from `body`.
     pub fn new(body: Body) -> Self {
-        Self {
-            body,
-            buf: Vec::new(),
-            used: 0,
-            value: PhantomData,
-        }
+        Self { body, buf: Vec::new(), used: 0, value: PhantomData }
     }
 
     /// The next value; `None` at the end of the body. A dropped call loses nothing.
@@ -73,8 +68,5 @@
 fn malformed(line: &[u8], e: &serde_json::Error) -> LineError {
     const SHOWN_BYTES: usize = 80;
     let shown = String::from_utf8_lossy(&line[..line.len().min(SHOWN_BYTES)]).into_owned();
-    LineError::Malformed {
-        line: shown,
-        reason: e.to_string(),
-    }
+    LineError::Malformed { line: shown, reason: e.to_string() }
 }
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -37,9 +37,7 @@
     let mut response = Response::new(full_body(bytes));
     *response.status_mut() = status;
     let json = hyper::header::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, json);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
     response
 }
 
--- a/log/src/lib.rs
+++ b/log/src/lib.rs
@@ -68,28 +68,16 @@
 impl LogClient {
     /// A client of the service at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(),
-            address,
-        }
+        Self { client: Client::new(), address }
     }
 
     /// Appends `data` to `stream`. After an error the append may still have taken effect.
     pub async fn append(&self, stream: &str, data: &str) -> Result<Offset, SendError> {
         let path = format!("/streams/{stream}/records");
-        let body = Append {
-            data: data.to_owned(),
-        };
+        let body = Append { data: data.to_owned() };
         let appended: Appended = self
             .client
-            .json(
-                self.address,
-                Method::POST,
-                &path,
-                Some(&body),
-                APPEND_TIMEOUT,
-                4_096,
-            )
+            .json(self.address, Method::POST, &path, Some(&body), APPEND_TIMEOUT, 4_096)
             .await?;
         Ok(appended.offset)
     }
@@ -101,21 +89,9 @@
         from: Offset,
         wait: Duration,
     ) -> Result<Page, SendError> {
-        let path = format!(
-            "/streams/{stream}/records?from={}&wait_ms={}",
-            from.0,
-            wait.as_millis()
-        );
+        let path =
+            format!("/streams/{stream}/records?from={}&wait_ms={}", from.0, wait.as_millis());
         let limit = wait + READ_TIMEOUT;
-        self.client
-            .json(
-                self.address,
-                Method::GET,
-                &path,
-                None::<&()>,
-                limit,
-                MAX_READ_BYTES,
-            )
-            .await
+        self.client.json(self.address, Method::GET, &path, None::<&()>, limit, MAX_READ_BYTES).await
     }
 }
--- a/operator/src/client.rs
+++ b/operator/src/client.rs
@@ -49,11 +49,7 @@
 impl Operator {
     /// An operator who asks the daemon at `address`.
     pub fn new(address: SocketAddr, key: &str) -> Self {
-        Self {
-            client: Client::new(),
-            address,
-            key: key.to_owned(),
-        }
+        Self { client: Client::new(), address, key: key.to_owned() }
     }
 
     async fn ask<T: DeserializeOwned>(
@@ -66,10 +62,7 @@
         if let Ok(value) = HeaderValue::from_str(&format!("Bearer {}", self.key)) {
             req.headers_mut().insert(AUTHORIZATION, value);
         }
-        let reply = self
-            .client
-            .send(self.address, req, Reuse::Recent, TIMEOUT)
-            .await?;
+        let reply = self.client.send(self.address, req, Reuse::Recent, TIMEOUT).await?;
         let status = reply.status();
         if status.is_success() {
             return Ok(reply.json(MAX_ANSWER_BYTES).await?);
@@ -79,11 +72,7 @@
             Ok(body) => body.message,
             Err(_) => String::from_utf8_lossy(&bytes).into_owned(),
         };
-        Err(OperatorError::Refused {
-            address: self.address,
-            status,
-            message,
-        })
+        Err(OperatorError::Refused { address: self.address, status, message })
     }
 
     /// The daemon's state.
@@ -93,30 +82,22 @@
 
     /// A service in force.
     pub async fn service(&self, name: &str) -> Result<ServiceInForce, OperatorError> {
-        self.ask(Method::GET, &format!("/services/{name}"), None::<&()>)
-            .await
+        self.ask(Method::GET, &format!("/services/{name}"), None::<&()>).await
     }
 
     /// Publishes a change and waits for the log's decision.
     pub async fn publish(&self, change: Change) -> Result<Published, OperatorError> {
-        self.ask(Method::POST, "/changes", Some(&Publish { change }))
-            .await
+        self.ask(Method::POST, "/changes", Some(&Publish { change })).await
     }
 
     /// Where a configuration offset is in force.
     pub async fn in_force(&self, offset: Offset) -> Result<InForce, OperatorError> {
-        self.ask(
-            Method::GET,
-            &format!("/in-force?offset={}", offset.0),
-            None::<&()>,
-        )
-        .await
+        self.ask(Method::GET, &format!("/in-force?offset={}", offset.0), None::<&()>).await
     }
 
     /// The decision lines of a request.
     pub async fn explain(&self, request: &str) -> Result<Explanation, OperatorError> {
-        self.ask(Method::GET, &format!("/explain/{request}"), None::<&()>)
-            .await
+        self.ask(Method::GET, &format!("/explain/{request}"), None::<&()>).await
     }
 
     /// Tells the daemon to finish its requests and end.
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -32,28 +32,17 @@
     type Error = BadMember;
 
     fn try_from(message: &generated::Member) -> Result<Self, BadMember> {
-        let bad = |field| BadMember {
-            host: message.host.clone(),
-            field,
-        };
+        let bad = |field| BadMember { host: message.host.clone(), field };
         if !is_valid(&message.host) {
             return Err(bad("host"));
         }
-        let state = u8::try_from(message.state)
-            .ok()
-            .and_then(MemberState::from_repr);
+        let state = u8::try_from(message.state).ok().and_then(MemberState::from_repr);
         Ok(Self {
             host: HostName::new(&message.host),
             incarnation: message.incarnation,
             failure_domain: FailureDomain::new(&message.failure_domain),
-            peer_address: message
-                .peer_address
-                .parse()
-                .map_err(|_| bad("peer address"))?,
-            caller_address: message
-                .caller_address
-                .parse()
-                .map_err(|_| bad("caller address"))?,
+            peer_address: message.peer_address.parse().map_err(|_| bad("peer address"))?,
+            caller_address: message.caller_address.parse().map_err(|_| bad("caller address"))?,
             state: state.ok_or_else(|| bad("state"))?,
         })
     }
--- a/schedules/src/lib.rs
+++ b/schedules/src/lib.rs
@@ -23,9 +23,7 @@
 
 fn number(name: &str, default: u64) -> u64 {
     match env::var(name) {
-        Ok(text) => text
-            .parse()
-            .unwrap_or_else(|_| panic!("{name}=\"{text}\" is no number")),
+        Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name}=\"{text}\" is no number")),
         Err(_) => default,
     }
 }
@@ -90,8 +88,5 @@
 pub fn check_caught<S: Arbitrary>(run: impl Fn(&[S]) -> Result<(), String>) {
     let seed = seed();
     let caught = first_failure(seed, MAX_CASES_TO_CATCH, &run).is_some();
-    assert!(
-        caught,
-        "seed {seed}: no schedule shows the broken mechanism"
-    );
+    assert!(caught, "seed {seed}: no schedule shows the broken mechanism");
 }
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -96,36 +96,17 @@
         limit: Duration,
     ) -> Result<Answer, CallError> {
         let until = Instant::now() + limit;
-        let reuse = if call.idempotent {
-            Reuse::Recent
-        } else {
-            Reuse::Never
-        };
-        let reply = self
-            .client
-            .send(address, request(call), reuse, limit)
-            .await?;
+        let reuse = if call.idempotent { Reuse::Recent } else { Reuse::Never };
+        let reply = self.client.send(address, request(call), reuse, limit).await?;
         let status = reply.status().as_u16();
         let verdict = reply.header(VERDICT_HEADER).and_then(|v| v.parse().ok());
         if verdict == Some(Verdict::NotRun) {
             let draining = reply.header(DRAINING_HEADER) == Some("true");
-            return Err(CallError::Refused {
-                address,
-                status,
-                verdict: Verdict::NotRun,
-                draining,
-            });
+            return Err(CallError::Refused { address, status, verdict: Verdict::NotRun, draining });
         }
         match timeout_at(until, reply.bytes(MAX_ANSWER_BYTES)).await {
-            Ok(body) => Ok(Answer {
-                status,
-                body: body?,
-            }),
-            Err(_) => Err(SendError::Timeout {
-                address,
-                after: limit,
-            }
-            .into()),
+            Ok(body) => Ok(Answer { status, body: body? }),
+            Err(_) => Err(SendError::Timeout { address, after: limit }.into()),
         }
     }
 }
@@ -139,7 +120,5 @@
     if let Some(key) = call.idempotency_key {
         builder = builder.header("idempotency-key", key);
     }
-    builder
-        .body(Full::new(call.body.clone()))
-        .unwrap_or_default()
+    builder.body(Full::new(call.body.clone())).unwrap_or_default()
 }
--- a/testbed/src/answer.rs
+++ b/testbed/src/answer.rs
@@ -52,12 +52,7 @@
     /// Expects the answer to `prompt`, which has `length` tokens.
     pub fn new(prompt: &str, length: u32) -> Self {
         let prompt = rendezvous::hash(prompt);
-        Self {
-            prompt,
-            length: u64::from(length),
-            next: 0,
-            run: None,
-        }
+        Self { prompt, length: u64::from(length), next: 0, run: None }
     }
 
     /// Tokens received.
@@ -68,24 +63,15 @@
     /// Checks one token.
     pub fn token(&mut self, index: u64, text: &str) -> Result<(), AnswerError> {
         if index != self.next {
-            return Err(AnswerError::Order {
-                expected: self.next,
-                found: index,
-            });
+            return Err(AnswerError::Order { expected: self.next, found: index });
         }
         let malformed = || AnswerError::Malformed(text.to_owned());
         let mut parts = text.trim().split('.');
-        let place: u64 = parts
-            .next()
-            .and_then(|p| p.parse().ok())
-            .ok_or_else(malformed)?;
+        let place: u64 = parts.next().and_then(|p| p.parse().ok()).ok_or_else(malformed)?;
         let prompt = parts.next().and_then(|p| u64::from_str_radix(p, 16).ok());
         let run = parts.next().ok_or_else(malformed)?;
         if place != index {
-            return Err(AnswerError::Order {
-                expected: index,
-                found: place,
-            });
+            return Err(AnswerError::Order { expected: index, found: place });
         }
         if prompt != Some(self.prompt) {
             return Err(AnswerError::OtherPrompt { index });
@@ -101,10 +87,7 @@
     pub fn end(&self, tokens: u64) -> Result<(), AnswerError> {
         match tokens == self.length && self.next == self.length {
             true => Ok(()),
-            false => Err(AnswerError::Short {
-                expected: self.length,
-                found: self.next,
-            }),
+            false => Err(AnswerError::Short { expected: self.length, found: self.next }),
         }
     }
 
--- a/testbed/src/bed.rs
+++ b/testbed/src/bed.rs
@@ -136,12 +136,7 @@
         let mut engines = Vec::new();
         for place in 0..options.engines {
             let listener = listen([127, 0, 2, place as u8 + 1]).await?;
-            engines.push(FakeEngine::start(
-                listener,
-                options.model,
-                1,
-                options.report_lag,
-            )?);
+            engines.push(FakeEngine::start(listener, options.model, 1, options.report_lag)?);
         }
         let counts = RunCounts::default();
         let mut services = Vec::new();
@@ -154,36 +149,18 @@
         let mut daemons = Vec::new();
         for place in 0..options.daemons {
             let settings = settings(place, log.address(), list_address, &options).await?;
-            daemons.push(BedDaemon {
-                settings,
-                runtime: None,
-                daemon: None,
-            });
+            daemons.push(BedDaemon { settings, runtime: None, daemon: None });
         }
-        let hosts = daemons
-            .iter()
-            .map(|d| listed(&d.settings, HostState::Live))
-            .collect();
+        let hosts = daemons.iter().map(|d| listed(&d.settings, HostState::Live)).collect();
         let list = FakeHosts::start(list_listener, hosts, options.list_lag)?;
-        Ok(Self {
-            log,
-            list,
-            engines,
-            services,
-            counts,
-            options,
-            daemons,
-        })
+        Ok(Self { log, list, engines, services, counts, options, daemons })
     }
 
     /// Puts both service files into the log.
     pub fn publish_services(&self) {
         let engines: Vec<_> = self.engines.iter().map(FakeEngine::address).collect();
         let services: Vec<_> = self.services.iter().map(FakeService::address).collect();
-        self.append_service(
-            &guidance_file(&engines, self.options.model.memory_tokens),
-            1,
-        );
+        self.append_service(&guidance_file(&engines, self.options.model.memory_tokens), 1);
         self.append_service(&parts_file(&services), 2);
     }
 
@@ -191,14 +168,10 @@
     pub fn append_service(&self, text: &str, nonce: u64) -> Offset {
         let document = Document::parse(text).expect("the testbed's files are valid");
         let name = document.sections()["service"]["name"].clone();
-        let change = Change::between(
-            &ServiceName::new(&name),
-            Offset(0),
-            &Document::default(),
-            &document,
-        )
-        .expect("a new service differs from nothing")
-        .with_author(nonce, "testbed");
+        let change =
+            Change::between(&ServiceName::new(&name), Offset(0), &Document::default(), &document)
+                .expect("a new service differs from nothing")
+                .with_author(nonce, "testbed");
         let data = serde_json::to_string(&Record::Change(change)).expect("changes are JSON");
         self.log.append(CATALOGUE_STREAM, &data)
     }
@@ -222,11 +195,7 @@
     pub async fn wait_ready(&self, limit: Duration) -> Result<(), BedError> {
         let until = Instant::now() + limit;
         loop {
-            let running: Vec<_> = self
-                .daemons
-                .iter()
-                .filter_map(|d| d.daemon.as_ref())
-                .collect();
+            let running: Vec<_> = self.daemons.iter().filter_map(|d| d.daemon.as_ref()).collect();
             let all = running.len();
             let is_ready = |d: &&&Daemon| d.is_ready() && d.members() == all;
             let ready = running.iter().filter(is_ready).count();
@@ -234,11 +203,7 @@
                 return Ok(());
             }
             if Instant::now() >= until {
-                return Err(BedError::NotReady {
-                    ready,
-                    all,
-                    after: limit,
-                });
+                return Err(BedError::NotReady { ready, all, after: limit });
             }
             sleep(Duration::from_millis(20)).await;
         }
@@ -279,26 +244,17 @@
 
     /// Where callers reach the daemons.
     pub fn caller_addresses(&self) -> Vec<SocketAddr> {
-        self.daemons
-            .iter()
-            .map(|d| d.settings.caller_address)
-            .collect()
+        self.daemons.iter().map(|d| d.settings.caller_address).collect()
     }
 
     /// Where operators reach the daemons.
     pub fn operator_addresses(&self) -> Vec<SocketAddr> {
-        self.daemons
-            .iter()
-            .map(|d| d.settings.operator_address)
-            .collect()
+        self.daemons.iter().map(|d| d.settings.operator_address).collect()
     }
 
     /// The hosts as the platform's list has them.
     pub fn listed_hosts(&self) -> Vec<Host> {
-        self.daemons
-            .iter()
-            .map(|d| listed(&d.settings, HostState::Live))
-            .collect()
+        self.daemons.iter().map(|d| listed(&d.settings, HostState::Live)).collect()
     }
 }
 
--- a/testbed/src/demo.rs
+++ b/testbed/src/demo.rs
@@ -82,18 +82,9 @@
     pub fn violations(&self) -> Vec<String> {
         let whole = self.generations - self.broken_streams;
         let checks = [
-            (
-                self.whole_in_order == whole,
-                "whole_in_order == generations - broken_streams",
-            ),
-            (
-                self.broken_without_cause == 0,
-                "only the dead engine's streams break",
-            ),
-            (
-                self.wrong_answers == 0,
-                "every answer is its caller's own, once and in order",
-            ),
+            (self.whole_in_order == whole, "whole_in_order == generations - broken_streams"),
+            (self.broken_without_cause == 0, "only the dead engine's streams break"),
+            (self.wrong_answers == 0, "every answer is its caller's own, once and in order"),
             (self.orders_run_twice == 0, "no order runs twice"),
             (self.not_run_but_ran == 0, "\"not run\" is true"),
             (self.no_host == 0, "every caller has an address that works"),
@@ -168,12 +159,8 @@
 /// A caller of one of the organisations.
 fn user(bed: &Bed, number: u64) -> User {
     let organisation = ORGANISATIONS[number as usize % ORGANISATIONS.len()];
-    User::new(
-        &key_of(organisation),
-        &bed.caller_addresses(),
-        number as usize,
-    )
-    .with_counts(&bed.counts)
+    User::new(&key_of(organisation), &bed.caller_addresses(), number as usize)
+        .with_counts(&bed.counts)
 }
 
 /// A length as they come: mostly short, sometimes long.
@@ -206,9 +193,8 @@
         turn += 1;
         let text = format!("classification {number}.{turn}");
         let length = length(&mut rng);
-        let (ending, mut times) = user
-            .generate_whole(GUIDANCE, CLASSIFICATION, &text, length)
-            .await;
+        let (ending, mut times) =
+            user.generate_whole(GUIDANCE, CLASSIFICATION, &text, length).await;
         // Nothing is read before the whole answer, so there is no first token.
         times.first_token = None;
         tally.generation(&ending, &times);
@@ -242,29 +228,14 @@
 fn start_callers(bed: &Bed, seed: u64, until: Instant) -> Vec<JoinHandle<Tally>> {
     let mut callers = Vec::new();
     for number in 0..STREAMING_CALLERS {
-        callers.push(tokio::spawn(stream_generations(
-            user(bed, number),
-            number,
-            seed,
-            until,
-        )));
+        callers.push(tokio::spawn(stream_generations(user(bed, number), number, seed, until)));
     }
     for number in STREAMING_CALLERS..STREAMING_CALLERS + WHOLE_CALLERS {
-        callers.push(tokio::spawn(whole_generations(
-            user(bed, number),
-            number,
-            seed,
-            until,
-        )));
+        callers.push(tokio::spawn(whole_generations(user(bed, number), number, seed, until)));
     }
     let first = STREAMING_CALLERS + WHOLE_CALLERS;
     for number in first..first + ORDERING_CALLERS {
-        callers.push(tokio::spawn(place_orders(
-            user(bed, number),
-            number,
-            seed,
-            until,
-        )));
+        callers.push(tokio::spawn(place_orders(user(bed, number), number, seed, until)));
     }
     callers
 }
@@ -293,17 +264,9 @@
 }
 
 fn finish(bed: &Bed, tally: &Tally, seed: u64, drain_ended: bool) -> Report {
-    let ran: HashSet<_> = bed
-        .engines
-        .iter()
-        .flat_map(|engine| engine.records())
-        .map(|r| r.prompt)
-        .collect();
-    let generations_ran = tally
-        .not_run_prompts
-        .iter()
-        .filter(|p| ran.contains(*p))
-        .count();
+    let ran: HashSet<_> =
+        bed.engines.iter().flat_map(|engine| engine.records()).map(|r| r.prompt).collect();
+    let generations_ran = tally.not_run_prompts.iter().filter(|p| ran.contains(*p)).count();
     let runs = bed.counts.all();
     let ran_twice = |key: &&String| runs.get(*key).is_some_and(|runs| *runs > 1);
     Report {
--- a/testbed/src/figures.rs
+++ b/testbed/src/figures.rs
@@ -28,9 +28,7 @@
     /// An empty histogram.
     pub fn new() -> Self {
         let histogram = Histogram::new_with_bounds(1, MAX_MICROS, DIGITS);
-        Self {
-            histogram: histogram.expect("the bounds are valid"),
-        }
+        Self { histogram: histogram.expect("the bounds are valid") }
     }
 
     /// Adds a time.
--- a/testbed/src/load.rs
+++ b/testbed/src/load.rs
@@ -100,14 +100,7 @@
 
 impl Clocked {
     fn new(due: Instant) -> Self {
-        Self {
-            due,
-            last: None,
-            tally: Tally {
-                started: 1,
-                ..Tally::default()
-            },
-        }
+        Self { due, last: None, tally: Tally { started: 1, ..Tally::default() } }
     }
 
     fn token(&mut self) {
@@ -129,10 +122,7 @@
     prompt: String,
     clocked: &mut Clocked,
 ) -> Option<()> {
-    let request = GenerationRequest {
-        prompt,
-        max_tokens: None,
-    };
+    let request = GenerationRequest { prompt, max_tokens: None };
     let mut stream = caller.generate(host, service, kind, &request).await.ok()?;
     loop {
         match stream.next().await.ok()? {
@@ -205,12 +195,7 @@
             let mut clocked = Clocked::new(due);
             let answer = async {
                 match &target {
-                    Target::Daemons {
-                        hosts,
-                        service,
-                        kind,
-                        ..
-                    } => {
+                    Target::Daemons { hosts, service, kind, .. } => {
                         let host = hosts[number % hosts.len()];
                         through_daemon(&caller, host, service, kind, prompt, &mut clocked).await
                     }
--- a/testbed/src/user.rs
+++ b/testbed/src/user.rs
@@ -67,10 +67,7 @@
         0 => text.to_owned(),
         _ => format!("{text} (try {attempt})"),
     };
-    GenerationRequest {
-        prompt: prompt_for(&text, length),
-        max_tokens: None,
-    }
+    GenerationRequest { prompt: prompt_for(&text, length), max_tokens: None }
 }
 
 /// A caller of the testbed.
@@ -101,10 +98,7 @@
 
     /// The same caller, which checks each "not run" of a call against what upstreams ran.
     pub fn with_counts(self, counts: &RunCounts) -> Self {
-        Self {
-            counts: Some(counts.clone()),
-            ..self
-        }
+        Self { counts: Some(counts.clone()), ..self }
     }
 
     /// Calls that were refused as not run though an upstream had run them.
@@ -113,9 +107,7 @@
     }
 
     fn check_not_run(&mut self, key: Option<&str>, error: &ErrorBody) {
-        let runs = key
-            .zip(self.counts.as_ref())
-            .map(|(key, counts)| counts.of(key));
+        let runs = key.zip(self.counts.as_ref()).map(|(key, counts)| counts.of(key));
         let ran = runs.is_some_and(|runs| runs > 0);
         self.not_run_but_ran += u64::from(ran && error.verdict == Verdict::NotRun);
     }
@@ -125,11 +117,7 @@
         if Instant::now() >= self.hosts_until {
             self.ask_hosts().await;
         }
-        let known = if self.hosts.is_empty() {
-            &self.seeds
-        } else {
-            &self.hosts
-        };
+        let known = if self.hosts.is_empty() { &self.seeds } else { &self.hosts };
         known[self.turn % known.len()]
     }
 
@@ -230,9 +218,7 @@
                     last = Some((now, id));
                 }
                 Ok(Event::End(end)) => {
-                    return check
-                        .end(end.tokens)
-                        .map_or_else(Ending::Wrong, |()| Ending::Whole);
+                    return check.end(end.tokens).map_or_else(Ending::Wrong, |()| Ending::Whole);
                 }
                 Ok(Event::Error(error)) => return Ending::Broken(error),
                 Err(e) => match self.resume(last.as_ref().map(|(_, id)| id), times).await {
@@ -281,11 +267,7 @@
         for attempt in 0..MAX_TRIES {
             let request = request_for(text, attempt, length);
             let host = self.host().await;
-            match self
-                .caller
-                .generate_whole(host, service, kind, &request)
-                .await
-            {
+            match self.caller.generate_whole(host, service, kind, &request).await {
                 Ok(answer) => {
                     times.first_token = Some(started.elapsed());
                     let mut check = AnswerCheck::new(&request.prompt, length);
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -10,8 +10,6 @@
 fn main() -> Result<(), Box<dyn Error>> {
     let files = protox::compile([PROTO], ["peer/proto"])?;
     std::fs::create_dir_all(OUT_DIR)?;
-    tonic_prost_build::configure()
-        .out_dir(OUT_DIR)
-        .compile_fds(files)?;
+    tonic_prost_build::configure().out_dir(OUT_DIR).compile_fds(files)?;
     Ok(())
 }
