--- a/cli/src/commands/experiment.rs
+++ b/cli/src/commands/experiment.rs
@@ -1,15 +1,17 @@
 //! Runs experiments.
 
-use super::CommandError;
-use crate::options::{CrowdOptions, ExperimentCommand, ExperimentOptions};
-use crate::output::print_json;
+use super::{CommandError, block_on};
+use crate::options::{ControlOptions, CrowdOptions, ExperimentCommand, ExperimentOptions};
+use crate::output::{print_json, print_rows};
 use magnoliawinch_experiments::crowd::{self, Options, Policy, Report};
+use magnoliawinch_testbed::control::{self, ControlReport};
 use std::process::ExitCode;
 
 /// Runs the experiment that the arguments name.
 pub(crate) fn run(options: &ExperimentOptions) -> Result<ExitCode, CommandError> {
     match &options.command {
         Some(ExperimentCommand::Crowd(options)) => run_crowd(options),
+        Some(ExperimentCommand::Control(options)) => run_control(options),
         None => Err(CommandError::Missing("EXPERIMENT")),
     }
 }
@@ -84,3 +86,39 @@
         );
     }
 }
+
+fn run_control(options: &ControlOptions) -> Result<ExitCode, CommandError> {
+    let control_options = control::ControlOptions {
+        daemons: options.daemons,
+        upstreams: options.upstreams,
+        organisations: options.organisations,
+        changes_a_second: options.changes_a_second,
+        requests_a_second: options.requests_a_second,
+        seconds: options.seconds,
+    };
+    let report = block_on(control::run(&control_options))??;
+    match options.json {
+        true => print_json(&report),
+        false => print_control(&report),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_control(report: &ControlReport) {
+    let f = &report.figures;
+    print_rows(&[
+        ("control thread", format!("{:.3}% of a core", f.control_core * 100.0)),
+        ("traffic threads", format!("{:.3}% of a core", f.traffic_core * 100.0)),
+        ("memory", format!("{:.2} MB", f.memory_bytes / 1e6)),
+        ("loopback bytes", format!("{:.0} a second", f.bytes_per_second)),
+        ("in force p50", format!("{:.0} ms", f.in_force_ms_p50)),
+        ("in force p99", format!("{:.0} ms", f.in_force_ms_p99)),
+        ("in force max", format!("{:.0} ms of {} changes", f.in_force_ms_max, f.changes)),
+        ("log appends", format!("{:.2} a second", f.log_appends_per_second)),
+        ("log reads", format!("{:.2} a second", f.log_reads_per_second)),
+        ("all ready after", format!("{:.0} ms", f.ready_ms)),
+        ("loss known after", format!("{:.0} ms", f.converge_ms)),
+        ("owners moved", format!("{:.3} of {:.3}", f.owners_moved, f.owners_of_killed)),
+        ("answers", format!("{:.1} a second", f.answers_per_second)),
+    ]);
+}
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -178,6 +178,8 @@
 pub(crate) enum ExperimentCommand {
     #[options(help = "compare policies on crowded engines under a virtual clock")]
     Crowd(CrowdOptions),
+    #[options(help = "measure what control costs on real daemons over loopback")]
+    Control(ControlOptions),
 }
 
 /// Arguments of `experiment crowd`.
@@ -208,3 +210,24 @@
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
 }
+
+/// Arguments of `experiment control`.
+#[derive(Debug, Options)]
+pub(crate) struct ControlOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "daemons", default = "9")]
+    pub(crate) daemons: usize,
+    #[options(no_short, help = "upstreams", default = "14")]
+    pub(crate) upstreams: usize,
+    #[options(no_short, help = "organisations", default = "10")]
+    pub(crate) organisations: usize,
+    #[options(no_short, help = "changes of the configuration", default = "0.9")]
+    pub(crate) changes_a_second: f64,
+    #[options(no_short, help = "requests over all daemons", default = "0")]
+    pub(crate) requests_a_second: f64,
+    #[options(no_short, help = "how long to measure", default = "10")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -25,6 +25,9 @@
 /// Largest weight of one answer before the weights are scaled down.
 const RESCALE_AT: f64 = 1e6;
 
+/// Probability below which a length counts as never seen.
+const MIN_SURVIVAL: f64 = 1e-9;
+
 fn position(length: f64) -> f64 {
     BUCKETS_PER_DOUBLING * (length + 1.0).log2()
 }
@@ -111,8 +114,9 @@
     /// The probability that an answer with `written` tokens gets at least `more` of them.
     pub fn residual(&self, written: f64, more: f64) -> f64 {
         let now = self.survival(written);
-        if now < 1e-9 {
-            return if more <= written { 0.5 } else { 0.0 };
+        if now < MIN_SURVIVAL {
+            // Longer than any answer before it: the rest may be as long as what is written.
+            return (written + 1.0) / (written + more + 1.0);
         }
         self.survival(written + more) / now
     }
@@ -129,7 +133,7 @@
     /// The expected number of tokens still to come after `written`.
     pub fn expected_residual(&self, written: f64) -> f64 {
         let now = self.survival(written);
-        if now < 1e-9 {
+        if now < MIN_SURVIVAL {
             return written;
         }
         let first = position(written) as usize;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -8,8 +8,8 @@
 use crate::names::{FailureDomain, HostName};
 use crate::rendezvous;
 use crate::time::{Millis, Time};
+use rand::Rng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -73,17 +73,26 @@
     }
 }
 
-/// Time between two probes of the same successor.
+/// Time between two rounds of probes; each round probes one successor.
 pub const PROBE_EVERY: Millis = Millis(1_000);
 
 /// Silence of a successor after which it counts as failed.
-pub const FAIL_AFTER: Millis = Millis(3_500);
+pub const FAIL_AFTER: Millis = Millis(4_500);
+
+/// Rounds of probes between two of a random member.
+const ROUNDS_PER_RANDOM_PROBE: u64 = 5;
+
+/// Rounds after a start in which each one probes a random member.
+const YOUNG_ROUNDS: u64 = 10;
 
 /// Successors that each daemon probes.
 const SUCCESSORS: usize = 2;
 
+/// Members sent to one whose view differs.
+const SAMPLE_PER_MESSAGE: usize = 4;
+
 /// Changes in one message.
-const CHANGES_PER_MESSAGE: usize = 8;
+const CHANGES_PER_MESSAGE: usize = 32;
 
 /// Messages that carry one change, times the logarithm of the number of members.
 const SPREAD_FACTOR: u32 = 3;
@@ -91,9 +100,9 @@
 /// How long a failed member is remembered.
 const FORGET_AFTER: Millis = Millis(3_600_000);
 
-/// One in this many random probes goes to a failed member, so that parted regions find each
-/// other again.
-const FAILED_PROBE_ONE_IN: u32 = 8;
+/// Rounds of probes between two of a failed member, so that parted regions find each other again.
+/// A daemon that knows no other probes one in each round.
+const ROUNDS_PER_FAILED_PROBE: u64 = 6;
 
 /// Daemons of a failure domain that read the configuration from the log.
 const READERS: usize = 2;
@@ -117,6 +126,7 @@
     /// Last sign of life of the members that are probed.
     heard: HashMap<HostName, Time>,
     probed_at: Option<Time>,
+    rounds: u64,
     /// Changes with every change of the view.
     version: u64,
 }
@@ -124,7 +134,14 @@
 impl Membership {
     /// A view with only this daemon.
     pub fn new(own: Member) -> Self {
-        Self { own, records: BTreeMap::new(), heard: HashMap::new(), probed_at: None, version: 0 }
+        Self {
+            own,
+            records: BTreeMap::new(),
+            heard: HashMap::new(),
+            probed_at: None,
+            rounds: 0,
+            version: 0,
+        }
     }
 
     /// This daemon.
@@ -228,8 +245,18 @@
         self.forget(now);
         let mut targets = self.successors();
         self.fail_silent(now, &mut targets);
-        if let Some(member) = self.random_member(rng) {
-            targets.push(member);
+        self.rounds += 1;
+        if targets.len() > 1 {
+            let place = self.rounds as usize % targets.len();
+            targets = vec![targets.swap_remove(place)];
+        }
+        let is_random_due = self.rounds.is_multiple_of(ROUNDS_PER_RANDOM_PROBE);
+        let is_young = self.rounds < YOUNG_ROUNDS;
+        if is_random_due || is_young {
+            targets.extend(self.random_member(false, rng));
+        }
+        if targets.is_empty() || self.rounds.is_multiple_of(ROUNDS_PER_FAILED_PROBE) {
+            targets.extend(self.random_member(true, rng));
         }
         targets
     }
@@ -264,12 +291,9 @@
         self.heard.retain(|host, _| probed.contains(host));
     }
 
-    fn random_member<R: Rng>(&self, rng: &mut R) -> Option<Member> {
-        let wants_failed = rng.random_ratio(1, FAILED_PROBE_ONE_IN);
-        let candidates: Vec<_> = self
-            .others()
-            .filter(|member| (member.state == MemberState::Failed) == wants_failed)
-            .collect();
+    fn random_member<R: Rng>(&self, failed: bool, rng: &mut R) -> Option<Member> {
+        let candidates: Vec<_> =
+            self.others().filter(|m| (m.state == MemberState::Failed) == failed).collect();
         candidates.choose(rng).map(|member| (*member).clone())
     }
 
@@ -301,7 +325,7 @@
     /// A few random members, for a daemon whose view differs.
     pub fn some<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
         let all: Vec<_> = self.others().collect();
-        all.sample(rng, CHANGES_PER_MESSAGE).map(|member| (*member).clone()).collect()
+        all.sample(rng, SAMPLE_PER_MESSAGE).map(|member| (*member).clone()).collect()
     }
 
     /// Whether `host` is known at all.
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -49,6 +49,11 @@
         self.owner(&format!("fingerprint-{}", fingerprint.0))
     }
 
+    /// The daemon that reads the platform's list in the time slot `slot` and tells the others.
+    pub fn of_list(&self, slot: u64) -> Option<&Member> {
+        self.owner(&format!("list-{slot}"))
+    }
+
     /// The daemon that writes checkpoints of the configuration.
     pub fn of_checkpoints(&self) -> Option<&Member> {
         self.owner("checkpoints")
--- a/core/src/upstreams.rs
+++ b/core/src/upstreams.rs
@@ -11,6 +11,9 @@
 /// Messages that carry one notice of leaving.
 const SPREAD: u32 = 12;
 
+/// Notices of one sort in one message.
+const PER_MESSAGE: usize = 8;
+
 /// An upstream's run that gets no new work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leaving {
@@ -20,6 +23,24 @@
     pub incarnation: u64,
 }
 
+/// What the platform's list says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostNotice {
+    /// Its address.
+    pub ip: IpAddr,
+    /// The list's incarnation of the host.
+    pub incarnation: u64,
+    /// Whether it will be taken away.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HostState {
+    incarnation: u64,
+    leaving: bool,
+    spread_left: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     incarnation: u64,
@@ -32,8 +53,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
     states: HashMap<UpstreamName, State>,
-    /// Hosts that the platform's list calls leaving, with the list's incarnation.
-    leaving_hosts: HashMap<IpAddr, u64>,
+    /// What the platform's list says of hosts that were leaving at some time.
+    hosts: HashMap<IpAddr, HostState>,
 }
 
 impl Upstreams {
@@ -79,36 +100,55 @@
         self.states.entry(upstream.clone()).or_default().down_until = now + DOWN_FOR;
     }
 
-    /// Notes what the platform's list says of a host; returns whether that changed what is known.
-    pub fn listed(&mut self, ip: IpAddr, incarnation: u64, leaving: bool) -> bool {
-        let known = self.leaving_hosts.get(&ip).copied();
-        if leaving && known.is_none_or(|known| incarnation > known) {
-            self.leaving_hosts.insert(ip, incarnation);
-            return true;
-        }
-        if !leaving && known.is_some_and(|known| incarnation > known) {
-            self.leaving_hosts.remove(&ip);
-            return true;
+    /// Notes what the platform's list or a peer says of a host; returns whether that is news. A
+    /// host that leaves stays so until it is live with a higher incarnation.
+    pub fn listed(&mut self, notice: HostNotice) -> bool {
+        let HostNotice { ip, incarnation, leaving } = notice;
+        let is_news = match self.hosts.get(&ip) {
+            Some(known) if leaving => {
+                incarnation > known.incarnation
+                    || (incarnation == known.incarnation && !known.leaving)
+            }
+            Some(known) => incarnation > known.incarnation,
+            None => leaving,
+        };
+        if is_news {
+            self.hosts.insert(ip, HostState { incarnation, leaving, spread_left: SPREAD });
+        } else {
+            // Remembered so that older news of its leaving is known to be old.
+            let state = HostState { incarnation, leaving, spread_left: 0 };
+            self.hosts.entry(ip).or_insert(state);
         }
-        false
+        is_news
+    }
+
+    fn host_leaves(&self, ip: IpAddr) -> bool {
+        self.hosts.get(&ip).is_some_and(|host| host.leaving)
     }
 
     /// Whether an upstream may get new work.
     pub fn is_usable(&self, now: Time, upstream: &str, ip: IpAddr) -> bool {
         let is_known_bad = |state: &State| state.leaving || now < state.down_until;
-        !self.leaving_hosts.contains_key(&ip)
-            && !self.states.get(upstream).is_some_and(is_known_bad)
+        !self.host_leaves(ip) && !self.states.get(upstream).is_some_and(is_known_bad)
     }
 
     /// Whether an upstream leaves.
     pub fn is_leaving(&self, upstream: &str, ip: IpAddr) -> bool {
-        self.leaving_hosts.contains_key(&ip)
-            || self.states.get(upstream).is_some_and(|state| state.leaving)
+        self.host_leaves(ip) || self.states.get(upstream).is_some_and(|state| state.leaving)
+    }
+
+    /// Notices about hosts to put into a message.
+    pub fn host_notices(&mut self) -> Vec<HostNotice> {
+        let open = self.hosts.iter_mut().filter(|(_, host)| host.spread_left > 0);
+        let tell = |(ip, host): (&IpAddr, &mut HostState)| {
+            host.spread_left -= 1;
+            HostNotice { ip: *ip, incarnation: host.incarnation, leaving: host.leaving }
+        };
+        open.take(PER_MESSAGE).map(tell).collect()
     }
 
-    /// Notices to put into a message.
+    /// Notices about upstreams to put into a message.
     pub fn notices(&mut self) -> Vec<Leaving> {
-        const PER_MESSAGE: usize = 8;
         let open = self.states.iter_mut().filter(|(_, state)| state.spread_left > 0);
         let tell = |(upstream, state): (&UpstreamName, &mut State)| {
             state.spread_left -= 1;
--- a/core/tests/catalogue.rs
+++ b/core/tests/catalogue.rs
@@ -110,10 +110,10 @@
         }
     }
 
-    fn append(&mut self, data: String) {
-        self.log.push(data.clone());
+    fn append(&mut self, data: &str) {
+        self.log.push(data.to_owned());
         let offset = Offset(self.log.len() as u64);
-        self.reference.fold(offset, &data).expect("the reference misses nothing");
+        self.reference.fold(offset, data).expect("the reference misses nothing");
         self.states.push(self.reference.state().expect("the reference is whole").clone());
     }
 
@@ -122,7 +122,7 @@
             Step::Publish { reader, service, valid } => self.publish(reader, service, valid),
             Step::Repeat => {
                 if let Some(last) = self.log.last().cloned() {
-                    self.append(last);
+                    self.append(&last);
                 }
             }
             Step::Read { reader, count } => self.read(reader, count),
@@ -158,7 +158,7 @@
             withdraw: false,
         };
         let record = Record::Change(change);
-        self.append(serde_json::to_string(&record).expect("records are JSON"));
+        self.append(&serde_json::to_string(&record).expect("records are JSON"));
     }
 
     fn read(&mut self, reader: usize, count: usize) {
@@ -197,7 +197,7 @@
         self.nonce += 1;
         let records = self.readers[reader].checkpoint(self.nonce, PART_BYTES);
         for record in records.unwrap_or_default().iter().take(parts) {
-            self.append(serde_json::to_string(record).expect("records are JSON"));
+            self.append(&serde_json::to_string(record).expect("records are JSON"));
         }
     }
 
--- /dev/null
+++ b/core/tests/membership.rs
@@ -0,0 +1,265 @@
+//! Views of the members converge after joins, crashes, pauses and parted failure domains, and
+//! owners with them.
+
+use magnoliawinch::membership::{Member, MemberState, Membership};
+use magnoliawinch::names::{FailureDomain, HostName, UpstreamName};
+use magnoliawinch::ownership::Owners;
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_schedules::{check, check_caught};
+use quickcheck::{Arbitrary, Gen};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::net::{Ipv4Addr, SocketAddr};
+
+const HOSTS: usize = 6;
+const ROUND: Millis = Millis(1_000);
+
+/// Time in which one daemon reads the platform's list for all.
+const LIST_SLOT: Millis = Millis(5_000);
+
+/// Rounds after the last change in which views must converge.
+const CONVERGE_ROUNDS: usize = 60;
+
+/// One round of a schedule.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Quiet,
+    Crash(usize),
+    Restart(usize),
+    Pause(usize),
+    Resume(usize),
+    Leave(usize),
+    /// The first hosts and the others lose each other.
+    Part(usize),
+    Join,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let host = usize::arbitrary(g) % HOSTS;
+        match u8::arbitrary(g) % 16 {
+            0 => Self::Crash(host),
+            1 | 2 => Self::Restart(host),
+            3 => Self::Pause(host),
+            4 => Self::Resume(host),
+            5 => Self::Leave(host),
+            6 => Self::Part(host),
+            7 => Self::Join,
+            _ => Self::Quiet,
+        }
+    }
+}
+
+/// What is broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Right,
+    /// Messages carry no changes.
+    TellsNothing,
+    /// A daemon that is called failed does not object.
+    NeverRefutes,
+}
+
+fn member(host: usize, incarnation: u64) -> Member {
+    let address = |port| SocketAddr::from((Ipv4Addr::new(127, 0, 1, host as u8 + 1), port));
+    Member {
+        host: HostName::from(format!("entry-{host}")),
+        incarnation,
+        failure_domain: FailureDomain::from(format!("domain-{}", host % 3)),
+        peer_address: address(1),
+        caller_address: address(2),
+        state: MemberState::Alive,
+    }
+}
+
+struct Node {
+    view: Membership,
+    up: bool,
+    paused: bool,
+    leaving: bool,
+}
+
+struct World {
+    variant: Variant,
+    now: Time,
+    nodes: Vec<Node>,
+    rng: ChaCha8Rng,
+    cut: Option<usize>,
+    incarnation: u64,
+}
+
+impl World {
+    fn new(variant: Variant) -> Self {
+        let node = |host| Node {
+            view: Membership::new(member(host, 1)),
+            up: true,
+            paused: false,
+            leaving: false,
+        };
+        let mut world = Self {
+            variant,
+            now: Time(1_000),
+            nodes: (0..HOSTS).map(node).collect(),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            cut: None,
+            incarnation: 1,
+        };
+        (0..HOSTS).for_each(|host| world.introduce(host));
+        world
+    }
+
+    /// The platform's list names every host to a daemon that knows no other; it probes those that
+    /// it has never heard of.
+    fn introduce(&mut self, host: usize) {
+        for other in 0..HOSTS {
+            let is_known = self.nodes[host].view.knows(&format!("entry-{other}"));
+            if !is_known {
+                self.probe(host, other);
+            }
+        }
+    }
+
+    /// A daemon reads the list while it knows no other, and in the slots that it owns.
+    fn reads_list(&self, host: usize) -> bool {
+        let view = &self.nodes[host].view;
+        let slot = self.now.0 / LIST_SLOT.0;
+        let is_new_slot = self.now.0 % LIST_SLOT.0 < ROUND.0;
+        let owners = Owners::new(view);
+        let owner = owners.of_list(slot).map(|member| &member.host);
+        view.alive().count() < 2 || (is_new_slot && owner == Some(&view.own().host))
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        let together = self.cut.is_none_or(|cut| (a < cut) == (b < cut));
+        let runs = |host: usize| self.nodes[host].up && !self.nodes[host].paused;
+        together && runs(a) && runs(b)
+    }
+
+    fn changes(&mut self, host: usize) -> Vec<Member> {
+        match self.variant {
+            Variant::TellsNothing => Vec::new(),
+            _ => self.nodes[host].view.changes(),
+        }
+    }
+
+    fn learn(&mut self, host: usize, members: Vec<Member>) {
+        for member in members {
+            let is_own = member.host == self.nodes[host].view.own().host;
+            if is_own && self.variant == Variant::NeverRefutes {
+                continue;
+            }
+            self.nodes[host].view.learn(self.now, member);
+        }
+    }
+
+    fn probe(&mut self, from: usize, to: usize) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        let mut question = self.changes(from);
+        question.push(self.nodes[from].view.own().clone());
+        let is_new = !self.nodes[to].view.knows(&format!("entry-{from}"));
+        let differs = self.nodes[from].view.digest() != self.nodes[to].view.digest();
+        self.learn(to, question);
+        let mut answer = self.changes(to);
+        if is_new && self.variant != Variant::TellsNothing {
+            answer.extend(self.nodes[to].view.all());
+        } else if differs && self.variant != Variant::TellsNothing {
+            answer.extend(self.nodes[to].view.some(&mut self.rng));
+        }
+        answer.push(self.nodes[to].view.own().clone());
+        self.learn(from, answer);
+        self.nodes[from].view.heard_from(self.now, &format!("entry-{to}"));
+    }
+
+    fn round(&mut self) {
+        self.now = self.now + ROUND;
+        for host in 0..HOSTS {
+            if !self.nodes[host].up || self.nodes[host].paused {
+                continue;
+            }
+            if self.reads_list(host) {
+                self.introduce(host);
+            }
+            let now = self.now;
+            let targets = self.nodes[host].view.tick(now, &mut self.rng);
+            for target in targets {
+                let to = target.host.as_str().trim_start_matches("entry-").parse();
+                self.probe(host, to.expect("hosts are numbered"));
+            }
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Quiet => {}
+            Step::Crash(host) => self.nodes[host].up = false,
+            Step::Restart(host) => self.restart(host),
+            Step::Pause(host) => self.nodes[host].paused = true,
+            Step::Resume(host) => self.nodes[host].paused = false,
+            Step::Leave(host) => {
+                self.nodes[host].leaving = true;
+                self.nodes[host].view.leave();
+            }
+            Step::Part(cut) => self.cut = Some(cut),
+            Step::Join => self.cut = None,
+        }
+        self.round();
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.incarnation += 1_000;
+        let view = Membership::new(member(host, self.incarnation));
+        self.nodes[host] = Node { view, up: true, paused: false, leaving: false };
+        self.introduce(host);
+    }
+
+    /// After the last change every running view has the members that run, and the same owners.
+    fn check_converged(&mut self) -> Result<(), String> {
+        self.cut = None;
+        self.nodes.iter_mut().for_each(|node| node.paused = false);
+        (0..CONVERGE_ROUNDS).for_each(|_| self.round());
+        let running = |host: &usize| self.nodes[*host].up && !self.nodes[*host].leaving;
+        let expected: Vec<_> =
+            (0..HOSTS).filter(running).map(|host| format!("entry-{host}")).collect();
+        let mut owners = Vec::new();
+        for node in self.nodes.iter().filter(|node| node.up) {
+            let view: Vec<_> = node.view.alive().map(|m| m.host.to_string()).collect();
+            let mut view = view;
+            view.sort();
+            if view != expected {
+                return Err(format!("{} sees {view:?}, not {expected:?}", node.view.own().host));
+            }
+            let upstream = UpstreamName::new("engine-1");
+            let domain = FailureDomain::new("domain-1");
+            let all = Owners::new(&node.view);
+            owners.push(all.of_upstream(&upstream, &domain).map(|m| m.host.clone()));
+        }
+        owners.dedup();
+        match owners.len() {
+            0 | 1 => Ok(()),
+            _ => Err(format!("several owners: {owners:?}")),
+        }
+    }
+}
+
+fn run(variant: Variant, steps: &[Step]) -> Result<(), String> {
+    let mut world = World::new(variant);
+    steps.iter().for_each(|step| world.step(*step));
+    world.check_converged()
+}
+
+#[test]
+fn views_and_owners_converge() {
+    check(|steps: &[Step]| run(Variant::Right, steps));
+}
+
+#[test]
+fn messages_without_changes_are_caught() {
+    check_caught(|steps: &[Step]| run(Variant::TellsNothing, steps));
+}
+
+#[test]
+fn a_daemon_that_never_refutes_is_caught() {
+    check_caught(|steps: &[Step]| run(Variant::NeverRefutes, steps));
+}
--- /dev/null
+++ b/core/tests/upstreams.rs
@@ -0,0 +1,95 @@
+//! An upstream that leaves stays out by whatever evidence is old, and comes back as a new run.
+
+use magnoliawinch::names::UpstreamName;
+use magnoliawinch::time::Time;
+use magnoliawinch::upstreams::{HostNotice, Leaving, Upstreams};
+use magnoliawinch_schedules::{check, check_caught};
+use quickcheck::{Arbitrary, Gen};
+use std::net::{IpAddr, Ipv4Addr};
+
+const IP: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 2, 1));
+
+/// Evidence in any order; reports may be old.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Report { incarnation: u64, draining: bool },
+    Notice { incarnation: u64 },
+    Refusal,
+    Listed { incarnation: u64, leaving: bool },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let incarnation = u64::arbitrary(g) % 3 + 1;
+        match u8::arbitrary(g) % 6 {
+            0..=2 => Self::Report { incarnation, draining: bool::arbitrary(g) },
+            3 => Self::Notice { incarnation },
+            4 => Self::Refusal,
+            _ => Self::Listed { incarnation, leaving: bool::arbitrary(g) },
+        }
+    }
+}
+
+/// Whether stale evidence brings an upstream back, as a broken mechanism would let it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Right,
+    LastReportCounts,
+}
+
+fn run(variant: Variant, steps: &[Step]) -> Result<(), String> {
+    let name = UpstreamName::new("engine-1");
+    let mut upstreams = Upstreams::new();
+    let mut newest = 0;
+    let mut left = [false; 4];
+    let (mut listed_newest, mut listed_leaving) = (0, false);
+    for step in steps {
+        match *step {
+            Step::Report { incarnation, draining } => {
+                if variant == Variant::LastReportCounts && incarnation <= newest && !draining {
+                    upstreams = Upstreams::new();
+                }
+                upstreams.reported(&name, incarnation, draining);
+                if draining || incarnation > newest {
+                    left[incarnation as usize] |= draining;
+                }
+                newest = newest.max(incarnation);
+            }
+            Step::Notice { incarnation } => {
+                upstreams.leaves(&Leaving { upstream: name.clone(), incarnation });
+                left[incarnation as usize] = true;
+                newest = newest.max(incarnation);
+            }
+            Step::Refusal => {
+                upstreams.refused_as_leaving(&name);
+                left[newest as usize] = true;
+            }
+            Step::Listed { incarnation, leaving } => {
+                upstreams.listed(HostNotice { ip: IP, incarnation, leaving });
+                if incarnation > listed_newest || (incarnation == listed_newest && leaving) {
+                    listed_leaving = leaving;
+                    listed_newest = incarnation;
+                }
+            }
+        }
+        let leaves = left[newest as usize] || listed_leaving;
+        let usable = upstreams.is_usable(Time(0), name.as_str(), IP);
+        if leaves && usable {
+            return Err(format!("run {newest} leaves but may get work"));
+        }
+        if !leaves && !usable {
+            return Err(format!("run {newest} is new but gets no work"));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn leaving_is_sticky_for_each_run() {
+    check(|steps: &[Step]| run(Variant::Right, steps));
+}
+
+#[test]
+fn stale_evidence_that_brings_an_upstream_back_is_caught() {
+    check_caught(|steps: &[Step]| run(Variant::LastReportCounts, steps));
+}
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -113,8 +113,7 @@
 }
 
 impl Control {
-    pub(crate) fn new(shared: Arc<Shared>, own: Member) -> Self {
-        let seed = shared.clock.started_at().0;
+    pub(crate) fn new(shared: Arc<Shared>, own: Member, seed: u64) -> Self {
         Self {
             members: Members::new(own, seed),
             configuration: Configuration::new(seed),
@@ -141,7 +140,7 @@
         match message {
             Message::Admit { call, reply } => self.admit(now, call, reply),
             Message::Withdraw { upstream, token } => self.admissions.withdraw(&upstream, token),
-            Message::Renew(req) => self.admissions.renew(now, &req),
+            Message::Renew(req) => self.renew(now, &req),
             Message::Load { upstream, report } => self.load(now, &upstream, report),
             Message::UpstreamLeaves(upstream) => self.upstream_leaves(&upstream),
             Message::UpstreamUnreachable(upstream) => {
@@ -214,7 +213,7 @@
         let membership = &self.members.membership;
         self.ledgers.sweep(now, |claimant| membership.is_gone(claimant));
         self.write_checkpoint_if_due(now);
-        self.poll_loads();
+        self.poll_loads(now);
     }
 
     /// Time until `tick` has to be called again.
--- a/daemon/src/control/admissions.rs
+++ b/daemon/src/control/admissions.rs
@@ -5,6 +5,7 @@
 use magnoliawinch::admission::{Admission, Bounds, Decision, Event, GrantId, LoadReport, Request};
 use magnoliawinch::estimate::Estimator;
 use magnoliawinch::names::{HostName, KindName, OrganisationName, ServiceName, UpstreamName};
+use magnoliawinch::service_file::{ServiceSpec, ServiceType, UpstreamSpec};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_operator::UpstreamStatus;
 use magnoliawinch_peer::RenewRequest;
@@ -16,8 +17,18 @@
 /// Grants younger than this are kept though their holder does not name them.
 const HELD_GRACE: Millis = Millis(3_000);
 
-/// Sweeps between two load reports of an upstream.
-const SWEEPS_PER_REPORT: u64 = 2;
+/// Age of the evidence about a busy upstream at which its load is asked for. Without newer
+/// evidence no further work is granted there.
+const BUSY_EVIDENCE: Millis = Millis(2_000);
+
+/// Age of the evidence about an idle upstream at which its load is asked for.
+const IDLE_EVIDENCE: Millis = Millis(10_000);
+
+/// Time after the last grant in which an upstream counts as busy.
+const BUSY_FOR: Millis = Millis(5_000);
+
+/// Time between two questions for the load of one upstream.
+const POLL_PAUSE: Millis = Millis(500);
 
 /// A place at an upstream is wanted.
 #[derive(Clone, Debug)]
@@ -65,6 +76,54 @@
     address: SocketAddr,
     waiting: HashMap<GrantId, Waiting>,
     leaving: bool,
+    /// Whether the upstream tells its load.
+    is_engine: bool,
+    /// When the upstream was last heard of, by a report or by the lack of one.
+    evidence_at: Option<Time>,
+    asked_at: Option<Time>,
+    polled_at: Option<Time>,
+    /// Wishes that wait for fresh evidence.
+    held: Vec<HeldWish>,
+}
+
+#[derive(Debug)]
+struct HeldWish {
+    call: AdmitCall,
+    share: f64,
+    priority: u8,
+    reply: oneshot::Sender<AdmitAnswer>,
+}
+
+impl Owned {
+    fn new(admission: Admission, service: &ServiceSpec, upstream: &UpstreamSpec) -> Self {
+        Self {
+            admission,
+            service: service.name.clone(),
+            address: upstream.address,
+            waiting: HashMap::new(),
+            leaving: false,
+            is_engine: upstream.memory_tokens > 0,
+            evidence_at: None,
+            asked_at: None,
+            polled_at: None,
+            held: Vec::new(),
+        }
+    }
+
+    fn evidence_is_older_than(&self, now: Time, age: Millis) -> bool {
+        self.evidence_at.is_none_or(|at| now.since(at) >= age)
+    }
+
+    fn is_busy(&self, now: Time) -> bool {
+        self.asked_at.is_some_and(|at| now.since(at) < BUSY_FOR)
+    }
+
+    /// Whether the upstream's load has to be asked for.
+    fn wants_poll(&self, now: Time) -> bool {
+        let age = if self.is_busy(now) { BUSY_EVIDENCE } else { IDLE_EVIDENCE };
+        let is_pausing = self.polled_at.is_some_and(|at| now.since(at) < POLL_PAUSE);
+        self.is_engine && !is_pausing && self.evidence_is_older_than(now, age)
+    }
 }
 
 /// Admission by upstream.
@@ -74,7 +133,6 @@
     grants: HashMap<GrantId, UpstreamName>,
     estimator: Estimator,
     next_id: u64,
-    sweeps: u64,
 }
 
 impl Admissions {
@@ -84,7 +142,6 @@
             grants: HashMap::new(),
             estimator: Estimator::new(),
             next_id: 1,
-            sweeps: 0,
         }
     }
 
@@ -92,14 +149,37 @@
         self.owned.values().any(|owned| !owned.waiting.is_empty())
     }
 
-    fn admit(
-        &mut self,
-        now: Time,
-        call: AdmitCall,
-        share: f64,
-        priority: u8,
-        reply: oneshot::Sender<AdmitAnswer>,
-    ) {
+    /// Decides about a wish, or holds it until there is fresh evidence about the upstream; returns
+    /// the address to ask for it.
+    fn admit_or_hold(&mut self, now: Time, wish: HeldWish) -> Option<SocketAddr> {
+        if let Some(owned) = self.owned.get_mut(&wish.call.upstream) {
+            owned.asked_at = Some(now);
+            if owned.is_engine && owned.evidence_is_older_than(now, BUSY_EVIDENCE) {
+                owned.held.push(wish);
+                let wants_poll = owned.wants_poll(now);
+                return wants_poll.then(|| {
+                    owned.polled_at = Some(now);
+                    owned.address
+                });
+            }
+        }
+        self.admit(now, wish);
+        None
+    }
+
+    /// Notes evidence about an upstream and decides about the wishes that waited for it.
+    fn heard_of(&mut self, now: Time, upstream: &UpstreamName) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        owned.evidence_at = Some(now);
+        for wish in std::mem::take(&mut owned.held) {
+            self.admit(now, wish);
+        }
+    }
+
+    fn admit(&mut self, now: Time, wish: HeldWish) {
+        let HeldWish { call, share, priority, reply } = wish;
         let Some(owned) = self.owned.get_mut(&call.upstream) else {
             let _ = reply.send(AdmitAnswer { result: AdmitResult::Unknown, utilisation: 0.0 });
             return;
@@ -252,13 +332,7 @@
                         service: spec.name.clone(),
                         ..owned
                     },
-                    _ => Owned {
-                        admission: Admission::new(bounds),
-                        service: spec.name.clone(),
-                        address: upstream.address,
-                        waiting: HashMap::new(),
-                        leaving: false,
-                    },
+                    _ => Owned::new(Admission::new(bounds), spec, upstream),
                 };
                 self.owned.insert(name.clone(), owned);
             }
@@ -292,10 +366,20 @@
         self.close_where(now, |_, _| true);
     }
 
-    /// The upstreams whose load is due to be read.
-    fn due_reports(&mut self) -> bool {
-        self.sweeps += 1;
-        self.sweeps.is_multiple_of(SWEEPS_PER_REPORT)
+    /// The engines among `names` whose load has to be asked for.
+    fn due_polls<'a>(
+        &mut self,
+        now: Time,
+        names: impl Iterator<Item = &'a UpstreamName>,
+    ) -> Vec<(UpstreamName, SocketAddr)> {
+        let mut due = Vec::new();
+        for name in names {
+            if let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.wants_poll(now)) {
+                owned.polled_at = Some(now);
+                due.push((name.clone(), owned.address));
+            }
+        }
+        due
     }
 
     fn report(&mut self, now: Time, upstream: &UpstreamName, report: &LoadReport) {
@@ -336,23 +420,28 @@
             .map_or(1.0, |organisation| organisation.share);
         let priority =
             service.and_then(|s| s.spec.kinds.get(&call.kind)).map_or(0, |kind| kind.priority);
-        self.admissions.admit(now, call, share, priority, reply);
+        let upstream = call.upstream.clone();
+        let wish = HeldWish { call, share, priority, reply };
+        if let Some(address) = self.admissions.admit_or_hold(now, wish) {
+            self.poll_load(upstream, address);
+        }
     }
 
-    /// Asks the upstreams that this daemon owns for their load.
-    pub(super) fn poll_loads(&mut self) {
-        if !self.admissions.due_reports() {
-            return;
-        }
+    /// Asks the engines that this daemon owns for their load, where no caller's request told it.
+    pub(super) fn poll_loads(&mut self, now: Time) {
         let own = &self.members.membership.own().host;
-        for service in self.services.values() {
-            for (name, upstream) in &service.spec.upstreams {
-                let owner = self.owners.of_upstream(name, &upstream.failure_domain);
-                let is_engine = upstream.memory_tokens > 0;
-                if is_engine && owner.is_some_and(|owner| owner.host == *own) {
-                    self.poll_load(name.clone(), upstream.address);
-                }
-            }
+        let owners = &self.owners;
+        let specs = self.services.values().map(|service| &service.spec);
+        let names = specs
+            .filter(|spec| spec.service_type == ServiceType::Generation)
+            .flat_map(|spec| &spec.upstreams)
+            .filter(|(name, upstream)| {
+                let owner = owners.of_upstream(name, &upstream.failure_domain);
+                owner.is_some_and(|owner| owner.host == *own)
+            })
+            .map(|(name, _)| name);
+        for (upstream, address) in self.admissions.due_polls(now, names) {
+            self.poll_load(upstream, address);
         }
     }
 
@@ -366,15 +455,30 @@
 
     /// Takes a load report.
     pub(super) fn load(&mut self, now: Time, upstream: &UpstreamName, report: Option<LoadReport>) {
-        let Some(report) = report else {
-            self.members.upstreams.unreachable(now, upstream);
-            self.view_is_old = true;
-            return;
-        };
-        self.admissions.report(now, upstream, &report);
+        match report {
+            Some(report) => self.take_report(now, upstream, &report),
+            None => {
+                self.members.upstreams.unreachable(now, upstream);
+                self.view_is_old = true;
+            }
+        }
+        self.admissions.heard_of(now, upstream);
+    }
+
+    fn take_report(&mut self, now: Time, upstream: &UpstreamName, report: &LoadReport) {
+        self.admissions.report(now, upstream, report);
         let (incarnation, draining) = (report.incarnation, report.draining);
         if self.members.upstreams.reported(upstream, incarnation, draining) {
             self.close_leaving();
         }
     }
+
+    /// Takes news of grants, and what upstreams told their holder.
+    pub(super) fn renew(&mut self, now: Time, req: &RenewRequest) {
+        self.admissions.renew(now, req);
+        for load in &req.loads {
+            let upstream = UpstreamName::new(&load.upstream);
+            self.load(now, &upstream, Some(load.into()));
+        }
+    }
 }
--- a/daemon/src/control/catalogue.rs
+++ b/daemon/src/control/catalogue.rs
@@ -95,7 +95,7 @@
             followers: HashMap::new(),
             publishers: HashMap::new(),
             checkpoint_at: Time(0),
-            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            rng: ChaCha8Rng::seed_from_u64(!seed),
         }
     }
 
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -4,7 +4,7 @@
 use magnoliawinch::membership::{Member, Membership};
 use magnoliawinch::names::{HostName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch::upstreams::{Leaving, Upstreams};
+use magnoliawinch::upstreams::{HostNotice, Leaving, Upstreams};
 use magnoliawinch_hosts::{HostList, HostState};
 use magnoliawinch_peer::{ProbeReply, ProbeRequest, UpstreamLeaving};
 use rand::SeedableRng;
@@ -96,6 +96,28 @@
         self.upstreams.notices().into_iter().map(notice).collect()
     }
 
+    fn learn_hosts(&mut self, notices: &[magnoliawinch_peer::HostNotice]) -> bool {
+        let mut changed = false;
+        for notice in notices {
+            let Ok(ip) = notice.ip.parse() else {
+                log::warn!("\"{}\" is no address of a host", notice.ip);
+                continue;
+            };
+            let (incarnation, leaving) = (notice.incarnation, notice.leaving);
+            changed |= self.upstreams.listed(HostNotice { ip, incarnation, leaving });
+        }
+        changed
+    }
+
+    fn host_notices(&mut self) -> Vec<magnoliawinch_peer::HostNotice> {
+        let notice = |n: HostNotice| magnoliawinch_peer::HostNotice {
+            ip: n.ip.to_string(),
+            incarnation: n.incarnation,
+            leaving: n.leaving,
+        };
+        self.upstreams.host_notices().into_iter().map(notice).collect()
+    }
+
     fn sender(&self) -> Option<magnoliawinch_peer::Member> {
         Some(self.membership.own().into())
     }
@@ -118,6 +140,7 @@
             catalogue_offset: self.configuration.through().0,
             table_digest: self.members.membership.digest(),
             leaving: self.members.notices(),
+            hosts: self.members.host_notices(),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -151,7 +174,8 @@
         let sender = req.sender.as_ref();
         let is_new = sender.is_some_and(|m| !self.members.membership.knows(&m.host));
         let differs = req.table_digest != self.members.membership.digest();
-        self.take_news(now, sender, &req.changes, &req.leaving, req.catalogue_offset);
+        self.take_news(now, sender, &req.changes, req.catalogue_offset);
+        self.take_notices(&req.leaving, &req.hosts);
         let members = &mut self.members;
         let changes = match (is_new, differs) {
             (true, _) => members.membership.all(),
@@ -167,6 +191,7 @@
             changes: changes.iter().map(Into::into).collect(),
             catalogue_offset: self.configuration.through().0,
             leaving: self.members.notices(),
+            hosts: self.members.host_notices(),
         });
     }
 
@@ -174,7 +199,8 @@
     pub(super) fn probed(&mut self, now: Time, answer: &ProbeReply) {
         self.members.heard_any = true;
         let sender = answer.sender.as_ref();
-        self.take_news(now, sender, &answer.changes, &answer.leaving, answer.catalogue_offset);
+        self.take_news(now, sender, &answer.changes, answer.catalogue_offset);
+        self.take_notices(&answer.leaving, &answer.hosts);
         if let Some(sender) = sender {
             self.members.membership.heard_from(now, &sender.host);
         }
@@ -186,7 +212,6 @@
         now: Time,
         sender: Option<&magnoliawinch_peer::Member>,
         changes: &[magnoliawinch_peer::Member],
-        leaving: &[UpstreamLeaving],
         offset: u64,
     ) {
         self.members.note_offset(now, offset);
@@ -194,7 +219,16 @@
             self.members.learn_all(now, std::slice::from_ref(sender));
         }
         self.members.learn_all(now, changes);
-        if self.members.learn_leaving(leaving) {
+    }
+
+    fn take_notices(
+        &mut self,
+        leaving: &[UpstreamLeaving],
+        hosts: &[magnoliawinch_peer::HostNotice],
+    ) {
+        let upstreams_changed = self.members.learn_leaving(leaving);
+        let hosts_changed = self.members.learn_hosts(hosts);
+        if upstreams_changed || hosts_changed {
             self.close_leaving();
         }
     }
@@ -207,7 +241,9 @@
             let leaving = host.state == HostState::Leaving;
             match host.daemon {
                 None => {
-                    changed |= self.members.upstreams.listed(host.ip, host.incarnation, leaving);
+                    let (ip, incarnation) = (host.ip, host.incarnation);
+                    let notice = HostNotice { ip, incarnation, leaving };
+                    changed |= self.members.upstreams.listed(notice);
                 }
                 Some(daemon) if !self.members.membership.knows(host.host.as_str()) => {
                     seeds.push(daemon.peer);
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -10,7 +10,9 @@
 use crate::view::View;
 use crate::{operator, traffic};
 use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::names::HostName;
 use magnoliawinch::settings::Settings;
+use magnoliawinch::time::Millis;
 use magnoliawinch_http::{ServerLimits, serve};
 use magnoliawinch_peer::PeerServer;
 use std::io;
@@ -29,11 +31,14 @@
 /// Messages that wait for the control thread.
 const MAILBOX: usize = 8_192;
 
-/// Time between two readings of the platform's list.
-const LIST_EVERY: Duration = Duration::from_secs(5);
+/// Time in which one daemon reads the platform's list for all.
+const LIST_SLOT: Millis = Millis(5_000);
 
-/// Time between two readings until a peer is known.
-const FIRST_LIST_EVERY: Duration = Duration::from_millis(250);
+/// Time between two looks whether this daemon has to read the list.
+const SLOT_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// The same while no other daemon is known.
+const ALONE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time between two looks at the requests in progress while the daemon leaves.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -92,10 +97,8 @@
         };
         let (control_tx, control_rx) = mpsc::channel(MAILBOX);
         let (grants_tx, grants_rx) = mpsc::unbounded_channel();
-        let seed = magnoliawinch::rendezvous::weight(
-            settings.host.as_str(),
-            &clock.started_at().0.to_string(),
-        );
+        // Nonces of two daemons must differ even when they start in the same millisecond.
+        let seed: u64 = rand::random();
         let parts = Parts {
             clock,
             view: View::new(own.clone()),
@@ -107,7 +110,7 @@
         };
         let shared = Arc::new(Shared::new(settings, parts));
         let (stop, stopped) = watch::channel(false);
-        let control = Control::new(Arc::clone(&shared), own);
+        let control = Control::new(Arc::clone(&shared), own, rand::random());
         let control = ControlThread::start(control, control_rx, stopped.clone())
             .map_err(StartError::Control)?;
         let leave = Arc::new(Notify::new());
@@ -146,6 +149,15 @@
         self.shared.view.load().through.0
     }
 
+    /// The host that owns the admission to an upstream, as this daemon sees it.
+    pub fn admission_owner(&self, service: &str, upstream: &str) -> Option<HostName> {
+        let view = self.shared.view.load();
+        let spec = &view.services.get(service)?.spec;
+        let (name, upstream) = spec.upstreams.get_key_value(upstream)?;
+        let owner = view.owners.of_upstream(name, &upstream.failure_domain)?;
+        Some(owner.host.clone())
+    }
+
     /// Waits until an operator asks the daemon to leave.
     pub async fn asked_to_leave(&self) {
         self.leave.notified().await;
@@ -226,18 +238,27 @@
     }
 }
 
-/// Reads the platform's list of hosts until the daemon ends.
+/// Reads the platform's list of hosts until the daemon ends: whenever this daemon knows no other,
+/// and else in the time slots in which it reads for all.
 async fn read_list(shared: Arc<Shared>) {
+    let mut last_slot = 0;
     loop {
-        match shared.hosts.list().await {
-            Ok(list) => {
-                if shared.control.send(Message::Listed(list)).await.is_err() {
-                    return;
+        let slot = shared.clock.now().0 / LIST_SLOT.0;
+        let view = shared.view.load_full();
+        let is_alone = view.owners.members().count() < 2;
+        let owner = view.owners.of_list(slot);
+        let is_owner = owner.is_some_and(|owner| owner.host == shared.settings.host);
+        if is_alone || (is_owner && slot != last_slot) {
+            last_slot = slot;
+            match shared.hosts.list().await {
+                Ok(list) => {
+                    if shared.control.send(Message::Listed(list)).await.is_err() {
+                        return;
+                    }
                 }
+                Err(e) => log::warn!("reading the platform's list failed: {e}"),
             }
-            Err(e) => log::warn!("reading the platform's list failed: {e}"),
         }
-        let is_alone = shared.view.load().owners.members().count() < 2;
-        sleep(if is_alone { FIRST_LIST_EVERY } else { LIST_EVERY }).await;
+        sleep(if is_alone { ALONE_PAUSE } else { SLOT_PAUSE }).await;
     }
 }
--- a/daemon/src/follow.rs
+++ b/daemon/src/follow.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Longest wait of one read.
-const READ_WAIT: Duration = Duration::from_millis(3_000);
+const READ_WAIT: Duration = Duration::from_millis(5_000);
 
 /// Time for an answer beyond the wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -106,7 +106,8 @@
         return shared.ask(|reply| Message::CatalogueState { state, reply }).await.unwrap_or(false);
     }
     // Without a whole state of its own, this daemon cannot use records from the middle.
-    if next.wants_state || answer.first > next.from.0 {
+    let starts_in_the_middle = next.wants_state && next.from > Offset(1);
+    if starts_in_the_middle || answer.first > next.from.0 {
         return false;
     }
     let records: Vec<_> = answer
--- a/daemon/src/grants.rs
+++ b/daemon/src/grants.rs
@@ -2,9 +2,10 @@
 
 use crate::control::Message;
 use crate::shared::Shared;
+use magnoliawinch::admission::LoadReport;
 use magnoliawinch::membership::Member;
-use magnoliawinch::names::HostName;
-use magnoliawinch_peer::{GrantProgress, RenewRequest};
+use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch_peer::{GrantProgress, RenewRequest, UpstreamLoad};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,13 +24,21 @@
 /// Tokens of the first progress report; each later one comes at twice the tokens.
 const FIRST_REPORT_TOKENS: u32 = 32;
 
-/// News of one grant.
+/// News for an owner.
 #[derive(Debug)]
 pub(crate) struct GrantNews {
     owner: Member,
-    progress: GrantProgress,
-    /// Whether the grant is new here.
-    taken: bool,
+    news: News,
+}
+
+#[derive(Debug)]
+enum News {
+    /// A grant is held here from now on.
+    Taken(u64),
+    /// A grant went on or ended.
+    Progress(GrantProgress),
+    /// The upstream told its load.
+    Load(UpstreamLoad),
 }
 
 pub(crate) type GrantSender = mpsc::UnboundedSender<GrantNews>;
@@ -49,7 +58,7 @@
     pub(crate) fn new(owner: Member, id: u64, news: GrantSender) -> Self {
         let grant =
             Self { owner, id, written: 0, next_report: FIRST_REPORT_TOKENS, complete: false, news };
-        grant.send(false, true);
+        grant.send(News::Taken(id));
         grant
     }
 
@@ -62,30 +71,38 @@
         self.written += 1;
         if self.written == self.next_report {
             self.next_report *= 2;
-            self.send(false, false);
+            self.send_progress(false);
         }
     }
 
+    /// Hands on what the upstream told of its load.
+    pub(crate) fn told_load(&self, upstream: &UpstreamName, report: &LoadReport) {
+        self.send(News::Load(UpstreamLoad::new(upstream.as_str(), report)));
+    }
+
     /// Notes that the answer came to its natural end.
     pub(crate) fn completed(&mut self) {
         self.complete = true;
     }
 
-    fn send(&self, ended: bool, taken: bool) {
-        let progress = GrantProgress {
+    fn send_progress(&self, ended: bool) {
+        self.send(News::Progress(GrantProgress {
             grant: self.id,
             tokens_written: self.written,
             ended,
             complete: self.complete,
-        };
+        }));
+    }
+
+    fn send(&self, news: News) {
         // The keeper ends only with the daemon; grants then expire at their owners.
-        let _ = self.news.send(GrantNews { owner: self.owner.clone(), progress, taken });
+        let _ = self.news.send(GrantNews { owner: self.owner.clone(), news });
     }
 }
 
 impl Drop for Grant {
     fn drop(&mut self) {
-        self.send(true, false);
+        self.send_progress(true);
     }
 }
 
@@ -94,7 +111,14 @@
     owner: Member,
     ids: HashSet<u64>,
     told_at: Instant,
-    news: Vec<GrantProgress>,
+    progress: Vec<GrantProgress>,
+    loads: HashMap<String, UpstreamLoad>,
+}
+
+impl Held {
+    fn has_news(&self) -> bool {
+        !self.progress.is_empty() || !self.loads.is_empty()
+    }
 }
 
 /// Sends the news of all grants of this daemon, batched by owner.
@@ -124,21 +148,28 @@
         owner: news.owner,
         ids: HashSet::new(),
         told_at: Instant::now(),
-        news: Vec::new(),
+        progress: Vec::new(),
+        loads: HashMap::new(),
     });
-    if news.taken {
-        entry.ids.insert(news.progress.grant);
-        return;
-    }
-    if news.progress.ended {
-        entry.ids.remove(&news.progress.grant);
+    match news.news {
+        News::Taken(id) => {
+            entry.ids.insert(id);
+        }
+        News::Progress(progress) => {
+            if progress.ended {
+                entry.ids.remove(&progress.grant);
+            }
+            entry.progress.push(progress);
+        }
+        News::Load(load) => {
+            entry.loads.insert(load.upstream.clone(), load);
+        }
     }
-    entry.news.push(news.progress);
 }
 
 async fn tell(shared: &Arc<Shared>, held: &mut Held) {
     let is_due = held.told_at.elapsed() >= HEARTBEAT && !held.ids.is_empty();
-    if held.news.is_empty() && !is_due {
+    if !held.has_news() && !is_due {
         return;
     }
     if is_due {
@@ -147,7 +178,8 @@
     let req = RenewRequest {
         host: shared.settings.host.to_string(),
         host_incarnation: shared.clock.started_at().0,
-        grants: std::mem::take(&mut held.news),
+        grants: std::mem::take(&mut held.progress),
+        loads: held.loads.drain().map(|(_, load)| load).collect(),
         full: is_due,
         held: if is_due { held.ids.iter().copied().collect() } else { Vec::new() },
     };
--- a/daemon/src/traffic/run.rs
+++ b/daemon/src/traffic/run.rs
@@ -346,7 +346,10 @@
                 let error = error.with_verdict(verdict).with_retry_after(left.0);
                 return Err(job.refuse(shared, error));
             }
-            let place = find_place(shared, job, avoid.as_ref(), treatment)
+            // A request that lost its first upstream may wait as long as its answer is of use.
+            let patience_until = if count == 0 { job.patience_until } else { job.deadline };
+            let wish = PlaceWish { avoid: avoid.as_ref(), treatment, patience_until };
+            let place = find_place(shared, job, wish)
                 .await
                 .map_err(|error| job.refuse(shared, error.with_verdict(verdict)))?;
             count += 1;
@@ -429,17 +432,20 @@
     };
     let silence = Millis(service.limits.silence_ms);
     let address = place.spec.address;
-    let events = match shared.engines.start(address, &start, silence.into()).await {
-        Ok(events) => events,
+    let started = match shared.engines.start(address, &start, silence.into()).await {
+        Ok(started) => started,
         Err(e) => return Err(start_failure(shared, &place.upstream, &e)),
     };
+    if let (Some(grant), Some(load)) = (&place.grant, &started.load) {
+        grant.told_load(&place.upstream, load);
+    }
     let delivery = Delivery::new(&id.to_string(), 0, shared.clock.now(), silence);
     let mut run = Run {
         shared: Arc::clone(shared),
         request_id: job.request_id.clone(),
         id,
         place,
-        events,
+        events: started.events,
         delivery,
         resumes: 0,
         ended: false,
@@ -514,12 +520,21 @@
     answer.unwrap_or(Treatment::Normal)
 }
 
+/// What an attempt looks for.
+#[derive(Clone, Copy, Debug)]
+struct PlaceWish<'a> {
+    /// A failure domain that just failed the job.
+    avoid: Option<&'a FailureDomain>,
+    treatment: Treatment,
+    /// When the attempt stops waiting for a place.
+    patience_until: Time,
+}
+
 /// Finds an upstream with room, asking a few admission owners.
 async fn find_place(
     shared: &Arc<Shared>,
     job: &Job,
-    avoid: Option<&FailureDomain>,
-    treatment: Treatment,
+    place_wish: PlaceWish<'_>,
 ) -> Result<Place, ErrorBody> {
     let view = shared.view.load_full();
     let service = &job.access.access.service.spec;
@@ -537,7 +552,7 @@
             prefix: job.prefix,
             prefix_tokens: job.prefix_tokens,
             near: &shared.settings.failure_domain,
-            avoid,
+            avoid: place_wish.avoid,
         };
         routing.router.candidates(asked_at, service, is_usable, wish, &mut routing.rng)
     };
@@ -572,7 +587,7 @@
             plan.refused(NO_RETRY_AFTER);
             continue;
         };
-        let call = admit_call(shared, job, &upstream, queue, treatment);
+        let call = admit_call(shared, job, &upstream, queue, place_wish);
         match admit(shared, owner, call).await {
             Admitted::Granted(grant) => {
                 return Ok(granted(shared, job, asked_at, upstream, spec, grant));
@@ -598,7 +613,7 @@
     job: &Job,
     upstream: &UpstreamName,
     queue: bool,
-    treatment: Treatment,
+    place_wish: PlaceWish<'_>,
 ) -> AdmitCall {
     AdmitCall {
         holder: shared.settings.host.clone(),
@@ -608,8 +623,8 @@
         organisation: job.access.access.organisation.clone(),
         kind: job.access.kind_name.clone(),
         prompt_tokens: job.prompt_tokens,
-        patience: job.patience_until.since(shared.clock.now()),
-        suspect: treatment == Treatment::Suspect,
+        patience: place_wish.patience_until.since(shared.clock.now()),
+        suspect: place_wish.treatment == Treatment::Suspect,
         no_queue: !queue,
     }
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -26,6 +26,9 @@
 /// Header with the upstream's incarnation.
 pub const INCARNATION_HEADER: &str = "x-incarnation";
 
+/// Header with the engine's load as JSON, on the answer to a start.
+pub const LOAD_HEADER: &str = "x-load";
+
 /// Time for a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -101,6 +104,15 @@
 /// Events of one generation.
 pub type Events = JsonLines<EngineEvent>;
 
+/// A generation that was started.
+#[derive(Debug)]
+pub struct Started {
+    /// Its events.
+    pub events: Events,
+    /// The engine's load, when it told it.
+    pub load: Option<LoadReport>,
+}
+
 /// A client of engines.
 #[derive(Clone, Debug, Default)]
 pub struct EngineClient {
@@ -119,10 +131,11 @@
         address: SocketAddr,
         start: &StartGeneration,
         limit: Duration,
-    ) -> Result<Events, EngineError> {
+    ) -> Result<Started, EngineError> {
         let req = json_request(Method::POST, "/generations", Some(start));
         let reply = self.client.send(address, req, Reuse::Recent, limit).await?;
-        events(reply, &start.generation).await
+        let load = reply.header(LOAD_HEADER).and_then(|text| serde_json::from_str(text).ok());
+        Ok(Started { events: events(reply, &start.generation).await?, load })
     }
 
     /// Resumes a generation from token `from` on a new connection.
--- a/experiments/src/crowd/world.rs
+++ b/experiments/src/crowd/world.rs
@@ -37,7 +37,7 @@
 const RUN_OUT_MS: u64 = 920_000;
 
 /// What happens next; times are in microseconds.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrive(usize),
     /// A question reaches an owner.
--- a/fakes/src/engine/server.rs
+++ b/fakes/src/engine/server.rs
@@ -6,11 +6,12 @@
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::{BodyExt, Either, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use magnoliawinch::admission::LoadReport;
 use magnoliawinch::delivery::EngineEvent;
 use magnoliawinch::rendezvous;
-use magnoliawinch_engine::StartGeneration;
+use magnoliawinch_engine::{LOAD_HEADER, StartGeneration};
 use magnoliawinch_http::{Body, BodyAborted, ServerLimits, json_response, serve};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -380,7 +381,13 @@
         if crashes {
             self.crash_soon();
         }
-        self.stream(&id, 0)
+        let mut response = self.stream(&id, 0);
+        let report = lock(&self.inner).reports.front().map(|(_, report)| *report);
+        let text = report.and_then(|report| serde_json::to_string(&report).ok());
+        if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            response.headers_mut().insert(LOAD_HEADER, value);
+        }
+        response
     }
 
     /// Dies a few steps later, while other work is in progress.
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -204,13 +204,11 @@
     body: Option<&impl Serialize>,
 ) -> Request<Full<Bytes>> {
     let bytes = body.map(|b| serde_json::to_vec(b).unwrap_or_default()).unwrap_or_default();
-    Request::builder()
-        .method(method)
-        .uri(path)
-        .header("content-type", "application/json")
-        .header("host", "magnoliawinch")
-        .body(Full::new(Bytes::from(bytes)))
-        .unwrap_or_default()
+    let mut builder = Request::builder().method(method).uri(path).header("host", "magnoliawinch");
+    if body.is_some() {
+        builder = builder.header("content-type", "application/json");
+    }
+    builder.body(Full::new(Bytes::from(bytes))).unwrap_or_default()
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender, SendError> {
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -1,6 +1,7 @@
 //! Conversions between messages and the types of the decisions.
 
 use crate::generated;
+use magnoliawinch::admission::LoadReport;
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::{FailureDomain, HostName, is_valid};
 use thiserror::Error;
@@ -47,3 +48,35 @@
         })
     }
 }
+
+impl generated::UpstreamLoad {
+    /// The load of `upstream` as `report` has it.
+    pub fn new(upstream: &str, report: &LoadReport) -> Self {
+        Self {
+            upstream: upstream.to_owned(),
+            incarnation: report.incarnation,
+            running: report.running,
+            waiting: report.waiting,
+            used_tokens: report.used_tokens,
+            step_ms: report.step_ms as f32,
+            preemptions: report.preemptions,
+            draining: report.draining,
+            lag_ms: report.lag_ms as u32,
+        }
+    }
+}
+
+impl From<&generated::UpstreamLoad> for LoadReport {
+    fn from(load: &generated::UpstreamLoad) -> Self {
+        Self {
+            incarnation: load.incarnation,
+            running: load.running,
+            waiting: load.waiting,
+            used_tokens: load.used_tokens,
+            step_ms: f64::from(load.step_ms),
+            preemptions: load.preemptions,
+            draining: load.draining,
+            lag_ms: u64::from(load.lag_ms),
+        }
+    }
+}
--- a/testbed/src/bed.rs
+++ b/testbed/src/bed.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the stand-ins and the daemons.
 
-use crate::deployment::{FAILURE_DOMAINS, guidance_file, parts_file};
+use crate::deployment::{failure_domain, guidance_file, parts_file};
 use magnoliawinch::catalogue::{Change, Offset, Record};
 use magnoliawinch::ini::Document;
 use magnoliawinch::names::{FailureDomain, HostName, ServiceName};
@@ -27,6 +27,12 @@
 /// The stream of the configuration.
 pub const CATALOGUE_STREAM: &str = "catalogue";
 
+/// How long a daemon waits for the addresses of a killed one.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time between two tries.
+const ADDRESS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Why a testbed does not start.
 #[derive(Debug, Error)]
 pub enum BedError {
@@ -67,6 +73,12 @@
     pub directory_lifetime: Duration,
     /// Traffic threads of each daemon.
     pub traffic_threads: usize,
+    /// Failure domains over which daemons and upstreams are spread.
+    pub failure_domains: usize,
+    /// Upstreams of the generation service; several share an engine when there are more.
+    pub upstreams: usize,
+    /// Organisations beyond the usual ones.
+    pub more_organisations: usize,
 }
 
 impl Default for BedOptions {
@@ -80,6 +92,9 @@
             list_lag: Duration::from_secs(30),
             directory_lifetime: Duration::from_millis(1_000),
             traffic_threads: 1,
+            failure_domains: 3,
+            upstreams: 3,
+            more_organisations: 0,
         }
     }
 }
@@ -158,10 +173,11 @@
 
     /// Puts both service files into the log.
     pub fn publish_services(&self) {
-        let engines: Vec<_> = self.engines.iter().map(FakeEngine::address).collect();
+        let engines = self.engines.iter().map(FakeEngine::address).cycle();
+        let engines: Vec<_> = engines.take(self.options.upstreams).collect();
         let services: Vec<_> = self.services.iter().map(FakeService::address).collect();
-        self.append_service(&guidance_file(&engines, self.options.model.memory_tokens), 1);
-        self.append_service(&parts_file(&services), 2);
+        self.append_service(&guidance_file(&engines, &self.options), 1);
+        self.append_service(&parts_file(&services, &self.options), 2);
     }
 
     /// Appends the first revision of a service without a daemon.
@@ -176,26 +192,44 @@
         self.log.append(CATALOGUE_STREAM, &data)
     }
 
-    /// Starts the daemon of host `place`.
+    /// Starts the daemon of host `place`; waits for its addresses while a killed one ends.
     pub async fn start_daemon(&mut self, place: usize) -> Result<(), BedError> {
+        let until = Instant::now() + ADDRESS_TIMEOUT;
+        loop {
+            match self.try_start(place).await {
+                Err(BedError::Start(StartError::Listen { .. })) if Instant::now() < until => {
+                    sleep(ADDRESS_PAUSE).await;
+                }
+                result => return result,
+            }
+        }
+    }
+
+    async fn try_start(&mut self, place: usize) -> Result<(), BedError> {
         let settings = self.daemons[place].settings.clone();
         let runtime = Builder::new_multi_thread()
             .worker_threads(self.options.traffic_threads)
             .thread_name("traffic")
             .enable_all()
             .build()?;
-        let started = runtime.spawn(Daemon::start(settings)).await;
-        let daemon = started.map_err(io::Error::other)??;
-        self.daemons[place].daemon = Some(daemon);
-        self.daemons[place].runtime = Some(runtime);
-        Ok(())
+        match runtime.spawn(Daemon::start(settings)).await.map_err(io::Error::other)? {
+            Ok(daemon) => {
+                self.daemons[place].daemon = Some(daemon);
+                self.daemons[place].runtime = Some(runtime);
+                Ok(())
+            }
+            Err(e) => {
+                runtime.shutdown_background();
+                Err(e.into())
+            }
+        }
     }
 
     /// Waits until every started daemon takes requests and knows all others.
     pub async fn wait_ready(&self, limit: Duration) -> Result<(), BedError> {
         let until = Instant::now() + limit;
         loop {
-            let running: Vec<_> = self.daemons.iter().filter_map(|d| d.daemon.as_ref()).collect();
+            let running: Vec<_> = self.daemons().collect();
             let all = running.len();
             let is_ready = |d: &&&Daemon| d.is_ready() && d.members() == all;
             let ready = running.iter().filter(is_ready).count();
@@ -209,6 +243,11 @@
         }
     }
 
+    /// The running daemons.
+    pub fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+        self.daemons.iter().filter_map(|bed_daemon| bed_daemon.daemon.as_ref())
+    }
+
     /// Kills the daemon of host `place` as a crash does.
     pub fn kill_daemon(&mut self, place: usize) {
         let bed_daemon = &mut self.daemons[place];
@@ -290,7 +329,7 @@
     debug_assert!(IpAddr::from(ip).is_loopback());
     Ok(Settings {
         host: HostName::from(format!("entry-{place}")),
-        failure_domain: FailureDomain::new(FAILURE_DOMAINS[place % FAILURE_DOMAINS.len()]),
+        failure_domain: FailureDomain::from(failure_domain(place, options)),
         caller_address: free_address(ip).await?,
         peer_address: free_address(ip).await?,
         operator_address: free_address(ip).await?,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod bed;
+pub mod control;
 pub mod demo;
 pub mod deployment;
 pub mod figures;
--- a/testbed/src/load.rs
+++ b/testbed/src/load.rs
@@ -150,7 +150,7 @@
         priority: 5,
         max_tokens: u32::MAX,
     };
-    let mut events = client.start(engine, &start, ANSWER_TIMEOUT).await.ok()?;
+    let mut events = client.start(engine, &start, ANSWER_TIMEOUT).await.ok()?.events;
     loop {
         match events.next().await?.ok()? {
             EngineEvent::Token { .. } => clocked.token(),
