--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+pub(crate) mod capacity;
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod drain;
@@ -48,6 +49,9 @@
     /// A picture cannot be drawn.
     #[error(transparent)]
     Plot(#[from] magnoliawinch_experiments::crowd::PlotError),
+    /// The capacity page or its data cannot be used.
+    #[error(transparent)]
+    Capacity(#[from] capacity::CapacityError),
     /// The runtime cannot be started.
     #[error("cannot start: {0}")]
     Runtime(#[from] io::Error),
--- a/cli/src/commands/experiment.rs
+++ b/cli/src/commands/experiment.rs
@@ -1,10 +1,13 @@
 //! Runs experiments.
 
 use super::{CommandError, block_on};
-use crate::options::{ControlOptions, CrowdOptions, ExperimentCommand, ExperimentOptions};
+use crate::options::{
+    ControlOptions, CrowdOptions, ExperimentCommand, ExperimentOptions, OrdersOptions,
+};
 use crate::output::{print_json, print_rows};
 use magnoliawinch_experiments::crowd::{self, Options, Policy, Report};
 use magnoliawinch_testbed::control::{self, ControlReport};
+use magnoliawinch_testbed::orders;
 use std::process::ExitCode;
 
 /// Runs the experiment that the arguments name.
@@ -12,6 +15,8 @@
     match &options.command {
         Some(ExperimentCommand::Crowd(options)) => run_crowd(options),
         Some(ExperimentCommand::Control(options)) => run_control(options),
+        Some(ExperimentCommand::Orders(options)) => run_orders(options),
+        Some(ExperimentCommand::Capacity(options)) => super::capacity::run(options),
         None => Err(CommandError::Missing("EXPERIMENT")),
     }
 }
@@ -122,3 +127,30 @@
         ("answers", format!("{:.1} a second", f.answers_per_second)),
     ]);
 }
+
+fn run_orders(options: &OrdersOptions) -> Result<ExitCode, CommandError> {
+    let order_options = orders::OrderOptions {
+        orders_a_second: options.orders_a_second,
+        seconds: options.seconds,
+        log_ms: options.log_ms,
+        kill: options.kill,
+        seed: options.seed,
+    };
+    let f = block_on(orders::run(&order_options))??;
+    if options.json {
+        print_json(&f);
+        return Ok(ExitCode::SUCCESS);
+    }
+    print_rows(&[
+        ("sent", f.sent.to_string()),
+        ("answered", f.answered.to_string()),
+        ("run twice", f.run_twice.to_string()),
+        ("\"not run\" but ran", f.not_run_but_ran.to_string()),
+        ("appends for each order", format!("{:.2}", f.appends_per_order)),
+        ("appends", format!("{:.0} a second", f.appends_per_second)),
+        ("answer p50", format!("{:.1} ms", f.answer_ms_p50)),
+        ("answer p99", format!("{:.1} ms", f.answer_ms_p99)),
+        ("answer max", format!("{:.1} ms", f.answer_ms_max)),
+    ]);
+    Ok(ExitCode::SUCCESS)
+}
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -180,6 +180,10 @@
     Crowd(CrowdOptions),
     #[options(help = "measure what control costs on real daemons over loopback")]
     Control(ControlOptions),
+    #[options(help = "measure what calls that run at most once cost at the log")]
+    Orders(OrdersOptions),
+    #[options(help = "rewrite the tables of docs/CAPACITY.md from docs/capacity")]
+    Capacity(CapacityOptions),
 }
 
 /// Arguments of `experiment crowd`.
@@ -231,3 +235,35 @@
     #[options(no_short, help = "print JSON")]
     pub(crate) json: bool,
 }
+
+/// Arguments of `experiment orders`.
+#[derive(Debug, Options)]
+pub(crate) struct OrdersOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "orders", default = "50")]
+    pub(crate) orders_a_second: f64,
+    #[options(no_short, help = "how long orders are sent", default = "5")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "time that the log takes for each request", default = "5")]
+    pub(crate) log_ms: u64,
+    #[options(no_short, help = "a daemon is killed at half the time")]
+    pub(crate) kill: bool,
+    #[options(no_short, help = "seed of the arrivals", default = "1")]
+    pub(crate) seed: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `experiment capacity`.
+#[derive(Debug, Options)]
+pub(crate) struct CapacityOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "measurements", default = "docs/capacity", meta = "DIR")]
+    pub(crate) data: PathBuf,
+    #[options(no_short, help = "the page", default = "docs/CAPACITY.md", meta = "FILE")]
+    pub(crate) page: PathBuf,
+    #[options(no_short, help = "fail when the page differs from the data, and change nothing")]
+    pub(crate) check: bool,
+}
--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -146,7 +146,7 @@
 }
 
 /// How long grants live without news from their holder.
-pub const GRANT_LIFETIME: Millis = Millis(15_000);
+pub const GRANT_LIFETIME: Millis = Millis(30_000);
 
 /// Shortest retry time that a refused caller is given.
 const MIN_RETRY: Millis = Millis(250);
--- a/core/src/decision.rs
+++ b/core/src/decision.rs
@@ -1,5 +1,6 @@
 //! The log line of each routing or placement decision.
 
+use crate::catalogue::Offset;
 use crate::names::{HostName, ServiceName, UpstreamName};
 use crate::verdict::Verdict;
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,17 @@
         /// The answer.
         answer: String,
     },
+    /// An engine was ordered to load a model.
+    Ordered {
+        /// The engine.
+        upstream: UpstreamName,
+        /// The model.
+        model: String,
+        /// Its version.
+        version: String,
+        /// The fencing number of the order.
+        fencing: Offset,
+    },
     /// The request ended.
     Ended {
         /// Tokens handed on, or the status of a call.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod names;
 pub mod ownership;
+pub mod placement;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -79,6 +79,12 @@
 /// Silence of a successor after which it counts as failed.
 pub const FAIL_AFTER: Millis = Millis(4_500);
 
+/// Members told at once that another left or failed.
+const URGENT_TARGETS: usize = 2;
+
+/// Time between two such messages of one daemon at the least.
+const URGENT_PAUSE: Millis = Millis(200);
+
 /// Rounds of probes between two of a random member.
 const ROUNDS_PER_RANDOM_PROBE: u64 = 5;
 
@@ -95,7 +101,7 @@
 const CHANGES_PER_MESSAGE: usize = 32;
 
 /// Messages that carry one change, times the logarithm of the number of members.
-const SPREAD_FACTOR: u32 = 3;
+const SPREAD_FACTOR: u32 = 1;
 
 /// How long a failed member is remembered.
 const FORGET_AFTER: Millis = Millis(3_600_000);
@@ -127,6 +133,9 @@
     heard: HashMap<HostName, Time>,
     probed_at: Option<Time>,
     rounds: u64,
+    /// Whether a member was learned to leave or to have failed since others were told.
+    has_urgent_news: bool,
+    told_at: Option<Time>,
     /// Changes with every change of the view.
     version: u64,
 }
@@ -140,6 +149,8 @@
             heard: HashMap::new(),
             probed_at: None,
             rounds: 0,
+            has_urgent_news: false,
+            told_at: None,
             version: 0,
         }
     }
@@ -210,6 +221,7 @@
         if member.state != MemberState::Failed {
             self.heard_from(now, member.host.as_str());
         }
+        self.has_urgent_news |= member.state >= MemberState::Leaving;
         let spread_left = self.spread();
         let record = Record { changed_at: now, spread_left, member };
         self.records.insert(record.member.host.clone(), record);
@@ -238,8 +250,9 @@
 
     /// The members to probe now, and the failure of successors that stayed silent.
     pub fn tick<R: Rng>(&mut self, now: Time, rng: &mut R) -> Vec<Member> {
+        let urgent = self.urgent_targets(now, rng);
         if self.probed_at.is_some_and(|at| now.since(at) < PROBE_EVERY) {
-            return Vec::new();
+            return urgent;
         }
         self.probed_at = Some(now);
         self.forget(now);
@@ -255,12 +268,24 @@
         if is_random_due || is_young {
             targets.extend(self.random_member(false, rng));
         }
+        targets.extend(urgent);
         if targets.is_empty() || self.rounds.is_multiple_of(ROUNDS_PER_FAILED_PROBE) {
             targets.extend(self.random_member(true, rng));
         }
         targets
     }
 
+    /// Members to tell at once that others left or failed.
+    fn urgent_targets<R: Rng>(&mut self, now: Time, rng: &mut R) -> Vec<Member> {
+        let is_pausing = self.told_at.is_some_and(|at| now.since(at) < URGENT_PAUSE);
+        if !self.has_urgent_news || is_pausing {
+            return Vec::new();
+        }
+        self.has_urgent_news = false;
+        self.told_at = Some(now);
+        (0..URGENT_TARGETS).filter_map(|_| self.random_member(false, rng)).collect()
+    }
+
     fn successors(&self) -> Vec<Member> {
         let own = rendezvous::hash(self.own.host.as_str());
         let mut ring: Vec<_> = self
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Which daemon decides about what, by rendezvous hashing over the members that take work.
 
 use crate::membership::{Member, Membership};
-use crate::names::{FailureDomain, UpstreamName};
+use crate::names::{FailureDomain, ServiceName, UpstreamName};
 use crate::quarantine::Fingerprint;
 use crate::rendezvous;
 use std::collections::BTreeMap;
@@ -54,6 +54,11 @@
         self.owner(&format!("list-{slot}"))
     }
 
+    /// The daemon that orders the engines of a service to load models.
+    pub fn of_placement(&self, service: &ServiceName) -> Option<&Member> {
+        self.owner(&format!("placement-{service}"))
+    }
+
     /// The daemon that writes checkpoints of the configuration.
     pub fn of_checkpoints(&self) -> Option<&Member> {
         self.owner("checkpoints")
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -3,7 +3,7 @@
 //! An entry daemon knows upstreams only by hints from earlier answers of their owners. It asks
 //! two or three owners at most; the owners know what runs there.
 
-use crate::names::{FailureDomain, UpstreamName};
+use crate::names::{FailureDomain, HostName, UpstreamName};
 use crate::rendezvous;
 use crate::service_file::ServiceSpec;
 use crate::time::{Millis, Time};
@@ -29,8 +29,22 @@
 /// Wait that a hop to another failure domain costs, in milliseconds.
 const DISTANCE_MS: f64 = 2.0;
 
+/// Upstreams of a service that one daemon uses. A bounded pool keeps the cost of a decision, and
+/// the number of owners that a daemon talks to, apart from the size of the whole system.
+pub const POOL_SIZE: usize = 16;
+
+/// The upstreams of `service` that the daemon of `host` uses.
+pub fn pool(host: &HostName, service: &ServiceSpec) -> Vec<UpstreamName> {
+    let names = service.upstreams.keys();
+    if service.upstreams.len() <= POOL_SIZE {
+        return names.cloned().collect();
+    }
+    let ranked = rendezvous::ranked(host.as_str(), names.map(UpstreamName::as_str), POOL_SIZE);
+    ranked.into_iter().map(UpstreamName::new).collect()
+}
+
 /// Upstreams sampled for a request besides those that suit its prefix.
-const SAMPLES: usize = 16;
+const SAMPLES: usize = POOL_SIZE;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Hint {
@@ -111,16 +125,21 @@
         self.hints.get(upstream).map_or(0, |hint| hint.outstanding)
     }
 
-    /// The upstreams to try, best first.
+    /// The upstreams of `pool` to try, best first; all of the service's when none of the pool is
+    /// usable.
     pub fn candidates<R: Rng>(
         &self,
         now: Time,
         service: &ServiceSpec,
+        pool: &[UpstreamName],
         is_usable: impl Fn(&UpstreamName) -> bool,
         wish: Wish<'_>,
         rng: &mut R,
     ) -> Vec<Candidate> {
-        let usable: Vec<_> = service.upstreams.keys().filter(|name| is_usable(name)).collect();
+        let mut usable: Vec<_> = pool.iter().filter(|name| is_usable(name)).collect();
+        if usable.is_empty() {
+            usable = service.upstreams.keys().filter(|name| is_usable(name)).collect();
+        }
         let mut chosen: BTreeMap<&UpstreamName, f64> = BTreeMap::new();
         for name in self.prefix_homes(&usable, wish.prefix) {
             let bonus = f64::from(wish.prefix_tokens) * PREFIX_WORTH_MS;
--- a/core/src/service_file.rs
+++ b/core/src/service_file.rs
@@ -115,6 +115,17 @@
     pub leaving: bool,
 }
 
+/// The model that the engines of a service are to have.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelSpec {
+    /// Its name.
+    pub name: String,
+    /// Its version.
+    pub version: String,
+    /// Bytes that an engine loads from the weight store for it.
+    pub weight_bytes: u64,
+}
+
 /// A service as published.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
@@ -126,6 +137,8 @@
     pub objective: Objective,
     /// Its bounds.
     pub limits: Limits,
+    /// The model of its engines; without one they keep what they have.
+    pub model: Option<ModelSpec>,
     /// Its kinds of request.
     pub kinds: BTreeMap<KindName, KindSpec>,
     /// The organisations that may call it.
@@ -156,6 +169,7 @@
             service_type,
             objective: parse_objective(doc)?,
             limits: parse_limits(doc)?,
+            model: None,
             kinds: BTreeMap::new(),
             organisations: BTreeMap::new(),
             upstreams: BTreeMap::new(),
@@ -175,6 +189,7 @@
                 let kind = parse_kind(reader, self.limits.first_token_ms)?;
                 self.kinds.insert(KindName::from(name), kind);
             }
+            "model" if named => self.add_model(section, parse_model(name, reader)?)?,
             "organisation" if named => {
                 self.organisations
                     .insert(OrganisationName::from(name), parse_organisation(reader)?);
@@ -188,6 +203,16 @@
         Ok(())
     }
 
+    fn add_model(&mut self, section: &str, model: ModelSpec) -> Result<(), IniError> {
+        match self.model.replace(model) {
+            Some(_) => Err(IniError::UnknownSection {
+                section: section.to_owned(),
+                expected: "one section [model NAME]".to_owned(),
+            }),
+            None => Ok(()),
+        }
+    }
+
     fn check(self) -> Result<Self, IniError> {
         for (role, missing) in [
             ("kind", self.kinds.is_empty()),
@@ -202,10 +227,14 @@
     }
 }
 
+/// Largest weights of one version: 16 TiB.
+const MAX_WEIGHT_BYTES: u64 = 1 << 44;
+
 fn unknown_section(section: &str) -> IniError {
     IniError::UnknownSection {
         section: section.to_owned(),
-        expected: "[service], [objective], [limits], [kind NAME], [organisation NAME] or \
+        expected: "[service], [objective], [limits], [model NAME], [kind NAME], \
+                   [organisation NAME] or \
                    [upstream NAME]"
             .to_owned(),
     }
@@ -269,6 +298,16 @@
     Ok(spec)
 }
 
+fn parse_model(name: &str, mut reader: SectionReader) -> Result<ModelSpec, IniError> {
+    let model = ModelSpec {
+        name: name.to_owned(),
+        version: reader.name("version")?,
+        weight_bytes: reader.number_or("weight_bytes", 0, 0..=MAX_WEIGHT_BYTES)?,
+    };
+    reader.finish()?;
+    Ok(model)
+}
+
 fn parse_organisation(mut reader: SectionReader) -> Result<OrganisationSpec, IniError> {
     let share = weight(&mut reader, "share", 1.0)?;
     if share <= 0.0 {
--- a/core/src/settings.rs
+++ b/core/src/settings.rs
@@ -26,6 +26,8 @@
     pub hosts_address: SocketAddr,
     /// Where metrics go by UDP, if anywhere.
     pub metrics_address: Option<SocketAddr>,
+    /// Bytes a second that engines may load from the weight store, for each service.
+    pub weight_bytes_per_second: u64,
     /// Traffic threads.
     pub traffic_threads: usize,
     /// How long callers may keep a list of addresses, in milliseconds.
@@ -70,6 +72,11 @@
             log_address: platform.required("log_address")?,
             hosts_address: platform.required("hosts_address")?,
             metrics_address: platform.optional("metrics_address")?,
+            weight_bytes_per_second: limits.number_or(
+                "weight_bytes_per_second",
+                1_000_000_000,
+                1..=1_000_000_000_000,
+            )?,
             directory_lifetime_ms: limits.number_or(
                 "directory_lifetime_ms",
                 30_000,
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod ledgers;
 mod members;
+mod placement;
 mod thread;
 
 pub(crate) use admissions::{AdmitAnswer, AdmitCall, AdmitResult};
@@ -20,8 +21,9 @@
 use magnoliawinch::catalogue::{Change, Offset, State};
 use magnoliawinch::ledger::{ClaimAnswer, Outcome};
 use magnoliawinch::membership::{Member, MemberState};
-use magnoliawinch::names::UpstreamName;
+use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::ownership::Owners;
+use magnoliawinch::placement::Observed;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine, Treatment};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_hosts::HostList;
@@ -29,6 +31,7 @@
 use magnoliawinch_operator::{InForce, Published, ServiceInForce, Status};
 use magnoliawinch_peer::{ProbeReply, ProbeRequest, RenewRequest};
 use members::Members;
+use placement::Placement;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -77,6 +80,10 @@
     LedgerPage { shard: u32, page: Option<Page>, reply: oneshot::Sender<Option<Offset>> },
     /// An append to a ledger shard ended.
     LedgerAppended { shard: u32, succeeded: bool },
+    /// Records of the leases; the answer says whether to go on reading.
+    LeasePage { page: Option<Page>, reply: oneshot::Sender<Option<Offset>> },
+    /// What an engine said of its model.
+    Observed { service: ServiceName, upstream: UpstreamName, observed: Observed },
     /// Asks how a fingerprint may run.
     Treatment { fingerprint: Fingerprint, reply: oneshot::Sender<Treatment> },
     /// A request with this fingerprint was in progress at an upstream that died.
@@ -104,8 +111,12 @@
     admissions: Admissions,
     ledgers: Ledgers,
     quarantine: Quarantine,
+    placement: Placement,
     services: Arc<Services>,
     owners: Arc<Owners>,
+    /// Engines whose admission this daemon owns.
+    owned_engines: Vec<UpstreamName>,
+    owned_is_old: bool,
     members_version: u64,
     view_is_old: bool,
     viewed_at: Time,
@@ -120,8 +131,11 @@
             admissions: Admissions::new(),
             ledgers: Ledgers::new(),
             quarantine: Quarantine::new(),
+            placement: Placement::new(),
             services: Arc::default(),
             owners: Arc::default(),
+            owned_engines: Vec::new(),
+            owned_is_old: true,
             members_version: u64::MAX,
             view_is_old: true,
             viewed_at: Time(0),
@@ -179,6 +193,12 @@
             Message::LedgerAppended { shard, succeeded } => {
                 self.ledgers.appended(&self.shared, now, shard, succeeded);
             }
+            Message::LeasePage { page, reply } => {
+                let _ = reply.send(self.lease_page(now, page.as_ref()));
+            }
+            Message::Observed { service, upstream, observed } => {
+                self.observed(now, &service, &upstream, observed);
+            }
             Message::Treatment { fingerprint, reply } => {
                 let _ = reply.send(self.quarantine.treatment(now, fingerprint));
             }
@@ -214,6 +234,7 @@
         self.ledgers.sweep(now, |claimant| membership.is_gone(claimant));
         self.write_checkpoint_if_due(now);
         self.poll_loads(now);
+        self.tick_placement(now);
     }
 
     /// Time until `tick` has to be called again.
@@ -235,6 +256,10 @@
         if members_changed {
             self.owners = Arc::new(Owners::new(&self.members.membership));
             self.members_version = version;
+            self.owned_is_old = true;
+        }
+        if std::mem::take(&mut self.owned_is_old) {
+            self.find_owned_engines();
         }
         self.viewed_at = now;
         self.view_is_old = false;
@@ -276,12 +301,14 @@
     /// Takes over a configuration that changed.
     fn configuration_changed(&mut self) {
         if let Some(state) = self.configuration.state() {
-            self.services = Arc::new(crate::view::services(state, &self.services));
+            self.services =
+                Arc::new(crate::view::services(&self.shared.settings.host, state, &self.services));
         }
         if self.configuration.is_ready() {
             self.members.membership.ready();
         }
         self.admissions.reconfigure(&self.services);
+        self.owned_is_old = true;
         let services = &self.services;
         let is_known =
             |name: &UpstreamName| services.values().any(|s| s.spec.upstreams.contains_key(name));
--- a/daemon/src/control/admissions.rs
+++ b/daemon/src/control/admissions.rs
@@ -27,6 +27,9 @@
 /// Time after the last grant in which an upstream counts as busy.
 const BUSY_FOR: Millis = Millis(5_000);
 
+/// An upstream that was neither asked about nor polled is forgotten after this time.
+const UNUSED_LIFETIME: Millis = Millis(60_000);
+
 /// Time between two questions for the load of one upstream.
 const POLL_PAUSE: Millis = Millis(500);
 
@@ -118,6 +121,12 @@
         self.asked_at.is_some_and(|at| now.since(at) < BUSY_FOR)
     }
 
+    fn is_used(&self, now: Time) -> bool {
+        let is_recent = |at: Option<Time>| at.is_some_and(|at| now.since(at) < UNUSED_LIFETIME);
+        let has_work = self.admission.running() > 0 || !self.waiting.is_empty();
+        has_work || is_recent(self.asked_at) || is_recent(self.polled_at)
+    }
+
     /// Whether the upstream's load has to be asked for.
     fn wants_poll(&self, now: Time) -> bool {
         let age = if self.is_busy(now) { BUSY_EVIDENCE } else { IDLE_EVIDENCE };
@@ -308,37 +317,53 @@
         }
     }
 
-    /// Drops grants of silent holders.
+    /// Drops grants of silent holders, and upstreams that have not been asked about for long.
     pub(super) fn sweep(&mut self, now: Time) {
         for owned in self.owned.values_mut() {
             owned.admission.expire(now);
         }
+        self.owned.retain(|_, owned| owned.is_used(now));
         let owned = &self.owned;
         self.grants.retain(|id, upstream| {
             owned.get(upstream).is_some_and(|owned| owned.admission.is_running(*id))
         });
     }
 
-    /// Takes over the upstreams of a new configuration.
+    /// Takes over the bounds of a new configuration; upstreams that are gone or moved start anew.
     pub(super) fn reconfigure(&mut self, services: &Services) {
-        let mut old = std::mem::take(&mut self.owned);
-        for service in services.values() {
-            let spec = &service.spec;
-            for (name, upstream) in &spec.upstreams {
-                let bounds = Bounds::of(spec, upstream);
-                let owned = match old.remove(name) {
-                    Some(owned) if owned.address == upstream.address => Owned {
-                        admission: owned.admission.with_bounds(bounds),
-                        service: spec.name.clone(),
-                        ..owned
-                    },
-                    _ => Owned::new(Admission::new(bounds), spec, upstream),
-                };
-                self.owned.insert(name.clone(), owned);
+        let old = std::mem::take(&mut self.owned);
+        for (name, owned) in old {
+            let service = services.get(&owned.service).map(|service| &service.spec);
+            let found = service.and_then(|spec| Some((spec, spec.upstreams.get(&name)?)));
+            if let Some((spec, upstream)) = found.filter(|(_, u)| u.address == owned.address) {
+                let admission = owned.admission.with_bounds(Bounds::of(spec, upstream));
+                self.owned.insert(name, Owned { admission, ..owned });
             }
         }
     }
 
+    /// Starts to decide about an upstream, unless this daemon does so already.
+    fn ensure(
+        &mut self,
+        service: &ServiceSpec,
+        name: &UpstreamName,
+        is_leaving: impl Fn(&UpstreamName, IpAddr) -> bool,
+    ) {
+        if self.owned.contains_key(name) {
+            return;
+        }
+        let Some(upstream) = service.upstreams.get(name) else {
+            return;
+        };
+        let admission = Admission::new(Bounds::of(service, upstream));
+        let mut owned = Owned::new(admission, service, upstream);
+        owned.leaving = is_leaving(name, upstream.address.ip());
+        if owned.leaving {
+            owned.admission.close();
+        }
+        self.owned.insert(name.clone(), owned);
+    }
+
     /// Stops granting where `is_leaving` holds, and starts again where it no longer does.
     pub(super) fn close_where(
         &mut self,
@@ -367,11 +392,7 @@
     }
 
     /// The engines among `names` whose load has to be asked for.
-    fn due_polls<'a>(
-        &mut self,
-        now: Time,
-        names: impl Iterator<Item = &'a UpstreamName>,
-    ) -> Vec<(UpstreamName, SocketAddr)> {
+    fn due_polls(&mut self, now: Time, names: &[UpstreamName]) -> Vec<(UpstreamName, SocketAddr)> {
         let mut due = Vec::new();
         for name in names {
             if let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.wants_poll(now)) {
@@ -414,33 +435,51 @@
         call: AdmitCall,
         reply: oneshot::Sender<AdmitAnswer>,
     ) {
-        let service = self.services.get(&call.service);
-        let share = service
-            .and_then(|s| s.spec.organisations.get(&call.organisation))
-            .map_or(1.0, |organisation| organisation.share);
-        let priority =
-            service.and_then(|s| s.spec.kinds.get(&call.kind)).map_or(0, |kind| kind.priority);
+        let Some(service) = self.services.get(&call.service).map(|s| Arc::clone(&s.spec)) else {
+            let _ = reply.send(AdmitAnswer { result: AdmitResult::Unknown, utilisation: 0.0 });
+            return;
+        };
+        let organisation = service.organisations.get(&call.organisation);
+        let share = organisation.map_or(1.0, |organisation| organisation.share);
+        let priority = service.kinds.get(&call.kind).map_or(0, |kind| kind.priority);
         let upstream = call.upstream.clone();
+        self.ensure(&service, &upstream);
         let wish = HeldWish { call, share, priority, reply };
         if let Some(address) = self.admissions.admit_or_hold(now, wish) {
             self.poll_load(upstream, address);
         }
     }
 
+    fn ensure(&mut self, service: &ServiceSpec, upstream: &UpstreamName) {
+        let upstreams = &self.members.upstreams;
+        self.admissions
+            .ensure(service, upstream, |name, ip| upstreams.is_leaving(name.as_str(), ip));
+    }
+
+    /// Finds the engines that this daemon owns, after a change of the members or the services.
+    pub(super) fn find_owned_engines(&mut self) {
+        let own = self.members.membership.own().host.clone();
+        let specs: Vec<_> = self
+            .services
+            .values()
+            .map(|service| Arc::clone(&service.spec))
+            .filter(|spec| spec.service_type == ServiceType::Generation)
+            .collect();
+        self.owned_engines.clear();
+        for spec in specs {
+            for (name, upstream) in &spec.upstreams {
+                let owner = self.owners.of_upstream(name, &upstream.failure_domain);
+                if owner.is_some_and(|owner| owner.host == own) {
+                    self.owned_engines.push(name.clone());
+                    self.ensure(&spec, name);
+                }
+            }
+        }
+    }
+
     /// Asks the engines that this daemon owns for their load, where no caller's request told it.
     pub(super) fn poll_loads(&mut self, now: Time) {
-        let own = &self.members.membership.own().host;
-        let owners = &self.owners;
-        let specs = self.services.values().map(|service| &service.spec);
-        let names = specs
-            .filter(|spec| spec.service_type == ServiceType::Generation)
-            .flat_map(|spec| &spec.upstreams)
-            .filter(|(name, upstream)| {
-                let owner = owners.of_upstream(name, &upstream.failure_domain);
-                owner.is_some_and(|owner| owner.host == *own)
-            })
-            .map(|(name, _)| name);
-        for (upstream, address) in self.admissions.due_polls(now, names) {
+        for (upstream, address) in self.admissions.due_polls(now, &self.owned_engines) {
             self.poll_load(upstream, address);
         }
     }
--- a/daemon/src/grants.rs
+++ b/daemon/src/grants.rs
@@ -15,8 +15,14 @@
 /// News that gather before one message to an owner.
 const LINGER: Duration = Duration::from_millis(5);
 
-/// Time between messages to an owner while grants are held.
-const HEARTBEAT: Duration = Duration::from_secs(4);
+/// Longest time without a message to an owner while grants are held.
+const HEARTBEAT: Duration = Duration::from_secs(10);
+
+/// Time between two messages that name every grant that is held.
+const FULL_EVERY: Duration = Duration::from_secs(60);
+
+/// Time between two looks whether a message is due.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 
 /// Time for a message to an owner.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
@@ -111,6 +117,7 @@
     owner: Member,
     ids: HashSet<u64>,
     told_at: Instant,
+    told_all_at: Instant,
     progress: Vec<GrantProgress>,
     loads: HashMap<String, UpstreamLoad>,
 }
@@ -130,7 +137,7 @@
                 Some(news) => take(&mut held, news),
                 None => return,
             },
-            () = sleep(HEARTBEAT / 4) => {}
+            () = sleep(LOOK_EVERY) => {}
         }
         sleep(LINGER).await;
         while let Ok(news) = rx.try_recv() {
@@ -148,6 +155,7 @@
         owner: news.owner,
         ids: HashSet::new(),
         told_at: Instant::now(),
+        told_all_at: Instant::now(),
         progress: Vec::new(),
         loads: HashMap::new(),
     });
@@ -172,16 +180,18 @@
     if !held.has_news() && !is_due {
         return;
     }
-    if is_due {
-        held.told_at = Instant::now();
+    let full = held.told_all_at.elapsed() >= FULL_EVERY;
+    held.told_at = Instant::now();
+    if full {
+        held.told_all_at = held.told_at;
     }
     let req = RenewRequest {
         host: shared.settings.host.to_string(),
         host_incarnation: shared.clock.started_at().0,
         grants: std::mem::take(&mut held.progress),
         loads: held.loads.drain().map(|(_, load)| load).collect(),
-        full: is_due,
-        held: if is_due { held.ids.iter().copied().collect() } else { Vec::new() },
+        full,
+        held: if full { held.ids.iter().copied().collect() } else { Vec::new() },
     };
     if held.owner.host == shared.settings.host {
         let _ = shared.control.send(Message::Renew(req)).await;
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -6,11 +6,13 @@
 use crate::grants::GrantSender;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::view::View;
+use crate::view::{ServiceView, View};
 use arc_swap::ArcSwap;
+use magnoliawinch::names::UpstreamName;
 use magnoliawinch::retry::Budget;
-use magnoliawinch::routing::Router;
+use magnoliawinch::routing::{Candidate, Router, Wish};
 use magnoliawinch::settings::Settings;
+use magnoliawinch::time::Time;
 use magnoliawinch_engine::EngineClient;
 use magnoliawinch_hosts::HostsClient;
 use magnoliawinch_log::LogClient;
@@ -103,6 +105,25 @@
         rx.await.ok()
     }
 
+    /// The usable upstreams of `service` for a request, best first.
+    pub(crate) fn candidates(
+        &self,
+        now: Time,
+        service: &ServiceView,
+        wish: Wish<'_>,
+    ) -> Vec<Candidate> {
+        let view = self.view.load();
+        let is_usable = |name: &UpstreamName| {
+            service.spec.upstreams.get(name).is_some_and(|spec| {
+                let ip = spec.address.ip();
+                !spec.leaving && view.upstreams.is_usable(now, name.as_str(), ip)
+            })
+        };
+        let mut routing = self.routing();
+        let Routing { router, rng, .. } = &mut *routing;
+        router.candidates(now, &service.spec, &service.pool, is_usable, wish, rng)
+    }
+
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.in_progress.load(Ordering::Acquire)
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -1,11 +1,15 @@
 //! Requests of callers.
 
+mod attempt;
 mod auth;
 mod calls;
 mod generations;
+mod job;
+mod place;
 mod resume;
 mod run;
 mod stream;
+mod suspects;
 mod whole;
 
 use crate::shared::Shared;
--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -314,19 +314,10 @@
     job: &Job,
     avoid: Option<&FailureDomain>,
 ) -> Option<(UpstreamName, UpstreamSpec)> {
-    let view = shared.view.load();
     let now = shared.clock.now();
     let service = &job.access.access.service.spec;
-    let is_usable = |name: &UpstreamName| {
-        service.upstreams.get(name).is_some_and(|spec| {
-            !spec.leaving && view.upstreams.is_usable(now, name.as_str(), spec.address.ip())
-        })
-    };
     let wish = Wish { prefix: 0, prefix_tokens: 0, near: &shared.settings.failure_domain, avoid };
-    let mut routing = shared.routing();
-    let routing = &mut *routing;
-    let candidates = routing.router.candidates(now, service, is_usable, wish, &mut routing.rng);
-    drop(view);
+    let candidates = shared.candidates(now, &job.access.access.service, wish);
     let ranked = candidates.iter().map(|c| (c.upstream.clone(), c.score_ms)).collect();
     job.log(shared, Decision::Candidates { ranked });
     let chosen = candidates.into_iter().next()?.upstream;
--- a/daemon/src/traffic/generations.rs
+++ b/daemon/src/traffic/generations.rs
@@ -1,7 +1,8 @@
 //! Starts generations.
 
+use super::attempt::Attempt;
 use super::auth::{self, KindAccess};
-use super::run::{Attempt, Job};
+use super::job::Job;
 use super::{read_body, stream, whole};
 use crate::shared::Shared;
 use hyper::body::Incoming;
--- /dev/null
+++ b/daemon/src/traffic/job.rs
@@ -0,0 +1,41 @@
+//! A generation that a caller asked for.
+
+use super::auth::KindAccess;
+use crate::shared::Shared;
+use magnoliawinch::decision::Decision;
+use magnoliawinch::quarantine::Fingerprint;
+use magnoliawinch::time::Time;
+use magnoliawinch_caller::ErrorBody;
+
+/// A generation that a caller asked for.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) request_id: String,
+    pub(super) access: KindAccess,
+    pub(super) prompt: String,
+    pub(super) prompt_tokens: u32,
+    pub(super) prefix: u64,
+    pub(super) prefix_tokens: u32,
+    pub(super) max_tokens: u32,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) arrived: Time,
+    pub(super) deadline: Time,
+    pub(super) patience_until: Time,
+}
+
+impl Job {
+    pub(super) fn log(&self, shared: &Shared, decision: Decision) {
+        let service = &self.access.access.service.spec.name;
+        shared.decisions.log(&self.request_id, service, decision);
+    }
+
+    /// The error that ends the job, logged and counted.
+    pub(super) fn refuse(&self, shared: &Shared, error: ErrorBody) -> ErrorBody {
+        let code = error.code.to_string();
+        let retry_after_ms = error.retry_after_ms;
+        self.log(shared, Decision::Refused { code, retry_after_ms });
+        let service = &self.access.access.service.spec.name;
+        shared.metrics.count("refusals", service, &self.access.kind_name);
+        error
+    }
+}
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -1,6 +1,8 @@
 //! Hands the tokens of a generation to its caller as server-sent events.
 
-use super::run::{Attempt, Job, Output, Run, RunFailure};
+use super::attempt::Attempt;
+use super::job::Job;
+use super::run::{Output, Run, RunFailure};
 use crate::shared::{InProgress, Shared};
 use bytes::Bytes;
 use http_body_util::Either;
--- a/daemon/src/traffic/whole.rs
+++ b/daemon/src/traffic/whole.rs
@@ -1,7 +1,9 @@
 //! Answers of kinds that are delivered whole: nothing is released before the answer is complete,
 //! so that it may be run again until then.
 
-use super::run::{Attempt, Job, Output, RunFailure};
+use super::attempt::Attempt;
+use super::job::Job;
+use super::run::{Output, RunFailure};
 use crate::shared::Shared;
 use hyper::{Response, StatusCode};
 use magnoliawinch::decision::Decision;
--- a/daemon/src/view.rs
+++ b/daemon/src/view.rs
@@ -2,8 +2,9 @@
 
 use magnoliawinch::catalogue::{Offset, State};
 use magnoliawinch::membership::Member;
-use magnoliawinch::names::{OrganisationName, ServiceName};
+use magnoliawinch::names::{HostName, OrganisationName, ServiceName, UpstreamName};
 use magnoliawinch::ownership::Owners;
+use magnoliawinch::routing::pool;
 use magnoliawinch::service_file::ServiceSpec;
 use magnoliawinch::upstreams::Upstreams;
 use std::collections::HashMap;
@@ -13,11 +14,13 @@
 #[derive(Debug)]
 pub(crate) struct ServiceView {
     pub(crate) spec: Arc<ServiceSpec>,
+    /// The upstreams that this daemon uses.
+    pub(crate) pool: Vec<UpstreamName>,
     keys: HashMap<String, OrganisationName>,
 }
 
 impl ServiceView {
-    fn new(spec: &Arc<ServiceSpec>) -> Self {
+    fn new(host: &HostName, spec: &Arc<ServiceSpec>) -> Self {
         let keys = spec
             .organisations
             .iter()
@@ -25,7 +28,7 @@
                 organisation.key_sha256.iter().map(|digest| (digest.clone(), name.clone()))
             })
             .collect();
-        Self { spec: Arc::clone(spec), keys }
+        Self { spec: Arc::clone(spec), pool: pool(host, spec), keys }
     }
 
     /// The organisation whose key has this digest.
@@ -38,10 +41,10 @@
 pub(crate) type Services = HashMap<ServiceName, Arc<ServiceView>>;
 
 /// The services of `state`; those that `old` already has are taken over.
-pub(crate) fn services(state: &State, old: &Services) -> Services {
+pub(crate) fn services(host: &HostName, state: &State, old: &Services) -> Services {
     let view = |spec: &Arc<ServiceSpec>| {
         let kept = old.get(&spec.name).filter(|view| Arc::ptr_eq(&view.spec, spec));
-        let view = kept.map_or_else(|| Arc::new(ServiceView::new(spec)), Arc::clone);
+        let view = kept.map_or_else(|| Arc::new(ServiceView::new(host, spec)), Arc::clone);
         (spec.name.clone(), view)
     };
     state.specs().map(view).collect()
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -3,12 +3,14 @@
 //! An engine speaks HTTP: `POST /generations` starts a generation under an id of the caller's
 //! choice and streams its events as JSON lines, `GET /generations/ID?from=N` resumes the stream,
 //! `DELETE /generations/ID` cancels it
-//! (with `?unwatched=1` only when nobody reads its stream), `GET /load` reports load, `POST /orders` takes orders. An
+//! (with `?unwatched=1` only when nobody reads its stream), `GET /load` reports load, `POST /orders` takes orders, `GET
+//! /model` says which model it has. An
 //! answer with the header `x-verdict: not_run` says that the request did no work.
 
 use hyper::{Method, StatusCode};
 use magnoliawinch::admission::LoadReport;
 use magnoliawinch::delivery::EngineEvent;
+use magnoliawinch::placement::{Observed, Order};
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::client::json_request;
 use magnoliawinch_http::{Client, JsonLines, Reply, Reuse, SendError};
@@ -32,6 +34,9 @@
 /// Time for a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for an order; a holder counts on no order being in flight for longer.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// Time for a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -167,6 +172,26 @@
         Ok(())
     }
 
+    /// Orders the engine to load a model; an engine that checks refuses an old fencing number.
+    pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<(), EngineError> {
+        let req = json_request(Method::POST, "/orders", Some(order));
+        let reply = self.client.send(address, req, Reuse::Recent, ORDER_TIMEOUT).await?;
+        match reply.status() {
+            StatusCode::OK => {
+                reply.bytes(MAX_REFUSAL_BYTES).await?;
+                Ok(())
+            }
+            status => Err(refusal(reply, status).await),
+        }
+    }
+
+    /// Reads which model the engine has.
+    pub async fn model(&self, address: SocketAddr) -> Result<Observed, SendError> {
+        self.client
+            .json(address, Method::GET, "/model", None::<&()>, LOAD_TIMEOUT, MAX_REFUSAL_BYTES)
+            .await
+    }
+
     /// Reads the engine's load.
     pub async fn load(&self, address: SocketAddr) -> Result<LoadReport, SendError> {
         self.client
--- a/experiments/src/crowd/entry.rs
+++ b/experiments/src/crowd/entry.rs
@@ -15,6 +15,7 @@
     /// Answers and requests at each engine by its latest report.
     pub(super) reported: Vec<u32>,
     pub(super) router: Router,
+    pool: Vec<UpstreamName>,
     rng: ChaCha8Rng,
     pub(super) domain: magnoliawinch::names::FailureDomain,
 }
@@ -22,15 +23,16 @@
 impl Entry {
     pub(super) fn new(
         place: usize,
-        engines: usize,
+        engines: &[UpstreamName],
         seed: u64,
         domain: magnoliawinch::names::FailureDomain,
     ) -> Self {
         Self {
             turn: place,
-            outstanding: vec![0; engines],
-            reported: vec![0; engines],
+            outstanding: vec![0; engines.len()],
+            reported: vec![0; engines.len()],
             router: Router::new(),
+            pool: engines.to_vec(),
             rng: ChaCha8Rng::seed_from_u64(seed ^ ((place as u64) << 32)),
             domain,
         }
@@ -69,7 +71,8 @@
         is_usable: impl Fn(&UpstreamName) -> bool,
     ) -> Plan {
         let wish = Wish { prefix, prefix_tokens, near: &self.domain, avoid: None };
-        let candidates = self.router.candidates(now, service, is_usable, wish, &mut self.rng);
+        let candidates =
+            self.router.candidates(now, service, &self.pool, is_usable, wish, &mut self.rng);
         Plan::new(candidates.into_iter().map(|candidate| candidate.upstream).collect())
     }
 }
--- a/experiments/src/crowd/workload.rs
+++ b/experiments/src/crowd/workload.rs
@@ -191,6 +191,7 @@
             first_token_ms: 1_800,
             silence_ms: 2_000,
         },
+        model: None,
         kinds: kinds.iter().map(|kind| (kind.name.clone(), kind.spec.clone())).collect(),
         organisations: (0..ORGANISATIONS).map(organisation).collect(),
         upstreams: (0..ENGINES).map(upstream).collect(),
--- a/fakes/src/engine.rs
+++ b/fakes/src/engine.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a model engine.
 
 pub mod model;
+mod orders;
 mod server;
 
 pub use model::{EngineModel, Job, ModelParameters, Output};
--- a/fakes/src/engine/server.rs
+++ b/fakes/src/engine/server.rs
@@ -1,6 +1,7 @@
 //! The stand-in engine as an HTTP server.
 
 use super::model::{EngineModel, Job, ModelParameters, Output};
+use super::orders::Orders;
 use crate::reply::{not_run, query_number, status_response};
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
@@ -10,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use magnoliawinch::admission::LoadReport;
 use magnoliawinch::delivery::EngineEvent;
+use magnoliawinch::placement::{Observed, Order};
 use magnoliawinch::rendezvous;
 use magnoliawinch_engine::{LOAD_HEADER, StartGeneration};
 use magnoliawinch_http::{Body, BodyAborted, ServerLimits, json_response, serve};
@@ -103,6 +105,7 @@
     report_lag: Duration,
     started: u64,
     dead: bool,
+    orders: Orders,
 }
 
 /// Numbers runs of generations, so that two runs never write the same text.
@@ -141,6 +144,7 @@
             report_lag,
             started: 0,
             dead: false,
+            orders: Orders::new(),
         }));
         let work = Arc::new(Notify::new());
         let (stop, stopped) = watch::channel(false);
@@ -200,6 +204,26 @@
         lock(&self.inner).generations.values().map(record).collect()
     }
 
+    /// Changes whether it refuses orders with an old fencing number.
+    pub fn set_checks_fencing(&self, checks: bool) {
+        lock(&self.inner).orders.set_checks_fencing(checks);
+    }
+
+    /// Takes an order without the network; returns whether it was taken.
+    pub fn take_order(&self, order: &Order) -> bool {
+        lock(&self.inner).orders.take(order)
+    }
+
+    /// Which model it has.
+    pub fn model(&self) -> Observed {
+        lock(&self.inner).orders.observed()
+    }
+
+    /// Loads that it started.
+    pub fn loads(&self) -> u64 {
+        lock(&self.inner).orders.loads()
+    }
+
     /// Generations that it started.
     pub fn started(&self) -> u64 {
         lock(&self.inner).started
@@ -344,6 +368,10 @@
         match (req.method(), path.as_str(), id) {
             (&Method::POST, "/generations", _) => self.start(req).await,
             (&Method::GET, "/load", _) => self.load(),
+            (&Method::GET, "/model", _) => {
+                json_response(StatusCode::OK, &lock(&self.inner).orders.observed())
+            }
+            (&Method::POST, "/orders", _) => self.order(req).await,
             (&Method::GET, _, Some(id)) => {
                 let from = query_number(req.uri().query(), "from").unwrap_or(0);
                 self.stream(id, from)
@@ -390,6 +418,18 @@
         response
     }
 
+    async fn order(&self, req: Request<Incoming>) -> Response<Body> {
+        let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await;
+        let order = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+        let Some(order) = order else {
+            return not_run(StatusCode::BAD_REQUEST, false, "the order cannot be read");
+        };
+        match lock(&self.inner).orders.take(&order) {
+            true => status_response(StatusCode::OK, "taken"),
+            false => not_run(StatusCode::CONFLICT, false, "the fencing number is old"),
+        }
+    }
+
     /// Dies a few steps later, while other work is in progress.
     fn crash_soon(&self) {
         const CRASH_AFTER: Duration = Duration::from_millis(30);
--- a/scripts/measure-capacity.sh
+++ b/scripts/measure-capacity.sh
@@ -12,6 +12,7 @@
         > "docs/capacity/$name.json.new"
     mv "docs/capacity/$name.json.new" "docs/capacity/$name.json"
 }
+# Two runs at a time would disturb each other.
 for n in 9 25 50 100 200; do run "daemons-$n" --daemons "$n" --changes-a-second 0; done
 for n in 10 100 500 2000; do
     run "upstreams-$n" --daemons 25 --upstreams "$n" --changes-a-second 0
--- a/testbed/src/bed.rs
+++ b/testbed/src/bed.rs
@@ -337,6 +337,7 @@
         log_address,
         hosts_address,
         metrics_address: None,
+        weight_bytes_per_second: 1_000_000_000,
         traffic_threads: options.traffic_threads,
         directory_lifetime_ms: options.directory_lifetime.as_millis() as u64,
         ledger_shards: 4,
--- a/testbed/src/control.rs
+++ b/testbed/src/control.rs
@@ -23,7 +23,7 @@
 const DAEMONS_PER_DOMAIN: usize = 12;
 
 /// Longest time until all daemons are ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(60);
+const READY_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Time between two looks at the daemons.
 const POLL: Duration = Duration::from_millis(2);
@@ -31,9 +31,12 @@
 /// Longest time for a change to be in force, and for owners to converge.
 const CONVERGE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time for daemons to settle after their start.
+/// Least time for daemons to settle after their start.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// Time added for each daemon, as the news of all starts spread.
+const SETTLE_EACH: Duration = Duration::from_millis(150);
+
 /// Tokens of each answer of a busy run.
 const BUSY_LENGTH: u32 = 64;
 
@@ -150,7 +153,7 @@
     }
     bed.wait_ready(READY_TIMEOUT).await?;
     let ready_ms = started.elapsed().as_secs_f64() * 1_000.0;
-    sleep(SETTLE).await;
+    sleep(SETTLE + SETTLE_EACH * options.daemons as u32).await;
     let mut figures = measure(&bed, options).await;
     figures.ready_ms = ready_ms;
     let memory = process::resident_bytes().saturating_sub(memory_before);
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod figures;
 pub mod load;
+pub mod orders;
 pub mod user;
 
 pub use answer::{AnswerCheck, AnswerError};
