Queue at two owners; read only changed sections; append rate bounded

It now waits at the two shortest queues and withdraws from the other when one grants. The pause between two appends of a shard now follows from 300 a second over all shards.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -2,12 +2,14 @@
 
 pub(crate) mod capacity;
 pub(crate) mod check;
+pub(crate) mod crowd_table;
 pub(crate) mod demo;
 pub(crate) mod drain;
 pub(crate) mod experiment;
 pub(crate) mod explain;
 pub(crate) mod hosts;
 pub(crate) mod load;
+mod page;
 pub(crate) mod publish;
 pub(crate) mod status;
 
@@ -49,9 +51,9 @@
     /// A picture cannot be drawn.
     #[error(transparent)]
     Plot(#[from] magnoliawinch_experiments::crowd::PlotError),
-    /// The capacity page or its data cannot be used.
+    /// A page or its data cannot be used.
     #[error(transparent)]
-    Capacity(#[from] capacity::CapacityError),
+    Page(#[from] page::PageError),
     /// The runtime cannot be started.
     #[error("cannot start: {0}")]
     Runtime(#[from] io::Error),
--- a/cli/src/commands/capacity.rs
+++ b/cli/src/commands/capacity.rs
@@ -1,30 +1,13 @@
 //! Rewrites the tables of the capacity page from the committed measurements.
 
+use super::page::{PageError, fill, load, write_page};
 use super::{CommandError, read};
 use crate::options::CapacityOptions;
 use crate::output::EXIT_REFUSED;
 use magnoliawinch_testbed::control::ControlReport;
 use std::fmt::Write;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
-use thiserror::Error;
-
-/// Why the page cannot be rewritten.
-#[derive(Debug, Error)]
-pub(crate) enum CapacityError {
-    /// A measurement cannot be read.
-    #[error("measurement {path} cannot be read: {reason}")]
-    BadData { path: PathBuf, reason: String },
-    /// There are too few measurements for a fit.
-    #[error("series \"{0}\" has fewer than two measurements")]
-    TooFew(&'static str),
-    /// The page has no place for a table.
-    #[error("the page has no place for table \"{0}\"")]
-    NoPlace(&'static str),
-    /// The page cannot be written.
-    #[error("cannot write {path}: {source}")]
-    Write { path: PathBuf, source: std::io::Error },
-}
 
 /// The target size.
 mod target {
@@ -79,26 +62,14 @@
 
 impl Series {
     fn load(directory: &Path, prefix: &'static str) -> Result<Self, CommandError> {
-        let unreadable = |source| CommandError::Read { path: directory.to_owned(), source };
-        let mut reports = Vec::new();
-        for entry in std::fs::read_dir(directory).map_err(unreadable)? {
-            let path = entry.map_err(unreadable)?.path();
-            let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
-            if !name.starts_with(prefix) || !name.ends_with(".json") {
-                continue;
-            }
-            let text = read(&path)?;
-            let report: ControlReport = serde_json::from_str(&text)
-                .map_err(|e| CapacityError::BadData { path, reason: e.to_string() })?;
-            reports.push(report);
-        }
+        let mut reports: Vec<ControlReport> = load(directory, prefix)?;
         reports.sort_by_key(|r| {
             let o = &r.options;
             let rate = (o.changes_a_second * 1_000.0) as u64;
             (o.daemons, o.upstreams, o.organisations, rate, o.requests_a_second as u64)
         });
         match reports.len() {
-            0 | 1 => Err(CapacityError::TooFew(prefix).into()),
+            0 | 1 => Err(PageError::TooFew(prefix).into()),
             _ => Ok(Self { reports }),
         }
     }
@@ -107,9 +78,9 @@
         &self,
         x: impl Fn(&ControlReport) -> f64,
         y: impl Fn(&ControlReport) -> f64,
-    ) -> Result<Fit, CapacityError> {
+    ) -> Result<Fit, PageError> {
         let points: Vec<_> = self.reports.iter().map(|r| (x(r), y(r))).collect();
-        Fit::new(&points).ok_or(CapacityError::TooFew("points"))
+        Fit::new(&points).ok_or(PageError::TooFew("points"))
     }
 }
 
@@ -200,13 +171,13 @@
         })
     }
 
-    fn slopes(&self) -> Result<Slopes, CapacityError> {
+    fn slopes(&self) -> Result<Slopes, PageError> {
         let daemons = |r: &ControlReport| r.options.daemons as f64;
         let per_daemon = |r: &ControlReport| r.options.upstreams as f64 / r.options.daemons as f64;
         let changes = |r: &ControlReport| r.options.changes_a_second;
         let organisations = |r: &ControlReport| r.options.organisations as f64;
         let upstreams = |r: &ControlReport| r.options.upstreams as f64;
-        let terms = |y: fn(&ControlReport) -> f64| -> Result<Vec<Term>, CapacityError> {
+        let terms = |y: fn(&ControlReport) -> f64| -> Result<Vec<Term>, PageError> {
             let by_daemons = self.daemons.fit(daemons, y)?;
             Ok(vec![
                 Term::base("a daemon by itself", by_daemons.base),
@@ -264,7 +235,7 @@
     text
 }
 
-fn requests_table(requests: &Series) -> Result<String, CapacityError> {
+fn requests_table(requests: &Series) -> Result<String, PageError> {
     let rate = |r: &ControlReport| r.options.requests_a_second / r.options.daemons as f64;
     let control = requests.fit(rate, |r| r.figures.control_core * 100.0)?;
     let traffic = requests.fit(rate, |r| r.figures.traffic_core * 100.0)?;
@@ -290,14 +261,6 @@
     Ok(text)
 }
 
-fn fill(page: &str, name: &'static str, table: &str) -> Result<String, CapacityError> {
-    let start = format!("<!-- table:{name} -->\n");
-    let end = "<!-- end -->";
-    let from = page.find(&start).ok_or(CapacityError::NoPlace(name))? + start.len();
-    let to = page[from..].find(end).ok_or(CapacityError::NoPlace(name))? + from;
-    Ok(format!("{}\n{table}\n{}", &page[..from], &page[to..]))
-}
-
 /// Rewrites the page, or checks that it says what the data say.
 pub(crate) fn run(options: &CapacityOptions) -> Result<ExitCode, CommandError> {
     let data = Data::load(&options.data)?;
@@ -325,7 +288,6 @@
         println!("the page and the data {}", if is_same { "agree" } else { "differ" });
         return Ok(if is_same { ExitCode::SUCCESS } else { ExitCode::from(EXIT_REFUSED) });
     }
-    let path = options.page.clone();
-    std::fs::write(&path, page).map_err(|source| CapacityError::Write { path, source })?;
+    write_page(&options.page, &page)?;
     Ok(ExitCode::SUCCESS)
 }
--- a/cli/src/commands/experiment.rs
+++ b/cli/src/commands/experiment.rs
@@ -16,6 +16,7 @@
         Some(ExperimentCommand::Crowd(options)) => run_crowd(options),
         Some(ExperimentCommand::Control(options)) => run_control(options),
         Some(ExperimentCommand::Orders(options)) => run_orders(options),
+        Some(ExperimentCommand::CrowdTable(options)) => super::crowd_table::run(options),
         Some(ExperimentCommand::Capacity(options)) => super::capacity::run(options),
         None => Err(CommandError::Missing("EXPERIMENT")),
     }
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -182,6 +182,8 @@
     Control(ControlOptions),
     #[options(help = "measure what calls that run at most once cost at the log")]
     Orders(OrdersOptions),
+    #[options(help = "rewrite the tables of docs/design/admission.md from docs/crowd")]
+    CrowdTable(CrowdTableOptions),
     #[options(help = "rewrite the tables of docs/CAPACITY.md from docs/capacity")]
     Capacity(CapacityOptions),
 }
@@ -267,3 +269,14 @@
     #[options(no_short, help = "fail when the page differs from the data, and change nothing")]
     pub(crate) check: bool,
 }
+
+/// Arguments of `experiment crowd-table`.
+#[derive(Debug, Options)]
+pub(crate) struct CrowdTableOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "runs", default = "docs/crowd", meta = "DIR")]
+    pub(crate) data: PathBuf,
+    #[options(no_short, help = "the page", default = "docs/design/admission.md", meta = "FILE")]
+    pub(crate) page: PathBuf,
+}
--- a/core/src/catalogue.rs
+++ b/core/src/catalogue.rs
@@ -61,12 +61,13 @@
         old: &Document,
         new: &Document,
     ) -> Option<Self> {
-        let differs = |(name, keys): &(&String, &Keys)| old.sections().get(*name) != Some(keys);
+        let differs =
+            |(name, keys): &(&String, &Arc<Keys>)| old.sections().get(*name) != Some(*keys);
         let put: BTreeMap<_, _> = new
             .sections()
             .iter()
             .filter(differs)
-            .map(|(name, keys)| (name.clone(), keys.clone()))
+            .map(|(name, keys)| (name.clone(), Keys::clone(keys)))
             .collect();
         let is_gone = |name: &&String| !new.sections().contains_key(*name);
         let remove: Vec<_> = old.sections().keys().filter(is_gone).cloned().collect();
@@ -261,7 +262,7 @@
             return Folded::Refused { nonce: change.nonce, refusal };
         }
         let document = patched(current, change);
-        match checked(&document, change) {
+        match checked(&document, change, current) {
             Ok(spec) => {
                 let entry = Entry {
                     revision: offset,
@@ -292,11 +293,16 @@
     document
 }
 
-fn checked(document: &Document, change: &Change) -> Result<Option<Arc<ServiceSpec>>, Refusal> {
+fn checked(
+    document: &Document,
+    change: &Change,
+    current: Option<&Arc<Entry>>,
+) -> Result<Option<Arc<ServiceSpec>>, Refusal> {
     if change.withdraw {
         return Ok(None);
     }
-    let spec = ServiceSpec::from_document(document)
+    let old = current.and_then(|entry| Some((&entry.document, entry.spec.as_deref()?)));
+    let spec = ServiceSpec::from_changed(document, old)
         .map_err(|error| Refusal::Invalid { service: change.service.clone(), error })?;
     if spec.name != change.service {
         return Err(Refusal::OtherName { service: change.service.clone(), other: spec.name });
--- a/core/src/ini.rs
+++ b/core/src/ini.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::str::FromStr;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// What is wrong with a settings or service file.
@@ -86,11 +87,11 @@
 /// Keys and values of one section, in order of key.
 pub type Keys = BTreeMap<String, String>;
 
-/// An INI file as sections by name.
+/// An INI file as sections by name. Copies share the sections that do not differ.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Document {
-    sections: BTreeMap<String, Keys>,
+    sections: BTreeMap<String, Arc<Keys>>,
 }
 
 impl Document {
@@ -122,20 +123,28 @@
                 });
             }
         }
-        match self.sections.insert(name.to_owned(), keys) {
+        match self.sections.insert(name.to_owned(), Arc::new(keys)) {
             Some(_) => Err(IniError::RepeatedSection { section: name.to_owned() }),
             None => Ok(()),
         }
     }
 
     /// The sections by name.
-    pub fn sections(&self) -> &BTreeMap<String, Keys> {
+    pub fn sections(&self) -> &BTreeMap<String, Arc<Keys>> {
         &self.sections
     }
 
     /// Puts a section in place of the one of the same name.
     pub fn put(&mut self, name: &str, keys: Keys) {
-        self.sections.insert(name.to_owned(), keys);
+        self.sections.insert(name.to_owned(), Arc::new(keys));
+    }
+
+    /// Whether `other` shares the section `name`, so that it cannot differ.
+    pub fn shares(&self, other: &Self, name: &str) -> bool {
+        match (self.sections.get(name), other.sections.get(name)) {
+            (Some(own), Some(others)) => Arc::ptr_eq(own, others),
+            _ => false,
+        }
     }
 
     /// Removes a section.
--- a/core/src/ledger.rs
+++ b/core/src/ledger.rs
@@ -5,7 +5,7 @@
 
 mod owner;
 
-pub use owner::{Action, ClaimAnswer, ShardOwner};
+pub use owner::{Action, ClaimAnswer, ShardOwner, append_pause};
 
 use crate::names::HostName;
 use crate::rendezvous;
--- a/core/src/ledger/owner.rs
+++ b/core/src/ledger/owner.rs
@@ -49,8 +49,15 @@
     until: Time,
 }
 
-/// The least time between two appends of one shard.
-const LINGER: Millis = Millis(5);
+/// Appends a second that all shards together make at the most.
+const MAX_APPENDS_PER_SECOND: u64 = 300;
+
+/// The least time between two appends of one shard among `shards`, so that all of them together
+/// stay within what the log takes. A shard that was idle appends at once.
+pub fn append_pause(shards: u32) -> Millis {
+    const MILLIS_PER_SECOND: u64 = 1_000;
+    Millis((u64::from(shards) * MILLIS_PER_SECOND).div_ceil(MAX_APPENDS_PER_SECOND))
+}
 
 /// The most facts in one batch.
 const MAX_BATCH: usize = 256;
@@ -61,6 +68,7 @@
 #[derive(Debug)]
 pub struct ShardOwner {
     shard: Shard,
+    pause: Millis,
     next: Offset,
     log_time: Time,
     /// Facts to append.
@@ -86,10 +94,12 @@
 }
 
 impl ShardOwner {
-    /// An owner that has read nothing yet.
-    pub fn new(validity: Millis) -> Self {
+    /// An owner that has read nothing yet, remembers keys for `validity` and waits for `pause`
+    /// between two appends.
+    pub fn new(validity: Millis, pause: Millis) -> Self {
         Self {
             shard: Shard::new(validity),
+            pause,
             next: Offset(1),
             log_time: Time(0),
             pending: Vec::new(),
@@ -134,7 +144,7 @@
     /// Starts an append when one is due and gives up claims whose time is over.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.give_up(now);
-        let is_due = self.appended_at.is_none_or(|at| now.since(at) >= LINGER);
+        let is_due = self.appended_at.is_none_or(|at| now.since(at) >= self.pause);
         if self.is_appending || self.pending.is_empty() || !is_due {
             return actions;
         }
--- a/core/src/routing.rs
+++ b/core/src/routing.rs
@@ -196,16 +196,16 @@
     }
 }
 
+/// Owners at which a request queues at the same time.
+pub const QUEUES: usize = 2;
+
 /// How a request goes on after an owner's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum NextStep {
-    /// Ask this owner; the flag says whether to queue there.
-    Ask {
-        /// The upstream.
-        upstream: UpstreamName,
-        /// Whether to wait there.
-        queue: bool,
-    },
+    /// Ask this owner, without waiting there.
+    Ask(UpstreamName),
+    /// Wait at all of these until one grants a place; the others are told that it is over.
+    Queue(Vec<UpstreamName>),
     /// Give up: the request is not run and may come back after this time.
     GiveUp(Millis),
 }
@@ -215,7 +215,8 @@
 pub struct Plan {
     candidates: Vec<UpstreamName>,
     asked: usize,
-    waits: Vec<Millis>,
+    /// Waits that owners named, in the order of the candidates; none where one refused.
+    waits: Vec<Option<Millis>>,
     queued: bool,
     retry: Millis,
 }
@@ -230,36 +231,42 @@
         Self { candidates, asked: 0, waits, queued: false, retry: NO_UPSTREAM_RETRY }
     }
 
-    /// The next step; call it first and after each answer other than a grant.
+    /// The next step; call it first, after each answer to a question, and when every owner at
+    /// which the request queued has refused.
     pub fn next_step(&mut self) -> NextStep {
-        if let Some(upstream) = self.candidates.get(self.asked) {
+        // The only candidate is asked to queue at once, which saves a round trip.
+        if self.candidates.len() == 1 && !self.queued {
+            self.queued = true;
+            return NextStep::Queue(self.candidates.clone());
+        }
+        if let Some(upstream) = self.candidates.get(self.asked).filter(|_| !self.queued) {
             self.asked += 1;
-            // The only candidate is asked to queue at once, which saves a round trip.
-            let queue = self.candidates.len() == 1;
-            self.queued |= queue;
-            return NextStep::Ask { upstream: upstream.clone(), queue };
+            return NextStep::Ask(upstream.clone());
         }
-        if self.queued {
+        let shortest = self.shortest();
+        if self.queued || shortest.is_empty() {
             return NextStep::GiveUp(self.retry);
         }
         self.queued = true;
-        let shortest = self.waits.iter().enumerate().min_by_key(|(_, wait)| **wait);
-        match shortest {
-            Some((place, _)) => {
-                NextStep::Ask { upstream: self.candidates[place].clone(), queue: true }
-            }
-            None => NextStep::GiveUp(self.retry),
-        }
+        NextStep::Queue(shortest)
+    }
+
+    /// The candidates with the shortest waits.
+    fn shortest(&self) -> Vec<UpstreamName> {
+        let named = self.candidates.iter().zip(&self.waits);
+        let mut waits: Vec<_> = named.filter_map(|(name, wait)| Some(((*wait)?, name))).collect();
+        waits.sort();
+        waits.into_iter().take(QUEUES).map(|(_, name)| name.clone()).collect()
     }
 
     /// Notes that the owner just asked has no room for `wait`.
     pub fn busy(&mut self, wait: Millis) {
-        self.waits.push(wait);
+        self.waits.push(Some(wait));
     }
 
     /// Notes that the owner just asked refused, or did not answer.
     pub fn refused(&mut self, retry: Millis) {
         self.retry = retry;
-        self.waits.push(Millis(u64::MAX));
+        self.waits.push(None);
     }
 }
--- a/core/src/service_file.rs
+++ b/core/src/service_file.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use strum::{Display, EnumString};
 
 /// The kind of back end behind a service.
@@ -142,7 +143,7 @@
     /// Its kinds of request.
     pub kinds: BTreeMap<KindName, KindSpec>,
     /// The organisations that may call it.
-    pub organisations: BTreeMap<OrganisationName, OrganisationSpec>,
+    pub organisations: BTreeMap<OrganisationName, Arc<OrganisationSpec>>,
     /// Its upstreams.
     pub upstreams: BTreeMap<UpstreamName, UpstreamSpec>,
 }
@@ -160,6 +161,12 @@
 
     /// Checks a document and takes the service out of it.
     pub fn from_document(doc: &Document) -> Result<Self, IniError> {
+        Self::from_changed(doc, None)
+    }
+
+    /// The same for a changed document; organisations whose sections it shares with the old one
+    /// are taken over from the service that the old one held.
+    pub fn from_changed(doc: &Document, old: Option<(&Document, &Self)>) -> Result<Self, IniError> {
         let mut section = doc.section("service")?;
         let name = section.name("name")?;
         let service_type = section.required("type")?;
@@ -175,11 +182,26 @@
             upstreams: BTreeMap::new(),
         };
         for (section, keys) in doc.sections() {
-            spec.add_section(section, SectionReader::new(section, keys))?;
+            let shared = old.filter(|(old_doc, _)| doc.shares(old_doc, section));
+            let kept = shared.and_then(|(_, old_spec)| old_spec.organisation_of(section));
+            match kept {
+                Some((name, organisation)) => {
+                    spec.organisations.insert(name.clone(), Arc::clone(organisation));
+                }
+                None => spec.add_section(section, SectionReader::new(section, keys))?,
+            }
         }
         spec.check()
     }
 
+    fn organisation_of(
+        &self,
+        section: &str,
+    ) -> Option<(&OrganisationName, &Arc<OrganisationSpec>)> {
+        let name = section.strip_prefix("organisation ")?;
+        self.organisations.get_key_value(name)
+    }
+
     fn add_section(&mut self, section: &str, reader: SectionReader) -> Result<(), IniError> {
         let (role, name) = section.split_once(' ').unwrap_or((section, ""));
         let named = is_valid(name);
@@ -191,8 +213,8 @@
             }
             "model" if named => self.add_model(section, parse_model(name, reader)?)?,
             "organisation" if named => {
-                self.organisations
-                    .insert(OrganisationName::from(name), parse_organisation(reader)?);
+                let organisation = Arc::new(parse_organisation(reader)?);
+                self.organisations.insert(OrganisationName::from(name), organisation);
             }
             "upstream" if named => {
                 let spec = parse_upstream(reader, self.service_type)?;
@@ -242,7 +264,7 @@
 
 fn reader_or_empty(doc: &Document, name: &str) -> SectionReader {
     let empty = BTreeMap::new();
-    SectionReader::new(name, doc.sections().get(name).unwrap_or(&empty))
+    SectionReader::new(name, doc.sections().get(name).map_or(&empty, |keys| keys))
 }
 
 fn weight(reader: &mut SectionReader, key: &str, default: f64) -> Result<f64, IniError> {
--- a/core/tests/catalogue.rs
+++ b/core/tests/catalogue.rs
@@ -3,6 +3,7 @@
 use magnoliawinch::catalogue::{Catalogue, Change, Folded, Offset, Record, State};
 use magnoliawinch::ini::Keys;
 use magnoliawinch::names::ServiceName;
+use magnoliawinch::service_file::ServiceSpec;
 use magnoliawinch_schedules::{check, check_caught};
 use quickcheck::{Arbitrary, Gen};
 use std::collections::{BTreeMap, HashMap};
@@ -114,6 +115,10 @@
         self.log.push(data.to_owned());
         let offset = Offset(self.log.len() as u64);
         self.reference.fold(offset, data).expect("the reference misses nothing");
+        for entry in self.reference.state().expect("the reference is whole").services.values() {
+            let whole = ServiceSpec::from_document(&entry.document).ok();
+            assert_eq!(entry.spec.as_deref(), whole.as_ref(), "taken over parts are the same");
+        }
         self.states.push(self.reference.state().expect("the reference is whole").clone());
     }
 
@@ -148,12 +153,15 @@
             .and_then(|state| state.services.get(&name))
             .map_or(Offset(0), |entry| entry.revision);
         self.nonce += 1;
+        let mut put = sections(name.as_str(), self.nonce, valid);
+        // A later change names only the section that differs.
+        put.retain(|section, _| base == Offset(0) || section == "limits");
         let change = Change {
             service: name.clone(),
             base,
             nonce: self.nonce,
             author: format!("operator-{}", self.nonce),
-            put: sections(name.as_str(), self.nonce, valid),
+            put,
             remove: Vec::new(),
             withdraw: false,
         };
--- a/core/tests/ledger.rs
+++ b/core/tests/ledger.rs
@@ -15,6 +15,7 @@
 /// Runs of a key closer than this are runs of the same call.
 const SAME_CALL: Millis = Millis(VALIDITY.0 - CLAIM_BOUND.0);
 const PATIENCE: Millis = Millis(2_000);
+const PAUSE: Millis = Millis(5);
 const OWNERS: usize = 2;
 const KEYS: usize = 2;
 
@@ -121,7 +122,7 @@
             variant,
             now: Time(1_000),
             log: Vec::new(),
-            owners: (0..OWNERS).map(|_| ShardOwner::new(VALIDITY)).collect(),
+            owners: (0..OWNERS).map(|_| ShardOwner::new(VALIDITY, PAUSE)).collect(),
             appending: vec![None; OWNERS],
             holders: Vec::new(),
             runs: HashMap::new(),
@@ -141,7 +142,7 @@
             Step::Append { owner, end } => self.append(owner, end),
             Step::Read { owner } => self.read(owner),
             Step::Restart { owner } => {
-                self.owners[owner] = ShardOwner::new(VALIDITY);
+                self.owners[owner] = ShardOwner::new(VALIDITY, PAUSE);
                 self.appending[owner] = None;
             }
             Step::Advance { ms } => self.now = self.now + Millis(ms),
@@ -323,14 +324,14 @@
 
 #[test]
 fn the_same_key_gets_the_same_outcome_and_another_body_is_refused() {
-    let (mut owner, mut log) = (ShardOwner::new(VALIDITY), Vec::new());
+    let (mut owner, mut log) = (ShardOwner::new(VALIDITY, PAUSE), Vec::new());
     owner.claim(claim_of(1, "a"), Time(2_000));
     let mut answers = settle_all(&mut owner, &mut log, Time(10));
     let outcome = Outcome { verdict: Verdict::Ran, status: 201, body: Some("bill".to_owned()) };
     owner.settle("order-1", 1, outcome);
     answers.extend(settle_all(&mut owner, &mut log, Time(20)));
     // Another owner knows only what the log says.
-    let mut second = ShardOwner::new(VALIDITY);
+    let mut second = ShardOwner::new(VALIDITY, PAUSE);
     second.claim(claim_of(2, "a"), Time(2_000));
     second.claim(claim_of(3, "b"), Time(2_000));
     answers.extend(settle_all(&mut second, &mut log, Time(30)));
@@ -339,7 +340,7 @@
 
 #[test]
 fn without_the_log_a_claim_ends_as_unavailable_and_is_released_when_it_turns_up() {
-    let mut owner = ShardOwner::new(VALIDITY);
+    let mut owner = ShardOwner::new(VALIDITY, PAUSE);
     owner.claim(claim_of(1, "a"), Time(2_000));
     let first = owner.tick(Time(10));
     owner.append_ended(false);
--- a/daemon/src/control/ledgers.rs
+++ b/daemon/src/control/ledgers.rs
@@ -4,7 +4,7 @@
 use crate::shared::Shared;
 use magnoliawinch::catalogue::Offset;
 use magnoliawinch::ledger::{
-    self, Action, Batch, Claim, ClaimAnswer, Claimant, Outcome, ShardOwner,
+    self, Action, Batch, Claim, ClaimAnswer, Claimant, Outcome, ShardOwner, append_pause,
 };
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_log::Page;
@@ -57,8 +57,9 @@
 
     fn shard(&mut self, shared: &Arc<Shared>, now: Time, shard: u32) -> &mut ShardState {
         let validity = Millis(shared.settings.key_validity_ms);
+        let pause = append_pause(shared.settings.ledger_shards);
         let state = self.shards.entry(shard).or_insert_with(|| ShardState {
-            owner: ShardOwner::new(validity),
+            owner: ShardOwner::new(validity, pause),
             claims: HashMap::new(),
             settles: HashMap::new(),
             is_read: false,
--- a/daemon/src/traffic/place.rs
+++ b/daemon/src/traffic/place.rs
@@ -5,6 +5,8 @@
 use crate::control::AdmitCall;
 use crate::grants::Grant;
 use crate::shared::Shared;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use magnoliawinch::decision::Decision;
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::quarantine::Treatment;
@@ -12,6 +14,7 @@
 use magnoliawinch::service_file::UpstreamSpec;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_caller::{Code, ErrorBody};
+use std::future::Future;
 use std::sync::Arc;
 
 /// Requests of this daemon at one upstream when its admission owner is silent.
@@ -79,41 +82,105 @@
 ) -> Result<Place, ErrorBody> {
     let asked_at = shared.clock.now();
     let names = rank(shared, job, wish, asked_at)?;
-    let view = shared.view.load_full();
-    let service = &job.access.access.service.spec;
-    let mut plan = Plan::new(names.clone());
-    let mut silent = 0;
+    let mut search =
+        Search { shared, job, wish, asked_at, plan: Plan::new(names.clone()), silent: 0 };
     loop {
-        let (upstream, queue) = match plan.next_step() {
-            NextStep::Ask { upstream, queue } => (upstream, queue),
-            NextStep::GiveUp(_) if silent > 0 => return direct(shared, job, &names, asked_at),
-            NextStep::GiveUp(retry) => return Err(overloaded(&service.name, retry)),
+        let found = match search.plan.next_step() {
+            NextStep::Ask(upstream) => search.ask(&upstream, false).await,
+            NextStep::Queue(upstreams) => search.queue(&upstreams).await,
+            NextStep::GiveUp(_) if search.silent > 0 => {
+                return direct(shared, job, &names, asked_at);
+            }
+            NextStep::GiveUp(retry) => {
+                let service = &job.access.access.service.spec.name;
+                return Err(overloaded(service, retry));
+            }
         };
-        let spec = service.upstreams.get(&upstream);
-        let owner = spec.and_then(|s| view.owners.of_upstream(&upstream, &s.failure_domain));
-        let (Some(spec), Some(owner)) = (spec, owner) else {
-            silent += 1;
-            plan.refused(RETRY_AFTER);
-            continue;
+        if let Some(place) = found {
+            return Ok(place);
+        }
+    }
+}
+
+/// One search for a place.
+struct Search<'a> {
+    shared: &'a Arc<Shared>,
+    job: &'a Job,
+    wish: PlaceWish<'a>,
+    asked_at: Time,
+    plan: Plan,
+    /// Owners that did not answer.
+    silent: u32,
+}
+
+impl Search<'_> {
+    /// Asks the owner of an upstream; with `queue`, waits there.
+    async fn ask(&mut self, upstream: &UpstreamName, queue: bool) -> Option<Place> {
+        let answer = self.question(upstream, queue).await;
+        self.take(upstream, answer)
+    }
+
+    /// Waits at several owners; the first grant counts, the other wishes are withdrawn.
+    async fn queue(&mut self, upstreams: &[UpstreamName]) -> Option<Place> {
+        let question = |upstream: &UpstreamName| {
+            let (question, upstream) = (self.question(upstream, true), upstream.clone());
+            async move { (upstream, question.await) }
         };
-        let call = admit_call(shared, job, &upstream, queue, wish);
-        match admit(shared, owner, call).await {
+        let mut questions: FuturesUnordered<_> = upstreams.iter().map(question).collect();
+        let mut answers = Vec::new();
+        while let Some((upstream, answer)) = questions.next().await {
+            let is_grant = matches!(answer, Admitted::Granted(_));
+            answers.push((upstream, answer));
+            if is_grant {
+                break;
+            }
+        }
+        drop(questions);
+        let mut answers = answers.into_iter();
+        answers.find_map(|(upstream, answer)| self.take(&upstream, answer))
+    }
+
+    /// The question to the owner of an upstream.
+    fn question(
+        &self,
+        upstream: &UpstreamName,
+        queue: bool,
+    ) -> impl Future<Output = Admitted> + use<> {
+        let view = self.shared.view.load();
+        let spec = self.job.access.access.service.spec.upstreams.get(upstream);
+        let owner = spec.and_then(|s| view.owners.of_upstream(upstream, &s.failure_domain));
+        let owner = owner.cloned();
+        let call = admit_call(self.shared, self.job, upstream, queue, self.wish);
+        let shared = Arc::clone(self.shared);
+        async move {
+            match owner {
+                Some(owner) => admit(&shared, &owner, call).await,
+                None => Admitted::Silent,
+            }
+        }
+    }
+
+    fn take(&mut self, upstream: &UpstreamName, answer: Admitted) -> Option<Place> {
+        match answer {
             Admitted::Granted(grant) => {
-                return Ok(granted(shared, job, asked_at, &upstream, spec, grant));
+                let spec = self.job.access.access.service.spec.upstreams.get(upstream)?;
+                let (shared, job, asked_at) = (self.shared, self.job, self.asked_at);
+                return Some(granted(shared, job, asked_at, upstream, spec, grant));
             }
             Admitted::Busy(wait) => {
-                plan.busy(wait);
-                log_busy(shared, job, &upstream, wait);
+                self.plan.busy(wait);
+                log_busy(self.shared, self.job, upstream, wait);
             }
             Admitted::Refused(retry) => {
-                plan.refused(retry);
-                log_busy(shared, job, &upstream, retry);
+                self.plan.refused(retry);
+                log_busy(self.shared, self.job, upstream, retry);
             }
             Admitted::Silent => {
-                silent += 1;
-                plan.refused(RETRY_AFTER);
+                self.silent += 1;
+                self.plan.refused(RETRY_AFTER);
             }
         }
+        None
     }
 }
 
--- a/experiments/src/crowd.rs
+++ b/experiments/src/crowd.rs
@@ -12,12 +12,12 @@
 pub use policy::Policy;
 pub use workload::{Deployment, Profile};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use workload::Workload;
 use world::World;
 
 /// What to run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Options {
     /// Whose deployment.
     pub deployment: Deployment,
@@ -57,7 +57,7 @@
 }
 
 /// One policy's figures.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Row {
     /// The policy.
     pub policy: Policy,
@@ -66,7 +66,7 @@
 }
 
 /// The figures of all policies on the same arrivals.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// What was run.
     pub options: Options,
--- a/experiments/src/crowd/workload.rs
+++ b/experiments/src/crowd/workload.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use strum::{Display, EnumString};
 
 /// Engines of a pool.
@@ -177,7 +178,7 @@
     };
     let organisation = |place: usize| {
         let spec = OrganisationSpec { share: share_of(place), key_sha256: Vec::new() };
-        (organisation_name(place), spec)
+        (organisation_name(place), Arc::new(spec))
     };
     ServiceSpec {
         name: ServiceName::new(name),
--- a/experiments/src/crowd/world.rs
+++ b/experiments/src/crowd/world.rs
@@ -54,6 +54,11 @@
         /// Part of the engine's bounds in use, in thousandths.
         utilisation: u64,
     },
+    /// An owner learns that a request no longer waits.
+    Withdraw {
+        request: usize,
+        engine: usize,
+    },
     /// A request reaches its engine.
     Submit {
         request: usize,
@@ -125,6 +130,8 @@
     next_report: u32,
     written: u32,
     reruns: u32,
+    /// Engines whose owners have the request in their queues.
+    queued_at: Vec<usize>,
 }
 
 /// One run of one policy.
@@ -256,6 +263,9 @@
             Happening::Answer { request, engine, answer, utilisation } => {
                 self.answer(request, engine, answer, utilisation);
             }
+            Happening::Withdraw { request, engine } => {
+                self.owners[engine].admission.withdraw(GrantId(request as u64));
+            }
             Happening::Submit { request, engine } => self.submit(request, engine),
             Happening::Step(engine) => self.step(engine),
             Happening::Outputs { engine, step } => self.outputs(engine, step),
@@ -312,14 +322,15 @@
     }
 
     fn next_step(&mut self, request: usize) {
-        let hop = self.workload.profile.hop_ms;
         let Some(plan) = &mut self.requests[request].plan else {
             return;
         };
         match plan.next_step() {
-            NextStep::Ask { upstream, queue } => {
-                if let Some(engine) = self.names.iter().position(|name| *name == upstream) {
-                    self.after_ms(hop, Happening::Ask { request, engine, queue });
+            NextStep::Ask(upstream) => self.ask_owner(request, &upstream, false),
+            NextStep::Queue(upstreams) => {
+                self.requests[request].queued_at.clear();
+                for upstream in upstreams {
+                    self.ask_owner(request, &upstream, true);
                 }
             }
             NextStep::GiveUp(_) => {
@@ -329,6 +340,17 @@
         }
     }
 
+    fn ask_owner(&mut self, request: usize, upstream: &UpstreamName, queue: bool) {
+        let hop = self.workload.profile.hop_ms;
+        let Some(engine) = self.names.iter().position(|name| name == upstream) else {
+            return;
+        };
+        if queue {
+            self.requests[request].queued_at.push(engine);
+        }
+        self.after_ms(hop, Happening::Ask { request, engine, queue });
+    }
+
     fn ask(&mut self, request: usize, engine: usize, queue: bool) {
         if self.requests[request].over {
             return;
@@ -391,7 +413,8 @@
         let used = utilisation as f64 / THOUSANDTHS;
         let (entry, now) = (self.arrival(request).entry, self.time());
         let hop = self.workload.profile.hop_ms;
-        if self.requests[request].over {
+        let has_place = self.requests[request].over || self.requests[request].granted;
+        if has_place {
             if answer == Answer::Granted {
                 let complete = false;
                 self.after_ms(hop, Happening::Release { request, engine, complete });
@@ -407,6 +430,10 @@
                 state.engine = Some(engine);
                 state.granted = true;
                 state.next_report = FIRST_REPORT_TOKENS;
+                let queued_at = std::mem::take(&mut state.queued_at);
+                for other in queued_at.into_iter().filter(|other| *other != engine) {
+                    self.after_ms(hop, Happening::Withdraw { request, engine: other });
+                }
                 self.after_ms(hop, Happening::Submit { request, engine });
             }
             Answer::Busy(ms) | Answer::Refused(ms) => {
@@ -417,7 +444,10 @@
                         _ => plan.refused(Millis(ms)),
                     }
                 }
-                self.next_step(request);
+                self.requests[request].queued_at.retain(|other| *other != engine);
+                if self.requests[request].queued_at.is_empty() {
+                    self.next_step(request);
+                }
             }
         }
     }
--- /dev/null
+++ b/testbed/tests/callers_page.rs
@@ -0,0 +1,113 @@
+//! The examples of docs/CALLERS.md work as they are written.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use magnoliawinch_caller::sse::{Event, Reader};
+use magnoliawinch_http::{Client, Reuse};
+use magnoliawinch_testbed::deployment::{ORGANISATIONS, key_of};
+use magnoliawinch_testbed::{Bed, BedOptions};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const PAGE: &str = include_str!("../../docs/CALLERS.md");
+
+/// The words of one curl command, quotes taken off.
+fn words(command: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut word = String::new();
+    let mut quote = None;
+    for c in command.chars() {
+        match (quote, c) {
+            (Some(open), c) if c == open => quote = None,
+            (None, '\'' | '"') => quote = Some(c),
+            (None, c) if c.is_whitespace() => {
+                if !word.is_empty() {
+                    words.push(std::mem::take(&mut word));
+                }
+            }
+            (_, c) => word.push(c),
+        }
+    }
+    words.push(word);
+    words
+}
+
+/// The curl commands of the page's indented blocks.
+fn commands() -> Vec<String> {
+    let mut commands: Vec<String> = Vec::new();
+    let mut goes_on = false;
+    for line in PAGE.lines() {
+        let text = line.trim();
+        let is_start = line.starts_with("    curl ");
+        if !is_start && !goes_on {
+            continue;
+        }
+        let piece = text.trim_end_matches('\\').trim();
+        match goes_on {
+            true => commands.last_mut().expect("a command goes on").push_str(&format!(" {piece}")),
+            false => commands.push(piece.to_owned()),
+        }
+        goes_on = text.ends_with('\\');
+    }
+    commands
+}
+
+async fn run(command: &str, host: SocketAddr) -> (u16, Bytes) {
+    let mut builder = Request::builder().header("host", "magnoliawinch");
+    let (mut method, mut body) = (Method::GET, String::new());
+    let mut words = words(command).into_iter().skip(1);
+    while let Some(word) = words.next() {
+        let mut value = || words.next().expect("the option has a value");
+        match word.as_str() {
+            "-H" => {
+                let header = value();
+                let (name, value) = header.split_once(": ").expect("a header has a value");
+                builder = builder.header(name, value);
+            }
+            "-d" => {
+                body = value();
+                method = Method::POST;
+            }
+            "-s" | "-sN" => {}
+            url => {
+                let path = url.split_once("//").and_then(|(_, rest)| rest.split_once('/'));
+                let path = path.map_or_else(String::new, |(_, path)| format!("/{path}"));
+                builder = builder.uri(path);
+            }
+        }
+    }
+    let req = builder.method(method).body(Full::new(Bytes::from(body))).expect("a request");
+    let client = Client::new();
+    let reply = client.send(host, req, Reuse::Never, Duration::from_secs(10)).await;
+    let reply = reply.expect("an answer");
+    let status = reply.status().as_u16();
+    (status, reply.bytes(1_048_576).await.expect("a body"))
+}
+
+#[tokio::test]
+async fn the_page_s_commands_work() {
+    let bed = Bed::start(BedOptions::default()).await.expect("the testbed starts");
+    let host = bed.caller_addresses()[0];
+    let key = key_of(ORGANISATIONS[0]);
+    let (mut generation, mut last) = (String::new(), String::new());
+    let commands = commands();
+    assert_eq!(commands.len(), 4, "{commands:#?}");
+    for command in commands {
+        let command = command
+            .replace("$KEY", &key)
+            .replace("$HOST", &host.to_string())
+            .replace("$GENERATION", &generation)
+            .replace("$LAST", &last);
+        let (status, body) = run(&command, host).await;
+        assert_eq!(status, 200, "{command}: {}", String::from_utf8_lossy(&body));
+        let mut reader = Reader::new();
+        reader.push(&body);
+        if let Some(Event::Token { id, .. }) = reader.next_event() {
+            let (name, _) = id.rsplit_once('.').expect("an event id has an index");
+            generation = name.to_owned();
+            last = id;
+        }
+    }
+    assert!(!generation.is_empty(), "a generation was streamed");
+}
--- a/testbed/tests/configuration.rs
+++ b/testbed/tests/configuration.rs
@@ -26,7 +26,7 @@
 async fn change(operator: &Operator, queue_length: u32) -> Change {
     let current = operator.service(GUIDANCE).await.expect("the service is in force");
     let mut document: Document = current.document.clone();
-    let mut limits = document.sections()["limits"].clone();
+    let mut limits = (*document.sections()["limits"]).clone();
     limits.insert("queue_length".to_owned(), queue_length.to_string());
     document.put("limits", limits);
     let name = ServiceName::new(GUIDANCE);
