--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -94,14 +94,17 @@
 /// Successors that each daemon probes.
 const SUCCESSORS: usize = 2;
 
-/// Members sent to one whose view differs.
+/// Members that changed last, sent to one whose view differs.
+const RECENT_PER_MESSAGE: usize = 12;
+
+/// Random members sent with them.
 const SAMPLE_PER_MESSAGE: usize = 4;
 
 /// Changes in one message.
 const CHANGES_PER_MESSAGE: usize = 32;
 
 /// Messages that carry one change, times the logarithm of the number of members.
-const SPREAD_FACTOR: u32 = 1;
+const SPREAD_FACTOR: u32 = 2;
 
 /// How long a failed member is remembered.
 const FORGET_AFTER: Millis = Millis(3_600_000);
@@ -347,10 +350,14 @@
         self.others().cloned().collect()
     }
 
-    /// A few random members, for a daemon whose view differs.
+    /// Members for a daemon whose view differs: those that changed last here, which it is most
+    /// likely to miss, and a few random ones.
     pub fn some<R: Rng>(&self, rng: &mut R) -> Vec<Member> {
-        let all: Vec<_> = self.others().collect();
-        all.sample(rng, SAMPLE_PER_MESSAGE).map(|member| (*member).clone()).collect()
+        let mut records: Vec<_> = self.records.values().collect();
+        records.sort_by_key(|record| std::cmp::Reverse(record.changed_at));
+        let (recent, others) = records.split_at(records.len().min(RECENT_PER_MESSAGE));
+        let random = others.sample(rng, SAMPLE_PER_MESSAGE);
+        recent.iter().chain(random).map(|record| record.member.clone()).collect()
     }
 
     /// Whether `host` is known at all.
--- a/core/src/placement/rollout.rs
+++ b/core/src/placement/rollout.rs
@@ -97,7 +97,7 @@
         };
         self.earn(now, model);
         self.forget_undone();
-        let mut loading = self.loading(now);
+        let mut loading = self.loading(now).len();
         let mut orders = Vec::new();
         for (name, upstream) in &service.upstreams {
             let may_order = upstream.checks_fencing || right.includes_unchecked;
@@ -145,17 +145,17 @@
     }
 
     /// Engines that load, or were ordered to and have not said that they finished.
-    fn loading(&self, now: Time) -> usize {
-        let is_loading = |(name, given): (&UpstreamName, &Given)| {
+    pub fn loading(&self, now: Time) -> Vec<UpstreamName> {
+        let is_loading = |(name, given): &(&UpstreamName, &Given)| {
             let is_recent = now.since(given.at) < ORDER_RETRY;
-            let has_it = self.seen.get(name).is_some_and(|seen| {
+            let has_it = self.seen.get(*name).is_some_and(|seen| {
                 seen.at > given.at
                     && seen.observed.version == given.version
                     && seen.observed.loading.is_none()
             });
             is_recent && !has_it
         };
-        self.given.iter().filter(|given| is_loading(*given)).count()
+        self.given.iter().filter(is_loading).map(|(name, _)| name.clone()).collect()
     }
 
     fn needs_order(&self, now: Time, name: &UpstreamName, model: &ModelSpec) -> bool {
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -114,9 +114,6 @@
     placement: Placement,
     services: Arc<Services>,
     owners: Arc<Owners>,
-    /// Engines whose admission this daemon owns.
-    owned_engines: Vec<UpstreamName>,
-    owned_is_old: bool,
     members_version: u64,
     view_is_old: bool,
     viewed_at: Time,
@@ -134,8 +131,6 @@
             placement: Placement::new(),
             services: Arc::default(),
             owners: Arc::default(),
-            owned_engines: Vec::new(),
-            owned_is_old: true,
             members_version: u64::MAX,
             view_is_old: true,
             viewed_at: Time(0),
@@ -256,10 +251,6 @@
         if members_changed {
             self.owners = Arc::new(Owners::new(&self.members.membership));
             self.members_version = version;
-            self.owned_is_old = true;
-        }
-        if std::mem::take(&mut self.owned_is_old) {
-            self.find_owned_engines();
         }
         self.viewed_at = now;
         self.view_is_old = false;
@@ -308,7 +299,6 @@
             self.members.membership.ready();
         }
         self.admissions.reconfigure(&self.services);
-        self.owned_is_old = true;
         let services = &self.services;
         let is_known =
             |name: &UpstreamName| services.values().any(|s| s.spec.upstreams.contains_key(name));
--- a/daemon/src/control/admissions.rs
+++ b/daemon/src/control/admissions.rs
@@ -5,7 +5,7 @@
 use magnoliawinch::admission::{Admission, Bounds, Decision, Event, GrantId, LoadReport, Request};
 use magnoliawinch::estimate::Estimator;
 use magnoliawinch::names::{HostName, KindName, OrganisationName, ServiceName, UpstreamName};
-use magnoliawinch::service_file::{ServiceSpec, ServiceType, UpstreamSpec};
+use magnoliawinch::service_file::{ServiceSpec, UpstreamSpec};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_operator::UpstreamStatus;
 use magnoliawinch_peer::RenewRequest;
@@ -21,9 +21,6 @@
 /// evidence no further work is granted there.
 const BUSY_EVIDENCE: Millis = Millis(2_000);
 
-/// Age of the evidence about an idle upstream at which its load is asked for.
-const IDLE_EVIDENCE: Millis = Millis(10_000);
-
 /// Time after the last grant in which an upstream counts as busy.
 const BUSY_FOR: Millis = Millis(5_000);
 
@@ -127,11 +124,13 @@
         has_work || is_recent(self.asked_at) || is_recent(self.polled_at)
     }
 
-    /// Whether the upstream's load has to be asked for.
+    /// Whether the upstream's load has to be asked for; one that nobody uses is left alone.
     fn wants_poll(&self, now: Time) -> bool {
-        let age = if self.is_busy(now) { BUSY_EVIDENCE } else { IDLE_EVIDENCE };
         let is_pausing = self.polled_at.is_some_and(|at| now.since(at) < POLL_PAUSE);
-        self.is_engine && !is_pausing && self.evidence_is_older_than(now, age)
+        self.is_engine
+            && self.is_busy(now)
+            && !is_pausing
+            && self.evidence_is_older_than(now, BUSY_EVIDENCE)
     }
 }
 
@@ -391,16 +390,15 @@
         self.close_where(now, |_, _| true);
     }
 
-    /// The engines among `names` whose load has to be asked for.
-    fn due_polls(&mut self, now: Time, names: &[UpstreamName]) -> Vec<(UpstreamName, SocketAddr)> {
-        let mut due = Vec::new();
-        for name in names {
-            if let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.wants_poll(now)) {
+    /// The engines whose load has to be asked for.
+    fn due_polls(&mut self, now: Time) -> Vec<(UpstreamName, SocketAddr)> {
+        let due = |(name, owned): (&UpstreamName, &mut Owned)| {
+            owned.wants_poll(now).then(|| {
                 owned.polled_at = Some(now);
-                due.push((name.clone(), owned.address));
-            }
-        }
-        due
+                (name.clone(), owned.address)
+            })
+        };
+        self.owned.iter_mut().filter_map(due).collect()
     }
 
     fn report(&mut self, now: Time, upstream: &UpstreamName, report: &LoadReport) {
@@ -456,30 +454,9 @@
             .ensure(service, upstream, |name, ip| upstreams.is_leaving(name.as_str(), ip));
     }
 
-    /// Finds the engines that this daemon owns, after a change of the members or the services.
-    pub(super) fn find_owned_engines(&mut self) {
-        let own = self.members.membership.own().host.clone();
-        let specs: Vec<_> = self
-            .services
-            .values()
-            .map(|service| Arc::clone(&service.spec))
-            .filter(|spec| spec.service_type == ServiceType::Generation)
-            .collect();
-        self.owned_engines.clear();
-        for spec in specs {
-            for (name, upstream) in &spec.upstreams {
-                let owner = self.owners.of_upstream(name, &upstream.failure_domain);
-                if owner.is_some_and(|owner| owner.host == own) {
-                    self.owned_engines.push(name.clone());
-                    self.ensure(&spec, name);
-                }
-            }
-        }
-    }
-
-    /// Asks the engines that this daemon owns for their load, where no caller's request told it.
+    /// Asks engines in use for their load, where no caller's request told it.
     pub(super) fn poll_loads(&mut self, now: Time) {
-        for (upstream, address) in self.admissions.due_polls(now, &self.owned_engines) {
+        for (upstream, address) in self.admissions.due_polls(now) {
             self.poll_load(upstream, address);
         }
     }
--- a/daemon/src/control/placement.rs
+++ b/daemon/src/control/placement.rs
@@ -10,7 +10,7 @@
 use magnoliawinch::placement::{Holder, LeaseRecord, Leases, Observed, Order, Rollout};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_log::Page;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,10 @@
 /// Time between two looks at the models of engines.
 const OBSERVE_EVERY: Millis = Millis(2_000);
 
+/// Engines of a service looked at in one round, besides those that load; a bound keeps the cost
+/// apart from the number of engines.
+const OBSERVED_PER_ROUND: usize = 4;
+
 /// Longest wait of one read of the leases.
 const READ_WAIT: Duration = Duration::from_millis(3_000);
 
@@ -39,6 +43,8 @@
     holder: Holder,
     rollout: Rollout,
     observed_at: Option<Time>,
+    /// Place of the engine to look at next.
+    next_look: usize,
 }
 
 impl Placement {
@@ -131,6 +137,7 @@
             holder: Holder::new(name.as_str(), claimant),
             rollout: Rollout::new(rate),
             observed_at: None,
+            next_look: 0,
         });
         if let Some(record) = placed.holder.tick(now) {
             append(&self.shared, &record);
@@ -149,9 +156,16 @@
         let is_due = placed.observed_at.is_none_or(|at| now.since(at) >= OBSERVE_EVERY);
         if is_due {
             placed.observed_at = Some(now);
-            for (upstream, spec) in &service.spec.upstreams {
-                observe(&self.shared, name.clone(), upstream.clone(), spec.address);
+            let loading = placed.rollout.loading(now);
+            let all = service.spec.upstreams.keys().cycle().skip(placed.next_look);
+            let count = OBSERVED_PER_ROUND.min(service.spec.upstreams.len());
+            let looks: BTreeSet<_> = loading.iter().chain(all.take(count)).collect();
+            for upstream in looks {
+                if let Some(spec) = service.spec.upstreams.get(upstream) {
+                    observe(&self.shared, name.clone(), upstream.clone(), spec.address);
+                }
             }
+            placed.next_look = (placed.next_look + count) % service.spec.upstreams.len().max(1);
         }
     }
 
--- a/testbed/src/bed.rs
+++ b/testbed/src/bed.rs
@@ -14,6 +14,7 @@
 use magnoliawinchd::{Daemon, StartError};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -128,9 +129,27 @@
     TcpListener::bind((Ipv4Addr::from(ip), 0)).await
 }
 
-/// The address of a port that was free a moment ago.
+/// Ports for daemons: below those that the system gives to outgoing connections, so that none of
+/// these takes a port between its choice and its use.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports in all.
+const PORTS: u16 = 20_000;
+
+/// The next port to try; every address of one process gets another one.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// An address that nobody listens on.
 async fn free_address(ip: [u8; 4]) -> io::Result<SocketAddr> {
-    listen(ip).await?.local_addr()
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..PORTS {
+        let port = FIRST_PORT + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        match TcpListener::bind((Ipv4Addr::from(ip), port)).await {
+            Ok(listener) => return listener.local_addr(),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
 }
 
 impl Bed {
