--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -11,6 +11,7 @@
 pub(crate) mod load;
 mod page;
 pub(crate) mod publish;
+pub(crate) mod stand_ins;
 pub(crate) mod status;
 
 use crate::output::{EXIT_BAD_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE};
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -33,6 +33,8 @@
     Demo(DemoOptions),
     #[options(help = "send open-loop load")]
     Load(LoadOptions),
+    #[options(help = "run stand-ins for the platform and the sample files' upstreams")]
+    StandIns(StandInsOptions),
     #[options(help = "run an experiment")]
     Experiment(ExperimentOptions),
 }
@@ -110,6 +112,15 @@
     pub(crate) json: bool,
 }
 
+/// Arguments of `stand-ins`.
+#[derive(Debug, Options)]
+pub(crate) struct StandInsOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "settings files of the daemons that the list is to name")]
+    pub(crate) settings: Vec<PathBuf>,
+}
+
 /// Arguments of `demo`.
 #[derive(Debug, Options)]
 pub(crate) struct DemoOptions {
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -242,13 +242,17 @@
 
     /// Publishes a new view when the old one is out of date.
     fn publish_view(&mut self, now: Time) {
-        let version = self.members.membership.version();
-        let members_changed = version != self.members_version;
+        let members_changed = self.members.membership.version() != self.members_version;
         let is_due = now.since(self.viewed_at) >= VIEW_EVERY;
-        if !(self.view_is_old || members_changed) || !is_due {
-            return;
+        if (self.view_is_old || members_changed) && is_due {
+            self.store_view(now);
         }
-        if members_changed {
+    }
+
+    /// Stores a new view for the traffic threads.
+    fn store_view(&mut self, now: Time) {
+        let version = self.members.membership.version();
+        if version != self.members_version {
             self.owners = Arc::new(Owners::new(&self.members.membership));
             self.members_version = version;
         }
@@ -272,8 +276,7 @@
         let now = self.now();
         self.admissions.close_all(now);
         self.announce();
-        self.view_is_old = true;
-        self.publish_view(self.now() + VIEW_EVERY);
+        self.store_view(now);
     }
 
     fn status(&self, now: Time) -> Status {
@@ -295,8 +298,11 @@
             self.services =
                 Arc::new(crate::view::services(&self.shared.settings.host, state, &self.services));
         }
-        if self.configuration.is_ready() {
+        if self.configuration.is_ready()
+            && self.members.membership.own().state == MemberState::Joining
+        {
             self.members.membership.ready();
+            self.announce();
         }
         self.admissions.reconfigure(&self.services);
         let services = &self.services;
--- a/daemon/src/control/catalogue.rs
+++ b/daemon/src/control/catalogue.rs
@@ -81,6 +81,8 @@
     waiting: Vec<WaitingFollower>,
     followers: HashMap<String, Follower>,
     publishers: HashMap<u64, Publisher>,
+    /// Answers to publishers that wait until the change is in the traffic threads' view.
+    decided: Vec<(Publisher, Published)>,
     checkpoint_at: Time,
     rng: ChaCha8Rng,
 }
@@ -94,6 +96,7 @@
             waiting: Vec::new(),
             followers: HashMap::new(),
             publishers: HashMap::new(),
+            decided: Vec::new(),
             checkpoint_at: Time(0),
             rng: ChaCha8Rng::seed_from_u64(!seed),
         }
@@ -124,7 +127,7 @@
                 Folded::Unreadable => log::warn!("unreadable record {}", record.offset.0),
                 _ => {}
             }
-            self.tell_publisher(record.offset, &folded);
+            self.decide_publisher(record.offset, &folded);
             self.keep(record.clone());
         }
         Some(changed)
@@ -140,7 +143,7 @@
         }
     }
 
-    fn tell_publisher(&mut self, offset: Offset, folded: &Folded) {
+    fn decide_publisher(&mut self, offset: Offset, folded: &Folded) {
         let (nonce, result) = match folded {
             Folded::Accepted { nonce, .. } => (nonce, Published::Accepted { revision: offset }),
             Folded::Refused { nonce, refusal } => {
@@ -149,6 +152,13 @@
             _ => return,
         };
         if let Some(publisher) = self.publishers.remove(nonce) {
+            self.decided.push((publisher, result));
+        }
+    }
+
+    /// Answers the publishers whose changes were decided.
+    fn tell_decided(&mut self) {
+        for (publisher, result) in self.decided.drain(..) {
             let _ = publisher.reply.send(result);
         }
     }
@@ -250,7 +260,6 @@
     /// Folds records of the configuration stream.
     pub(super) fn catalogue_page(&mut self, now: Time, page: &Page, reply: oneshot::Sender<bool>) {
         let folded = self.configuration.fold(page);
-        let _ = reply.send(folded.is_some());
         let reached_end = self.configuration.catalogue.next_offset() >= page.end;
         let is_newest = self.configuration.through().0 >= self.members.newest_offset();
         let has_state = self.configuration.state().is_some();
@@ -259,7 +268,12 @@
         if folded == Some(true) || became_ready {
             self.configuration_changed();
         }
-        self.view_is_old |= !page.records.is_empty();
+        if !page.records.is_empty() {
+            // What is said to be in force must be so for the traffic threads.
+            self.store_view(now);
+        }
+        let _ = reply.send(folded.is_some());
+        self.configuration.tell_decided();
         self.configuration.answer_followers(now);
     }
 
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -1,7 +1,7 @@
 //! Membership and evidence about upstreams, driven over the network.
 
 use super::{Control, Message};
-use magnoliawinch::membership::{Member, Membership};
+use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{HostName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstreams::{HostNotice, Leaving, Upstreams};
@@ -17,8 +17,8 @@
 /// Time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Members told at once that this daemon leaves.
-const TOLD_OF_LEAVING: usize = 16;
+/// Members told at once that this daemon takes work or leaves.
+const TOLD_AT_ONCE: usize = 16;
 
 /// Unknown hosts of the platform's list that are probed at a time.
 const SEEDS: usize = 3;
@@ -264,13 +264,15 @@
         }
     }
 
-    /// Tells some members at once that this daemon leaves; the rest learn it from them.
+    /// Tells some members at once that this daemon takes work or leaves; the rest learn it from
+    /// them.
     pub(super) fn announce(&mut self) {
         let others: Vec<_> = self
             .members
             .membership
-            .alive()
-            .take(TOLD_OF_LEAVING)
+            .others()
+            .filter(|member| member.state <= MemberState::Alive)
+            .take(TOLD_AT_ONCE)
             .map(|member| (member.peer_address, member.host.clone()))
             .collect();
         for (address, host) in others {
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod figures;
 pub mod load;
 pub mod orders;
+pub mod stand_ins;
 pub mod user;
 
 pub use answer::{AnswerCheck, AnswerError};
--- /dev/null
+++ b/testbed/src/stand_ins.rs
@@ -0,0 +1,65 @@
+//! The stand-ins on the addresses of the sample files, for a first day without a platform.
+
+use magnoliawinch::settings::Settings;
+use magnoliawinch_fakes::engine::{FakeEngine, ModelParameters};
+use magnoliawinch_fakes::hosts::FakeHosts;
+use magnoliawinch_fakes::log::FakeLog;
+use magnoliawinch_fakes::service::{FakeService, RunCounts};
+use magnoliawinch_hosts::{DaemonAddresses, Host, HostState};
+use std::future::pending;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Ports of the sample service files' engines.
+const ENGINE_PORTS: [u16; 3] = [7_011, 7_012, 7_013];
+
+/// Ports of the sample service files' plain services.
+const SERVICE_PORTS: [u16; 2] = [7_021, 7_022];
+
+/// Lag of the engines' load reports.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+
+async fn listen(port: u16) -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await
+}
+
+fn listed(settings: &Settings) -> Host {
+    Host {
+        host: settings.host.clone(),
+        ip: settings.peer_address.ip(),
+        failure_domain: settings.failure_domain.clone(),
+        state: HostState::Live,
+        incarnation: 1,
+        daemon: Some(DaemonAddresses {
+            peer: settings.peer_address,
+            caller: settings.caller_address,
+        }),
+    }
+}
+
+/// Runs a log, a list of the hosts of `daemons`, three engines and two plain services until the
+/// process ends.
+pub async fn run(daemons: &[Settings]) -> io::Result<()> {
+    let address = |pick: fn(&Settings) -> SocketAddr| daemons.first().map(pick);
+    let log = address(|settings| settings.log_address);
+    let list = address(|settings| settings.hosts_address);
+    let (Some(log), Some(list)) = (log, list) else {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "no settings file was named"));
+    };
+    let _log = FakeLog::start(TcpListener::bind(log).await?)?;
+    let hosts = daemons.iter().map(listed).collect();
+    let _list = FakeHosts::start(TcpListener::bind(list).await?, hosts, Duration::ZERO)?;
+    let mut engines = Vec::new();
+    for port in ENGINE_PORTS {
+        let listener = listen(port).await?;
+        engines.push(FakeEngine::start(listener, ModelParameters::default(), 1, REPORT_LAG)?);
+    }
+    let counts = RunCounts::default();
+    let mut services = Vec::new();
+    for port in SERVICE_PORTS {
+        services.push(FakeService::start(listen(port).await?, counts.clone())?);
+    }
+    pending().await
+}
--- a/testbed/tests/configuration.rs
+++ b/testbed/tests/configuration.rs
@@ -188,3 +188,27 @@
     bed.wait_ready(Duration::from_secs(30)).await.expect("all are ready");
     assert_eq!(queue_length(&bed, 0).await, "919");
 }
+
+#[tokio::test]
+async fn a_published_service_serves_as_soon_as_the_publisher_is_told() {
+    let options = BedOptions { daemons: 3, ..BedOptions::default() };
+    let mut bed = Bed::start_platform(options.clone()).await.expect("the stand-ins start");
+    for place in 0..3 {
+        bed.start_daemon(place).await.expect("the daemon starts");
+    }
+    bed.wait_ready(Duration::from_secs(20)).await.expect("all are ready without a service");
+    let addresses: Vec<_> = bed.engines.iter().map(|engine| engine.address()).collect();
+    let text = magnoliawinch_testbed::deployment::guidance_file(&addresses, &options);
+    let document = Document::parse(&text).expect("the file is valid");
+    let name = ServiceName::new(GUIDANCE);
+    let change = Change::between(&name, Offset(0), &Document::default(), &document)
+        .expect("a new service differs from nothing")
+        .with_author(0, "operator");
+    let published = operator(&bed, 1).publish(change).await.expect("an answer");
+    assert!(matches!(published, Published::Accepted { .. }), "{published:?}");
+    let caller = Caller::new(&key_of(ORGANISATIONS[0]));
+    let request = GenerationRequest { prompt: "x".to_owned(), max_tokens: Some(2) };
+    let host = bed.caller_addresses()[1];
+    let stream = caller.generate(host, GUIDANCE, WALKTHROUGH, &request).await;
+    assert!(stream.is_ok(), "{stream:?}");
+}
