--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -4,7 +4,7 @@
 //! answer of unknown length while the projected memory and step time stay within bounds, and
 //! queues the rest, fairly over organisations.
 
-mod load;
+pub(crate) mod load;
 mod queue;
 
 pub use load::{LoadReport, StepModel};
--- a/core/src/admission/load.rs
+++ b/core/src/admission/load.rs
@@ -126,12 +126,12 @@
 
 /// The memory of one answer, now and later.
 #[derive(Clone, Debug)]
-pub(super) struct Footprint {
-    pub(super) prompt: f64,
+pub(crate) struct Footprint {
+    pub(crate) prompt: f64,
     /// Tokens written by `told_at`.
-    pub(super) written: f64,
-    pub(super) told_at: Time,
-    pub(super) curve: Arc<Curve>,
+    pub(crate) written: f64,
+    pub(crate) told_at: Time,
+    pub(crate) curve: Arc<Curve>,
 }
 
 impl Footprint {
@@ -140,11 +140,11 @@
         self.written + now.since(self.told_at).0 as f64 / step_ms
     }
 
-    pub(super) fn tokens(&self, now: Time, step_ms: f64) -> f64 {
+    pub(crate) fn tokens(&self, now: Time, step_ms: f64) -> f64 {
         self.prompt + self.written_at(now, step_ms)
     }
 
-    pub(super) fn expected_residual(&self, now: Time, step_ms: f64) -> f64 {
+    pub(crate) fn expected_residual(&self, now: Time, step_ms: f64) -> f64 {
         self.curve.expected_residual(self.written_at(now, step_ms))
     }
 }
@@ -155,17 +155,17 @@
 
 /// The projected memory of an upstream at each horizon.
 #[derive(Clone, Debug)]
-pub(super) struct Projection {
+pub(crate) struct Projection {
     mean: [f64; HORIZONS.len()],
     variance: [f64; HORIZONS.len()],
 }
 
 impl Projection {
-    pub(super) fn new(foreign_tokens: f64) -> Self {
+    pub(crate) fn new(foreign_tokens: f64) -> Self {
         Self { mean: [foreign_tokens; HORIZONS.len()], variance: [0.0; HORIZONS.len()] }
     }
 
-    pub(super) fn add(&mut self, now: Time, step_ms: f64, footprint: &Footprint) {
+    pub(crate) fn add(&mut self, now: Time, step_ms: f64, footprint: &Footprint) {
         let written = footprint.written_at(now, step_ms);
         for (place, horizon) in HORIZONS.iter().enumerate() {
             let p = footprint.curve.residual(written, *horizon);
@@ -176,7 +176,7 @@
     }
 
     /// The largest memory over all horizons, `headroom` standard deviations above the mean.
-    pub(super) fn peak(&self, headroom: f64) -> f64 {
+    pub(crate) fn peak(&self, headroom: f64) -> f64 {
         let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
         self.mean.iter().zip(&self.variance).map(at).fold(0.0, f64::max)
     }
--- /dev/null
+++ b/core/src/fleet.rs
@@ -0,0 +1,238 @@
+//! The upstreams that may get work, from a list that lags and from direct evidence.
+//!
+//! Leaving is sticky for each run of an upstream. After an outage of the list, an upstream whose
+//! entry lapsed may only have been unable to renew it, so it stays in use for a short while.
+
+use crate::names::{FailureDomain, ServiceName, UpstreamName};
+use crate::time::{Millis, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Time after an outage of the list in which lapsed entries are back; from the platform's page.
+pub const LAPSE_GRACE: Millis = Millis(2_000);
+
+/// Time without a successful read after which the list counts as having been away.
+const OUTAGE_AFTER: Millis = Millis(1_500);
+
+/// How long an upstream that could not be reached gets no work, unless there is no other.
+const DOWN_FOR: Millis = Millis(1_000);
+
+/// How long evidence about an upstream that is no longer listed is kept.
+const FORGET_AFTER: Millis = Millis(60_000);
+
+/// What the list says of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its name; a new run mostly has a new one.
+    pub name: UpstreamName,
+    /// When this run of it started, in milliseconds since 1970 by its own clock.
+    pub born: u64,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it finishes its work and takes no more.
+    pub leaving: bool,
+}
+
+/// A change of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// An entry is new or differs.
+    Put(Listed),
+    /// An entry was removed.
+    Removed(UpstreamName),
+}
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    listed: Listed,
+    /// Its entry lapsed during an outage of the list; it counts as gone from then on.
+    gone_at: Option<Time>,
+}
+
+/// Upstreams that leave, learned other than from the list.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    born: u64,
+    at: Time,
+    /// Its entry was removed, which one that comes back takes back.
+    was_removed: bool,
+}
+
+/// One daemon's view of the upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    leaving: HashMap<UpstreamName, Leaving>,
+    down: HashMap<UpstreamName, Time>,
+    /// The list's records before this offset are folded.
+    through: u64,
+    read_at: Option<Time>,
+    back_at: Option<Time>,
+}
+
+impl Fleet {
+    /// A fleet that has not read the list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The offset up to which the list is folded.
+    pub fn through(&self) -> u64 {
+        self.through
+    }
+
+    /// Whether the list was ever read.
+    pub fn is_known(&self) -> bool {
+        self.read_at.is_some()
+    }
+
+    /// Time since the list was last read, here or by the peer that told of it.
+    pub fn age(&self, now: Time) -> Option<Millis> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Folds `changes` up to the offset `through`; returns the upstreams that newly leave.
+    pub fn fold(
+        &mut self,
+        now: Time,
+        through: u64,
+        changes: impl IntoIterator<Item = Change>,
+    ) -> Vec<UpstreamName> {
+        if through < self.through {
+            return Vec::new();
+        }
+        self.note_read(now);
+        self.through = through;
+        let mut leaving = Vec::new();
+        for change in changes {
+            match change {
+                Change::Put(listed) => leaving.extend(self.put(now, listed)),
+                Change::Removed(name) => leaving.extend(self.remove(now, &name)),
+            }
+        }
+        leaving
+    }
+
+    /// Takes the whole list up to the offset `through`; returns the upstreams that newly leave.
+    pub fn replace(&mut self, now: Time, through: u64, all: Vec<Listed>) -> Vec<UpstreamName> {
+        if through < self.through {
+            return Vec::new();
+        }
+        let is_listed = |name: &UpstreamName| all.iter().any(|listed| listed.name == *name);
+        let missing: Vec<_> =
+            self.upstreams.keys().filter(|name| !is_listed(name)).cloned().collect();
+        let changes = missing.into_iter().map(Change::Removed);
+        let changes: Vec<_> = changes.chain(all.into_iter().map(Change::Put)).collect();
+        self.fold(now, through, changes)
+    }
+
+    /// Notes that the list was read and held no news.
+    pub fn note_read(&mut self, now: Time) {
+        let was_away = self.read_at.is_some_and(|at| now.since(at) >= OUTAGE_AFTER);
+        if was_away {
+            self.back_at = Some(now);
+        }
+        self.read_at = Some(now);
+    }
+
+    fn put(&mut self, now: Time, listed: Listed) -> Option<UpstreamName> {
+        let name = listed.name.clone();
+        let was_usable = self.upstreams.get(&name).is_some_and(|old| {
+            old.listed.born == listed.born && !old.listed.leaving && old.gone_at.is_none()
+        });
+        let leaves = listed.leaving;
+        if leaves {
+            let leaving = Leaving { born: listed.born, at: now, was_removed: false };
+            self.leaving.insert(name.clone(), leaving);
+        } else if self.leaving.get(&name).is_some_and(|leaving| leaving.was_removed) {
+            self.leaving.remove(&name);
+        }
+        self.upstreams.insert(name.clone(), Upstream { listed, gone_at: None });
+        (was_usable && leaves).then_some(name)
+    }
+
+    fn remove(&mut self, now: Time, name: &UpstreamName) -> Option<UpstreamName> {
+        let is_doubtful = self.back_at.is_some_and(|at| now.since(at) < LAPSE_GRACE);
+        let upstream = self.upstreams.get_mut(name)?;
+        if is_doubtful && !upstream.listed.leaving {
+            upstream.gone_at.get_or_insert(now + LAPSE_GRACE);
+            return None;
+        }
+        let upstream = self.upstreams.remove(name)?;
+        let born = upstream.listed.born;
+        let was_leaving = upstream.listed.leaving || self.is_leaving(name);
+        if !was_leaving {
+            self.leaving.insert(name.clone(), Leaving { born, at: now, was_removed: true });
+        }
+        (!was_leaving).then(|| name.clone())
+    }
+
+    /// Removes upstreams whose entries lapsed and did not come back; returns them.
+    pub fn tick(&mut self, now: Time) -> Vec<UpstreamName> {
+        self.leaving.retain(|_, leaving| now.since(leaving.at) < FORGET_AFTER);
+        self.down.retain(|_, until| now < *until);
+        let is_gone = |upstream: &Upstream| upstream.gone_at.is_some_and(|at| now >= at);
+        let gone: Vec<_> = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| is_gone(upstream))
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.upstreams.retain(|_, upstream| !is_gone(upstream));
+        gone
+    }
+
+    /// Notes that an upstream itself, or a peer, said that this run of it leaves; returns whether
+    /// that is news.
+    pub fn leaves(&mut self, now: Time, name: &UpstreamName) -> bool {
+        let Some(upstream) = self.upstreams.get(name) else {
+            return false;
+        };
+        let born = upstream.listed.born;
+        let is_news = !upstream.listed.leaving && !self.is_leaving(name);
+        self.leaving.insert(name.clone(), Leaving { born, at: now, was_removed: false });
+        is_news
+    }
+
+    /// Notes that an upstream could not be reached.
+    pub fn unreachable(&mut self, now: Time, name: &UpstreamName) {
+        self.down.insert(name.clone(), now + DOWN_FOR);
+    }
+
+    fn is_leaving(&self, name: &UpstreamName) -> bool {
+        let born = self.upstreams.get(name).map_or(u64::MAX, |u| u.listed.born);
+        self.leaving.get(name).is_some_and(|leaving| leaving.born >= born || born == u64::MAX)
+    }
+
+    /// Whether an upstream may get new work.
+    pub fn is_usable(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(|u| !u.listed.leaving) && !self.is_leaving(name)
+    }
+
+    /// Whether an upstream could not be reached a moment ago.
+    pub fn is_down(&self, now: Time, name: &UpstreamName) -> bool {
+        self.down.get(name).is_some_and(|until| now < *until)
+    }
+
+    /// An upstream.
+    pub fn get(&self, name: &UpstreamName) -> Option<&Listed> {
+        self.upstreams.get(name).map(|upstream| &upstream.listed)
+    }
+
+    /// Every listed upstream.
+    pub fn all(&self) -> impl Iterator<Item = &Listed> {
+        self.upstreams.values().map(|upstream| &upstream.listed)
+    }
+
+    /// The upstreams of a service that may get new work.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Listed> {
+        self.all().filter(move |l| l.service.as_str() == service && self.is_usable(&l.name))
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,20 +4,24 @@
 //! numbers are arguments. Daemons, tests and experiments drive the same code.
 
 pub mod admission;
+pub mod balance;
 pub mod catalogue;
 pub mod decision;
 pub mod delivery;
 pub mod directory;
 pub mod estimate;
+pub mod fleet;
 pub mod ini;
 pub mod ledger;
 pub mod membership;
 pub mod names;
 pub mod ownership;
 pub mod placement;
+pub mod pool;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry;
+pub mod route_table;
 pub mod routing;
 pub mod service_file;
 pub mod settings;
--- a/core/src/names.rs
+++ b/core/src/names.rs
@@ -75,6 +75,11 @@
     KindName
 );
 
+name!(
+    /// One attempt of a caller; it is one run, at whichever upstreams it goes on.
+    RunId
+);
+
 /// The longest name accepted in settings and service files, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
--- /dev/null
+++ b/core/src/pool.rs
@@ -0,0 +1,407 @@
+//! Where the runs of one pool of engines go, decided by the daemon that owns the pool.
+//!
+//! The owner knows every run: its holder reports it a few times a second. It places a new run where
+//! the projected memory fits, keeps a copy of long runs at a second engine while memory is idle,
+//! and moves runs off engines that leave. Every daemon keeps a pool of its own runs as well and
+//! decides by it when no owner answers, so a lost owner costs efficiency only.
+
+mod engine;
+mod queue;
+mod relocation;
+
+pub use relocation::{Order, Way};
+
+use crate::admission::load::Footprint;
+use crate::estimate::Estimator;
+use crate::fleet::Listed;
+use crate::names::{
+    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
+};
+use crate::route_table::EngineShape;
+use crate::time::{Millis, Time};
+use engine::Engine;
+use queue::Queue;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Time for one token of an answer, in milliseconds, as a middle of the users' engines: a step
+/// takes 7 ms and more.
+const STEP_MS: f64 = 9.0;
+
+/// Tokens of a prompt that an engine reads in a millisecond; from the users' sheets.
+const PROMPT_TOKENS_PER_MS: f64 = 14.0;
+
+/// How long a run counts without news from its holder.
+const RUN_LIFETIME: Millis = Millis(3_000);
+
+/// How long a run counts that its holder does not name yet.
+const NAMING_GRACE: Millis = Millis(1_500);
+
+/// How long the word of an owner about runs of other daemons counts.
+const FOREIGN_LIFETIME: Millis = Millis(3_000);
+
+/// Expected time that a run must still take to be worth a copy or a move.
+const MIN_LEFT: Millis = Millis(600);
+
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY: Millis = Millis(250);
+
+/// Longest time after which a refused caller may come back.
+const MAX_RETRY: Millis = Millis(10_000);
+
+/// What a run asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wish {
+    /// The run.
+    pub run: RunId,
+    /// The daemon that holds its caller's connection.
+    pub holder: HostName,
+    /// Where that daemon stands.
+    pub near: FailureDomain,
+    /// Its kind.
+    pub kind: KindName,
+    /// Its organisation.
+    pub organisation: OrganisationName,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// 0 goes first.
+    pub priority: u8,
+    /// When it stops waiting.
+    pub patience_until: Time,
+    /// Engines that refused it.
+    pub avoid: Vec<UpstreamName>,
+}
+
+/// Where a run goes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Its engine.
+    pub engine: UpstreamName,
+    /// The engine that keeps a copy of its memory.
+    pub backup: Option<UpstreamName>,
+}
+
+/// What a run is told at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It starts there.
+    Placed(Place),
+    /// It waits; an `Event` says how that ends.
+    Waits,
+    /// It does not run, and may come back after this time.
+    Refused(Millis),
+}
+
+/// How a wait ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It starts there.
+    Placed(RunId, Place),
+    /// It does not run, and may come back after this time.
+    Refused(RunId, Millis),
+}
+
+/// A run as its holder reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunState {
+    /// The run.
+    pub run: RunId,
+    /// Its kind.
+    pub kind: KindName,
+    /// Its organisation.
+    pub organisation: OrganisationName,
+    /// Its engine.
+    pub engine: UpstreamName,
+    /// The engine that keeps a copy of its memory.
+    pub backup: Option<UpstreamName>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer so far.
+    pub written: u32,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// 0 goes first.
+    pub priority: u8,
+}
+
+/// A run that ended by itself, whose length may be learned.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRun {
+    /// Its kind.
+    pub kind: KindName,
+    /// Its organisation.
+    pub organisation: OrganisationName,
+    /// Tokens of its answer.
+    pub written: u32,
+}
+
+/// What runs at an engine, as the owner tells other daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineUse {
+    /// The engine.
+    pub engine: UpstreamName,
+    /// Runs of other daemons than the one that is told.
+    pub running: u32,
+    /// Their memory and copies, in tokens.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    holder: HostName,
+    organisation: OrganisationName,
+    engine: UpstreamName,
+    backup: Option<UpstreamName>,
+    /// Where it was ordered to go.
+    target: Option<UpstreamName>,
+    footprint: Footprint,
+    max_tokens: u32,
+    placed_at: Time,
+    confirmed_at: Time,
+}
+
+impl Run {
+    fn tokens(&self, now: Time) -> f64 {
+        self.footprint.tokens(now, STEP_MS)
+    }
+
+    fn time_left(&self, now: Time) -> f64 {
+        self.footprint.expected_residual(now, STEP_MS) * STEP_MS
+    }
+
+    /// Whether its memory, or a copy of it, lies at `engine`.
+    fn occupies(&self, engine: &UpstreamName) -> bool {
+        self.engine == *engine
+            || self.backup.as_ref() == Some(engine)
+            || self.target.as_ref() == Some(engine)
+    }
+}
+
+/// The runs and engines of one pool.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    service: ServiceName,
+    shape: EngineShape,
+    engines: BTreeMap<UpstreamName, Engine>,
+    runs: HashMap<RunId, Run>,
+    queue: Queue,
+    lengths: Estimator,
+}
+
+impl Pool {
+    /// A pool without engines.
+    pub fn new(service: ServiceName, shape: EngineShape) -> Self {
+        Self {
+            service,
+            shape,
+            engines: BTreeMap::new(),
+            runs: HashMap::new(),
+            queue: Queue::new(),
+            lengths: Estimator::new(),
+        }
+    }
+
+    /// Takes over what a new configuration says of the engines.
+    pub fn reshape(&mut self, shape: EngineShape) {
+        self.shape = shape;
+    }
+
+    /// Runs that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Runs that are placed.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Takes over the listed engines, each with whether it may get new work.
+    pub fn set_engines<'a>(&mut self, listed: impl IntoIterator<Item = (&'a Listed, bool)>) {
+        let mut engines = BTreeMap::new();
+        for (listed, is_usable) in listed {
+            let known = self.engines.remove(&listed.name);
+            let engine = known.unwrap_or_else(|| Engine::new(listed));
+            engines.insert(listed.name.clone(), Engine { is_usable, ..engine });
+        }
+        self.engines = engines;
+    }
+
+    /// Notes what the owner of the pool says of runs of other daemons.
+    pub fn note_use(&mut self, now: Time, uses: &[EngineUse]) {
+        for engine_use in uses {
+            if let Some(engine) = self.engines.get_mut(&engine_use.engine) {
+                engine.note_foreign(now, engine_use.running, engine_use.tokens);
+            }
+        }
+    }
+
+    /// What runs at each engine, apart from the runs of `holder`.
+    pub fn use_apart_from(&self, now: Time, holder: &HostName) -> Vec<EngineUse> {
+        let of_engine = |name: &UpstreamName| {
+            let others = || self.runs.values().filter(|r| r.holder != *holder && r.occupies(name));
+            EngineUse {
+                engine: name.clone(),
+                running: others().filter(|run| run.engine == *name).count() as u32,
+                tokens: others().map(|run| run.tokens(now) as u64).sum(),
+            }
+        };
+        self.engines.keys().map(of_engine).collect()
+    }
+
+    fn footprint(&mut self, now: Time, state: &RunState) -> Footprint {
+        Footprint {
+            prompt: f64::from(state.prompt_tokens),
+            written: f64::from(state.written),
+            told_at: now,
+            curve: self.lengths.curve(&self.service, &state.kind, &state.organisation),
+        }
+    }
+
+    /// Decides about a new run. Asking again changes nothing: a run that was placed gets the same
+    /// place, one that waits goes on waiting.
+    pub fn place(&mut self, now: Time, wish: Wish) -> Answer {
+        if let Some(run) = self.runs.get(&wish.run).filter(|run| !wish.avoid.contains(&run.engine))
+        {
+            return Answer::Placed(Place {
+                engine: run.engine.clone(),
+                backup: run.backup.clone(),
+            });
+        }
+        let must_queue = self.queue.has_before(&wish);
+        if !must_queue && let Some(place) = self.find(now, &wish) {
+            self.start(now, &wish, &place);
+            return Answer::Placed(place);
+        }
+        let wait = self.expected_wait(now, &wish);
+        let has_engines = self.engines.values().any(|engine| engine.is_usable);
+        if now + wait > wish.patience_until || !has_engines {
+            return Answer::Refused(retry_after(wait));
+        }
+        self.queue.push(now, wish);
+        Answer::Waits
+    }
+
+    /// Withdraws a run that waits or has just been placed.
+    pub fn withdraw(&mut self, run: &RunId) {
+        self.queue.remove(run);
+        self.runs.remove(run);
+    }
+
+    /// Places what fits now, and refuses what waited too long.
+    pub fn tick(&mut self, now: Time) -> Vec<Event> {
+        self.runs.retain(|_, run| now.since(run.confirmed_at) < RUN_LIFETIME);
+        let mut events = Vec::new();
+        for wish in self.queue.expire(now) {
+            let wait = self.expected_wait(now, &wish);
+            events.push(Event::Refused(wish.run, retry_after(wait)));
+        }
+        while let Some((place, wish)) = self.next_that_fits(now) {
+            self.start(now, &wish, &place);
+            events.push(Event::Placed(wish.run, place));
+        }
+        events
+    }
+
+    fn next_that_fits(&mut self, now: Time) -> Option<(Place, Wish)> {
+        let order = self.queue.order(now, |organisation| {
+            let own = self.runs.values().filter(|run| run.organisation == *organisation);
+            own.map(|run| run.tokens(now)).sum()
+        });
+        for (run, may_be_passed) in order {
+            let wish = self.queue.get(&run)?.clone();
+            if let Some(place) = self.find(now, &wish) {
+                return Some((place, wish));
+            }
+            if !may_be_passed {
+                return None;
+            }
+        }
+        None
+    }
+
+    fn start(&mut self, now: Time, wish: &Wish, place: &Place) {
+        self.queue.remove(&wish.run);
+        let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
+        if let Some(engine) = self.engines.get_mut(&place.engine) {
+            engine.reads_prompt(now, f64::from(wish.prompt_tokens) / PROMPT_TOKENS_PER_MS);
+        }
+        let run = Run {
+            holder: wish.holder.clone(),
+            organisation: wish.organisation.clone(),
+            engine: place.engine.clone(),
+            backup: place.backup.clone(),
+            target: None,
+            footprint: Footprint {
+                prompt: f64::from(wish.prompt_tokens),
+                written: 0.0,
+                told_at: now,
+                curve,
+            },
+            max_tokens: wish.max_tokens,
+            placed_at: now,
+            confirmed_at: now,
+        };
+        self.runs.insert(wish.run.clone(), run);
+    }
+
+    /// Takes the report of a daemon: all of its runs, and those that ended.
+    pub fn report(&mut self, now: Time, holder: &HostName, runs: &[RunState], ended: &[EndedRun]) {
+        for end in ended {
+            self.lengths.learn(&self.service, &end.kind, &end.organisation, end.written);
+        }
+        for state in runs {
+            let footprint = self.footprint(now, state);
+            match self.runs.get_mut(&state.run) {
+                Some(run) => {
+                    if run.engine != state.engine {
+                        run.engine = state.engine.clone();
+                        run.target = None;
+                    }
+                    run.backup = state.backup.clone();
+                    run.footprint = footprint;
+                    run.confirmed_at = now;
+                }
+                None => {
+                    let run = Run {
+                        holder: holder.clone(),
+                        organisation: state.organisation.clone(),
+                        engine: state.engine.clone(),
+                        backup: state.backup.clone(),
+                        target: None,
+                        footprint,
+                        max_tokens: state.max_tokens,
+                        placed_at: now,
+                        confirmed_at: now,
+                    };
+                    self.runs.insert(state.run.clone(), run);
+                }
+            }
+        }
+        let named: std::collections::HashSet<_> = runs.iter().map(|state| &state.run).collect();
+        self.runs.retain(|id, run| {
+            run.holder != *holder
+                || named.contains(id)
+                || now.since(run.placed_at) < NAMING_GRACE && run.confirmed_at == run.placed_at
+        });
+    }
+
+    /// The time until a run can expect a place.
+    fn expected_wait(&self, now: Time, wish: &Wish) -> Millis {
+        let ahead: f64 = self.queue.tokens_before(wish);
+        let left: Vec<_> =
+            self.runs.values().map(|run| (run.tokens(now), run.time_left(now))).collect();
+        let freed_per_ms: f64 = left.iter().map(|(tokens, left)| tokens / left.max(100.0)).sum();
+        let need = ahead + f64::from(wish.prompt_tokens);
+        match freed_per_ms > 0.0 {
+            true => Millis((need / freed_per_ms) as u64),
+            false => MIN_RETRY,
+        }
+    }
+}
+
+fn retry_after(wait: Millis) -> Millis {
+    wait.clamp(MIN_RETRY, MAX_RETRY)
+}
--- /dev/null
+++ b/core/src/pool/engine.rs
@@ -0,0 +1,185 @@
+//! One engine of a pool, and the choice among them.
+
+use super::{FOREIGN_LIFETIME, MIN_LEFT, Place, Pool, STEP_MS, Wish};
+use crate::admission::load::{Footprint, Projection};
+use crate::fleet::Listed;
+use crate::names::{FailureDomain, UpstreamName};
+use crate::time::{Millis, Time};
+
+/// Part of an engine's memory that projections may use; the rest is lost in partly used blocks.
+const USABLE_MEMORY: f64 = 0.96;
+
+/// Standard deviations of the projected memory that are kept free.
+const HEADROOM: f64 = 1.0;
+
+/// Part of an engine's memory up to which copies for insurance may fill it.
+const COPIES_UP_TO: f64 = 0.7;
+
+/// Expected time that an engine with full memory costs a run, in milliseconds.
+const FULL_MEMORY_MS: f64 = 300.0;
+
+/// Time that each run costs those beside it, in milliseconds.
+const NEIGHBOUR_MS: f64 = 4.0;
+
+/// Time that another failure domain costs, in milliseconds.
+const DISTANCE_MS: f64 = 10.0;
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Foreign {
+    at: Time,
+    running: u32,
+    tokens: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) failure_domain: FailureDomain,
+    pub(super) is_usable: bool,
+    pub(super) slots: u32,
+    /// When the prompts that were sent there are read.
+    pub(super) prompts_until: f64,
+    pub(super) foreign: Option<Foreign>,
+}
+
+impl Engine {
+    pub(super) fn new(listed: &Listed) -> Self {
+        Self {
+            failure_domain: listed.failure_domain.clone(),
+            is_usable: true,
+            slots: listed.slots,
+            prompts_until: 0.0,
+            foreign: None,
+        }
+    }
+
+    pub(super) fn note_foreign(&mut self, now: Time, running: u32, tokens: u64) {
+        self.foreign = Some(Foreign { at: now, running, tokens });
+    }
+
+    fn foreign(&self, now: Time) -> (f64, f64) {
+        let fresh = self.foreign.filter(|f| now.since(f.at) < FOREIGN_LIFETIME);
+        fresh.map_or((0.0, 0.0), |f| (f64::from(f.running), f.tokens as f64))
+    }
+
+    pub(super) fn reads_prompt(&mut self, now: Time, ms: f64) {
+        self.prompts_until = self.prompts_until.max(now.0 as f64) + ms;
+    }
+
+    fn prompt_wait(&self, now: Time) -> f64 {
+        (self.prompts_until - now.0 as f64).max(0.0)
+    }
+}
+
+/// What one engine would carry with one more run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Burden {
+    /// Runs, the new one among them.
+    pub(super) running: f64,
+    /// Projected peak of its memory, in tokens.
+    pub(super) peak: f64,
+}
+
+impl Pool {
+    fn memory(&self) -> f64 {
+        self.shape.memory_tokens as f64
+    }
+
+    /// What `engine` would carry with `extra` as well.
+    pub(super) fn burden(&self, now: Time, name: &UpstreamName, extra: &Footprint) -> Burden {
+        let (foreign_running, foreign_tokens) =
+            self.engines.get(name).map_or((0.0, 0.0), |engine| engine.foreign(now));
+        let mut projection = Projection::new(foreign_tokens);
+        let mut running = 1.0 + foreign_running;
+        for run in self.runs.values().filter(|run| run.occupies(name)) {
+            projection.add(now, STEP_MS, &run.footprint);
+            let runs_there = run.engine == *name || run.target.as_ref() == Some(name);
+            running += if runs_there { 1.0 } else { 0.0 };
+        }
+        projection.add(now, STEP_MS, extra);
+        Burden { running, peak: projection.peak(HEADROOM) }
+    }
+
+    fn has_room(&self, name: &UpstreamName, burden: Burden) -> bool {
+        let slots = self.engines.get(name).map_or(0, |engine| engine.slots);
+        let is_alone = burden.running <= 1.0;
+        let fits = burden.peak <= self.memory() * USABLE_MEMORY;
+        burden.running <= f64::from(slots) && (fits || is_alone)
+    }
+
+    /// The place for a run, if there is room.
+    pub(super) fn find(&mut self, now: Time, wish: &Wish) -> Option<Place> {
+        let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
+        let prompt = f64::from(wish.prompt_tokens);
+        let extra = Footprint { prompt, written: 0.0, told_at: now, curve };
+        let mut best: Option<(f64, &UpstreamName)> = None;
+        for (name, engine) in &self.engines {
+            if !engine.is_usable || wish.avoid.contains(name) {
+                continue;
+            }
+            let burden = self.burden(now, name, &extra);
+            if !self.has_room(name, burden) {
+                continue;
+            }
+            let is_far = engine.failure_domain != wish.near;
+            let score = engine.prompt_wait(now)
+                + FULL_MEMORY_MS * burden.peak / self.memory()
+                + NEIGHBOUR_MS * burden.running
+                + if is_far { DISTANCE_MS } else { 0.0 };
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, name));
+            }
+        }
+        let engine = best?.1.clone();
+        let backup = self.backup_for(now, &engine, &extra);
+        Some(Place { engine, backup })
+    }
+
+    /// The engine that keeps a copy of a run, while memory is idle.
+    fn backup_for(
+        &self,
+        now: Time,
+        engine: &UpstreamName,
+        extra: &Footprint,
+    ) -> Option<UpstreamName> {
+        let left = extra.expected_residual(now, STEP_MS) * STEP_MS;
+        if !self.shape.can_back_up || left < MIN_LEFT.0 as f64 {
+            return None;
+        }
+        self.target(now, engine, extra, COPIES_UP_TO, None)
+    }
+
+    /// The engine other than `from` to which the memory of a run is best copied, among those that
+    /// it fills up to the part `up_to`.
+    pub(super) fn target(
+        &self,
+        now: Time,
+        from: &UpstreamName,
+        extra: &Footprint,
+        up_to: f64,
+        avoid: Option<&UpstreamName>,
+    ) -> Option<UpstreamName> {
+        let home = self.engines.get(from).map(|engine| &engine.failure_domain);
+        let mut best: Option<(f64, &UpstreamName)> = None;
+        for (name, engine) in &self.engines {
+            if !engine.is_usable || name == from || Some(name) == avoid {
+                continue;
+            }
+            let burden = self.burden(now, name, extra);
+            let is_full = burden.peak > self.memory() * up_to;
+            if is_full || burden.running > f64::from(engine.slots) {
+                continue;
+            }
+            // A copy to another failure domain takes twice as long.
+            let is_far = home.is_some_and(|home| engine.failure_domain != *home);
+            let tokens = extra.tokens(now, STEP_MS) as u64;
+            let Millis(copy) = self.shape.copy_time(tokens);
+            let score = FULL_MEMORY_MS * burden.peak / self.memory()
+                + NEIGHBOUR_MS * burden.running
+                + if is_far { copy as f64 } else { 0.0 };
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+}
--- /dev/null
+++ b/core/src/pool/queue.rs
@@ -0,0 +1,101 @@
+//! Runs that wait for a place.
+
+use super::Wish;
+use crate::names::{OrganisationName, RunId};
+use crate::time::{Millis, Time};
+use std::collections::HashMap;
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    wish: Wish,
+    since: Time,
+    /// Its holder asks again and again while it waits.
+    asked_at: Time,
+}
+
+/// How long a run waits whose holder does not ask for it any more.
+const ASKED_LIFETIME: Millis = Millis(700);
+
+impl Waiting {
+    fn goes_before(&self, wish: &Wish) -> bool {
+        self.wish.priority <= wish.priority && self.wish.run != wish.run
+    }
+
+    /// Whether others of its rank may still start before it: for the first half of its patience.
+    fn may_be_passed(&self, now: Time) -> bool {
+        let patience = self.wish.patience_until.since(self.since).0;
+        now.since(self.since).0 * 2 < patience
+    }
+}
+
+/// The waiting runs of a pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Queue {
+    waiting: Vec<Waiting>,
+}
+
+impl Queue {
+    pub(super) fn new() -> Self {
+        Self::default()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn push(&mut self, now: Time, wish: Wish) {
+        match self.waiting.iter_mut().find(|waiting| waiting.wish.run == wish.run) {
+            Some(waiting) => waiting.asked_at = now,
+            None => self.waiting.push(Waiting { wish, since: now, asked_at: now }),
+        }
+    }
+
+    pub(super) fn get(&self, run: &RunId) -> Option<&Wish> {
+        self.waiting.iter().map(|waiting| &waiting.wish).find(|wish| wish.run == *run)
+    }
+
+    pub(super) fn remove(&mut self, run: &RunId) {
+        self.waiting.retain(|waiting| waiting.wish.run != *run);
+    }
+
+    /// Whether something else waits that goes before `wish`.
+    pub(super) fn has_before(&self, wish: &Wish) -> bool {
+        self.waiting.iter().any(|waiting| waiting.goes_before(wish))
+    }
+
+    /// Tokens of the prompts that go before `wish`.
+    pub(super) fn tokens_before(&self, wish: &Wish) -> f64 {
+        let before = self.waiting.iter().filter(|waiting| waiting.goes_before(wish));
+        before.map(|waiting| f64::from(waiting.wish.prompt_tokens)).sum()
+    }
+
+    /// Takes out what has waited too long; what nobody asks for any more is dropped.
+    pub(super) fn expire(&mut self, now: Time) -> Vec<Wish> {
+        self.waiting.retain(|waiting| now.since(waiting.asked_at) < ASKED_LIFETIME);
+        let out = self.waiting.extract_if(.., |waiting| waiting.wish.patience_until <= now);
+        out.map(|waiting| waiting.wish).collect()
+    }
+
+    /// The runs in the order in which they are due, each with whether later ones may start before
+    /// it: by rank, then by what their organisation uses already, then by age.
+    pub(super) fn order(
+        &self,
+        now: Time,
+        use_of: impl Fn(&OrganisationName) -> f64,
+    ) -> Vec<(RunId, bool)> {
+        let mut uses: HashMap<&OrganisationName, f64> = HashMap::new();
+        for waiting in &self.waiting {
+            let organisation = &waiting.wish.organisation;
+            uses.entry(organisation).or_insert_with(|| use_of(organisation));
+        }
+        let mut order: Vec<_> = self.waiting.iter().collect();
+        order.sort_by(|a, b| {
+            let by_rank = a.wish.priority.cmp(&b.wish.priority);
+            // What others may no longer pass goes first within its rank.
+            let by_age = a.may_be_passed(now).cmp(&b.may_be_passed(now));
+            let by_use = uses[&a.wish.organisation].total_cmp(&uses[&b.wish.organisation]);
+            by_rank.then(by_age).then(by_use).then(a.since.cmp(&b.since))
+        });
+        order.into_iter().map(|w| (w.wish.run.clone(), w.may_be_passed(now))).collect()
+    }
+}
--- a/core/src/rendezvous.rs
+++ b/core/src/rendezvous.rs
@@ -8,6 +8,11 @@
     xxh3_64(text.as_bytes())
 }
 
+/// A 64-bit hash of `bytes`, the same on every daemon.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    xxh3_64(bytes)
+}
+
 /// The weight of `member` for `key`; the highest weight owns the key.
 pub fn weight(key: &str, member: &str) -> u64 {
     let mut hasher = Xxh3::new();
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -41,6 +41,14 @@
     }
 }
 
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
 impl From<Millis> for std::time::Duration {
     fn from(span: Millis) -> Self {
         Self::from_millis(span.0)
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,15 +11,12 @@
 mod follow;
 mod grants;
 mod ledger;
-mod logging;
 mod metrics;
 mod operator;
 pub mod options;
 mod peer_server;
-mod peers;
 mod shared;
 mod traffic;
 mod view;
 
 pub use daemon::{Daemon, StartError};
-pub use logging::init_logging;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,8 +1,9 @@
 //! The daemon that runs on every entry host.
 
 use gumdrop::Options;
+use magnoliawinch_telemetry::init_logging;
+use magnoliawinchd::Daemon;
 use magnoliawinchd::options::{Arguments, settings};
-use magnoliawinchd::{Daemon, init_logging};
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -5,7 +5,6 @@
 use crate::decisions::Decisions;
 use crate::grants::GrantSender;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
 use crate::view::{ServiceView, View};
 use arc_swap::ArcSwap;
 use magnoliawinch::names::UpstreamName;
@@ -17,6 +16,7 @@
 use magnoliawinch_engine::EngineClient;
 use magnoliawinch_hosts::HostsClient;
 use magnoliawinch_log::LogClient;
+use magnoliawinch_peer::{PeerClient, Peers};
 use magnoliawinch_service::ServiceClient;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
+use tonic::transport::Channel;
 
 /// Shared by the tasks of one daemon.
 #[derive(Debug)]
@@ -33,7 +34,7 @@
     pub(crate) view: ArcSwap<View>,
     pub(crate) control: mpsc::Sender<Message>,
     pub(crate) grants: GrantSender,
-    pub(crate) peers: Peers,
+    pub(crate) peers: Peers<PeerClient<Channel>>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) log: LogClient,
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -4,6 +4,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use magnoliawinch::verdict::Verdict;
@@ -24,6 +25,9 @@
 /// gone silent unnoticed.
 const MAX_IDLE: Duration = Duration::from_millis(2_000);
 
+/// Time for a stray answer to arrive on a connection; stray answers follow within milliseconds.
+const SETTLE: Duration = Duration::from_millis(12);
+
 /// Idle connections that are kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -32,6 +36,9 @@
 pub enum Reuse {
     /// One that was used a moment ago may.
     Recent,
+    /// As `Recent`, but not at once: what an upstream sends after a whole answer belongs to no
+    /// request, and closes the connection if it is not in use.
+    Settled,
     /// Only a new connection may.
     Never,
 }
@@ -102,15 +109,27 @@
 }
 
 /// Opens connections and keeps the recently used ones.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    connect_timeout: Duration,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
-        Self::default()
+        Self { idle: Arc::default(), connect_timeout: CONNECT_TIMEOUT }
+    }
+
+    /// Gives up on a connection that is not open after `limit`.
+    pub fn with_connect_timeout(self, limit: Duration) -> Self {
+        Self { connect_timeout: limit, ..self }
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -135,8 +154,9 @@
         reuse: Reuse,
     ) -> Result<Reply, SendError> {
         let mut req = req;
-        if reuse == Reuse::Recent {
-            while let Some(mut sender) = self.take_idle(address) {
+        if reuse != Reuse::Never {
+            let settle = if reuse == Reuse::Settled { SETTLE } else { Duration::ZERO };
+            while let Some(mut sender) = self.take_idle(address, settle) {
                 match sender.try_send_request(req).await {
                     Ok(response) => return Ok(self.reply(address, response, sender)),
                     Err(mut e) => match e.take_message() {
@@ -146,7 +166,7 @@
                 }
             }
         }
-        let mut sender = connect(address).await?;
+        let mut sender = connect(address, self.connect_timeout).await?;
         match sender.try_send_request(req).await {
             Ok(response) => Ok(self.reply(address, response, sender)),
             Err(mut e) => match e.take_message() {
@@ -160,11 +180,12 @@
         Reply { response, sender, address, client: self.clone() }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr, settle: Duration) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&address)?;
         list.retain(|idle| idle.since.elapsed() < MAX_IDLE && idle.sender.is_ready());
-        list.pop().map(|idle| idle.sender)
+        let place = list.iter().rposition(|idle| idle.since.elapsed() >= settle)?;
+        Some(list.remove(place).sender)
     }
 
     fn keep_idle(&self, address: SocketAddr, sender: Sender) {
@@ -211,12 +232,12 @@
     builder.body(Full::new(Bytes::from(bytes))).unwrap_or_default()
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, SendError> {
+async fn connect(address: SocketAddr, limit: Duration) -> Result<Sender, SendError> {
     let failed = |reason: String| SendError::Connect { address, reason };
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(failed(e.to_string())),
-        Err(_) => return Err(failed(format!("no answer within {CONNECT_TIMEOUT:?}"))),
+        Err(_) => return Err(failed(format!("no answer within {limit:?}"))),
     };
     stream.set_nodelay(true).map_err(|e| failed(e.to_string()))?;
     let (sender, connection) =
@@ -249,6 +270,17 @@
         self.response.headers().get(name)?.to_str().ok()
     }
 
+    /// The headers of the answer.
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
+
+    /// Whether the upstream closes the connection after this answer.
+    fn closes(&self) -> bool {
+        let value = self.header(CONNECTION.as_str());
+        value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+    }
+
     /// The address that answered.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -263,10 +295,13 @@
     pub async fn bytes(self, max_bytes: usize) -> Result<Bytes, SendError> {
         let status = self.status();
         let address = self.address;
+        let closes = self.closes();
         let bad = |reason: String| SendError::BadAnswer { address, status, reason };
         let limited = Limited::new(self.response.into_body(), max_bytes);
         let bytes = limited.collect().await.map_err(|e| bad(e.to_string()))?.to_bytes();
-        self.client.keep_idle(address, self.sender);
+        if !closes {
+            self.client.keep_idle(address, self.sender);
+        }
         Ok(bytes)
     }
 
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -69,14 +69,16 @@
 pub type Shutdown = watch::Receiver<bool>;
 
 /// Serves `listener` with `handler` until `shutdown` turns true and all requests have ended.
-pub async fn serve<H, F>(
+pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: ServerLimits,
     mut shutdown: Shutdown,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let places = Arc::new(Semaphore::new(limits.max_connections));
     let graceful = GracefulShutdown::new();
--- a/daemon/src/peers.rs
+++ b/peer/src/channels.rs
@@ -1,8 +1,10 @@
 //! Connections to other daemons.
 
-use magnoliawinch_peer::PeerClient;
+use crate::generated::cell_client::CellClient;
+use crate::generated::peer_client::PeerClient;
 use std::collections::HashMap;
 use std::future::Future;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -22,27 +24,63 @@
 
 /// Why a peer gave no answer.
 #[derive(Debug, Error)]
-pub(crate) enum PeerError {
+pub enum PeerError {
     /// The address cannot be used.
     #[error("peer address {0} cannot be used")]
     Address(SocketAddr),
     /// The call failed.
     #[error("peer {address}: {status}")]
-    Failed { address: SocketAddr, status: Box<Status> },
+    Failed {
+        /// The peer.
+        address: SocketAddr,
+        /// Its answer.
+        status: Box<Status>,
+    },
     /// The time was over.
     #[error("no answer from peer {address} within {after:?}")]
-    Timeout { address: SocketAddr, after: Duration },
+    Timeout {
+        /// The peer.
+        address: SocketAddr,
+        /// The bound.
+        after: Duration,
+    },
+}
+
+/// A client of one of the services that daemons offer each other.
+pub trait FromChannel {
+    /// A client that uses `channel`.
+    fn from_channel(channel: Channel) -> Self;
+}
+
+impl FromChannel for PeerClient<Channel> {
+    fn from_channel(channel: Channel) -> Self {
+        Self::new(channel)
+    }
 }
 
-/// Channels by address.
-#[derive(Debug, Default)]
-pub(crate) struct Peers {
+impl FromChannel for CellClient<Channel> {
+    fn from_channel(channel: Channel) -> Self {
+        Self::new(channel)
+    }
+}
+
+/// Channels by address, for clients `C`.
+#[derive(Debug)]
+pub struct Peers<C> {
     channels: Mutex<HashMap<SocketAddr, Channel>>,
+    client: PhantomData<fn() -> C>,
+}
+
+impl<C: FromChannel> Default for Peers<C> {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
-impl Peers {
-    pub(crate) fn new() -> Self {
-        Self::default()
+impl<C: FromChannel> Peers<C> {
+    /// No channel is open.
+    pub fn new() -> Self {
+        Self { channels: Mutex::default(), client: PhantomData }
     }
 
     fn channel(&self, address: SocketAddr) -> Result<Channel, PeerError> {
@@ -61,21 +99,21 @@
     }
 
     /// Forgets the connection, so that the next call opens a new one.
-    pub(crate) fn forget(&self, address: SocketAddr) {
+    pub fn forget(&self, address: SocketAddr) {
         self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
     }
 
     /// Makes one call within `limit`. A connection that stays silent is not used again.
-    pub(crate) async fn call<T, F>(
+    pub async fn call<T, F>(
         &self,
         address: SocketAddr,
         limit: Duration,
-        call: impl FnOnce(PeerClient<Channel>) -> F,
+        call: impl FnOnce(C) -> F,
     ) -> Result<T, PeerError>
     where
         F: Future<Output = Result<Response<T>, Status>>,
     {
-        let client = PeerClient::new(self.channel(address)?);
+        let client = C::from_channel(self.channel(address)?);
         match timeout(limit, call(client)).await {
             Ok(Ok(response)) => Ok(response.into_inner()),
             Ok(Err(status)) => Err(PeerError::Failed { address, status: Box::new(status) }),
--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -7,9 +7,13 @@
     include!("generated/magnoliawinch.peer.rs");
 }
 
+mod channels;
 mod convert;
 
+pub use channels::{FromChannel, PeerError, Peers};
 pub use convert::BadMember;
+pub use generated::cell_client::CellClient;
+pub use generated::cell_server::{Cell, CellServer};
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::*;
--- /dev/null
+++ b/relay/src/clock.rs
@@ -0,0 +1,37 @@
+//! The clock that the decisions are given.
+
+use magnoliawinch::time::Time;
+use rustix::time::{ClockId, clock_gettime};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// Milliseconds since 1970 at the daemon's start, counted on by a clock that neither jumps nor
+/// stands still while the host is suspended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    started: u64,
+    started_at: Time,
+}
+
+fn since_boot() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * MILLIS_PER_SECOND + now.tv_nsec as u64 / NANOS_PER_MILLI
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: since_boot(), started_at: Time(since_epoch.as_millis() as u64) }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time(self.started_at.0 + since_boot().saturating_sub(self.started))
+    }
+
+    /// The start of the daemon, which serves as its incarnation.
+    pub(crate) fn started_at(&self) -> Time {
+        self.started_at
+    }
+}
--- /dev/null
+++ b/relay/src/control.rs
@@ -0,0 +1,277 @@
+//! The control thread: owns what this daemon believes, and the pools.
+
+mod convert;
+mod members;
+mod news;
+mod pools;
+mod thread;
+
+pub use news::ListNews;
+pub(crate) use thread::start_control;
+
+use crate::runs::{Placed, Target};
+use crate::shared::Shared;
+use crate::view::View;
+use magnoliawinch::fleet::Fleet;
+use magnoliawinch::membership::{Member, MemberState, Membership};
+use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
+use magnoliawinch::pool::Wish;
+use magnoliawinch::quarantine::{Fingerprint, Quarantine};
+use magnoliawinch::route_table::{Configuration, RouteTable};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_peer::{
+    ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
+};
+use pools::Pools;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// The outcome of a question for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Decided {
+    /// It starts there.
+    Placed(Placed),
+    /// It does not run, and may come back after this time.
+    Refused(Millis),
+    /// It waits; ask again.
+    Waits,
+    /// The pool is not known here.
+    Unknown,
+}
+
+/// What the control thread is asked and told.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// A place in a pool is wanted.
+    Place { service: ServiceName, wish: Box<Wish>, reply: oneshot::Sender<Decided> },
+    /// The runs of another daemon.
+    Report { report: Box<RunsReport>, reply: oneshot::Sender<RunsReply> },
+    /// The answer of an owner to a report.
+    Reported { service: ServiceName, reply: Box<RunsReply> },
+    /// A whole configuration.
+    Configuration(Box<Configuration>),
+    /// News of the list of upstreams.
+    List(ListNews),
+    /// An upstream said that it leaves or is another one.
+    UpstreamLeaves(UpstreamName),
+    /// An upstream could not be reached.
+    UpstreamUnreachable(UpstreamName),
+    /// An owner orders a run of this daemon to move.
+    Relocate(RelocateRequest),
+    /// A move to `failed` did not succeed; the answer names another engine.
+    Retarget {
+        service: ServiceName,
+        run: RunId,
+        failed: UpstreamName,
+        reply: oneshot::Sender<Option<Target>>,
+    },
+    /// A request was in progress at an upstream that died.
+    Crashed(Fingerprint),
+    /// Another daemon probes this one.
+    Probe { req: ProbeRequest, reply: oneshot::Sender<ProbeReply> },
+    /// A probe was answered.
+    Probed(ProbeReply),
+    /// Peer addresses at which daemons may run.
+    Seeds(Vec<SocketAddr>),
+    /// Another daemon asks for what it needs to begin.
+    State { req: StateRequest, reply: oneshot::Sender<StateReply> },
+    /// Such an answer.
+    PeerState(Box<StateReply>),
+    /// This daemon leaves.
+    Leave,
+}
+
+/// Time between two views at the least.
+const VIEW_EVERY: Millis = Millis(5);
+
+/// Key by which the owners of the pools are ranked.
+const OWNERS_KEY: &str = "pools";
+
+/// Owners: one that decides, and one that knows the same and takes its place.
+const OWNERS: usize = 2;
+
+/// The state of the control thread.
+#[derive(Debug)]
+pub(crate) struct Control {
+    shared: Arc<Shared>,
+    membership: Membership,
+    rng: ChaCha8Rng,
+    table: Option<Arc<RouteTable>>,
+    fleet: Fleet,
+    /// Offset of the list at its last change that matters here.
+    fleet_changed_at: u64,
+    pools: Pools,
+    quarantine: Quarantine,
+    refused: HashSet<u64>,
+    crashed: Vec<Fingerprint>,
+    most_daemons: usize,
+    members_version: u64,
+    members: Arc<Vec<Member>>,
+    owners: Arc<Vec<Member>>,
+    fleet_view: Arc<Fleet>,
+    fleet_is_old: bool,
+    view_is_old: bool,
+    viewed_at: Time,
+}
+
+impl Control {
+    pub(crate) fn new(shared: Arc<Shared>, own: Member) -> Self {
+        let now = shared.clock.now();
+        Self {
+            membership: Membership::new(own),
+            rng: ChaCha8Rng::seed_from_u64(rand::random()),
+            table: None,
+            fleet: Fleet::new(),
+            fleet_changed_at: 0,
+            pools: Pools::new(now),
+            quarantine: Quarantine::new(),
+            refused: HashSet::new(),
+            crashed: Vec::new(),
+            most_daemons: 1,
+            members_version: u64::MAX,
+            members: Arc::default(),
+            owners: Arc::default(),
+            fleet_view: Arc::default(),
+            fleet_is_old: true,
+            view_is_old: true,
+            viewed_at: Time(0),
+            shared,
+        }
+    }
+
+    /// Handles one message.
+    pub(crate) fn handle(&mut self, message: Message) {
+        let now = self.shared.clock.now();
+        match message {
+            Message::Place { service, wish, reply } => self.place(now, &service, *wish, reply),
+            Message::Report { report, reply } => {
+                let _ = reply.send(self.take_report(now, &report));
+            }
+            Message::Reported { service, reply } => self.take_reply(now, &service, &reply),
+            Message::Configuration(configuration) => self.configure(now, *configuration),
+            Message::List(news) => self.take_list(now, news),
+            Message::UpstreamLeaves(name) => self.upstream_leaves(now, &name),
+            Message::UpstreamUnreachable(name) => {
+                self.fleet.unreachable(now, &name);
+                self.fleet_is_old = true;
+            }
+            Message::Relocate(req) => self.relocate(&req),
+            Message::Retarget { service, run, failed, reply } => {
+                let to = self.retarget(now, &service, &run, &failed);
+                let _ = reply.send(to);
+            }
+            Message::Crashed(fingerprint) => self.crashed.push(fingerprint),
+            Message::Probe { req, reply } => self.probe(now, &req, reply),
+            Message::Probed(answer) => self.probed(now, &answer),
+            Message::Seeds(seeds) => self.probe_seeds(&seeds),
+            Message::State { req, reply } => {
+                let _ = reply.send(self.state_for(now, &req));
+            }
+            Message::PeerState(state) => self.take_state(now, &state),
+            Message::Leave => self.leave(),
+        }
+    }
+
+    /// Does what is due.
+    pub(crate) fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        self.send_probes(now);
+        let gone = self.fleet.tick(now);
+        self.upstreams_left(now, &gone);
+        self.tick_pools(now);
+        self.quarantine.tick(now);
+        self.publish_view(now);
+    }
+
+    /// Time until `tick` has to be called again.
+    pub(crate) fn next_tick(&self) -> Millis {
+        const BUSY: Millis = Millis(5);
+        const IDLE: Millis = Millis(50);
+        if self.pools.is_waiting() || self.view_is_old { BUSY } else { IDLE }
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    fn configure(&mut self, now: Time, configuration: Configuration) {
+        let version = configuration.version;
+        let old = self.table.as_ref().map(|table| table.version());
+        if old.is_some_and(|old| old >= version) {
+            return;
+        }
+        log::info!(version, old_version = old.unwrap_or(0); "configuration in force");
+        self.table = Some(Arc::new(RouteTable::new(configuration)));
+        self.shape_pools();
+        if self.membership.own().state == MemberState::Joining {
+            self.membership.ready();
+            self.announce();
+        }
+        // Requests must not wait for the next tick to see it.
+        self.store_view(now);
+    }
+
+    fn publish_view(&mut self, now: Time) {
+        let members_changed = self.membership.version() != self.members_version;
+        let is_due = now.since(self.viewed_at) >= VIEW_EVERY;
+        if (self.view_is_old || self.fleet_is_old || members_changed) && is_due {
+            self.store_view(now);
+        }
+    }
+
+    fn store_view(&mut self, now: Time) {
+        self.update_members();
+        if self.fleet_is_old {
+            self.fleet_view = Arc::new(self.fleet.clone());
+            self.fleet_is_old = false;
+        }
+        self.viewed_at = now;
+        self.view_is_old = false;
+        self.shared.view.store(Arc::new(View {
+            own: self.membership.own().clone(),
+            members: Arc::clone(&self.members),
+            owners: Arc::clone(&self.owners),
+            daemons: self.most_daemons,
+            table: self.table.clone(),
+            fleet: Arc::clone(&self.fleet_view),
+            refused: Arc::new(self.refused.clone()),
+        }));
+    }
+
+    fn update_members(&mut self) {
+        if self.membership.version() == self.members_version {
+            return;
+        }
+        self.members_version = self.membership.version();
+        let own = std::iter::once(self.membership.own());
+        let takes_part = |m: &&Member| m.state != MemberState::Failed;
+        self.members =
+            Arc::new(own.chain(self.membership.others()).filter(takes_part).cloned().collect());
+        let names = self.membership.alive().map(|member| member.host.as_str());
+        let ranked = magnoliawinch::rendezvous::ranked(OWNERS_KEY, names, OWNERS);
+        let owners = ranked.into_iter().filter_map(|host| self.membership.get(host));
+        self.owners = Arc::new(owners.cloned().collect());
+        self.most_daemons = self.most_daemons.max(self.members.len());
+        log::info!(
+            members = self.members.len(),
+            owner = self.owners.first().map_or("", |owner| owner.host.as_str());
+            "members changed"
+        );
+    }
+
+    fn leave(&mut self) {
+        self.membership.leave();
+        self.announce();
+        let now = self.shared.clock.now();
+        self.store_view(now);
+    }
+
+    /// Whether this daemon owns the pools, and whether it is the one that decides.
+    fn ownership(&self) -> (bool, bool) {
+        let own = &self.membership.own().host;
+        let is_owner = self.owners.iter().any(|owner| owner.host == *own);
+        let decides = self.owners.first().is_some_and(|owner| owner.host == *own);
+        (is_owner, decides)
+    }
+}
--- /dev/null
+++ b/relay/src/control/convert.rs
@@ -0,0 +1,65 @@
+//! Conversions between peer messages and the types of the pools.
+
+use magnoliawinch::names::{KindName, OrganisationName, RunId, UpstreamName};
+use magnoliawinch::pool::{EndedRun, EngineUse, RunState};
+
+pub(super) fn run_message(state: &RunState) -> magnoliawinch_peer::RunState {
+    magnoliawinch_peer::RunState {
+        run: state.run.to_string(),
+        kind: state.kind.to_string(),
+        organisation: state.organisation.to_string(),
+        engine: state.engine.to_string(),
+        backup: state.backup.as_ref().map(ToString::to_string).unwrap_or_default(),
+        prompt_tokens: state.prompt_tokens,
+        written: state.written,
+        max_tokens: state.max_tokens,
+        priority: u32::from(state.priority),
+    }
+}
+
+pub(super) fn run_state(message: &magnoliawinch_peer::RunState) -> RunState {
+    let backup = Some(&message.backup).filter(|backup| !backup.is_empty());
+    RunState {
+        run: RunId::new(&message.run),
+        kind: KindName::new(&message.kind),
+        organisation: OrganisationName::new(&message.organisation),
+        engine: UpstreamName::new(&message.engine),
+        backup: backup.map(|backup| UpstreamName::new(backup)),
+        prompt_tokens: message.prompt_tokens,
+        written: message.written,
+        max_tokens: message.max_tokens,
+        priority: message.priority.min(u32::from(u8::MAX)) as u8,
+    }
+}
+
+pub(super) fn ended_message(ended: &EndedRun) -> magnoliawinch_peer::EndedRun {
+    magnoliawinch_peer::EndedRun {
+        kind: ended.kind.to_string(),
+        organisation: ended.organisation.to_string(),
+        written: ended.written,
+    }
+}
+
+pub(super) fn ended_run(message: &magnoliawinch_peer::EndedRun) -> EndedRun {
+    EndedRun {
+        kind: KindName::new(&message.kind),
+        organisation: OrganisationName::new(&message.organisation),
+        written: message.written,
+    }
+}
+
+pub(super) fn use_message(engine_use: &EngineUse) -> magnoliawinch_peer::EngineUse {
+    magnoliawinch_peer::EngineUse {
+        engine: engine_use.engine.to_string(),
+        running: engine_use.running,
+        tokens: engine_use.tokens,
+    }
+}
+
+pub(super) fn engine_use(message: &magnoliawinch_peer::EngineUse) -> EngineUse {
+    EngineUse {
+        engine: UpstreamName::new(&message.engine),
+        running: message.running,
+        tokens: message.tokens,
+    }
+}
--- /dev/null
+++ b/relay/src/control/members.rs
@@ -0,0 +1,140 @@
+//! Membership, driven over the network.
+
+use super::{Control, Message};
+use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::time::Time;
+use magnoliawinch_peer::{ProbeReply, ProbeRequest};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Members told at once that this daemon takes work or leaves.
+const TOLD_AT_ONCE: usize = 16;
+
+impl Control {
+    /// Probes the members that are due.
+    pub(super) fn send_probes(&mut self, now: Time) {
+        let targets = self.membership.tick(now, &mut self.rng);
+        for target in targets {
+            self.send_probe(target.peer_address, Some(target.host));
+        }
+    }
+
+    /// Probes addresses at which daemons may run.
+    pub(super) fn probe_seeds(&mut self, seeds: &[SocketAddr]) {
+        let own = self.shared.settings.peer_address;
+        for seed in seeds.iter().filter(|seed| **seed != own) {
+            self.send_probe(*seed, None);
+        }
+    }
+
+    fn send_probe(&mut self, address: SocketAddr, host: Option<HostName>) {
+        let req = ProbeRequest {
+            sender: Some(self.membership.own().into()),
+            changes: self.changes(),
+            catalogue_offset: self.table.as_ref().map_or(0, |table| table.version()),
+            table_digest: self.membership.digest(),
+            leaving: Vec::new(),
+            hosts: Vec::new(),
+        };
+        let shared = Arc::clone(&self.shared);
+        self.shared.traffic.spawn(async move {
+            let probe = shared
+                .peers
+                .call(address, PROBE_TIMEOUT, |mut peer| async move { peer.probe(req).await });
+            match probe.await {
+                Ok(answer) => shared.tell(Message::Probed(answer)),
+                Err(e) => {
+                    shared.peers.forget(address);
+                    let host = host.as_ref().map_or("a seed", HostName::as_str);
+                    log::debug!("probe of {host} failed: {e}");
+                }
+            }
+        });
+    }
+
+    fn changes(&mut self) -> Vec<magnoliawinch_peer::Member> {
+        self.membership.changes().iter().map(Into::into).collect()
+    }
+
+    fn learn_all(&mut self, now: Time, members: &[magnoliawinch_peer::Member]) {
+        for message in members {
+            match Member::try_from(message) {
+                Ok(member) => {
+                    self.membership.learn(now, member);
+                }
+                Err(e) => log::warn!("{e}"),
+            }
+        }
+    }
+
+    /// Answers a probe.
+    pub(super) fn probe(
+        &mut self,
+        now: Time,
+        req: &ProbeRequest,
+        reply: oneshot::Sender<ProbeReply>,
+    ) {
+        let is_new = req.sender.as_ref().is_some_and(|m| !self.membership.knows(&m.host));
+        let differs = req.table_digest != self.membership.digest();
+        if let Some(sender) = &req.sender {
+            self.membership.heard_from(now, &sender.host);
+            self.learn_all(now, std::slice::from_ref(sender));
+        }
+        self.learn_all(now, &req.changes);
+        self.note_version(req.catalogue_offset, req.sender.as_ref());
+        let changes = match (is_new, differs) {
+            (true, _) => self.membership.all(),
+            (false, true) => {
+                let mut changes = self.membership.changes();
+                changes.extend(self.membership.some(&mut self.rng));
+                changes
+            }
+            (false, false) => self.membership.changes(),
+        };
+        let _ = reply.send(ProbeReply {
+            sender: Some(self.membership.own().into()),
+            changes: changes.iter().map(Into::into).collect(),
+            catalogue_offset: self.table.as_ref().map_or(0, |table| table.version()),
+            leaving: Vec::new(),
+            hosts: Vec::new(),
+        });
+    }
+
+    /// Takes the answer to a probe.
+    pub(super) fn probed(&mut self, now: Time, answer: &ProbeReply) {
+        if let Some(sender) = &answer.sender {
+            self.membership.heard_from(now, &sender.host);
+            self.learn_all(now, std::slice::from_ref(sender));
+        }
+        self.learn_all(now, &answer.changes);
+        self.note_version(answer.catalogue_offset, answer.sender.as_ref());
+    }
+
+    /// Tells other members at once that this daemon takes work or leaves.
+    pub(super) fn announce(&mut self) {
+        let others: Vec<_> = self
+            .membership
+            .others()
+            .filter(|member| member.state <= MemberState::Alive)
+            .take(TOLD_AT_ONCE)
+            .map(|member| (member.peer_address, member.host.clone()))
+            .collect();
+        for (address, host) in others {
+            self.send_probe(address, Some(host));
+        }
+    }
+
+    /// An upstream itself said that it leaves.
+    pub(super) fn upstream_leaves(&mut self, now: Time, name: &UpstreamName) {
+        if self.fleet.leaves(now, name) {
+            self.fleet_is_old = true;
+            self.upstreams_left(now, std::slice::from_ref(name));
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/control/pools.rs
@@ -0,0 +1,374 @@
+//! The pools: places, reports and moves.
+
+use super::convert::{ended_message, ended_run, engine_use, run_message, run_state, use_message};
+use super::{Control, Decided, Message};
+use crate::runs::{MoveOrder, Placed, Target};
+use magnoliawinch::fleet::Fleet;
+use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
+use magnoliawinch::pool::{Answer, Event, Order, Place, Pool, Way, Wish};
+use magnoliawinch::quarantine::{Fingerprint, Treatment};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_peer::{RelocateRequest, RunsReply, RunsReport};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between two reports to the owners, with few daemons.
+const REPORT_EVERY: Millis = Millis(300);
+
+/// Added to that for each daemon, so that an owner's work does not grow with their number.
+const REPORT_EVERY_PER_DAEMON: Millis = Millis(10);
+
+/// Time for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for an order to reach the holder of a run.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a question for a place is held before it is answered that the run still waits.
+const HELD: Millis = Millis(200);
+
+/// Time in which the owner's orders arrive, after which a daemon moves its runs by itself.
+const OWNER_ORDERS_WITHIN: Millis = Millis(250);
+
+#[derive(Debug)]
+struct Asker {
+    service: ServiceName,
+    until: Time,
+    reply: oneshot::Sender<Decided>,
+}
+
+/// The pools by service, and who waits for a place.
+#[derive(Debug)]
+pub(super) struct Pools {
+    by_service: HashMap<ServiceName, Pool>,
+    askers: HashMap<RunId, Asker>,
+    reported_at: Time,
+    /// Upstreams that left, for which this daemon acts when no order came by then.
+    deferred: Vec<(Time, UpstreamName)>,
+}
+
+impl Pools {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            by_service: HashMap::new(),
+            askers: HashMap::new(),
+            reported_at: now,
+            deferred: Vec::new(),
+        }
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.askers.is_empty()
+    }
+}
+
+impl Control {
+    /// Makes a pool for each service of engines.
+    pub(super) fn shape_pools(&mut self) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let pools = &mut self.pools.by_service;
+        pools.retain(|name, _| table.service(name.as_str()).is_some_and(|s| s.engine.is_some()));
+        for (name, shape) in table.engine_services() {
+            match pools.get_mut(name) {
+                Some(pool) => pool.reshape(shape),
+                None => {
+                    pools.insert(name.clone(), Pool::new(name.clone(), shape));
+                }
+            }
+        }
+        self.fill_pools();
+    }
+
+    /// Tells the pools which engines there are.
+    pub(super) fn fill_pools(&mut self) {
+        let fleet = &self.fleet;
+        for (service, pool) in &mut self.pools.by_service {
+            let engines = fleet.all().filter(|listed| listed.service == *service);
+            pool.set_engines(engines.map(|listed| (listed, fleet.is_usable(&listed.name))));
+        }
+    }
+
+    /// Decides about a place.
+    pub(super) fn place(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        wish: Wish,
+        reply: oneshot::Sender<Decided>,
+    ) {
+        let Some(pool) = self.pools.by_service.get_mut(service) else {
+            let _ = reply.send(Decided::Unknown);
+            return;
+        };
+        let run = wish.run.clone();
+        match pool.place(now, wish) {
+            Answer::Placed(place) => {
+                let _ = reply.send(placed(&self.fleet, &place));
+            }
+            Answer::Refused(wait) => {
+                let _ = reply.send(Decided::Refused(wait));
+            }
+            Answer::Waits => {
+                let asker = Asker { service: service.clone(), until: now + HELD, reply };
+                self.pools.askers.insert(run, asker);
+            }
+        }
+    }
+
+    pub(super) fn tick_pools(&mut self, now: Time) {
+        for pool in self.pools.by_service.values_mut() {
+            for event in pool.tick(now) {
+                let (run, decided) = match event {
+                    Event::Placed(run, place) => (run, placed(&self.fleet, &place)),
+                    Event::Refused(run, wait) => (run, Decided::Refused(wait)),
+                };
+                if let Some(asker) = self.pools.askers.remove(&run) {
+                    let _ = asker.reply.send(decided);
+                }
+            }
+        }
+        let is_due = |_: &RunId, asker: &mut Asker| asker.until <= now;
+        let due: Vec<_> = self.pools.askers.extract_if(is_due).collect();
+        for (run, asker) in due {
+            log::debug!(run = run.as_str(), service = asker.service.as_str(); "still waits");
+            let _ = asker.reply.send(Decided::Waits);
+        }
+        self.report_if_due(now);
+        self.act_on_deferred(now);
+    }
+
+    /// Reports this daemon's runs to the owners, and to its own pools.
+    fn report_if_due(&mut self, now: Time) {
+        let every = REPORT_EVERY.0 + REPORT_EVERY_PER_DAEMON.0 * self.members.len() as u64;
+        if now.since(self.pools.reported_at) < Millis(every) {
+            return;
+        }
+        self.pools.reported_at = now;
+        let own = self.membership.own().host.clone();
+        let crashed: Vec<_> = self.crashed.drain(..).collect();
+        for fingerprint in &crashed {
+            self.note_crash(now, *fingerprint);
+        }
+        let services: Vec<_> = self.pools.by_service.keys().cloned().collect();
+        for service in services {
+            let (runs, ended) = self.shared.runs.report(&service);
+            if let Some(pool) = self.pools.by_service.get_mut(&service) {
+                pool.report(now, &own, &runs, &ended);
+            }
+            let report = RunsReport {
+                host: own.to_string(),
+                service: service.to_string(),
+                runs: runs.iter().map(run_message).collect(),
+                ended: ended.iter().map(ended_message).collect(),
+                leaving: Vec::new(),
+                list_offset: self.fleet.through(),
+                configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+                crashed: crashed.iter().map(|fingerprint| fingerprint.0).collect(),
+            };
+            self.send_report(&service, &report);
+        }
+    }
+
+    fn send_report(&self, service: &ServiceName, report: &RunsReport) {
+        let own = &self.membership.own().host;
+        for owner in self.owners.iter().filter(|owner| owner.host != *own) {
+            let (shared, service) = (Arc::clone(&self.shared), service.clone());
+            let (address, report) = (owner.peer_address, report.clone());
+            self.shared.traffic.spawn(async move {
+                let call = shared.peers.call(address, REPORT_TIMEOUT, |mut peer| async move {
+                    peer.report(report).await
+                });
+                match call.await {
+                    Ok(reply) => {
+                        shared.tell(Message::Reported { service, reply: Box::new(reply) });
+                    }
+                    Err(e) => log::debug!("no answer to a report: {e}"),
+                }
+            });
+        }
+    }
+
+    /// Takes the report of another daemon.
+    pub(super) fn take_report(&mut self, now: Time, report: &RunsReport) -> RunsReply {
+        let holder = HostName::new(&report.host);
+        self.membership.heard_from(now, &report.host);
+        for fingerprint in &report.crashed {
+            self.note_crash(now, Fingerprint(*fingerprint));
+        }
+        let runs: Vec<_> = report.runs.iter().map(run_state).collect();
+        let ended: Vec<_> = report.ended.iter().map(ended_run).collect();
+        let mut uses = Vec::new();
+        if let Some(pool) = self.pools.by_service.get_mut(report.service.as_str()) {
+            pool.report(now, &holder, &runs, &ended);
+            uses = pool.use_apart_from(now, &holder);
+        }
+        if report.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
+            && let Some(peer) = self.membership.get(&report.host)
+        {
+            self.ask_state(peer.peer_address);
+        }
+        RunsReply {
+            uses: uses.iter().map(use_message).collect(),
+            leaving: Vec::new(),
+            list_offset: self.fleet.through(),
+            list_age_ms: self.list_age_ms(now),
+            list: self.list_json_after(report.list_offset),
+            configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+            refused: self.refused.iter().copied().collect(),
+        }
+    }
+
+    /// Takes the answer of an owner to a report.
+    pub(super) fn take_reply(&mut self, now: Time, service: &ServiceName, reply: &RunsReply) {
+        let uses: Vec<_> = reply.uses.iter().map(engine_use).collect();
+        let (is_owner, _) = self.ownership();
+        if !is_owner && let Some(pool) = self.pools.by_service.get_mut(service) {
+            pool.note_use(now, &uses);
+        }
+        self.take_peer_list(now, &reply.list, reply.list_offset, reply.list_age_ms);
+        for fingerprint in &reply.refused {
+            self.view_is_old |= self.refused.insert(*fingerprint);
+        }
+        if reply.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
+            && let Some(owner) = self.owners.first()
+        {
+            self.ask_state(owner.peer_address);
+        }
+    }
+
+    fn note_crash(&mut self, now: Time, fingerprint: Fingerprint) {
+        if let Treatment::Refused(_) = self.quarantine.crashed(now, fingerprint) {
+            log::warn!(fingerprint = fingerprint.0; "requests that crash upstreams are refused");
+            self.refused.insert(fingerprint.0);
+            self.view_is_old = true;
+        }
+    }
+
+    /// Moves runs off an upstream that leaves: as the owner for all daemons, else for its own
+    /// runs when the owner's orders do not come.
+    pub(super) fn vacate(&mut self, now: Time, engine: &UpstreamName) {
+        let (_, decides) = self.ownership();
+        if decides || self.owners.is_empty() {
+            let orders = self.orders(now, engine);
+            self.carry_out(orders);
+        } else {
+            self.pools.deferred.push((now + OWNER_ORDERS_WITHIN, engine.clone()));
+        }
+    }
+
+    fn orders(&mut self, now: Time, engine: &UpstreamName) -> Vec<Order> {
+        // What the runs here have written since the last report decides which are moved.
+        let own = self.membership.own().host.clone();
+        let mut orders = Vec::new();
+        for (service, pool) in &mut self.pools.by_service {
+            let (runs, ended) = self.shared.runs.report(service);
+            pool.report(now, &own, &runs, &ended);
+            orders.extend(pool.vacate(now, engine));
+        }
+        orders
+    }
+
+    fn act_on_deferred(&mut self, now: Time) {
+        let due: Vec<_> = self.pools.deferred.extract_if(.., |(at, _)| *at <= now).collect();
+        let own = self.membership.own().host.clone();
+        for (_, engine) in due {
+            let mut orders = self.orders(now, &engine);
+            orders.retain(|order| order.holder == own);
+            self.carry_out(orders);
+        }
+    }
+
+    fn carry_out(&mut self, orders: Vec<Order>) {
+        let own = self.membership.own().host.clone();
+        for order in orders {
+            let after = match order.way {
+                Way::Copy(Millis(ms)) => ms,
+                Way::Backup => 0,
+            };
+            log::info!(
+                run = order.run.as_str(),
+                holder = order.holder.as_str(),
+                from = order.from.as_str(),
+                to = order.to.as_str(),
+                from_backup = order.way == Way::Backup,
+                after_ms = after;
+                "run is ordered to move"
+            );
+            let Some(to) = target(&self.fleet, &order.to) else {
+                continue;
+            };
+            let req = RelocateRequest {
+                to_address: to.address.to_string(),
+                run: order.run.to_string(),
+                from: order.from.to_string(),
+                to: order.to.to_string(),
+                backup: order.way == Way::Backup,
+                after_ms: after as u32,
+            };
+            if order.holder == own {
+                self.relocate(&req);
+                continue;
+            }
+            let Some(holder) = self.membership.get(order.holder.as_str()) else {
+                continue;
+            };
+            let (shared, address) = (Arc::clone(&self.shared), holder.peer_address);
+            self.shared.traffic.spawn(async move {
+                let call = shared.peers.call(address, ORDER_TIMEOUT, |mut peer| async move {
+                    peer.relocate(req).await
+                });
+                if let Err(e) = call.await {
+                    log::warn!("an order to move did not arrive: {e}");
+                }
+            });
+        }
+    }
+
+    /// Hands an order to the run that it is for.
+    pub(super) fn relocate(&mut self, req: &RelocateRequest) {
+        let name = UpstreamName::new(&req.to);
+        let Ok(address) = req.to_address.parse() else {
+            log::warn!(run = req.run.as_str(), to = req.to_address.as_str(); "ordered to no address");
+            return;
+        };
+        let to = Target { name, address };
+        let way = match req.backup {
+            true => Way::Backup,
+            false => Way::Copy(Millis(u64::from(req.after_ms))),
+        };
+        let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
+        self.shared.runs.order(&RunId::new(&req.run), order);
+    }
+
+    /// Another engine for a run whose move failed.
+    pub(super) fn retarget(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        run: &RunId,
+        failed: &UpstreamName,
+    ) -> Option<Target> {
+        let pool = self.pools.by_service.get_mut(service)?;
+        let to = pool.retarget(now, run, failed)?;
+        target(&self.fleet, &to)
+    }
+}
+
+fn target(fleet: &Fleet, name: &UpstreamName) -> Option<Target> {
+    let listed = fleet.get(name)?;
+    Some(Target { name: name.clone(), address: listed.address })
+}
+
+fn placed(fleet: &Fleet, place: &Place) -> Decided {
+    match target(fleet, &place.engine) {
+        Some(engine) => {
+            let backup = place.backup.as_ref().and_then(|name| target(fleet, name));
+            Decided::Placed(Placed { engine, backup })
+        }
+        None => Decided::Unknown,
+    }
+}
--- /dev/null
+++ b/relay/src/events.rs
@@ -0,0 +1,108 @@
+//! Splits a stream of server-sent events, and checks that each comes once and in order.
+
+use bytes::{Buf, Bytes, BytesMut};
+use memchr::memmem;
+use thiserror::Error;
+
+/// Largest event that is accepted, in bytes; the users' are a few kilobytes.
+const MAX_EVENT_BYTES: usize = 1_048_576;
+
+/// Why a stream cannot go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum EventError {
+    /// Events are missing.
+    #[error("event {got} follows event {last}")]
+    Gap {
+        /// The last event before it.
+        last: u64,
+        /// The event that came.
+        got: u64,
+    },
+    /// An event is too large.
+    #[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+}
+
+/// Events of one run, from whichever engines it comes.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    buf: BytesMut,
+    last: Option<u64>,
+    count: u64,
+}
+
+impl Events {
+    /// No event has come yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The id of the last event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Events handed on so far.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Whether part of an event has come.
+    pub fn has_part(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Drops a part of an event: the run goes on elsewhere and sends it again.
+    pub fn drop_part(&mut self) {
+        self.buf.clear();
+    }
+
+    /// Takes what has come; returns the new whole events together, empty when there is none.
+    /// Events that came before are dropped.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Bytes, EventError> {
+        self.buf.extend_from_slice(piece);
+        let mut out = BytesMut::new();
+        while let Some(len) = event_len(&self.buf) {
+            let event = self.buf.split_to(len);
+            if self.is_new(&event)? {
+                self.count += 1;
+                if out.is_empty() {
+                    out = event;
+                } else {
+                    out.unsplit(event);
+                }
+            }
+        }
+        if self.buf.remaining() > MAX_EVENT_BYTES {
+            return Err(EventError::TooLarge);
+        }
+        Ok(out.freeze())
+    }
+
+    fn is_new(&mut self, event: &[u8]) -> Result<bool, EventError> {
+        let Some(id) = event_id(event) else {
+            return Ok(true);
+        };
+        match self.last {
+            Some(last) if id <= last => return Ok(false),
+            Some(last) if id > last + 1 => return Err(EventError::Gap { last, got: id }),
+            _ => self.last = Some(id),
+        }
+        Ok(true)
+    }
+}
+
+/// The length of the first event with the blank line that ends it.
+fn event_len(buf: &[u8]) -> Option<usize> {
+    let plain = memmem::find(buf, b"\n\n").map(|at| at + 2);
+    let with_returns = memmem::find(buf, b"\r\n\r\n").map(|at| at + 4);
+    match (plain, with_returns) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/relay/src/forward.rs
@@ -0,0 +1,132 @@
+//! A caller's request, kept as long as it may have to be sent again.
+
+use crate::refusal::Refusal;
+use crate::wire::{Ask, Outgoing, Wire};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Uri};
+use magnoliawinch::names::ServiceName;
+use magnoliawinch::quarantine::Fingerprint;
+use magnoliawinch::rendezvous;
+use magnoliawinch::route_table::{Organisation, Route};
+use magnoliawinch::time::Millis;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Headers that concern one connection.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    EXPECT,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// The header with the idle time of a connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Removes the headers that concern one connection, those among them that `Connection` names.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS).chain([&KEEP_ALIVE]) {
+        headers.remove(name);
+    }
+}
+
+/// A request with what was found out about it.
+#[derive(Debug)]
+pub(crate) struct Forward {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) ask: Ask,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) arrived: Instant,
+    /// When the final answer is due.
+    pub(crate) until: Instant,
+}
+
+impl Forward {
+    /// Time that is left.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn remaining_ms(&self) -> Millis {
+        Millis(self.remaining().as_millis() as u64)
+    }
+
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+
+    /// The name of the organisation; empty without one.
+    pub(crate) fn organisation_name(&self) -> &str {
+        self.organisation.as_ref().map_or("", |organisation| organisation.name.as_str())
+    }
+
+    /// Its rank: the organisation's goes before the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Identifies equal requests of one organisation.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let digest = rendezvous::hash_bytes(&self.body).to_string();
+        let path = self.uri.path();
+        Fingerprint::new(self.organisation_name(), &self.route.host, path, &digest)
+    }
+
+    /// The request for an upstream.
+    pub(crate) fn request<W: Wire>(&self, wire: &W, out: &Outgoing<'_>) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = wire.request_headers(&self.headers, out);
+        req
+    }
+}
+
+/// Headers of a request as they go on, and its path without scheme and host.
+pub(crate) fn end_to_end(parts: Parts) -> (Method, Uri, HeaderMap) {
+    let mut headers = parts.headers;
+    strip_hop_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let path = parts.uri.path_and_query().cloned();
+    let uri = path.map_or_else(|| parts.uri.clone(), Uri::from);
+    (parts.method, uri, headers)
+}
+
+/// Reads a body of at most `max_bytes`.
+pub(crate) async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    until: Instant,
+) -> Result<Bytes, Refusal> {
+    match timeout_at(until, Limited::new(body, max_bytes).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(e)) => Err(Refusal::BadRequest(format!("the body broke off: {e}"))),
+        Err(_) => Err(Refusal::NotSentInTime),
+    }
+}
--- /dev/null
+++ b/relay/src/peer_server.rs
@@ -0,0 +1,114 @@
+//! Answers other daemons.
+
+use crate::control::{Decided, Message};
+use crate::shared::Shared;
+use magnoliawinch::names::{
+    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
+};
+use magnoliawinch::pool::Wish;
+use magnoliawinch::time::Millis;
+use magnoliawinch_peer::{
+    Cell, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, RelocateReply, RelocateRequest,
+    RunsReply, RunsReport, StateReply, StateRequest,
+};
+use std::sync::Arc;
+use strum::FromRepr;
+use tokio::sync::oneshot;
+use tonic::{Request, Response, Status};
+
+/// Decisions of an owner on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr)]
+#[repr(u32)]
+pub(crate) enum PlaceCode {
+    Placed = 0,
+    Refused = 1,
+    Unknown = 2,
+    Waits = 3,
+}
+
+/// The service that other daemons call.
+#[derive(Debug)]
+pub(crate) struct CellService {
+    shared: Arc<Shared>,
+}
+
+impl CellService {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T, Status> {
+        self.shared.ask(message).await.ok_or_else(|| Status::unavailable("the daemon ends"))
+    }
+}
+
+#[tonic::async_trait]
+impl Cell for CellService {
+    async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
+        let req = req.into_inner();
+        self.ask(|reply| Message::Probe { req, reply }).await.map(Response::new)
+    }
+
+    async fn place(&self, req: Request<PlaceRequest>) -> Result<Response<PlaceReply>, Status> {
+        let req = req.into_inner();
+        let service = ServiceName::new(&req.service);
+        let wish = Box::new(Wish {
+            run: RunId::new(&req.run),
+            holder: HostName::new(&req.host),
+            near: FailureDomain::new(&req.failure_domain),
+            kind: KindName::new(&req.kind),
+            organisation: OrganisationName::new(&req.organisation),
+            prompt_tokens: req.prompt_tokens,
+            max_tokens: req.max_tokens,
+            priority: req.priority.min(u32::from(u8::MAX)) as u8,
+            patience_until: self.shared.clock.now() + Millis(u64::from(req.patience_ms)),
+            avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
+        });
+        let decided = self.ask(|reply| Message::Place { service, wish, reply }).await?;
+        Ok(Response::new(place_reply(decided)))
+    }
+
+    async fn report(&self, req: Request<RunsReport>) -> Result<Response<RunsReply>, Status> {
+        let report = Box::new(req.into_inner());
+        self.ask(|reply| Message::Report { report, reply }).await.map(Response::new)
+    }
+
+    async fn relocate(
+        &self,
+        req: Request<RelocateRequest>,
+    ) -> Result<Response<RelocateReply>, Status> {
+        let sent = self.shared.control.send(Message::Relocate(req.into_inner())).await;
+        sent.map_err(|_| Status::unavailable("the daemon ends"))?;
+        Ok(Response::new(RelocateReply {}))
+    }
+
+    async fn state(&self, req: Request<StateRequest>) -> Result<Response<StateReply>, Status> {
+        let req = req.into_inner();
+        self.ask(|reply| Message::State { req, reply }).await.map(Response::new)
+    }
+}
+
+fn place_reply(decided: Decided) -> PlaceReply {
+    match decided {
+        Decided::Placed(place) => PlaceReply {
+            decision: PlaceCode::Placed as u32,
+            engine: place.engine.name.to_string(),
+            engine_address: place.engine.address.to_string(),
+            backup: place.backup.as_ref().map(|b| b.name.to_string()).unwrap_or_default(),
+            backup_address: place.backup.map(|b| b.address.to_string()).unwrap_or_default(),
+            retry_after_ms: 0,
+        },
+        Decided::Refused(Millis(ms)) => PlaceReply {
+            decision: PlaceCode::Refused as u32,
+            retry_after_ms: ms.min(u64::from(u32::MAX)) as u32,
+            ..PlaceReply::default()
+        },
+        Decided::Waits => PlaceReply { decision: PlaceCode::Waits as u32, ..PlaceReply::default() },
+        Decided::Unknown => {
+            PlaceReply { decision: PlaceCode::Unknown as u32, ..PlaceReply::default() }
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/runs.rs
@@ -0,0 +1,187 @@
+//! The runs that this daemon holds.
+
+use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
+use magnoliawinch::pool::{EndedRun, Place, RunState};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::mpsc;
+
+/// Orders that wait for a run at the most.
+const ORDERS: usize = 4;
+
+/// An engine and where it listens; the daemon may not have it on its list yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Target {
+    pub(crate) name: UpstreamName,
+    pub(crate) address: SocketAddr,
+}
+
+/// Where a run goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Placed {
+    pub(crate) engine: Target,
+    /// The engine that keeps a copy of its memory.
+    pub(crate) backup: Option<Target>,
+}
+
+impl Placed {
+    fn names(&self) -> Place {
+        Place {
+            engine: self.engine.name.clone(),
+            backup: self.backup.as_ref().map(|backup| backup.name.clone()),
+        }
+    }
+}
+
+/// Tells a run to go on at another engine.
+#[derive(Clone, Debug)]
+pub(crate) struct MoveOrder {
+    /// The engine that it leaves.
+    pub(crate) from: UpstreamName,
+    /// Where it goes on.
+    pub(crate) to: Target,
+    /// How it gets there.
+    pub(crate) way: magnoliawinch::pool::Way,
+}
+
+/// What does not change about a run.
+#[derive(Clone, Debug)]
+pub(crate) struct RunFacts {
+    pub(crate) run: RunId,
+    pub(crate) service: ServiceName,
+    pub(crate) kind: KindName,
+    pub(crate) organisation: OrganisationName,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) max_tokens: u32,
+    pub(crate) priority: u8,
+}
+
+#[derive(Debug)]
+struct Cell {
+    facts: RunFacts,
+    place: Mutex<Placed>,
+    written: AtomicU32,
+    orders: mpsc::Sender<MoveOrder>,
+}
+
+impl Cell {
+    fn place(&self) -> MutexGuard<'_, Placed> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn state(&self) -> RunState {
+        let place = self.place().names();
+        RunState {
+            run: self.facts.run.clone(),
+            kind: self.facts.kind.clone(),
+            organisation: self.facts.organisation.clone(),
+            engine: place.engine,
+            backup: place.backup,
+            prompt_tokens: self.facts.prompt_tokens,
+            written: self.written.load(Ordering::Relaxed),
+            max_tokens: self.facts.max_tokens,
+            priority: self.facts.priority,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    cells: HashMap<RunId, Arc<Cell>>,
+    ended: HashMap<ServiceName, Vec<EndedRun>>,
+}
+
+/// The runs of this daemon by id.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Runs {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Runs {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Registers a run until the guard is dropped.
+    pub(crate) fn enter(
+        &self,
+        facts: RunFacts,
+        place: Placed,
+    ) -> (RunGuard, mpsc::Receiver<MoveOrder>) {
+        let (orders, receiver) = mpsc::channel(ORDERS);
+        let written = AtomicU32::new(0);
+        let cell = Arc::new(Cell { facts, place: Mutex::new(place), written, orders });
+        self.lock().cells.insert(cell.facts.run.clone(), Arc::clone(&cell));
+        (RunGuard { runs: self.clone(), cell, completed: false }, receiver)
+    }
+
+    /// The runs of a service, and those that ended since the last call.
+    pub(crate) fn report(&self, service: &ServiceName) -> (Vec<RunState>, Vec<EndedRun>) {
+        let mut inner = self.lock();
+        let of_service = inner.cells.values().filter(|cell| cell.facts.service == *service);
+        let states = of_service.map(|cell| cell.state()).collect();
+        (states, inner.ended.remove(service).unwrap_or_default())
+    }
+
+    /// Hands an order to a run; returns whether it is held here and can take it.
+    pub(crate) fn order(&self, run: &RunId, order: MoveOrder) -> bool {
+        let cell = self.lock().cells.get(run).cloned();
+        cell.is_some_and(|cell| cell.orders.try_send(order).is_ok())
+    }
+}
+
+/// A run that this daemon holds.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    runs: Runs,
+    cell: Arc<Cell>,
+    completed: bool,
+}
+
+impl RunGuard {
+    pub(crate) fn place(&self) -> Placed {
+        self.cell.place().clone()
+    }
+
+    /// Notes where the run goes on.
+    pub(crate) fn moved(&self, place: Placed) {
+        *self.cell.place() = place;
+    }
+
+    /// Notes that the copy at another engine is of no use any more.
+    pub(crate) fn lost_backup(&self) {
+        self.cell.place().backup = None;
+    }
+
+    /// Notes how many tokens are written.
+    pub(crate) fn wrote(&self, tokens: u32) {
+        self.cell.written.store(tokens, Ordering::Relaxed);
+    }
+
+    /// Notes that the run came to its own end.
+    pub(crate) fn completed(&mut self) {
+        self.completed = true;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut inner = self.runs.lock();
+        inner.cells.remove(&self.cell.facts.run);
+        if self.completed {
+            let facts = &self.cell.facts;
+            let ended = EndedRun {
+                kind: facts.kind.clone(),
+                organisation: facts.organisation.clone(),
+                written: self.cell.written.load(Ordering::Relaxed),
+            };
+            inner.ended.entry(facts.service.clone()).or_default().push(ended);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of one relay daemon.
+
+use magnoliawinch::ini::{Document, IniError, SectionReader};
+use magnoliawinch::names::{FailureDomain, HostName};
+use magnoliawinch::retry::SharedBounds;
+use magnoliawinch::time::Millis;
+use std::net::SocketAddr;
+
+/// Where and how one daemon runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The host's name.
+    pub host: HostName,
+    /// Where the host stands.
+    pub failure_domain: FailureDomain,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address that tells whether the daemon takes requests.
+    pub ready_address: SocketAddr,
+    /// Address that tells callers which hosts to use.
+    pub directory_address: SocketAddr,
+    /// Address for other daemons.
+    pub peer_address: SocketAddr,
+    /// Address that serves metrics as text.
+    pub metrics_address: Option<SocketAddr>,
+    /// Peer addresses of a few daemons; some may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Bounds that the platform sets.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time between a stop signal and the kill.
+    pub grace: Millis,
+    /// How long callers may keep a list of addresses.
+    pub directory_lifetime: Millis,
+    /// Retries that all daemons share.
+    pub retries: SharedBounds,
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
+}
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// A day: no bound of the platform is longer.
+const MAX_SECONDS: f64 = 86_400.0;
+
+impl Settings {
+    /// Reads a settings file.
+    pub fn parse(text: &str) -> Result<Self, IniError> {
+        let doc = Document::parse(text)?;
+        let known = ["daemon", "platform", "bounds"];
+        if let Some(section) = doc.sections().keys().find(|s| !known.contains(&s.as_str())) {
+            return Err(IniError::UnknownSection {
+                section: section.clone(),
+                expected: "[daemon], [platform] or [bounds]".to_owned(),
+            });
+        }
+        let mut daemon = doc.section("daemon")?;
+        let mut platform = doc.section("platform")?;
+        let mut bounds = doc.section("bounds")?;
+        let settings = Self {
+            host: HostName::from(daemon.name("host")?),
+            failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
+            caller_address: daemon.required("caller_address")?,
+            ready_address: daemon.required("ready_address")?,
+            directory_address: daemon.required("directory_address")?,
+            peer_address: daemon.required("peer_address")?,
+            metrics_address: daemon.optional("metrics_address")?,
+            seeds: addresses(&mut daemon, "seeds")?,
+            store_address: platform.required("store_address")?,
+            bounds: Bounds {
+                grace: seconds(&mut bounds, "grace_s")?,
+                directory_lifetime: seconds(&mut bounds, "directory_lifetime_s")?,
+                retries: SharedBounds {
+                    ratio: positive(&mut bounds, "retry_ratio", 1.0)?,
+                    slack: positive(&mut bounds, "retry_slack", 1e9)?,
+                    window: seconds(&mut bounds, "retry_window_s")?,
+                },
+                memory_mb: bounds.number_or("memory_mb", 256, 16..=1_048_576)?,
+            },
+        };
+        daemon.finish()?;
+        platform.finish()?;
+        bounds.finish()?;
+        Ok(settings)
+    }
+}
+
+fn addresses(section: &mut SectionReader, key: &str) -> Result<Vec<SocketAddr>, IniError> {
+    let text: String = section.or(key, String::new())?;
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts
+        .map(|part| {
+            part.parse().map_err(|_| section.bad_value(key, part, "expected IP:PORT, IP:PORT, …"))
+        })
+        .collect()
+}
+
+fn positive(section: &mut SectionReader, key: &str, max: f64) -> Result<f64, IniError> {
+    let value: f64 = section.required(key)?;
+    if (0.0..=max).contains(&value) {
+        return Ok(value);
+    }
+    Err(section.bad_value(key, &value.to_string(), &format!("expected 0 to {max}")))
+}
+
+fn seconds(section: &mut SectionReader, key: &str) -> Result<Millis, IniError> {
+    let value = positive(section, key, MAX_SECONDS)?;
+    Ok(Millis((value * MILLIS_PER_SECOND) as u64))
+}
--- /dev/null
+++ b/relay/src/shared.rs
@@ -0,0 +1,155 @@
+//! What all tasks of one daemon share.
+
+use crate::clock::Clock;
+use crate::control::Message;
+use crate::runs::Runs;
+use crate::settings::Settings;
+use crate::view::View;
+use arc_swap::ArcSwap;
+use magnoliawinch::balance::Balancer;
+use magnoliawinch::membership::Member;
+use magnoliawinch::names::ServiceName;
+use magnoliawinch::retry::SharedBudget;
+use magnoliawinch::time::Time;
+use magnoliawinch_http::Client;
+use magnoliawinch_peer::{CellClient, Peers};
+use magnoliawinch_telemetry::{Journal, Metrics};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+use tonic::transport::Channel;
+
+/// Longest time to open a connection to an upstream: one that does not answer by then is passed
+/// over, well within the time limit of the shortest requests.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Routing state of the traffic thread.
+#[derive(Debug)]
+pub(crate) struct Routing {
+    pub(crate) balancer: Balancer,
+    pub(crate) rng: ChaCha8Rng,
+    budgets: HashMap<ServiceName, SharedBudget>,
+    /// Owners of pools that did not answer, until when they are passed over.
+    pub(crate) silent_until: HashMap<String, Time>,
+}
+
+/// Shared by the tasks of one daemon.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) view: ArcSwap<View>,
+    pub(crate) control: mpsc::Sender<Message>,
+    pub(crate) peers: Peers<CellClient<Channel>>,
+    pub(crate) upstreams: Client,
+    pub(crate) runs: Runs,
+    pub(crate) metrics: Metrics,
+    pub(crate) journal: Journal,
+    pub(crate) traffic: Handle,
+    routing: Mutex<Routing>,
+    in_progress: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        clock: Clock,
+        own: Member,
+        control: mpsc::Sender<Message>,
+        traffic: Handle,
+    ) -> Self {
+        let routing = Routing {
+            balancer: Balancer::new(),
+            rng: ChaCha8Rng::seed_from_u64(rand::random()),
+            budgets: HashMap::new(),
+            silent_until: HashMap::new(),
+        };
+        Self {
+            settings,
+            view: ArcSwap::from_pointee(View::new(own)),
+            control,
+            peers: Peers::new(),
+            upstreams: Client::new().with_connect_timeout(CONNECT_TIMEOUT),
+            runs: Runs::new(),
+            metrics: Metrics::new(),
+            journal: Journal::new(clock.now()),
+            traffic,
+            routing: Mutex::new(routing),
+            in_progress: AtomicU64::new(0),
+            clock,
+        }
+    }
+
+    pub(crate) fn routing(&self) -> MutexGuard<'_, Routing> {
+        self.routing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a message to the control thread and waits for its answer.
+    pub(crate) async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.control.send(message(tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    /// Tells the control thread something that it may miss under overload.
+    pub(crate) fn tell(&self, message: Message) {
+        if self.control.try_send(message).is_err() {
+            self.metrics.count("control_overflow", "message");
+        }
+    }
+
+    /// Notes a request for `service`, which earns a part of a retry.
+    pub(crate) fn earn_retry(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, now| budget.earn(now));
+    }
+
+    /// Spends one retry for `service`, if this daemon's part has one left.
+    pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
+        let daemons = self.view.load().daemons;
+        self.with_budget(service, |budget, now| budget.spend(now, daemons))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        f: impl FnOnce(&mut SharedBudget, Time) -> T,
+    ) -> T {
+        let bounds = self.settings.bounds.retries;
+        let now = self.clock.now();
+        let mut routing = self.routing();
+        let budget =
+            routing.budgets.entry(service.clone()).or_insert_with(|| SharedBudget::new(bounds));
+        f(budget, now)
+    }
+
+    /// Requests in progress.
+    pub(crate) fn in_progress(&self) -> u64 {
+        self.in_progress.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        InProgress { shared: Arc::clone(self) }
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub(crate) struct InProgress {
+    shared: Arc<Shared>,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/relay/src/stream.rs
@@ -0,0 +1,598 @@
+//! Requests whose answer is a stream of events.
+//!
+//! A stream is one run. When its engine leaves or is lost, the run goes on at another engine from
+//! a copy of its memory, and the caller sees the next event.
+
+use crate::call::{Attempt, Whole, problem};
+use crate::control::Message;
+use crate::entry::Entry;
+use crate::events::Events;
+use crate::forward::{Forward, strip_hop_headers};
+use crate::refusal::Refusal;
+use crate::relocate::CopyError;
+use crate::runs::{MoveOrder, Placed, RunFacts, RunGuard, Target};
+use crate::shared::InProgress;
+use crate::wire::{Copied, CopyRefused, Outgoing, Resume, Wire};
+use bytes::Bytes;
+use hyper::body::Frame;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, StatusCode};
+use magnoliawinch::fleet::Listed;
+use magnoliawinch::names::{KindName, OrganisationName};
+use magnoliawinch::pool::Way;
+use magnoliawinch::time::Millis;
+use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::{Reply, Reuse, SendError};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Engines that may refuse a run before its caller is refused.
+const MAX_NOT_RUN: u32 = 3;
+
+/// Time for the head of the answer of an engine where a run goes on.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Silence of a stream after which its engine is asked whether it lives.
+const SILENCE: Duration = Duration::from_millis(600);
+
+/// Time in which a living engine answers.
+const ALIVE_WITHIN: Duration = Duration::from_millis(400);
+
+/// Engines to which one move is tried.
+const MAX_TARGETS: u32 = 3;
+
+/// The stream ends here without its end.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the stream was cut")]
+pub(crate) struct Cut;
+
+/// The answer to a streaming request.
+pub(crate) enum Started<W: Wire> {
+    /// A stream.
+    Stream { status: StatusCode, headers: HeaderMap, streaming: Box<Streaming<W>> },
+    /// The engine gave a whole answer in place of a stream.
+    Whole(Whole),
+}
+
+/// What a move waits for.
+type CopyResult = Result<Copied, CopyError>;
+
+/// A move in progress.
+#[derive(Debug)]
+struct Moving {
+    to: Target,
+    /// Whether the run was told to stop.
+    is_last: bool,
+    targets: u32,
+    result: oneshot::Receiver<CopyResult>,
+}
+
+/// A running stream.
+pub(crate) struct Streaming<W: Wire> {
+    entry: Entry<W>,
+    fwd: Arc<Forward>,
+    run: RunGuard,
+    orders: mpsc::Receiver<MoveOrder>,
+    engine: Target,
+    upstream: magnoliawinch_http::client::Body,
+    /// Whether the answer's end shows on the wire.
+    is_framed: bool,
+    events: Events,
+    tokens_per_event: u32,
+    moving: Option<Moving>,
+    /// The newest copy that a move made.
+    copied: Option<(Target, Copied)>,
+    heard_at: Instant,
+    moves: u32,
+    outcome: Option<&'static str>,
+    _in_progress: InProgress,
+}
+
+enum Step {
+    Piece(Option<Result<Bytes, hyper::Error>>),
+    Order(MoveOrder),
+    Copy(CopyResult),
+    Silent,
+    Deadline,
+}
+
+impl<W: Wire> Entry<W> {
+    /// Starts a stream at an engine of the service.
+    pub(crate) async fn stream(&self, fwd: Arc<Forward>) -> Result<Started<W>, Refusal> {
+        let mut avoid = Vec::new();
+        loop {
+            let placed = self.place(&fwd, &avoid).await?;
+            let in_progress = self.shared.enter();
+            let (run, orders) = self.shared.runs.enter(self.facts(&fwd), placed.clone());
+            let name = placed.engine.name.clone();
+            match self.start(&fwd, &placed).await {
+                Ok(Begun::Stream(reply)) => {
+                    let streaming = self.streaming(&fwd, run, orders, placed, reply, in_progress);
+                    return Ok(streaming);
+                }
+                Ok(Begun::Whole(Attempt::Answered(whole))) => return Ok(Started::Whole(whole)),
+                Ok(Begun::Whole(Attempt::MayHaveRun(why))) => return Err(Refusal::Lost(why)),
+                Ok(Begun::Whole(Attempt::NotRun { .. })) => {
+                    if !self.shared.spend_retry(&fwd.service) {
+                        return Err(Refusal::Overloaded(REFUSED_RETRY));
+                    }
+                }
+                Err(e) if e.verdict() == Verdict::NotRun => {
+                    self.shared.tell(Message::UpstreamUnreachable(name.clone()));
+                    self.note_attempt(
+                        &fwd,
+                        &listed(&fwd, &placed.engine),
+                        &e.to_string(),
+                        Verdict::NotRun,
+                    );
+                }
+                Err(e) => {
+                    self.note_attempt(
+                        &fwd,
+                        &listed(&fwd, &placed.engine),
+                        &e.to_string(),
+                        Verdict::MayHaveRun,
+                    );
+                    self.shared.tell(Message::Crashed(fwd.fingerprint()));
+                    return Err(match fwd.remaining().is_zero() {
+                        true => Refusal::TimedOut,
+                        false => Refusal::Lost(e.to_string()),
+                    });
+                }
+            }
+            avoid.push(name);
+            if avoid.len() as u32 >= MAX_NOT_RUN || fwd.remaining().is_zero() {
+                return Err(Refusal::Overloaded(REFUSED_RETRY));
+            }
+        }
+    }
+
+    fn facts(&self, fwd: &Forward) -> RunFacts {
+        RunFacts {
+            run: fwd.ask.run.clone(),
+            service: fwd.service.clone(),
+            kind: KindName::new(&fwd.route.name),
+            organisation: OrganisationName::new(fwd.organisation_name()),
+            prompt_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.tokens),
+            max_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
+            priority: fwd.priority(),
+        }
+    }
+
+    async fn start(&self, fwd: &Forward, placed: &Placed) -> Result<Begun, SendError> {
+        let out = Outgoing {
+            upstream: &placed.engine.name,
+            organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
+            remaining: fwd.remaining_ms(),
+            priority: Some(fwd.priority()),
+            backup: placed.backup.as_ref().map(|backup| backup.address),
+            resume: None,
+        };
+        let req = fwd.request(&*self.wire, &out);
+        let limit = fwd.remaining();
+        let address = placed.engine.address;
+        let reply = self.shared.upstreams.send(address, req, Reuse::Never, limit).await?;
+        let marks = self.wire.marks(reply.headers());
+        let is_stream =
+            reply.status().is_success() && problem(fwd, reply.status(), &marks).is_none();
+        if is_stream && !marks.not_run {
+            return Ok(Begun::Stream(reply));
+        }
+        let name = &placed.engine.name;
+        Ok(Begun::Whole(self.read_answer(fwd, name, reply, fwd.remaining()).await))
+    }
+
+    fn streaming(
+        &self,
+        fwd: &Arc<Forward>,
+        run: RunGuard,
+        orders: mpsc::Receiver<MoveOrder>,
+        placed: Placed,
+        reply: Reply,
+        in_progress: InProgress,
+    ) -> Started<W> {
+        let view = self.shared.view.load();
+        let shape = view.table.as_ref().and_then(|t| t.service(fwd.service.as_str())?.engine);
+        let status = reply.status();
+        let mut headers = reply.headers().clone();
+        let is_framed = is_framed(&headers);
+        strip_hop_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        let streaming = Box::new(Streaming {
+            entry: self.clone(),
+            fwd: Arc::clone(fwd),
+            run,
+            orders,
+            engine: placed.engine,
+            upstream: reply.into_body(),
+            is_framed,
+            events: Events::new(),
+            tokens_per_event: shape.map_or(1, |shape| shape.tokens_per_event),
+            moving: None,
+            copied: None,
+            heard_at: Instant::now(),
+            moves: 0,
+            outcome: None,
+            _in_progress: in_progress,
+        });
+        Started::Stream { status, headers, streaming }
+    }
+}
+
+/// Time after which a caller may come back whose run engines refused.
+const REFUSED_RETRY: Millis = Millis(500);
+
+enum Begun {
+    Stream(Reply),
+    Whole(Attempt),
+}
+
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
+fn listed(fwd: &Forward, target: &Target) -> Listed {
+    Listed {
+        name: target.name.clone(),
+        born: 0,
+        service: fwd.service.clone(),
+        address: target.address,
+        failure_domain: magnoliawinch::names::FailureDomain::new(""),
+        slots: 0,
+        leaving: false,
+    }
+}
+
+impl<W: Wire> Streaming<W> {
+    /// The next events; `None` at the end of a whole stream.
+    pub(crate) async fn next(&mut self) -> Option<Result<Frame<Bytes>, Cut>> {
+        if self.outcome.is_some() {
+            return None;
+        }
+        loop {
+            match self.step().await {
+                Step::Piece(Some(Ok(piece))) => {
+                    self.heard_at = Instant::now();
+                    match self.events.push(&piece) {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => {
+                            let tokens = self.events.count() * u64::from(self.tokens_per_event);
+                            self.run.wrote(tokens as u32);
+                            return Some(Ok(Frame::data(events)));
+                        }
+                        Err(e) => return self.cut("events_missing", &e.to_string()),
+                    }
+                }
+                Step::Piece(Some(Err(e))) => {
+                    if let Err(why) = self.broke(&e.to_string()).await {
+                        return self.cut("engine_lost", &why);
+                    }
+                }
+                Step::Piece(None) => match self.ended().await {
+                    Ok(true) => return self.complete(),
+                    Ok(false) => {}
+                    Err(why) => return self.cut("engine_lost", &why),
+                },
+                Step::Order(order) => {
+                    if let Err(why) = self.obey(order).await {
+                        return self.cut("move_failed", &why);
+                    }
+                }
+                Step::Copy(result) => {
+                    if let Err(why) = self.copied(result).await {
+                        return self.cut("move_failed", &why);
+                    }
+                }
+                Step::Silent => {
+                    if let Err(why) = self.silent().await {
+                        return self.cut("engine_silent", &why);
+                    }
+                }
+                Step::Deadline => return self.cut("timeout", "the time is over"),
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let silent_at = self.heard_at + SILENCE;
+        let is_moving = self.moving.is_some();
+        let copy = async {
+            match &mut self.moving {
+                Some(moving) => (&mut moving.result).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            piece = self.upstream.piece() => Step::Piece(piece),
+            result = copy => Step::Copy(result.unwrap_or(Err(CopyRefused::Busy.into()))),
+            Some(order) = self.orders.recv(), if !is_moving => Step::Order(order),
+            () = sleep_until(self.fwd.until) => Step::Deadline,
+            () = sleep_until(silent_at), if self.events.count() > 0 => Step::Silent,
+        }
+    }
+
+    fn complete(&mut self) -> Option<Result<Frame<Bytes>, Cut>> {
+        self.outcome = Some("complete");
+        self.run.completed();
+        None
+    }
+
+    fn cut(&mut self, outcome: &'static str, why: &str) -> Option<Result<Frame<Bytes>, Cut>> {
+        self.outcome = Some(outcome);
+        log::warn!(
+            request = self.fwd.ask.run.as_str(),
+            upstream = self.engine.name.as_str(),
+            backup = self.run.place().backup.as_ref().map_or("", |b| b.name.as_str()),
+            events = self.events.count(),
+            elapsed_ms = self.fwd.elapsed_ms(),
+            outcome,
+            reason = why;
+            "stream cut"
+        );
+        Some(Err(Cut))
+    }
+
+    /// Begins a move.
+    async fn obey(&mut self, order: MoveOrder) -> Result<(), String> {
+        if order.from != self.engine.name || order.to.name == self.engine.name {
+            return Ok(());
+        }
+        match order.way {
+            Way::Backup => self.go_to_backup().await?,
+            Way::Copy(after) => self.begin_copy(order.to, after, false, 1),
+        }
+        Ok(())
+    }
+
+    fn begin_copy(&mut self, to: Target, after: Millis, is_last: bool, targets: u32) {
+        let (tx, result) = oneshot::channel();
+        let entry = self.entry.clone();
+        let (run, from, address) = (self.fwd.ask.run.clone(), self.engine.address, to.address);
+        self.entry.shared.traffic.spawn(async move {
+            tokio::time::sleep(after.into()).await;
+            // The receiver is gone when the stream has ended meanwhile.
+            let _ = tx.send(entry.copy(&run, from, address, is_last).await);
+        });
+        self.moving = Some(Moving { to, is_last, targets, result });
+    }
+
+    /// Goes on with a move whose copy ended.
+    async fn copied(&mut self, result: CopyResult) -> Result<(), String> {
+        let Some(moving) = self.moving.take() else {
+            return Ok(());
+        };
+        self.note_copy(&moving, &result);
+        match result {
+            Ok(copied) if moving.is_last => self.go_on_at(moving.to, &copied.copy).await,
+            Ok(copied) => {
+                self.copied = Some((moving.to.clone(), copied));
+                self.begin_copy(moving.to, Millis(0), true, moving.targets);
+                Ok(())
+            }
+            Err(e) if moving.is_last => self.stopped_without_copy(moving, e).await,
+            Err(CopyError::Refused(CopyRefused::NoRun)) => Ok(()),
+            Err(_) => {
+                self.try_another(moving).await;
+                Ok(())
+            }
+        }
+    }
+
+    /// The run may have been stopped, and its last copy did not arrive.
+    async fn stopped_without_copy(&mut self, moving: Moving, e: CopyError) -> Result<(), String> {
+        match e {
+            // The run ended by itself; the rest of its stream is still to come.
+            CopyError::Refused(CopyRefused::NoRun | CopyRefused::Busy) => Ok(()),
+            CopyError::Refused(CopyRefused::NoRoom { kept: Some(kept) }) => {
+                // The engine that stopped it goes on with it.
+                let engine = self.engine.clone();
+                self.drain_stopped().await;
+                self.resume(engine.clone(), engine.address, kept).await
+            }
+            e => {
+                let copied = self.copied.take();
+                match copied {
+                    Some((to, copied)) if to == moving.to => self.go_on_at(to, &copied.copy).await,
+                    _ => Err(e.to_string()),
+                }
+            }
+        }
+    }
+
+    async fn try_another(&mut self, moving: Moving) {
+        if moving.targets >= MAX_TARGETS {
+            return;
+        }
+        let service = self.fwd.service.clone();
+        let run = self.fwd.ask.run.clone();
+        let failed = moving.to.name.clone();
+        let ask = |reply| Message::Retarget { service, run, failed, reply };
+        if let Some(Some(to)) = self.entry.shared.ask(ask).await {
+            self.begin_copy(to, Millis(0), false, moving.targets + 1);
+        }
+    }
+
+    /// Takes what the stopped engine still had sent.
+    async fn drain_stopped(&mut self) {
+        let drain = async {
+            while let Some(Ok(piece)) = self.upstream.piece().await {
+                if let Err(e) = self.events.push(&piece) {
+                    log::warn!(request = self.fwd.ask.run.as_str(); "events of a stopped run: {e}");
+                    return;
+                }
+            }
+        };
+        if timeout(RESUME_TIMEOUT, drain).await.is_err() {
+            log::warn!(request = self.fwd.ask.run.as_str(); "a stopped run did not close its stream");
+        }
+    }
+
+    /// Goes on at `to` from the copy that its former engine made there.
+    async fn go_on_at(&mut self, to: Target, copy: &str) -> Result<(), String> {
+        let source = self.engine.address;
+        self.resume(to, source, copy.to_owned()).await
+    }
+
+    /// Goes on at the engine that keeps a copy of the run.
+    async fn go_to_backup(&mut self) -> Result<(), String> {
+        let Some(backup) = self.run.place().backup else {
+            return Err("there is no copy".to_owned());
+        };
+        self.run.lost_backup();
+        self.moving = None;
+        let run = self.fwd.ask.run.to_string();
+        self.resume(backup.clone(), backup.address, run).await
+    }
+
+    /// Sends the request to `to`, to go on from a copy.
+    async fn resume(
+        &mut self,
+        to: Target,
+        address: SocketAddr,
+        copy: String,
+    ) -> Result<(), String> {
+        let begun = Instant::now();
+        let resume = Resume { address, copy, last_event: self.events.last() };
+        let out = Outgoing {
+            upstream: &to.name,
+            organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
+            remaining: self.fwd.remaining_ms(),
+            priority: Some(self.fwd.priority()),
+            backup: None,
+            resume: Some(&resume),
+        };
+        let req = self.fwd.request(&*self.entry.wire, &out);
+        let limit = self.fwd.remaining().min(RESUME_TIMEOUT);
+        let sent = self.entry.shared.upstreams.send(to.address, req, Reuse::Never, limit).await;
+        let reply = sent.map_err(|e| e.to_string())?;
+        let marks = self.entry.wire.marks(reply.headers());
+        let status = reply.status();
+        if !status.is_success() || marks.not_run {
+            return Err(format!("{} does not go on: {status}", to.name));
+        }
+        if let Some(problem) = problem(&self.fwd, status, &marks) {
+            return Err(format!("{} answered {status}, {problem}", to.name));
+        }
+        log::info!(
+            request = self.fwd.ask.run.as_str(),
+            from = self.engine.name.as_str(),
+            to = to.name.as_str(),
+            last_event = resume.last_event.unwrap_or(0),
+            took_ms = begun.elapsed().as_millis() as u64,
+            pause_ms = self.heard_at.elapsed().as_millis() as u64;
+            "run goes on"
+        );
+        self.moves += 1;
+        self.is_framed = is_framed(reply.headers());
+        self.upstream = reply.into_body();
+        self.events.drop_part();
+        let backup = self.run.place().backup.filter(|backup| *backup != to);
+        self.engine = to;
+        self.copied = None;
+        self.run.moved(Placed { engine: self.engine.clone(), backup });
+        Ok(())
+    }
+
+    /// The stream broke off.
+    async fn broke(&mut self, why: &str) -> Result<(), String> {
+        if self.moving.as_ref().is_some_and(|moving| moving.is_last) {
+            return self.await_last_copy().await;
+        }
+        log::info!(
+            request = self.fwd.ask.run.as_str(),
+            upstream = self.engine.name.as_str(),
+            events = self.events.count(),
+            reason = why;
+            "stream broke off"
+        );
+        self.entry.shared.tell(Message::UpstreamUnreachable(self.engine.name.clone()));
+        self.go_on_after_loss(why).await
+    }
+
+    /// Goes on from whatever copy there is of a run whose engine is lost.
+    async fn go_on_after_loss(&mut self, why: &str) -> Result<(), String> {
+        self.moving = None;
+        let mut reason = why.to_owned();
+        if let Some((to, copied)) = self.copied.take() {
+            match self.go_on_at(to, &copied.copy).await {
+                Ok(()) => return Ok(()),
+                Err(e) => reason = e,
+            }
+        }
+        if self.run.place().backup.is_some() {
+            return self.go_to_backup().await;
+        }
+        self.entry.shared.tell(Message::Crashed(self.fwd.fingerprint()));
+        Err(reason)
+    }
+
+    /// The run was stopped; its copy arrives at the other engine.
+    async fn await_last_copy(&mut self) -> Result<(), String> {
+        let Some(moving) = &mut self.moving else {
+            return Err("no move is in progress".to_owned());
+        };
+        let result = (&mut moving.result).await;
+        self.copied(result.unwrap_or(Err(CopyRefused::Busy.into()))).await
+    }
+
+    /// The stream ended; returns whether it is whole.
+    async fn ended(&mut self) -> Result<bool, String> {
+        let is_stopping = self.moving.as_ref().is_some_and(|moving| moving.is_last);
+        if self.is_framed || !is_stopping {
+            return match self.events.has_part() {
+                true => self.broke("the stream ended within an event").await.map(|()| false),
+                false => Ok(true),
+            };
+        }
+        let before = self.moves;
+        self.await_last_copy().await?;
+        Ok(self.moves == before)
+    }
+
+    /// The stream is silent; goes on elsewhere if its engine does not live.
+    async fn silent(&mut self) -> Result<(), String> {
+        self.heard_at = Instant::now();
+        let has_copy = self.copied.is_some() || self.run.place().backup.is_some();
+        if !has_copy || self.entry.is_alive(self.engine.address, ALIVE_WITHIN).await {
+            return Ok(());
+        }
+        self.go_on_after_loss("the engine is silent").await
+    }
+
+    fn note_copy(&self, moving: &Moving, result: &CopyResult) {
+        let problem = result.as_ref().err().map(ToString::to_string);
+        log::info!(
+            request = self.fwd.ask.run.as_str(),
+            from = self.engine.name.as_str(),
+            to = moving.to.name.as_str(),
+            last = moving.is_last,
+            events = self.events.count(),
+            problem = problem.as_deref().unwrap_or("");
+            "memory copied"
+        );
+    }
+}
+
+impl<W: Wire> Drop for Streaming<W> {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or("caller_left");
+        self.entry.shared.metrics.count("stream", outcome);
+        if self.entry.shared.journal.admits(self.entry.shared.clock.now()) {
+            log::info!(
+                request = self.fwd.ask.run.as_str(),
+                kind = self.fwd.route.name.as_str(),
+                upstream = self.engine.name.as_str(),
+                events = self.events.count(),
+                moves = self.moves,
+                elapsed_ms = self.fwd.elapsed_ms(),
+                outcome;
+                "stream ended"
+            );
+        }
+    }
+}
