Go on by a copy of one's own when a backup is not complete; release ended runs at once

The stream was cut though its engine still ran. Runs that ended before their first report counted for 1.5 s more.

Ruled out: closing the source first (it makes the loss certain).

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -22,7 +22,7 @@
 use engine::Engine;
 use queue::Queue;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Time for one token of an answer, in milliseconds, as a middle of the users' engines: a step
 /// takes 7 ms and more.
@@ -137,6 +137,17 @@
     pub written: u32,
 }
 
+/// What a daemon reports of its runs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report<'a> {
+    /// All that it holds.
+    pub runs: &'a [RunState],
+    /// Those that ended by themselves since its last report.
+    pub ended: &'a [EndedRun],
+    /// Those that it does not hold any more since then.
+    pub over: &'a [RunId],
+}
+
 /// What runs at an engine, as the owner tells other daemons.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineUse {
@@ -251,6 +262,10 @@
         self.engines.keys().map(of_engine).collect()
     }
 
+    fn is_usable(&self, engine: &UpstreamName) -> bool {
+        self.engines.get(engine).is_some_and(|engine| engine.is_usable)
+    }
+
     fn footprint(&mut self, now: Time, state: &RunState) -> Footprint {
         Footprint {
             prompt: f64::from(state.prompt_tokens),
@@ -347,20 +362,25 @@
         self.runs.insert(wish.run.clone(), run);
     }
 
-    /// Takes the report of a daemon: all of its runs, and those that ended.
-    pub fn report(&mut self, now: Time, holder: &HostName, runs: &[RunState], ended: &[EndedRun]) {
-        for end in ended {
+    /// Takes the report of a daemon.
+    pub fn report(&mut self, now: Time, holder: &HostName, report: &Report<'_>) {
+        for end in report.ended {
             self.lengths.learn(&self.service, &end.kind, &end.organisation, end.written);
         }
-        for state in runs {
+        for run in report.over {
+            self.runs.remove(run);
+        }
+        for state in report.runs {
             let footprint = self.footprint(now, state);
+            // Its holder may not know yet that the engine with the copy leaves.
+            let backup = state.backup.clone().filter(|backup| self.is_usable(backup));
             match self.runs.get_mut(&state.run) {
                 Some(run) => {
                     if run.engine != state.engine {
                         run.engine = state.engine.clone();
                         run.target = None;
                     }
-                    run.backup = state.backup.clone();
+                    run.backup = backup;
                     run.footprint = footprint;
                     run.confirmed_at = now;
                 }
@@ -369,7 +389,7 @@
                         holder: holder.clone(),
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
-                        backup: state.backup.clone(),
+                        backup,
                         target: None,
                         footprint,
                         max_tokens: state.max_tokens,
@@ -380,7 +400,7 @@
                 }
             }
         }
-        let named: std::collections::HashSet<_> = runs.iter().map(|state| &state.run).collect();
+        let named: HashSet<_> = report.runs.iter().map(|state| &state.run).collect();
         self.runs.retain(|id, run| {
             run.holder != *holder
                 || named.contains(id)
--- /dev/null
+++ b/core/tests/pool.rs
@@ -0,0 +1,191 @@
+//! Tests of the pools: where runs go, wait, and move.
+
+use magnoliawinch::fleet::Listed;
+use magnoliawinch::names::{
+    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
+};
+use magnoliawinch::pool::{Answer, EndedRun, Event, Place, Pool, Report, RunState, Way, Wish};
+use magnoliawinch::route_table::EngineShape;
+use magnoliawinch::time::{Millis, Time};
+
+const MEMORY: u64 = 34_000;
+
+fn shape() -> EngineShape {
+    EngineShape {
+        slots: 24,
+        memory_tokens: MEMORY,
+        bytes_per_token: 18_432,
+        link_bits_per_ms: 2_700_000,
+        tokens_per_event: 4,
+        can_move: true,
+        can_back_up: true,
+    }
+}
+
+fn listed(name: &str, domain: &str) -> Listed {
+    Listed {
+        name: UpstreamName::new(name),
+        born: 1,
+        service: ServiceName::new("guide"),
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: FailureDomain::new(domain),
+        slots: 24,
+        leaving: false,
+    }
+}
+
+fn pool(engines: &[(&str, &str)]) -> Pool {
+    let mut pool = Pool::new(ServiceName::new("guide"), shape());
+    let listed: Vec<_> = engines.iter().map(|(name, domain)| listed(name, domain)).collect();
+    pool.set_engines(listed.iter().map(|listed| (listed, true)));
+    // Long answers are expected.
+    let ended = EndedRun {
+        kind: KindName::new("long"),
+        organisation: OrganisationName::new("a"),
+        written: 1_000,
+    };
+    let ended = vec![ended; 30];
+    let report = Report { ended: &ended, ..Report::default() };
+    pool.report(Time(0), &HostName::new("edge-1"), &report);
+    pool
+}
+
+fn wish(run: &str, prompt_tokens: u32) -> Wish {
+    Wish {
+        run: RunId::new(run),
+        holder: HostName::new("edge-1"),
+        near: FailureDomain::new("a"),
+        kind: KindName::new("long"),
+        organisation: OrganisationName::new("a"),
+        prompt_tokens,
+        max_tokens: 2_000,
+        priority: 1,
+        patience_until: Time(100_000),
+        avoid: Vec::new(),
+    }
+}
+
+fn state(run: &str, place: &Place, prompt_tokens: u32, written: u32) -> RunState {
+    RunState {
+        run: RunId::new(run),
+        kind: KindName::new("long"),
+        organisation: OrganisationName::new("a"),
+        engine: place.engine.clone(),
+        backup: place.backup.clone(),
+        prompt_tokens,
+        written,
+        max_tokens: 2_000,
+        priority: 1,
+    }
+}
+
+fn placed(answer: Answer) -> Place {
+    match answer {
+        Answer::Placed(place) => place,
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+/// Pattern: an engine with a copy is reclaimed, and then the engine of the run. The holder's
+/// reports still name the lost copy for a while.
+#[test]
+fn a_run_is_not_sent_to_a_copy_whose_engine_has_left() {
+    let mut pool = pool(&[("e1", "a"), ("e2", "a"), ("e3", "a")]);
+    let place = placed(pool.place(Time(0), wish("r", 3_000)));
+    let backup = place.backup.clone().expect("memory is idle, so there is a copy");
+    let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
+    let usable = |gone: &[&UpstreamName], listed: &Listed| !gone.contains(&&listed.name);
+    pool.set_engines(engines.iter().map(|l| (l, usable(&[&backup], l))));
+    assert!(pool.vacate(Time(100), &backup).is_empty());
+    let runs = [state("r", &place, 3_000, 20)];
+    let report = Report { runs: &runs, ..Report::default() };
+    pool.report(Time(200), &HostName::new("edge-1"), &report);
+    pool.set_engines(engines.iter().map(|l| (l, usable(&[&backup, &place.engine], l))));
+    let orders = pool.vacate(Time(300), &place.engine);
+    assert_eq!(orders.len(), 1);
+    assert_ne!(orders[0].to, backup);
+    assert_eq!(orders[0].way, Way::Copy(Millis(0)));
+}
+
+/// Pattern: an engine with several runs is reclaimed. Their copies share its link, so they begin
+/// one after another.
+#[test]
+fn copies_off_one_engine_follow_each_other() {
+    let mut pool = pool(&[("e1", "a")]);
+    for run in ["r1", "r2", "r3"] {
+        assert_eq!(placed(pool.place(Time(0), wish(run, 3_000))).backup, None);
+    }
+    let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
+    pool.set_engines(engines.iter().map(|l| (l, l.name.as_str() != "e1")));
+    let orders = pool.vacate(Time(10), &UpstreamName::new("e1"));
+    let copy = shape().copy_time(3_000).0;
+    let begins: Vec<_> = orders
+        .iter()
+        .map(|order| match order.way {
+            Way::Copy(after) => after.0,
+            Way::Backup => panic!("there is no copy"),
+        })
+        .collect();
+    assert_eq!(begins.len(), 3);
+    assert_eq!(begins[0], 0);
+    assert!(begins.windows(2).all(|pair| pair[1] >= pair[0] + copy), "{begins:?}");
+    // Targets are spread, not herded.
+    assert!(orders.iter().any(|order| order.to.as_str() == "e2"));
+    assert!(orders.iter().any(|order| order.to.as_str() == "e3"));
+}
+
+/// Pattern: asking again changes nothing.
+#[test]
+fn a_question_that_is_asked_again_gets_the_same_place() {
+    let mut pool = pool(&[("e1", "a"), ("e2", "a")]);
+    let first = placed(pool.place(Time(0), wish("r", 3_000)));
+    let second = placed(pool.place(Time(5), wish("r", 3_000)));
+    assert_eq!(first, second);
+    assert_eq!(pool.running(), 1);
+}
+
+/// Pattern: a crowd. Memory fills up, further runs wait, and start as soon as others end.
+#[test]
+fn a_run_waits_while_memory_is_full_and_starts_when_it_is_free() {
+    let mut pool = pool(&[("e1", "a")]);
+    let mut running = Vec::new();
+    let mut waiting = None;
+    for n in 0..20 {
+        let run = format!("r{n}");
+        match pool.place(Time(n), wish(&run, 6_000)) {
+            Answer::Placed(place) => running.push((run, place)),
+            Answer::Waits => {
+                waiting = Some(run);
+                break;
+            }
+            Answer::Refused(_) => panic!("refused while it could wait"),
+        }
+    }
+    let waiting = waiting.expect("memory holds fewer than 20 runs of 6,000 tokens");
+    assert!(running.len() >= 2);
+    // It ended before it was ever reported.
+    let over = [RunId::new(&running[0].0)];
+    pool.report(Time(300), &HostName::new("edge-1"), &Report { over: &over, ..Report::default() });
+    let events = pool.tick(Time(301));
+    let started = |event: &Event| matches!(event, Event::Placed(run, _) if run.as_str() == waiting);
+    assert!(events.iter().any(started), "{events:?}");
+}
+
+/// Pattern: a crowd of long runs and urgent short ones. What is urgent starts first.
+#[test]
+fn the_more_urgent_run_starts_first() {
+    let mut pool = pool(&[("e1", "a")]);
+    let mut places = Vec::new();
+    let mut n = 0;
+    while let Answer::Placed(place) = pool.place(Time(0), wish(&format!("r{n}"), 6_000)) {
+        places.push((format!("r{n}"), place));
+        n += 1;
+    }
+    let urgent = Wish { priority: 0, ..wish("urgent", 6_000) };
+    assert_eq!(pool.place(Time(1), urgent), Answer::Waits);
+    let over = [RunId::new(&places[0].0)];
+    pool.report(Time(310), &HostName::new("edge-1"), &Report { over: &over, ..Report::default() });
+    let events = pool.tick(Time(320));
+    let first = events.first().expect("a place is free");
+    assert!(matches!(first, Event::Placed(run, _) if run.as_str() == "urgent"), "{events:?}");
+}
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -91,6 +91,7 @@
                 Attempt::Answered(whole) if whole.status.is_server_error() && may_repeat => {
                     verdict = Verdict::Ran;
                     runs += 1;
+                    self.note_attempt(fwd, &upstream, whole.status.as_str(), Verdict::Ran);
                     failure = Some(whole);
                 }
                 Attempt::Answered(whole) => return Ok(whole),
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -2,10 +2,10 @@
 
 use super::convert::{ended_message, ended_run, engine_use, run_message, run_state, use_message};
 use super::{Control, Decided, Message};
-use crate::runs::{MoveOrder, Placed, Target};
+use crate::runs::{MoveOrder, OwnRuns, Placed, Target};
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
-use magnoliawinch::pool::{Answer, Event, Order, Place, Pool, Way, Wish};
+use magnoliawinch::pool::{Answer, Event, Order, Place, Pool, Report, Way, Wish};
 use magnoliawinch::quarantine::{Fingerprint, Treatment};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{RelocateRequest, RunsReply, RunsReport};
@@ -155,15 +155,16 @@
         }
         let services: Vec<_> = self.pools.by_service.keys().cloned().collect();
         for service in services {
-            let (runs, ended) = self.shared.runs.report(&service);
+            let held = self.shared.runs.take(&service);
             if let Some(pool) = self.pools.by_service.get_mut(&service) {
-                pool.report(now, &own, &runs, &ended);
+                pool.report(now, &own, &held.report());
             }
             let report = RunsReport {
                 host: own.to_string(),
                 service: service.to_string(),
-                runs: runs.iter().map(run_message).collect(),
-                ended: ended.iter().map(ended_message).collect(),
+                runs: held.runs.iter().map(run_message).collect(),
+                ended: held.ended.iter().map(ended_message).collect(),
+                over: held.over.iter().map(RunId::to_string).collect(),
                 leaving: Vec::new(),
                 list_offset: self.fleet.through(),
                 configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
@@ -199,11 +200,14 @@
         for fingerprint in &report.crashed {
             self.note_crash(now, Fingerprint(*fingerprint));
         }
-        let runs: Vec<_> = report.runs.iter().map(run_state).collect();
-        let ended: Vec<_> = report.ended.iter().map(ended_run).collect();
+        let held = OwnRuns {
+            runs: report.runs.iter().map(run_state).collect(),
+            ended: report.ended.iter().map(ended_run).collect(),
+            over: report.over.iter().map(|run| RunId::new(run)).collect(),
+        };
         let mut uses = Vec::new();
         if let Some(pool) = self.pools.by_service.get_mut(report.service.as_str()) {
-            pool.report(now, &holder, &runs, &ended);
+            pool.report(now, &holder, &held.report());
             uses = pool.use_apart_from(now, &holder);
         }
         if report.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
@@ -265,8 +269,8 @@
         let own = self.membership.own().host.clone();
         let mut orders = Vec::new();
         for (service, pool) in &mut self.pools.by_service {
-            let (runs, ended) = self.shared.runs.report(service);
-            pool.report(now, &own, &runs, &ended);
+            let runs = self.shared.runs.states(service);
+            pool.report(now, &own, &Report { runs: &runs, ..Report::default() });
             orders.extend(pool.vacate(now, engine));
         }
         orders
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -1,7 +1,7 @@
 //! The runs that this daemon holds.
 
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
-use magnoliawinch::pool::{EndedRun, Place, RunState};
+use magnoliawinch::pool::{EndedRun, Place, Report, RunState};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -90,7 +90,28 @@
 #[derive(Debug, Default)]
 struct Inner {
     cells: HashMap<RunId, Arc<Cell>>,
-    ended: HashMap<ServiceName, Vec<EndedRun>>,
+    news: HashMap<ServiceName, News>,
+}
+
+/// What happened in a service since the last report.
+#[derive(Debug, Default)]
+struct News {
+    ended: Vec<EndedRun>,
+    over: Vec<RunId>,
+}
+
+/// The runs of a service, for a report.
+#[derive(Debug)]
+pub(crate) struct OwnRuns {
+    pub(crate) runs: Vec<RunState>,
+    pub(crate) ended: Vec<EndedRun>,
+    pub(crate) over: Vec<RunId>,
+}
+
+impl OwnRuns {
+    pub(crate) fn report(&self) -> Report<'_> {
+        Report { runs: &self.runs, ended: &self.ended, over: &self.over }
+    }
 }
 
 /// The runs of this daemon by id.
@@ -121,12 +142,18 @@
         (RunGuard { runs: self.clone(), cell, completed: false }, receiver)
     }
 
-    /// The runs of a service, and those that ended since the last call.
-    pub(crate) fn report(&self, service: &ServiceName) -> (Vec<RunState>, Vec<EndedRun>) {
-        let mut inner = self.lock();
+    /// The runs of a service as they are now.
+    pub(crate) fn states(&self, service: &ServiceName) -> Vec<RunState> {
+        let inner = self.lock();
         let of_service = inner.cells.values().filter(|cell| cell.facts.service == *service);
-        let states = of_service.map(|cell| cell.state()).collect();
-        (states, inner.ended.remove(service).unwrap_or_default())
+        of_service.map(|cell| cell.state()).collect()
+    }
+
+    /// The runs of a service, and those that ended since the last call.
+    pub(crate) fn take(&self, service: &ServiceName) -> OwnRuns {
+        let runs = self.states(service);
+        let news = self.lock().news.remove(service).unwrap_or_default();
+        OwnRuns { runs, ended: news.ended, over: news.over }
     }
 
     /// Hands an order to a run; returns whether it is held here and can take it.
@@ -172,16 +199,17 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        let facts = &self.cell.facts;
         let mut inner = self.runs.lock();
-        inner.cells.remove(&self.cell.facts.run);
+        inner.cells.remove(&facts.run);
+        let news = inner.news.entry(facts.service.clone()).or_default();
+        news.over.push(facts.run.clone());
         if self.completed {
-            let facts = &self.cell.facts;
-            let ended = EndedRun {
+            news.ended.push(EndedRun {
                 kind: facts.kind.clone(),
                 organisation: facts.organisation.clone(),
                 written: self.cell.written.load(Ordering::Relaxed),
-            };
-            inner.ended.entry(facts.service.clone()).or_default().push(ended);
+            });
         }
     }
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -343,7 +343,18 @@
             return Ok(());
         }
         match order.way {
-            Way::Backup => self.go_to_backup().await?,
+            Way::Backup => {
+                if let Err(why) = self.go_to_backup().await {
+                    // The copy was not complete yet. The engine still runs and can make one.
+                    log::info!(
+                        request = self.fwd.ask.run.as_str(),
+                        to = order.to.name.as_str(),
+                        reason = why.as_str();
+                        "no copy to go on from; copying"
+                    );
+                    self.begin_copy(order.to, Millis(0), false, 1);
+                }
+            }
             Way::Copy(after) => self.begin_copy(order.to, after, false, 1),
         }
         Ok(())
