--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -93,9 +93,9 @@
         self.read_at.is_some()
     }
 
-    /// Time since the list was last read, here or by the peer that told of it.
-    pub fn age(&self, now: Time) -> Option<Millis> {
-        self.read_at.map(|at| now.since(at))
+    /// When the list was last read, here or by the peer that told of it.
+    pub fn read_at(&self) -> Option<Time> {
+        self.read_at
     }
 
     /// Folds `changes` up to the offset `through`; returns the upstreams that newly leave.
@@ -139,7 +139,7 @@
         if was_away {
             self.back_at = Some(now);
         }
-        self.read_at = Some(now);
+        self.read_at = self.read_at.max(Some(now));
     }
 
     fn put(&mut self, now: Time, listed: Listed) -> Option<UpstreamName> {
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::time::{Millis, Time};
 use engine::Engine;
 use queue::Queue;
+use relocation::{Ordered, Refusals};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -28,8 +29,9 @@
 /// takes 7 ms and more.
 const STEP_MS: f64 = 9.0;
 
-/// Tokens of a prompt that an engine reads in a millisecond; from the users' sheets.
-const PROMPT_TOKENS_PER_MS: f64 = 14.0;
+/// Tokens of a prompt that an engine reads in a millisecond while it also writes: half of what the
+/// users' sheets say, as each step of about 8 ms carries a chunk that takes as long again.
+const PROMPT_TOKENS_PER_MS: f64 = 7.0;
 
 /// How long a run counts without news from its holder.
 const RUN_LIFETIME: Millis = Millis(3_000);
@@ -124,6 +126,10 @@
     pub max_tokens: u32,
     /// 0 goes first.
     pub priority: u8,
+    /// The engine to which it is being moved.
+    pub moving_to: Option<UpstreamName>,
+    /// Engines that refused it since it was to move.
+    pub refused: Vec<UpstreamName>,
 }
 
 /// A run that ended by itself, whose length may be learned.
@@ -166,9 +172,9 @@
     engine: UpstreamName,
     backup: Option<UpstreamName>,
     /// Where it was ordered to go.
-    target: Option<UpstreamName>,
+    ordered: Option<Ordered>,
+    refusals: Refusals,
     footprint: Footprint,
-    max_tokens: u32,
     placed_at: Time,
     confirmed_at: Time,
 }
@@ -186,7 +192,7 @@
     fn occupies(&self, engine: &UpstreamName) -> bool {
         self.engine == *engine
             || self.backup.as_ref() == Some(engine)
-            || self.target.as_ref() == Some(engine)
+            || self.ordered.as_ref().is_some_and(|ordered| ordered.to == *engine)
     }
 }
 
@@ -199,6 +205,10 @@
     runs: HashMap<RunId, Run>,
     queue: Queue,
     lengths: Estimator,
+    /// Engines that leave, and since when.
+    leaving: HashMap<UpstreamName, Time>,
+    /// Links of engines over which memory is copied, and until when.
+    links: HashMap<UpstreamName, Time>,
 }
 
 impl Pool {
@@ -211,6 +221,8 @@
             runs: HashMap::new(),
             queue: Queue::new(),
             lengths: Estimator::new(),
+            leaving: HashMap::new(),
+            links: HashMap::new(),
         }
     }
 
@@ -348,14 +360,14 @@
             organisation: wish.organisation.clone(),
             engine: place.engine.clone(),
             backup: place.backup.clone(),
-            target: None,
+            ordered: None,
+            refusals: Refusals::default(),
             footprint: Footprint {
                 prompt: f64::from(wish.prompt_tokens),
                 written: 0.0,
                 told_at: now,
                 curve,
             },
-            max_tokens: wish.max_tokens,
             placed_at: now,
             confirmed_at: now,
         };
@@ -378,8 +390,9 @@
                 Some(run) => {
                     if run.engine != state.engine {
                         run.engine = state.engine.clone();
-                        run.target = None;
+                        run.ordered = None;
                     }
+                    run.note_move(now, state.moving_to.as_ref(), &state.refused);
                     run.backup = backup;
                     run.footprint = footprint;
                     run.confirmed_at = now;
@@ -390,9 +403,9 @@
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
                         backup,
-                        target: None,
+                        ordered: None,
+                        refusals: Refusals::default(),
                         footprint,
-                        max_tokens: state.max_tokens,
                         placed_at: now,
                         confirmed_at: now,
                     };
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -77,10 +77,12 @@
     pub(super) running: f64,
     /// Projected peak of its memory, in tokens.
     pub(super) peak: f64,
+    /// Its memory now, in tokens.
+    pub(super) tokens: f64,
 }
 
 impl Pool {
-    fn memory(&self) -> f64 {
+    pub(super) fn memory(&self) -> f64 {
         self.shape.memory_tokens as f64
     }
 
@@ -90,13 +92,15 @@
             self.engines.get(name).map_or((0.0, 0.0), |engine| engine.foreign(now));
         let mut projection = Projection::new(foreign_tokens);
         let mut running = 1.0 + foreign_running;
+        let mut tokens = foreign_tokens + extra.tokens(now, STEP_MS);
         for run in self.runs.values().filter(|run| run.occupies(name)) {
             projection.add(now, STEP_MS, &run.footprint);
-            let runs_there = run.engine == *name || run.target.as_ref() == Some(name);
-            running += if runs_there { 1.0 } else { 0.0 };
+            tokens += run.tokens(now);
+            let is_copy = run.backup.as_ref() == Some(name);
+            running += if is_copy { 0.0 } else { 1.0 };
         }
         projection.add(now, STEP_MS, extra);
-        Burden { running, peak: projection.peak(HEADROOM) }
+        Burden { running, peak: projection.peak(HEADROOM), tokens }
     }
 
     fn has_room(&self, name: &UpstreamName, burden: Burden) -> bool {
@@ -122,8 +126,7 @@
             }
             let is_far = engine.failure_domain != wish.near;
             let score = engine.prompt_wait(now)
-                + FULL_MEMORY_MS * burden.peak / self.memory()
-                + NEIGHBOUR_MS * burden.running
+                + self.crowding_ms(burden.peak, burden.running)
                 + if is_far { DISTANCE_MS } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, name));
@@ -145,36 +148,20 @@
         if !self.shape.can_back_up || left < MIN_LEFT.0 as f64 {
             return None;
         }
-        self.target(now, engine, extra, COPIES_UP_TO, None)
-    }
-
-    /// The engine other than `from` to which the memory of a run is best copied, among those that
-    /// it fills up to the part `up_to`.
-    pub(super) fn target(
-        &self,
-        now: Time,
-        from: &UpstreamName,
-        extra: &Footprint,
-        up_to: f64,
-        avoid: Option<&UpstreamName>,
-    ) -> Option<UpstreamName> {
-        let home = self.engines.get(from).map(|engine| &engine.failure_domain);
+        let home = self.engines.get(engine).map(|engine| &engine.failure_domain);
         let mut best: Option<(f64, &UpstreamName)> = None;
-        for (name, engine) in &self.engines {
-            if !engine.is_usable || name == from || Some(name) == avoid {
+        for (name, other) in &self.engines {
+            if !other.is_usable || name == engine {
                 continue;
             }
             let burden = self.burden(now, name, extra);
-            let is_full = burden.peak > self.memory() * up_to;
-            if is_full || burden.running > f64::from(engine.slots) {
+            if burden.peak > self.memory() * COPIES_UP_TO {
                 continue;
             }
             // A copy to another failure domain takes twice as long.
-            let is_far = home.is_some_and(|home| engine.failure_domain != *home);
-            let tokens = extra.tokens(now, STEP_MS) as u64;
-            let Millis(copy) = self.shape.copy_time(tokens);
-            let score = FULL_MEMORY_MS * burden.peak / self.memory()
-                + NEIGHBOUR_MS * burden.running
+            let is_far = home.is_some_and(|home| other.failure_domain != *home);
+            let Millis(copy) = self.shape.copy_time(extra.tokens(now, STEP_MS) as u64);
+            let score = self.crowding_ms(burden.peak, burden.running)
                 + if is_far { copy as f64 } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, name));
@@ -182,4 +169,9 @@
         }
         best.map(|(_, name)| name.clone())
     }
+
+    /// What the crowd at an engine costs a run there, in milliseconds.
+    pub(super) fn crowding_ms(&self, peak: f64, running: f64) -> f64 {
+        FULL_MEMORY_MS * peak / self.memory() + NEIGHBOUR_MS * running
+    }
 }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -1,29 +1,40 @@
-//! Moves of runs off an engine that leaves.
+//! Moves of runs off engines that leave.
 //!
 //! A run whose memory is copied already goes on at its copy at once. The others are copied one
-//! after another, as they share the engine's link: those with the most at stake first, each
-//! beginning when the one before is expected to be over.
+//! after another over each link, the smallest first: a run is worth about the same whatever its
+//! size, and the notice may be too short for all. What finds no room yet is tried again until its
+//! engine is gone.
 
+use super::engine::Burden;
 use super::{MIN_LEFT, Pool, Run};
 use crate::names::{HostName, RunId, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
-/// Part of an engine's memory that a moved run may fill it up to: a run that is preempted there
-/// still ends, one that stays is lost.
-const MOVES_UP_TO: f64 = 1.0;
+/// Part of an engine's memory that a moved run may fill it up to as things are now: a run that is
+/// preempted later still ends, one that stays is lost.
+const MOVES_UP_TO: f64 = 0.98;
 
 /// Time for the calls around a copy, in milliseconds.
-const CALLS_MS: u64 = 25;
+const CALLS_MS: u64 = 30;
 
-/// Weight of a token of the answer against one of the prompt, as in the users' payoff.
-const ANSWER_TOKEN_WEIGHT: f64 = 10.0;
+/// Copies to another failure domain take so many times as long; from the platform's page.
+const FAR_FACTOR: u64 = 2;
+
+/// How long an engine that refused a run is not tried again.
+const REFUSED_FOR: Millis = Millis(400);
+
+/// Time for an order to reach its run and show in a report.
+const ORDER_GRACE: Millis = Millis(100);
+
+/// How long an engine that left is remembered.
+const LEFT_FOR: Millis = Millis(10_000);
 
 /// How a run gets to another engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Way {
-    /// Its memory is copied, beginning after this time.
-    Copy(Millis),
+    /// Its memory is copied.
+    Copy,
     /// A copy that was kept up to date is used.
     Backup,
 }
@@ -43,62 +54,139 @@
     pub way: Way,
 }
 
+/// An order that a run was given.
+#[derive(Clone, Debug)]
+pub(super) struct Ordered {
+    pub(super) to: UpstreamName,
+    at: Time,
+}
+
+/// Engines that refused a run.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Refusals {
+    by: Vec<UpstreamName>,
+    at: Time,
+}
+
+impl Run {
+    /// Takes what the holder says of a move in progress.
+    pub(super) fn note_move(
+        &mut self,
+        now: Time,
+        moving_to: Option<&UpstreamName>,
+        refused: &[UpstreamName],
+    ) {
+        if !refused.is_empty() && refused != self.refusals.by {
+            self.refusals = Refusals { by: refused.to_vec(), at: now };
+        }
+        let is_over = |ordered: &mut Ordered| {
+            let is_refused = refused.contains(&ordered.to);
+            let is_known = now.since(ordered.at) >= ORDER_GRACE;
+            is_refused || (is_known && moving_to.is_none())
+        };
+        self.ordered.take_if(is_over);
+    }
+
+    fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
+        now.since(self.refusals.at) < REFUSED_FOR && self.refusals.by.contains(engine)
+    }
+}
+
 impl Pool {
-    /// Orders for the runs of an engine that leaves; call it after `set_engines`.
-    pub fn vacate(&mut self, now: Time, engine: &UpstreamName) -> Vec<Order> {
+    /// Notes that an engine leaves; call it after `set_engines`.
+    pub fn vacate(&mut self, now: Time, engine: &UpstreamName) {
+        self.leaving.entry(engine.clone()).or_insert(now);
         for run in self.runs.values_mut() {
             run.backup.take_if(|backup| backup == engine);
         }
-        let mut leaving: Vec<_> = self
+    }
+
+    /// Whether a run waits for its move.
+    pub fn has_movers(&self) -> bool {
+        !self.leaving.is_empty()
+            && self
+                .runs
+                .values()
+                .any(|run| self.leaving.contains_key(&run.engine) && run.ordered.is_none())
+    }
+
+    /// Orders for runs of engines that leave, as far as links are free and memory holds them; only
+    /// for those of `holder` if one is given.
+    pub fn plan_moves(&mut self, now: Time, holder: Option<&HostName>) -> Vec<Order> {
+        self.leaving.retain(|_, since| now.since(*since) < LEFT_FOR);
+        self.links.retain(|_, free_at| *free_at > now);
+        if self.leaving.is_empty() {
+            return Vec::new();
+        }
+        let is_in_scope = |run: &Run| {
+            self.leaving.contains_key(&run.engine)
+                && holder.is_none_or(|holder| run.holder == *holder)
+                && run.ordered.is_none()
+                && run.time_left(now) >= MIN_LEFT.0 as f64
+        };
+        let mut movers: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, run)| run.engine == *engine && run.target.is_none())
-            .filter(|(_, run)| run.time_left(now) >= MIN_LEFT.0 as f64)
-            .map(|(id, run)| (stake(run), id.clone()))
+            .filter(|(_, run)| is_in_scope(run))
+            .map(|(id, run)| (run.tokens(now), id.clone()))
             .collect();
-        leaving.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        let mut after = Millis(0);
-        let mut orders = Vec::new();
-        for (_, id) in leaving {
-            orders.extend(self.relocate(now, &id, &mut after));
-        }
-        orders
+        movers.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        movers.into_iter().filter_map(|(_, id)| self.plan_move(now, &id)).collect()
     }
 
-    fn relocate(&mut self, now: Time, id: &RunId, after: &mut Millis) -> Option<Order> {
+    fn plan_move(&mut self, now: Time, id: &RunId) -> Option<Order> {
         let run = self.runs.get(id)?;
-        let (to, way) = match &run.backup {
-            Some(backup) => (backup.clone(), Way::Backup),
-            None if !self.shape.can_move => return None,
+        let from = run.engine.clone();
+        let (to, way) = match run.backup.clone().filter(|backup| !run.is_refused(now, backup)) {
+            Some(backup) => (backup, Way::Backup),
+            None if !self.shape.can_move || self.is_busy(now, &from) => return None,
             None => {
-                let to = self.target(now, &run.engine, &run.footprint, MOVES_UP_TO, None)?;
-                let begin = *after;
-                let Millis(copy) = self.shape.copy_time(run.tokens(now) as u64);
-                *after = Millis(begin.0 + copy + CALLS_MS);
-                (to, Way::Copy(begin))
+                let to = self.move_target(now, run)?;
+                let free_at = now + self.move_time(now, run, &to);
+                self.links.insert(from.clone(), free_at);
+                self.links.insert(to.clone(), free_at);
+                (to, Way::Copy)
             }
         };
         let run = self.runs.get_mut(id)?;
-        run.target = Some(to.clone());
-        let (holder, from) = (run.holder.clone(), run.engine.clone());
-        Some(Order { run: id.clone(), holder, from, to, way })
+        run.ordered = Some(Ordered { to: to.clone(), at: now });
+        Some(Order { run: id.clone(), holder: run.holder.clone(), from, to, way })
     }
 
-    /// Another engine for a run whose move failed.
-    pub fn retarget(
-        &mut self,
-        now: Time,
-        id: &RunId,
-        failed: &UpstreamName,
-    ) -> Option<UpstreamName> {
-        let run = self.runs.get(id)?;
-        let to = self.target(now, &run.engine, &run.footprint, MOVES_UP_TO, Some(failed))?;
-        self.runs.get_mut(id)?.target = Some(to.clone());
-        Some(to)
+    /// Whether a copy to or from the engine is in progress.
+    fn is_busy(&self, now: Time, engine: &UpstreamName) -> bool {
+        self.links.get(engine).is_some_and(|free_at| *free_at > now)
     }
-}
 
-/// What is lost with a run, in tokens as the payoff counts them.
-fn stake(run: &Run) -> f64 {
-    run.footprint.prompt + ANSWER_TOKEN_WEIGHT * f64::from(run.max_tokens)
+    fn is_far(&self, from: &UpstreamName, to: &UpstreamName) -> bool {
+        let domain = |name| self.engines.get(name).map(|engine| &engine.failure_domain);
+        domain(from) != domain(to)
+    }
+
+    fn move_time(&self, now: Time, run: &Run, to: &UpstreamName) -> Millis {
+        let Millis(copy) = self.shape.copy_time(run.tokens(now) as u64);
+        let factor = if self.is_far(&run.engine, to) { FAR_FACTOR } else { 1 };
+        Millis(copy * factor + CALLS_MS)
+    }
+
+    /// The engine that has room for the run now and will be least crowded.
+    fn move_target(&self, now: Time, run: &Run) -> Option<UpstreamName> {
+        let candidates = self.engines.iter().filter(|(name, engine)| {
+            engine.is_usable && !run.is_refused(now, name) && !self.is_busy(now, name)
+        });
+        let mut best: Option<(f64, &UpstreamName)> = None;
+        for (name, engine) in candidates {
+            let Burden { running, peak, tokens } = self.burden(now, name, &run.footprint);
+            let is_full = tokens > self.memory() * MOVES_UP_TO;
+            if is_full || running > f64::from(engine.slots) {
+                continue;
+            }
+            let Millis(copy) = self.move_time(now, run, name);
+            let score = self.crowding_ms(peak, running) + copy as f64;
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
 }
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -6,7 +6,7 @@
 };
 use magnoliawinch::pool::{Answer, EndedRun, Event, Place, Pool, Report, RunState, Way, Wish};
 use magnoliawinch::route_table::EngineShape;
-use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::time::Time;
 
 const MEMORY: u64 = 34_000;
 
@@ -76,6 +76,8 @@
         written,
         max_tokens: 2_000,
         priority: 1,
+        moving_to: None,
+        refused: Vec::new(),
     }
 }
 
@@ -96,42 +98,85 @@
     let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
     let usable = |gone: &[&UpstreamName], listed: &Listed| !gone.contains(&&listed.name);
     pool.set_engines(engines.iter().map(|l| (l, usable(&[&backup], l))));
-    assert!(pool.vacate(Time(100), &backup).is_empty());
+    pool.vacate(Time(100), &backup);
+    assert!(pool.plan_moves(Time(100), None).is_empty());
     let runs = [state("r", &place, 3_000, 20)];
     let report = Report { runs: &runs, ..Report::default() };
     pool.report(Time(200), &HostName::new("edge-1"), &report);
     pool.set_engines(engines.iter().map(|l| (l, usable(&[&backup, &place.engine], l))));
-    let orders = pool.vacate(Time(300), &place.engine);
+    pool.vacate(Time(300), &place.engine);
+    let orders = pool.plan_moves(Time(300), None);
     assert_eq!(orders.len(), 1);
     assert_ne!(orders[0].to, backup);
-    assert_eq!(orders[0].way, Way::Copy(Millis(0)));
+    assert_eq!(orders[0].way, Way::Copy);
 }
 
-/// Pattern: an engine with several runs is reclaimed. Their copies share its link, so they begin
-/// one after another.
-#[test]
-fn copies_off_one_engine_follow_each_other() {
+/// The pool with `runs` of 3,000 tokens at an engine that leaves, and two others.
+fn leaving_pool(runs: &[&str]) -> Pool {
     let mut pool = pool(&[("e1", "a")]);
-    for run in ["r1", "r2", "r3"] {
+    for run in runs {
         assert_eq!(placed(pool.place(Time(0), wish(run, 3_000))).backup, None);
     }
     let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
     pool.set_engines(engines.iter().map(|l| (l, l.name.as_str() != "e1")));
-    let orders = pool.vacate(Time(10), &UpstreamName::new("e1"));
+    pool.vacate(Time(10), &UpstreamName::new("e1"));
+    pool
+}
+
+/// Pattern: an engine with several runs is reclaimed. Their copies share its link, so each begins
+/// when the one before is over.
+#[test]
+fn copies_off_one_engine_follow_each_other() {
+    let mut pool = leaving_pool(&["r1", "r2", "r3"]);
     let copy = shape().copy_time(3_000).0;
-    let begins: Vec<_> = orders
-        .iter()
-        .map(|order| match order.way {
-            Way::Copy(after) => after.0,
-            Way::Backup => panic!("there is no copy"),
-        })
-        .collect();
-    assert_eq!(begins.len(), 3);
-    assert_eq!(begins[0], 0);
-    assert!(begins.windows(2).all(|pair| pair[1] >= pair[0] + copy), "{begins:?}");
+    let mut ordered = Vec::new();
+    for ms in (10..2_000).step_by(5) {
+        let orders = pool.plan_moves(Time(ms), None);
+        assert!(orders.len() <= 1, "{orders:?}");
+        ordered.extend(orders.into_iter().map(|order| (ms, order.to)));
+    }
+    assert_eq!(ordered.len(), 3);
+    assert!(ordered.windows(2).all(|pair| pair[1].0 >= pair[0].0 + copy), "{ordered:?}");
     // Targets are spread, not herded.
-    assert!(orders.iter().any(|order| order.to.as_str() == "e2"));
-    assert!(orders.iter().any(|order| order.to.as_str() == "e3"));
+    assert!(ordered.iter().any(|(_, to)| to.as_str() == "e2"));
+    assert!(ordered.iter().any(|(_, to)| to.as_str() == "e3"));
+}
+
+/// Pattern: the engine that a run was to move to has no room after all.
+#[test]
+fn a_run_whose_move_was_refused_gets_another_engine() {
+    let mut pool = leaving_pool(&["r"]);
+    let first = pool.plan_moves(Time(10), None).remove(0);
+    let place = Place { engine: UpstreamName::new("e1"), backup: None };
+    let refused = RunState { refused: vec![first.to.clone()], ..state("r", &place, 3_000, 5) };
+    let report = Report { runs: &[refused], ..Report::default() };
+    pool.report(Time(30), &HostName::new("edge-1"), &report);
+    let second = (30..600).find_map(|ms| pool.plan_moves(Time(ms), None).pop());
+    let second = second.expect("another engine has room");
+    assert_ne!(second.to, first.to);
+}
+
+/// Pattern: no engine has room when one is reclaimed, and one gets some before that is gone.
+#[test]
+fn a_run_that_finds_no_room_is_tried_again() {
+    let mut pool = pool(&[("e1", "a")]);
+    placed(pool.place(Time(0), wish("r", 3_000)));
+    let one = [listed("e1", "a")];
+    pool.set_engines(one.iter().map(|l| (l, false)));
+    pool.vacate(Time(10), &one[0].name);
+    assert!(pool.plan_moves(Time(10), None).is_empty());
+    let two = ["e1", "e2"].map(|name| listed(name, "a"));
+    pool.set_engines(two.iter().map(|l| (l, l.name.as_str() == "e2")));
+    assert_eq!(pool.plan_moves(Time(500), None).len(), 1);
+}
+
+/// Pattern: the owner of the pool is cut off while engines are reclaimed.
+#[test]
+fn a_holder_moves_only_its_own_runs() {
+    let mut pool = leaving_pool(&["r"]);
+    let (own, other) = (HostName::new("edge-1"), HostName::new("edge-2"));
+    assert!(pool.plan_moves(Time(100), Some(&other)).is_empty());
+    assert_eq!(pool.plan_moves(Time(100), Some(&own)).len(), 1);
 }
 
 /// Pattern: asking again changes nothing.
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -232,13 +232,12 @@
     ) {
         self.shared.metrics.count("attempt_failed", fwd.route.delivery.to_string().as_str());
         if self.shared.journal.admits(self.shared.clock.now()) {
-            let view = self.shared.view.load();
             log::info!(
                 request = fwd.ask.run.as_str(),
                 upstream = upstream.name.as_str(),
                 address:% = upstream.address,
                 verdict:% = verdict,
-                list_age_ms = view.fleet.age(self.shared.clock.now()).map_or(0, |age| age.0),
+                list_age_ms = self.shared.list_age().0,
                 reason = why;
                 "attempt failed"
             );
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -7,14 +7,15 @@
 mod thread;
 
 pub use news::ListNews;
+pub(crate) use pools::report_every;
 pub(crate) use thread::start_control;
 
-use crate::runs::{Placed, Target};
+use crate::runs::Placed;
 use crate::shared::Shared;
 use crate::view::View;
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::membership::{Member, MemberState, Membership};
-use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
+use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::Wish;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine};
 use magnoliawinch::route_table::{Configuration, RouteTable};
@@ -62,13 +63,8 @@
     UpstreamUnreachable(UpstreamName),
     /// An owner orders a run of this daemon to move.
     Relocate(RelocateRequest),
-    /// A move to `failed` did not succeed; the answer names another engine.
-    Retarget {
-        service: ServiceName,
-        run: RunId,
-        failed: UpstreamName,
-        reply: oneshot::Sender<Option<Target>>,
-    },
+    /// The owners are to hear of the runs without delay.
+    ReportSoon,
     /// A request was in progress at an upstream that died.
     Crashed(Fingerprint),
     /// Another daemon probes this one.
@@ -160,10 +156,7 @@
                 self.fleet_is_old = true;
             }
             Message::Relocate(req) => self.relocate(&req),
-            Message::Retarget { service, run, failed, reply } => {
-                let to = self.retarget(now, &service, &run, &failed);
-                let _ = reply.send(to);
-            }
+            Message::ReportSoon => self.pools.report_soon(),
             Message::Crashed(fingerprint) => self.crashed.push(fingerprint),
             Message::Probe { req, reply } => self.probe(now, &req, reply),
             Message::Probed(answer) => self.probed(now, &answer),
@@ -191,7 +184,7 @@
     pub(crate) fn next_tick(&self) -> Millis {
         const BUSY: Millis = Millis(5);
         const IDLE: Millis = Millis(50);
-        if self.pools.is_waiting() || self.view_is_old { BUSY } else { IDLE }
+        if self.pools.is_busy() || self.view_is_old { BUSY } else { IDLE }
     }
 
     /// Puts a configuration in force, unless a newer one is.
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -14,21 +14,25 @@
         written: state.written,
         max_tokens: state.max_tokens,
         priority: u32::from(state.priority),
+        moving_to: state.moving_to.as_ref().map(ToString::to_string).unwrap_or_default(),
+        refused: state.refused.iter().map(ToString::to_string).collect(),
     }
 }
 
 pub(super) fn run_state(message: &magnoliawinch_peer::RunState) -> RunState {
-    let backup = Some(&message.backup).filter(|backup| !backup.is_empty());
+    let upstream = |name: &str| (!name.is_empty()).then(|| UpstreamName::new(name));
     RunState {
         run: RunId::new(&message.run),
         kind: KindName::new(&message.kind),
         organisation: OrganisationName::new(&message.organisation),
         engine: UpstreamName::new(&message.engine),
-        backup: backup.map(|backup| UpstreamName::new(backup)),
+        backup: upstream(&message.backup),
         prompt_tokens: message.prompt_tokens,
         written: message.written,
         max_tokens: message.max_tokens,
         priority: message.priority.min(u32::from(u8::MAX)) as u8,
+        moving_to: upstream(&message.moving_to),
+        refused: message.refused.iter().map(|name| UpstreamName::new(name)).collect(),
     }
 }
 
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -59,6 +59,9 @@
             self.fleet_is_old = true;
             self.fill_pools();
         }
+        if let Some(at) = self.fleet.read_at() {
+            self.shared.note_list_read(at);
+        }
         self.upstreams_left(now, &left);
     }
 
@@ -130,7 +133,8 @@
     }
 
     pub(super) fn list_age_ms(&self, now: Time) -> u32 {
-        self.fleet.age(now).map_or(u32::MAX, |Millis(ms)| ms.min(u64::from(u32::MAX)) as u32)
+        let age = self.fleet.read_at().map(|at| now.since(at));
+        age.map_or(u32::MAX, |Millis(ms)| ms.min(u64::from(u32::MAX)) as u32)
     }
 
     /// Takes the state that a peer told.
@@ -151,15 +155,16 @@
         if age_ms > TOO_OLD_MS || offset < self.fleet.through() {
             return;
         }
+        let read_at = now - Millis(u64::from(age_ms));
         if list.is_empty() {
             // The peer has read further and found no change.
             if offset >= self.fleet_changed_at && self.fleet.is_known() {
-                self.take_list(now, ListNews::Changes { through: offset, changes: Vec::new() });
+                self.take_list(read_at, ListNews::Changes { through: offset, changes: Vec::new() });
             }
             return;
         }
         match serde_json::from_str(list) {
-            Ok(all) => self.take_list(now, ListNews::Whole { through: offset, all }),
+            Ok(all) => self.take_list(read_at, ListNews::Whole { through: offset, all }),
             Err(e) => log::warn!("a peer's list of upstreams cannot be read: {e}"),
         }
     }
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -18,7 +18,7 @@
 const REPORT_EVERY: Millis = Millis(300);
 
 /// Added to that for each daemon, so that an owner's work does not grow with their number.
-const REPORT_EVERY_PER_DAEMON: Millis = Millis(10);
+const REPORT_EVERY_PER_DAEMON: Millis = Millis(3);
 
 /// Time for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,8 +29,9 @@
 /// How long a question for a place is held before it is answered that the run still waits.
 const HELD: Millis = Millis(200);
 
-/// Time in which the owner's orders arrive, after which a daemon moves its runs by itself.
-const OWNER_ORDERS_WITHIN: Millis = Millis(250);
+/// Time beyond two reports after which an owner that has not answered counts as silent, and a
+/// daemon moves its runs by itself.
+const OWNER_LAG: Millis = Millis(250);
 
 #[derive(Debug)]
 struct Asker {
@@ -45,8 +46,9 @@
     by_service: HashMap<ServiceName, Pool>,
     askers: HashMap<RunId, Asker>,
     reported_at: Time,
-    /// Upstreams that left, for which this daemon acts when no order came by then.
-    deferred: Vec<(Time, UpstreamName)>,
+    report_soon: bool,
+    /// When the owner that decides last answered a report.
+    owner_heard_at: Time,
 }
 
 impl Pools {
@@ -55,12 +57,20 @@
             by_service: HashMap::new(),
             askers: HashMap::new(),
             reported_at: now,
-            deferred: Vec::new(),
+            report_soon: false,
+            owner_heard_at: now,
         }
     }
 
-    pub(super) fn is_waiting(&self) -> bool {
-        !self.askers.is_empty()
+    /// Whether something waits for the next tick.
+    pub(super) fn is_busy(&self) -> bool {
+        let has_movers = || self.by_service.values().any(Pool::has_movers);
+        !self.askers.is_empty() || self.report_soon || has_movers()
+    }
+
+    /// Reports with the next tick.
+    pub(super) fn report_soon(&mut self) {
+        self.report_soon = true;
     }
 }
 
@@ -138,16 +148,17 @@
             let _ = asker.reply.send(Decided::Waits);
         }
         self.report_if_due(now);
-        self.act_on_deferred(now);
+        self.move_runs(now);
     }
 
     /// Reports this daemon's runs to the owners, and to its own pools.
     fn report_if_due(&mut self, now: Time) {
-        let every = REPORT_EVERY.0 + REPORT_EVERY_PER_DAEMON.0 * self.members.len() as u64;
-        if now.since(self.pools.reported_at) < Millis(every) {
+        let is_due = now.since(self.pools.reported_at) >= report_every(self.members.len());
+        if !is_due && !self.pools.report_soon {
             return;
         }
         self.pools.reported_at = now;
+        self.pools.report_soon = false;
         let own = self.membership.own().host.clone();
         let crashed: Vec<_> = self.crashed.drain(..).collect();
         for fingerprint in &crashed {
@@ -216,6 +227,7 @@
             self.ask_state(peer.peer_address);
         }
         RunsReply {
+            host: self.membership.own().host.to_string(),
             uses: uses.iter().map(use_message).collect(),
             leaving: Vec::new(),
             list_offset: self.fleet.through(),
@@ -228,6 +240,9 @@
 
     /// Takes the answer of an owner to a report.
     pub(super) fn take_reply(&mut self, now: Time, service: &ServiceName, reply: &RunsReply) {
+        if self.owners.first().is_some_and(|owner| owner.host.as_str() == reply.host) {
+            self.pools.owner_heard_at = now;
+        }
         let uses: Vec<_> = reply.uses.iter().map(engine_use).collect();
         let (is_owner, _) = self.ownership();
         if !is_owner && let Some(pool) = self.pools.by_service.get_mut(service) {
@@ -252,54 +267,49 @@
         }
     }
 
-    /// Moves runs off an upstream that leaves: as the owner for all daemons, else for its own
-    /// runs when the owner's orders do not come.
+    /// Gets runs off an upstream that leaves.
     pub(super) fn vacate(&mut self, now: Time, engine: &UpstreamName) {
-        let (_, decides) = self.ownership();
-        if decides || self.owners.is_empty() {
-            let orders = self.orders(now, engine);
-            self.carry_out(orders);
-        } else {
-            self.pools.deferred.push((now + OWNER_ORDERS_WITHIN, engine.clone()));
+        for pool in self.pools.by_service.values_mut() {
+            pool.vacate(now, engine);
         }
+        // Shows soon whether the owner is there to move what runs here.
+        self.pools.report_soon();
     }
 
-    fn orders(&mut self, now: Time, engine: &UpstreamName) -> Vec<Order> {
-        // What the runs here have written since the last report decides which are moved.
+    /// Moves runs off upstreams that leave: as the owner for all daemons, else for its own runs
+    /// when the owner's orders do not come.
+    fn move_runs(&mut self, now: Time) {
         let own = self.membership.own().host.clone();
+        let (_, decides) = self.ownership();
+        let Millis(every) = report_every(self.members.len());
+        let silence = now.since(self.pools.owner_heard_at);
+        let holder = match decides || self.owners.is_empty() {
+            true => None,
+            false if silence > Millis(2 * every + OWNER_LAG.0) => Some(&own),
+            false => return,
+        };
         let mut orders = Vec::new();
         for (service, pool) in &mut self.pools.by_service {
+            if !pool.has_movers() {
+                continue;
+            }
+            // What the runs here have written since the last report decides which are moved.
             let runs = self.shared.runs.states(service);
             pool.report(now, &own, &Report { runs: &runs, ..Report::default() });
-            orders.extend(pool.vacate(now, engine));
-        }
-        orders
-    }
-
-    fn act_on_deferred(&mut self, now: Time) {
-        let due: Vec<_> = self.pools.deferred.extract_if(.., |(at, _)| *at <= now).collect();
-        let own = self.membership.own().host.clone();
-        for (_, engine) in due {
-            let mut orders = self.orders(now, &engine);
-            orders.retain(|order| order.holder == own);
-            self.carry_out(orders);
+            orders.extend(pool.plan_moves(now, holder));
         }
+        self.carry_out(&orders);
     }
 
-    fn carry_out(&mut self, orders: Vec<Order>) {
+    fn carry_out(&mut self, orders: &[Order]) {
         let own = self.membership.own().host.clone();
         for order in orders {
-            let after = match order.way {
-                Way::Copy(Millis(ms)) => ms,
-                Way::Backup => 0,
-            };
             log::info!(
                 run = order.run.as_str(),
                 holder = order.holder.as_str(),
                 from = order.from.as_str(),
                 to = order.to.as_str(),
-                from_backup = order.way == Way::Backup,
-                after_ms = after;
+                from_backup = order.way == Way::Backup;
                 "run is ordered to move"
             );
             let Some(to) = target(&self.fleet, &order.to) else {
@@ -311,7 +321,6 @@
                 from: order.from.to_string(),
                 to: order.to.to_string(),
                 backup: order.way == Way::Backup,
-                after_ms: after as u32,
             };
             if order.holder == own {
                 self.relocate(&req);
@@ -340,26 +349,15 @@
             return;
         };
         let to = Target { name, address };
-        let way = match req.backup {
-            true => Way::Backup,
-            false => Way::Copy(Millis(u64::from(req.after_ms))),
-        };
+        let way = if req.backup { Way::Backup } else { Way::Copy };
         let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
         self.shared.runs.order(&RunId::new(&req.run), order);
     }
+}
 
-    /// Another engine for a run whose move failed.
-    pub(super) fn retarget(
-        &mut self,
-        now: Time,
-        service: &ServiceName,
-        run: &RunId,
-        failed: &UpstreamName,
-    ) -> Option<Target> {
-        let pool = self.pools.by_service.get_mut(service)?;
-        let to = pool.retarget(now, run, failed)?;
-        target(&self.fleet, &to)
-    }
+/// Time between two reports with so many daemons.
+pub(crate) fn report_every(daemons: usize) -> Millis {
+    Millis(REPORT_EVERY.0 + REPORT_EVERY_PER_DAEMON.0 * daemons as u64)
 }
 
 fn target(fleet: &Fleet, name: &UpstreamName) -> Option<Target> {
--- a/relay/src/entry.rs
+++ b/relay/src/entry.rs
@@ -201,7 +201,7 @@
             retry_after_ms = refusal.retry_after().map_or(0, |wait| wait.0),
             elapsed_ms = arrived.elapsed().as_millis() as u64,
             configuration = view.table.as_ref().map_or(0, |table| table.version()),
-            list_age_ms = view.fleet.age(self.shared.clock.now()).map_or(0, |age| age.0),
+            list_age_ms = self.shared.list_age().0,
             detail;
             "refused"
         );
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! Starts and stops a daemon.
 
 use crate::clock::Clock;
-use crate::control::{Control, ListNews, Message, start_control};
+use crate::control::{Control, ListNews, Message, report_every, start_control};
 use crate::entry::Entry;
 use crate::peer_server::CellService;
 use crate::settings::Settings;
@@ -41,6 +41,12 @@
 /// The same while others are known.
 const SEED_PAUSE_KNOWN: Duration = Duration::from_millis(5_000);
 
+/// Reports without an answer after which a daemon looks for itself.
+const REPORTS_MISSED: u64 = 2;
+
+/// Age of the list at an owner, and the time for its answer.
+const LIST_LAG: Millis = Millis(400);
+
 /// Why a daemon does not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -114,10 +120,18 @@
         view.owners.iter().any(|owner| owner.host == view.own.host)
     }
 
-    /// Time since the list was last read, here or by a daemon that told of it.
-    pub fn list_age(&self) -> Option<Millis> {
-        let now = self.shared.clock.now();
-        self.shared.view.load().fleet.age(now)
+    /// Whether this daemon decides for all, so that its list must be the freshest.
+    pub fn decides(&self) -> bool {
+        let view = self.shared.view.load();
+        view.owners.first().is_some_and(|owner| owner.host == view.own.host)
+    }
+
+    /// Whether the list is as fresh as owners keep it who are heard from.
+    pub fn list_is_fresh(&self) -> bool {
+        let view = self.shared.view.load();
+        let Millis(every) = report_every(view.members.len());
+        let too_old = Millis(REPORTS_MISSED * every + LIST_LAG.0);
+        self.shared.list_age() < too_old
     }
 
     /// This daemon as the others know it.
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -46,6 +46,13 @@
     pub(crate) way: magnoliawinch::pool::Way,
 }
 
+/// What a run's holder knows of its move.
+#[derive(Clone, Debug, Default)]
+struct MoveNews {
+    to: Option<UpstreamName>,
+    refused: Vec<UpstreamName>,
+}
+
 /// What does not change about a run.
 #[derive(Clone, Debug)]
 pub(crate) struct RunFacts {
@@ -63,6 +70,7 @@
     facts: RunFacts,
     place: Mutex<Placed>,
     written: AtomicU32,
+    moving: Mutex<MoveNews>,
     orders: mpsc::Sender<MoveOrder>,
 }
 
@@ -71,7 +79,12 @@
         self.place.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn moving(&self) -> MutexGuard<'_, MoveNews> {
+        self.moving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn state(&self) -> RunState {
+        let moving = self.moving().clone();
         let place = self.place().names();
         RunState {
             run: self.facts.run.clone(),
@@ -83,6 +96,8 @@
             written: self.written.load(Ordering::Relaxed),
             max_tokens: self.facts.max_tokens,
             priority: self.facts.priority,
+            moving_to: moving.to,
+            refused: moving.refused,
         }
     }
 }
@@ -137,7 +152,8 @@
     ) -> (RunGuard, mpsc::Receiver<MoveOrder>) {
         let (orders, receiver) = mpsc::channel(ORDERS);
         let written = AtomicU32::new(0);
-        let cell = Arc::new(Cell { facts, place: Mutex::new(place), written, orders });
+        let (place, moving) = (Mutex::new(place), Mutex::default());
+        let cell = Arc::new(Cell { facts, place, written, moving, orders });
         self.lock().cells.insert(cell.facts.run.clone(), Arc::clone(&cell));
         (RunGuard { runs: self.clone(), cell, completed: false }, receiver)
     }
@@ -159,7 +175,10 @@
     /// Hands an order to a run; returns whether it is held here and can take it.
     pub(crate) fn order(&self, run: &RunId, order: MoveOrder) -> bool {
         let cell = self.lock().cells.get(run).cloned();
-        cell.is_some_and(|cell| cell.orders.try_send(order).is_ok())
+        cell.is_some_and(|cell| {
+            cell.moving().to = Some(order.to.name.clone());
+            cell.orders.try_send(order).is_ok()
+        })
     }
 }
 
@@ -179,6 +198,14 @@
     /// Notes where the run goes on.
     pub(crate) fn moved(&self, place: Placed) {
         *self.cell.place() = place;
+        *self.cell.moving() = MoveNews::default();
+    }
+
+    /// Notes that the move in progress ended without success; `refused_by` cannot take the run.
+    pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
+        let mut moving = self.cell.moving();
+        moving.to = None;
+        moving.refused.extend(refused_by.cloned());
     }
 
     /// Notes that the copy at another engine is of no use any more.
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -10,7 +10,7 @@
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::retry::SharedBudget;
-use magnoliawinch::time::Time;
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
 use magnoliawinch_peer::{CellClient, Peers};
 use magnoliawinch_telemetry::{Journal, Metrics};
@@ -53,6 +53,8 @@
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
     in_progress: AtomicU64,
+    /// When the list of upstreams was last read, as a `Time`; zero for never.
+    list_read_at: AtomicU64,
 }
 
 impl Shared {
@@ -81,6 +83,7 @@
             traffic,
             routing: Mutex::new(routing),
             in_progress: AtomicU64::new(0),
+            list_read_at: AtomicU64::new(0),
             clock,
         }
     }
@@ -130,6 +133,16 @@
         f(budget, now)
     }
 
+    /// Notes when the list of upstreams was last read, here or by the daemon that told of it.
+    pub(crate) fn note_list_read(&self, at: Time) {
+        self.list_read_at.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// Time since the list of upstreams was last read.
+    pub(crate) fn list_age(&self) -> Millis {
+        self.clock.now().since(Time(self.list_read_at.load(Ordering::Acquire)))
+    }
+
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.in_progress.load(Ordering::Acquire)
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -18,7 +18,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
 use magnoliawinch::fleet::Listed;
-use magnoliawinch::names::{KindName, OrganisationName};
+use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
 use magnoliawinch::pool::Way;
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
@@ -42,9 +42,6 @@
 /// Time in which a living engine answers.
 const ALIVE_WITHIN: Duration = Duration::from_millis(400);
 
-/// Engines to which one move is tried.
-const MAX_TARGETS: u32 = 3;
-
 /// The stream ends here without its end.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the stream was cut")]
@@ -58,6 +55,16 @@
     Whole(Whole),
 }
 
+/// A run that has its place.
+struct Held {
+    run: RunGuard,
+    orders: mpsc::Receiver<MoveOrder>,
+    placed: Placed,
+    /// Time from its arrival to its place.
+    waited: Duration,
+    in_progress: InProgress,
+}
+
 /// What a move waits for.
 type CopyResult = Result<Copied, CopyError>;
 
@@ -67,10 +74,20 @@
     to: Target,
     /// Whether the run was told to stop.
     is_last: bool,
-    targets: u32,
     result: oneshot::Receiver<CopyResult>,
 }
 
+/// What the caller of a stream has seen, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamTimes {
+    /// Time until the run had a place.
+    placed: Duration,
+    /// Time until the first event.
+    first: Option<Duration>,
+    /// Longest time between two events.
+    longest_pause: Duration,
+}
+
 /// A running stream.
 pub(crate) struct Streaming<W: Wire> {
     entry: Entry<W>,
@@ -87,6 +104,9 @@
     /// The newest copy that a move made.
     copied: Option<(Target, Copied)>,
     heard_at: Instant,
+    /// When the last events were handed on.
+    told_at: Option<Instant>,
+    times: StreamTimes,
     moves: u32,
     outcome: Option<&'static str>,
     _in_progress: InProgress,
@@ -106,13 +126,14 @@
         let mut avoid = Vec::new();
         loop {
             let placed = self.place(&fwd, &avoid).await?;
+            let waited = fwd.arrived.elapsed();
             let in_progress = self.shared.enter();
             let (run, orders) = self.shared.runs.enter(self.facts(&fwd), placed.clone());
             let name = placed.engine.name.clone();
             match self.start(&fwd, &placed).await {
                 Ok(Begun::Stream(reply)) => {
-                    let streaming = self.streaming(&fwd, run, orders, placed, reply, in_progress);
-                    return Ok(streaming);
+                    let held = Held { run, orders, placed, waited, in_progress };
+                    return Ok(self.streaming(&fwd, held, reply));
                 }
                 Ok(Begun::Whole(Attempt::Answered(whole))) => return Ok(Started::Whole(whole)),
                 Ok(Begun::Whole(Attempt::MayHaveRun(why))) => return Err(Refusal::Lost(why)),
@@ -186,15 +207,7 @@
         Ok(Begun::Whole(self.read_answer(fwd, name, reply, fwd.remaining()).await))
     }
 
-    fn streaming(
-        &self,
-        fwd: &Arc<Forward>,
-        run: RunGuard,
-        orders: mpsc::Receiver<MoveOrder>,
-        placed: Placed,
-        reply: Reply,
-        in_progress: InProgress,
-    ) -> Started<W> {
+    fn streaming(&self, fwd: &Arc<Forward>, held: Held, reply: Reply) -> Started<W> {
         let view = self.shared.view.load();
         let shape = view.table.as_ref().and_then(|t| t.service(fwd.service.as_str())?.engine);
         let status = reply.status();
@@ -205,9 +218,9 @@
         let streaming = Box::new(Streaming {
             entry: self.clone(),
             fwd: Arc::clone(fwd),
-            run,
-            orders,
-            engine: placed.engine,
+            run: held.run,
+            orders: held.orders,
+            engine: held.placed.engine,
             upstream: reply.into_body(),
             is_framed,
             events: Events::new(),
@@ -215,9 +228,11 @@
             moving: None,
             copied: None,
             heard_at: Instant::now(),
+            told_at: None,
+            times: StreamTimes { placed: held.waited, ..StreamTimes::default() },
             moves: 0,
             outcome: None,
-            _in_progress: in_progress,
+            _in_progress: held.in_progress,
         });
         Started::Stream { status, headers, streaming }
     }
@@ -262,6 +277,7 @@
                         Ok(events) => {
                             let tokens = self.events.count() * u64::from(self.tokens_per_event);
                             self.run.wrote(tokens as u32);
+                            self.note_told();
                             return Some(Ok(Frame::data(events)));
                         }
                         Err(e) => return self.cut("events_missing", &e.to_string()),
@@ -278,9 +294,7 @@
                     Err(why) => return self.cut("engine_lost", &why),
                 },
                 Step::Order(order) => {
-                    if let Err(why) = self.obey(order).await {
-                        return self.cut("move_failed", &why);
-                    }
+                    self.obey(order).await;
                 }
                 Step::Copy(result) => {
                     if let Err(why) = self.copied(result).await {
@@ -297,6 +311,18 @@
         }
     }
 
+    fn note_told(&mut self) {
+        let now = Instant::now();
+        match self.told_at {
+            Some(at) => {
+                let pause = now.duration_since(at);
+                self.times.longest_pause = self.times.longest_pause.max(pause);
+            }
+            None => self.times.first = Some(now.duration_since(self.fwd.arrived)),
+        }
+        self.told_at = Some(now);
+    }
+
     async fn step(&mut self) -> Step {
         let silent_at = self.heard_at + SILENCE;
         let is_moving = self.moving.is_some();
@@ -338,11 +364,12 @@
     }
 
     /// Begins a move.
-    async fn obey(&mut self, order: MoveOrder) -> Result<(), String> {
+    async fn obey(&mut self, order: MoveOrder) {
         if order.from != self.engine.name || order.to.name == self.engine.name {
-            return Ok(());
+            return self.move_failed(None);
         }
         match order.way {
+            Way::Copy => self.begin_copy(order.to, false),
             Way::Backup => {
                 if let Err(why) = self.go_to_backup().await {
                     // The copy was not complete yet. The engine still runs and can make one.
@@ -350,26 +377,29 @@
                         request = self.fwd.ask.run.as_str(),
                         to = order.to.name.as_str(),
                         reason = why.as_str();
-                        "no copy to go on from; copying"
+                        "no copy to go on from"
                     );
-                    self.begin_copy(order.to, Millis(0), false, 1);
+                    self.move_failed(None);
                 }
             }
-            Way::Copy(after) => self.begin_copy(order.to, after, false, 1),
         }
-        Ok(())
     }
 
-    fn begin_copy(&mut self, to: Target, after: Millis, is_last: bool, targets: u32) {
+    /// Asks for another engine to move to.
+    fn move_failed(&mut self, refused_by: Option<&UpstreamName>) {
+        self.run.move_failed(refused_by);
+        self.entry.shared.tell(Message::ReportSoon);
+    }
+
+    fn begin_copy(&mut self, to: Target, is_last: bool) {
         let (tx, result) = oneshot::channel();
         let entry = self.entry.clone();
         let (run, from, address) = (self.fwd.ask.run.clone(), self.engine.address, to.address);
         self.entry.shared.traffic.spawn(async move {
-            tokio::time::sleep(after.into()).await;
             // The receiver is gone when the stream has ended meanwhile.
             let _ = tx.send(entry.copy(&run, from, address, is_last).await);
         });
-        self.moving = Some(Moving { to, is_last, targets, result });
+        self.moving = Some(Moving { to, is_last, result });
     }
 
     /// Goes on with a move whose copy ended.
@@ -382,13 +412,17 @@
             Ok(copied) if moving.is_last => self.go_on_at(moving.to, &copied.copy).await,
             Ok(copied) => {
                 self.copied = Some((moving.to.clone(), copied));
-                self.begin_copy(moving.to, Millis(0), true, moving.targets);
+                self.begin_copy(moving.to, true);
                 Ok(())
             }
             Err(e) if moving.is_last => self.stopped_without_copy(moving, e).await,
-            Err(CopyError::Refused(CopyRefused::NoRun)) => Ok(()),
+            // It has not begun to write, or has ended.
+            Err(CopyError::Refused(CopyRefused::NoRun | CopyRefused::Busy)) => {
+                self.move_failed(None);
+                Ok(())
+            }
             Err(_) => {
-                self.try_another(moving).await;
+                self.move_failed(Some(&moving.to.name));
                 Ok(())
             }
         }
@@ -415,19 +449,6 @@
         }
     }
 
-    async fn try_another(&mut self, moving: Moving) {
-        if moving.targets >= MAX_TARGETS {
-            return;
-        }
-        let service = self.fwd.service.clone();
-        let run = self.fwd.ask.run.clone();
-        let failed = moving.to.name.clone();
-        let ask = |reply| Message::Retarget { service, run, failed, reply };
-        if let Some(Some(to)) = self.entry.shared.ask(ask).await {
-            self.begin_copy(to, Millis(0), false, moving.targets + 1);
-        }
-    }
-
     /// Takes what the stopped engine still had sent.
     async fn drain_stopped(&mut self) {
         let drain = async {
@@ -600,6 +621,13 @@
                 upstream = self.engine.name.as_str(),
                 events = self.events.count(),
                 moves = self.moves,
+                placed_ms = self.times.placed.as_millis() as u64,
+                first_ms = self.times.first.map_or(0, |first| first.as_millis() as u64),
+                longest_pause_ms = self.times.longest_pause.as_millis() as u64,
+                objective_ms = self.fwd.route.objective.0,
+                max_pause_ms = self.fwd.route.max_pause.map_or(0, |pause| pause.0),
+                prompt_tokens = self.fwd.ask.prompt.map_or(0, |prompt| prompt.tokens),
+                max_tokens = self.fwd.ask.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
                 elapsed_ms = self.fwd.elapsed_ms(),
                 outcome;
                 "stream ended"
