--- /dev/null
+++ b/core/tests/fleet.rs
@@ -0,0 +1,104 @@
+//! Tests of the list of upstreams as a daemon believes it.
+
+use magnoliawinch::fleet::{Change, Fleet, LAPSE_GRACE, Listed};
+use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
+use magnoliawinch::time::{Millis, Time};
+
+fn listed(name: &str, born: u64, leaving: bool) -> Listed {
+    Listed {
+        name: UpstreamName::new(name),
+        born,
+        service: ServiceName::new("guide"),
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: FailureDomain::new("a"),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn usable(fleet: &Fleet) -> Vec<&str> {
+    fleet.usable("guide").map(|listed| listed.name.as_str()).collect()
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.replace(Time(0), 10, vec![listed("e1", 1, false), listed("e2", 1, false)]);
+    fleet
+}
+
+#[test]
+fn an_upstream_that_leaves_gets_no_new_work_and_is_told_once() {
+    let mut fleet = fleet();
+    let left = fleet.fold(Time(100), 11, [Change::Put(listed("e1", 1, true))]);
+    assert_eq!(left, [UpstreamName::new("e1")]);
+    assert_eq!(usable(&fleet), ["e2"]);
+    let again = fleet.fold(Time(200), 12, [Change::Put(listed("e1", 1, true))]);
+    assert!(again.is_empty());
+    let removed = fleet.fold(Time(300), 13, [Change::Removed(UpstreamName::new("e1"))]);
+    assert!(removed.is_empty());
+}
+
+#[test]
+fn old_news_changes_nothing() {
+    let mut fleet = fleet();
+    fleet.fold(Time(100), 20, [Change::Put(listed("e1", 1, true))]);
+    fleet.replace(Time(200), 15, vec![listed("e1", 1, false)]);
+    assert_eq!(usable(&fleet), ["e2"]);
+    assert_eq!(fleet.through(), 20);
+}
+
+#[test]
+fn a_new_run_under_the_old_name_is_used_again() {
+    let mut fleet = fleet();
+    assert!(fleet.leaves(Time(50), &UpstreamName::new("e1")));
+    assert!(!fleet.leaves(Time(60), &UpstreamName::new("e1")));
+    assert_eq!(usable(&fleet), ["e2"]);
+    fleet.fold(Time(100), 11, [Change::Put(listed("e1", 1, false))]);
+    assert_eq!(usable(&fleet), ["e2"], "a late check-in of the run that leaves");
+    fleet.fold(Time(200), 12, [Change::Put(listed("e1", 2, false))]);
+    assert_eq!(usable(&fleet), ["e1", "e2"]);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_in_use_until_the_store_has_been_back_for_a_while() {
+    let mut fleet = fleet();
+    let back = Time(10_000);
+    fleet.note_read(back);
+    let lapsed = [Change::Removed(UpstreamName::new("e1"))];
+    assert!(fleet.fold(back + Millis(5), 11, lapsed).is_empty());
+    assert_eq!(usable(&fleet), ["e1", "e2"]);
+    assert!(fleet.tick(back + Millis(LAPSE_GRACE.0 / 2)).is_empty());
+    let gone = fleet.tick(back + LAPSE_GRACE + Millis(10));
+    assert_eq!(gone, [UpstreamName::new("e1")]);
+    assert_eq!(usable(&fleet), ["e2"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_and_came_back_is_used_on() {
+    let mut fleet = fleet();
+    let back = Time(10_000);
+    fleet.note_read(back);
+    fleet.fold(back, 11, [Change::Removed(UpstreamName::new("e1"))]);
+    fleet.fold(back + Millis(800), 12, [Change::Put(listed("e1", 1, false))]);
+    assert!(fleet.tick(back + Millis(60_000)).is_empty());
+    assert_eq!(usable(&fleet), ["e1", "e2"]);
+}
+
+#[test]
+fn a_removal_outside_an_outage_counts_at_once_and_is_taken_back_by_a_new_entry() {
+    let mut fleet = fleet();
+    let left = fleet.fold(Time(100), 11, [Change::Removed(UpstreamName::new("e1"))]);
+    assert_eq!(left, [UpstreamName::new("e1")]);
+    fleet.fold(Time(900), 12, [Change::Put(listed("e1", 1, false))]);
+    assert_eq!(usable(&fleet), ["e1", "e2"]);
+}
+
+#[test]
+fn an_upstream_that_could_not_be_reached_is_down_for_a_moment() {
+    let mut fleet = fleet();
+    let name = UpstreamName::new("e1");
+    fleet.unreachable(Time(100), &name);
+    assert!(fleet.is_down(Time(200), &name));
+    assert!(!fleet.is_down(Time(5_000), &name));
+    assert!(fleet.is_usable(&name), "it is used when there is no other");
+}
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -1,7 +1,7 @@
 //! Retries follow verdicts, deadlines and a budget.
 
-use magnoliawinch::retry::{Attempt, Budget, next_attempt};
-use magnoliawinch::time::Time;
+use magnoliawinch::retry::{Attempt, Budget, SharedBounds, SharedBudget, next_attempt};
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::verdict::Verdict;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -68,3 +68,39 @@
     // Without it a total outage multiplies the load.
     assert!(attempts_per_request(1.0, false) > 3.9);
 }
+
+fn shared_bounds() -> SharedBounds {
+    SharedBounds { ratio: 0.2, slack: 58.0, window: Millis(10_000) }
+}
+
+/// Pattern: a service that fails everything. No daemon spends more than its part, and all together
+/// stay below the shared bound in every window.
+#[test]
+fn the_shared_budget_holds_in_every_sliding_window() {
+    const DAEMONS: usize = 9;
+    let mut budgets = vec![SharedBudget::new(shared_bounds()); DAEMONS];
+    let mut spent = Vec::new();
+    for ms in (0..40_000).step_by(25) {
+        let daemon = (ms / 25) as usize % DAEMONS;
+        budgets[daemon].earn(Time(ms));
+        if budgets[daemon].spend(Time(ms), DAEMONS) {
+            spent.push(ms);
+        }
+    }
+    let requests_in_window = 10_000.0 / 25.0;
+    let bound = 0.2 * requests_in_window + 58.0;
+    for start in (0..30_000).step_by(100) {
+        let count = spent.iter().filter(|ms| (start..start + 10_000).contains(*ms)).count();
+        assert!((count as f64) <= bound, "{count} retries from {start} ms");
+    }
+    assert!(spent.len() > 100, "the budget is there to be used");
+}
+
+#[test]
+fn a_quiet_daemon_has_its_share_of_the_slack() {
+    let mut budget = SharedBudget::new(shared_bounds());
+    let spent = (0..100).filter(|_| budget.spend(Time(0), 9)).count();
+    assert_eq!(spent, 5);
+    assert!(!budget.spend(Time(9_000), 9));
+    assert!(budget.spend(Time(21_000), 9));
+}
--- /dev/null
+++ b/relay/tests/settings.rs
@@ -0,0 +1,47 @@
+//! Tests of the settings of a relay daemon.
+
+use magnoliawinch_relay::Settings;
+
+const GOOD: &str = "
+[daemon]
+host = edge-1
+failure_domain = a
+caller_address = 10.0.0.1:8740
+ready_address = 10.0.0.1:8749
+directory_address = 10.0.0.1:8746
+peer_address = 10.0.0.1:8748
+seeds = 10.0.0.1:8748, 10.0.0.2:8748
+[platform]
+store_address = 10.9.0.1:8742
+[bounds]
+grace_s = 8
+directory_lifetime_s = 5
+retry_ratio = 0.2
+retry_slack = 58
+retry_window_s = 10
+memory_mb = 110
+";
+
+#[test]
+fn good_settings_are_read() {
+    insta::assert_debug_snapshot!(Settings::parse(GOOD).unwrap());
+}
+
+#[test]
+fn bad_settings_name_key_and_value() {
+    let cases = [
+        ("grace_s = 8", "grace_s = soon"),
+        ("grace_s = 8", "grace_s = -1"),
+        ("retry_ratio = 0.2", "retry_ratio = 3"),
+        ("seeds = 10.0.0.1:8748", "seeds = somewhere"),
+        ("host = edge-1", "host = Edge 1"),
+        ("caller_address = 10.0.0.1:8740\n", ""),
+        ("memory_mb = 110", "memory_mb = 110\nspeed = 3"),
+        ("[platform]", "[plattform]"),
+    ];
+    let errors: Vec<_> = cases
+        .iter()
+        .map(|(from, to)| Settings::parse(&GOOD.replace(from, to)).unwrap_err().to_string())
+        .collect();
+    insta::assert_debug_snapshot!(errors);
+}
