--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -9,6 +9,7 @@
 pub(crate) mod explain;
 pub(crate) mod hosts;
 pub(crate) mod load;
+pub(crate) mod lost;
 mod page;
 pub(crate) mod publish;
 pub(crate) mod stand_ins;
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -39,6 +39,7 @@
         Command::Drain(options) => commands::drain::run(&options),
         Command::Demo(options) => commands::demo::run(&options),
         Command::Load(options) => commands::load::run(&options),
+        Command::Lost(options) => commands::lost::run(&options).map(|()| ExitCode::SUCCESS),
         Command::StandIns(options) => commands::stand_ins::run(&options),
         Command::Experiment(options) => commands::experiment::run(&options),
     }
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -27,6 +27,8 @@
     Hosts(HostsOptions),
     #[options(help = "show the decisions about one request")]
     Explain(ExplainOptions),
+    #[options(help = "explain lost and late requests from the daemons' logs")]
+    Lost(LostOptions),
     #[options(help = "let a daemon finish its requests and end")]
     Drain(OperatorOptions),
     #[options(help = "run daemons, callers and stand-ins in one process")]
@@ -50,6 +52,17 @@
     pub(crate) json: bool,
 }
 
+/// Arguments of `lost`.
+#[derive(Debug, Options)]
+pub(crate) struct LostOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "logs of daemons")]
+    pub(crate) files: Vec<PathBuf>,
+    #[options(no_short, help = "show the lines of one request", meta = "ID")]
+    pub(crate) request: Option<String>,
+}
+
 /// Arguments of commands that ask a daemon.
 #[derive(Debug, Options)]
 pub(crate) struct OperatorOptions {
--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod journal;
 mod logging;
+pub mod lost;
 mod page;
 
 pub use journal::Journal;
