Place runs by the pace of their engines

Ruled out: moving runs off slow engines (at a quarter of the speed events still come within the pause).

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -388,6 +388,11 @@
             let backup = state.backup.clone().filter(|backup| self.is_usable(backup));
             match self.runs.get_mut(&state.run) {
                 Some(run) => {
+                    let (before, at) = (run.footprint.written as u32, run.footprint.told_at);
+                    let has_gone_on = before > 0 && run.engine == state.engine;
+                    if has_gone_on && let Some(engine) = self.engines.get_mut(&state.engine) {
+                        engine.note_pace(now, state.written.saturating_sub(before), now.since(at));
+                    }
                     if run.engine != state.engine {
                         run.engine = state.engine.clone();
                         run.ordered = None;
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -24,6 +24,19 @@
 /// Time that another failure domain costs, in milliseconds.
 const DISTANCE_MS: f64 = 10.0;
 
+/// Weight of the newest observation in an engine's pace.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Shortest time between two reports of a run that says something about its engine's pace.
+const MIN_OBSERVED: Millis = Millis(150);
+
+/// How long an engine's pace is believed that nothing runs at.
+const PACE_LIFETIME: Millis = Millis(6_000);
+
+/// Part of the time that an answer takes longer at a slow engine that counts as waiting: the longer
+/// it takes, the more often its engine leaves under it.
+const PACE_WEIGHT: f64 = 0.08;
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Foreign {
     at: Time,
@@ -39,6 +52,8 @@
     /// When the prompts that were sent there are read.
     pub(super) prompts_until: f64,
     pub(super) foreign: Option<Foreign>,
+    /// Observed time for one token, in milliseconds, and when it was observed last.
+    pub(super) pace: Option<(f64, Time)>,
 }
 
 impl Engine {
@@ -49,9 +64,26 @@
             slots: listed.slots,
             prompts_until: 0.0,
             foreign: None,
+            pace: None,
         }
     }
 
+    /// Notes that a run wrote `tokens` in `span`.
+    pub(super) fn note_pace(&mut self, now: Time, tokens: u32, span: Millis) {
+        if span < MIN_OBSERVED {
+            return;
+        }
+        let observed = span.0 as f64 / f64::from(tokens.max(1));
+        let old = self.pace.map_or(STEP_MS, |(pace, _)| pace);
+        self.pace = Some((old + NEWEST_WEIGHT * (observed - old), now));
+    }
+
+    /// Time for one token, in milliseconds.
+    pub(super) fn pace_ms(&self, now: Time) -> f64 {
+        let fresh = self.pace.filter(|(_, at)| now.since(*at) < PACE_LIFETIME);
+        fresh.map_or(STEP_MS, |(pace, _)| pace)
+    }
+
     pub(super) fn note_foreign(&mut self, now: Time, running: u32, tokens: u64) {
         self.foreign = Some(Foreign { at: now, running, tokens });
     }
@@ -125,7 +157,9 @@
                 continue;
             }
             let is_far = engine.failure_domain != wish.near;
+            let slower_ms = extra.curve.mean() * (engine.pace_ms(now) - STEP_MS);
             let score = engine.prompt_wait(now)
+                + PACE_WEIGHT * slower_ms
                 + self.crowding_ms(burden.peak, burden.running)
                 + if is_far { DISTANCE_MS } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -234,3 +234,23 @@
     let first = events.first().expect("a place is free");
     assert!(matches!(first, Event::Placed(run, _) if run.as_str() == "urgent"), "{events:?}");
 }
+
+/// Pattern: engines of one pool differ in speed, or one turns slow. Long runs go to the others.
+#[test]
+fn a_slow_engine_gets_fewer_runs() {
+    let mut pool = pool(&[("e1", "a"), ("e2", "a")]);
+    let holder = HostName::new("edge-1");
+    let slow = Place { engine: UpstreamName::new("e1"), backup: None };
+    let fast = Place { engine: UpstreamName::new("e2"), backup: None };
+    for n in 1..12 {
+        let runs = [
+            state("slow", &slow, 3_000, u32::try_from(n * 10).unwrap()),
+            state("fast", &fast, 3_000, u32::try_from(n * 35).unwrap()),
+        ];
+        pool.report(Time(n * 300), &holder, &Report { runs: &runs, ..Report::default() });
+    }
+    for n in 0..3 {
+        let place = placed(pool.place(Time(3_400 + n * 500), wish(&format!("r{n}"), 500)));
+        assert_eq!(place.engine, fast.engine, "run {n}");
+    }
+}
