Who waits in a lasting crowd: those who can be on time first; no rank at engines

All long runs waited up to 9.8 s and were late together, 166 of 1,091 short ones were refused though they are over before long ones grow, and ranks let short prompts preempt running streams.

Tests in core/tests/pool.rs name the loads.

--- a/core/src/admission/load.rs
+++ b/core/src/admission/load.rs
@@ -153,6 +153,9 @@
 const HORIZONS: [f64; 12] =
     [0.0, 16.0, 32.0, 64.0, 128.0, 256.0, 512.0, 1024.0, 2048.0, 4096.0, 8192.0, 16384.0];
 
+/// Probability below which an answer counts as ended when others' memory is projected.
+const PROBABLY_RUNNING: f64 = 0.05;
+
 /// The projected memory of an upstream at each horizon.
 #[derive(Clone, Debug)]
 pub(crate) struct Projection {
@@ -175,6 +178,15 @@
         }
     }
 
+    /// The largest memory for as long as an answer with this distribution probably runs.
+    pub(crate) fn peak_during(&self, headroom: f64, curve: &Curve) -> f64 {
+        let is_running = |horizon: &f64| curve.residual(0.0, *horizon) >= PROBABLY_RUNNING;
+        let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
+        let peaks = self.mean.iter().zip(&self.variance).map(at);
+        let relevant = HORIZONS.iter().take_while(|horizon| is_running(horizon)).count().max(1);
+        peaks.take(relevant).fold(0.0, f64::max)
+    }
+
     /// The largest memory over all horizons, `headroom` standard deviations above the mean.
     pub(crate) fn peak(&self, headroom: f64) -> f64 {
         let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -70,6 +70,8 @@
     pub max_tokens: u32,
     /// 0 goes first.
     pub priority: u8,
+    /// When it must have its place to be on time.
+    pub on_time_until: Time,
     /// When it stops waiting.
     pub patience_until: Time,
     /// Engines that refused it.
@@ -154,6 +156,21 @@
     pub over: &'a [RunId],
 }
 
+/// How full a pool is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Occupancy {
+    /// Engines that get work.
+    pub engines: usize,
+    /// Runs that have a place.
+    pub running: usize,
+    /// Runs that wait.
+    pub waiting: usize,
+    /// Memory of the runs, without copies, in tokens.
+    pub tokens: u64,
+    /// Memory of the engines that get work, in tokens.
+    pub memory_tokens: u64,
+}
+
 /// What runs at an engine, as the owner tells other daemons.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineUse {
@@ -241,6 +258,18 @@
         self.runs.len()
     }
 
+    /// How full the pool is.
+    pub fn occupancy(&self, now: Time) -> Occupancy {
+        let usable = self.engines.values().filter(|engine| engine.is_usable).count();
+        Occupancy {
+            engines: usable,
+            running: self.runs.len(),
+            waiting: self.queue.len(),
+            tokens: self.runs.values().map(|run| run.tokens(now) as u64).sum(),
+            memory_tokens: self.shape.memory_tokens * usable as u64,
+        }
+    }
+
     /// Takes over the listed engines, each with whether it may get new work.
     pub fn set_engines<'a>(&mut self, listed: impl IntoIterator<Item = (&'a Listed, bool)>) {
         let mut engines = BTreeMap::new();
@@ -297,7 +326,7 @@
                 backup: run.backup.clone(),
             });
         }
-        let must_queue = self.queue.has_before(&wish);
+        let must_queue = self.queue.has_before(now, &wish);
         if !must_queue && let Some(place) = self.find(now, &wish) {
             self.start(now, &wish, &place);
             return Answer::Placed(place);
@@ -428,7 +457,7 @@
 
     /// The time until a run can expect a place.
     fn expected_wait(&self, now: Time, wish: &Wish) -> Millis {
-        let ahead: f64 = self.queue.tokens_before(wish);
+        let ahead: f64 = self.queue.tokens_before(now, wish);
         let left: Vec<_> =
             self.runs.values().map(|run| (run.tokens(now), run.time_left(now))).collect();
         let freed_per_ms: f64 = left.iter().map(|(tokens, left)| tokens / left.max(100.0)).sum();
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -109,6 +109,8 @@
     pub(super) running: f64,
     /// Projected peak of its memory, in tokens.
     pub(super) peak: f64,
+    /// The same for as long as the new run probably lasts.
+    pub(super) own_peak: f64,
     /// Its memory now, in tokens.
     pub(super) tokens: f64,
 }
@@ -132,13 +134,14 @@
             running += if is_copy { 0.0 } else { 1.0 };
         }
         projection.add(now, STEP_MS, extra);
-        Burden { running, peak: projection.peak(HEADROOM), tokens }
+        let peak = projection.peak(HEADROOM);
+        Burden { running, peak, own_peak: projection.peak_during(HEADROOM, &extra.curve), tokens }
     }
 
     fn has_room(&self, name: &UpstreamName, burden: Burden) -> bool {
         let slots = self.engines.get(name).map_or(0, |engine| engine.slots);
         let is_alone = burden.running <= 1.0;
-        let fits = burden.peak <= self.memory() * USABLE_MEMORY;
+        let fits = burden.own_peak <= self.memory() * USABLE_MEMORY;
         burden.running <= f64::from(slots) && (fits || is_alone)
     }
 
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -17,8 +17,15 @@
 const ASKED_LIFETIME: Millis = Millis(700);
 
 impl Waiting {
-    fn goes_before(&self, wish: &Wish) -> bool {
-        self.wish.priority <= wish.priority && self.wish.run != wish.run
+    /// Whether it is due before the newcomer `wish`: it can still be on time, and ranks no lower.
+    fn goes_before(&self, now: Time, wish: &Wish) -> bool {
+        let is_due = !self.is_overdue(now) || wish.on_time_until <= now;
+        is_due && self.wish.priority <= wish.priority && self.wish.run != wish.run
+    }
+
+    /// Whether it cannot be on time any more.
+    fn is_overdue(&self, now: Time) -> bool {
+        self.wish.on_time_until <= now
     }
 
     /// Whether others of its rank may still start before it: for the first half of its patience.
@@ -59,13 +66,13 @@
     }
 
     /// Whether something else waits that goes before `wish`.
-    pub(super) fn has_before(&self, wish: &Wish) -> bool {
-        self.waiting.iter().any(|waiting| waiting.goes_before(wish))
+    pub(super) fn has_before(&self, now: Time, wish: &Wish) -> bool {
+        self.waiting.iter().any(|waiting| waiting.goes_before(now, wish))
     }
 
     /// Tokens of the prompts that go before `wish`.
-    pub(super) fn tokens_before(&self, wish: &Wish) -> f64 {
-        let before = self.waiting.iter().filter(|waiting| waiting.goes_before(wish));
+    pub(super) fn tokens_before(&self, now: Time, wish: &Wish) -> f64 {
+        let before = self.waiting.iter().filter(|waiting| waiting.goes_before(now, wish));
         before.map(|waiting| f64::from(waiting.wish.prompt_tokens)).sum()
     }
 
@@ -77,7 +84,8 @@
     }
 
     /// The runs in the order in which they are due, each with whether later ones may start before
-    /// it: by rank, then by what their organisation uses already, then by age.
+    /// it: those that can still be on time first, as in a crowd that lasts all would else be late;
+    /// then by rank, by what their organisation uses already, and by age.
     pub(super) fn order(
         &self,
         now: Time,
@@ -90,11 +98,12 @@
         }
         let mut order: Vec<_> = self.waiting.iter().collect();
         order.sort_by(|a, b| {
+            let by_time = a.is_overdue(now).cmp(&b.is_overdue(now));
             let by_rank = a.wish.priority.cmp(&b.wish.priority);
             // What others may no longer pass goes first within its rank.
             let by_age = a.may_be_passed(now).cmp(&b.may_be_passed(now));
             let by_use = uses[&a.wish.organisation].total_cmp(&uses[&b.wish.organisation]);
-            by_rank.then(by_age).then(by_use).then(a.since.cmp(&b.since))
+            by_time.then(by_rank).then(by_age).then(by_use).then(a.since.cmp(&b.since))
         });
         order.into_iter().map(|w| (w.wish.run.clone(), w.may_be_passed(now))).collect()
     }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -176,7 +176,7 @@
         });
         let mut best: Option<(f64, &UpstreamName)> = None;
         for (name, engine) in candidates {
-            let Burden { running, peak, tokens } = self.burden(now, name, &run.footprint);
+            let Burden { running, peak, tokens, .. } = self.burden(now, name, &run.footprint);
             let is_full = tokens > self.memory() * MOVES_UP_TO;
             if is_full || running > f64::from(engine.slots) {
                 continue;
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -60,6 +60,7 @@
         prompt_tokens,
         max_tokens: 2_000,
         priority: 1,
+        on_time_until: Time(50_000),
         patience_until: Time(100_000),
         avoid: Vec::new(),
     }
@@ -254,3 +255,46 @@
         assert_eq!(place.engine, fast.engine, "run {n}");
     }
 }
+
+/// A pool of one engine that is full of long runs, and how many there are.
+fn full_pool() -> (Pool, usize) {
+    let mut pool = pool(&[("e1", "a")]);
+    let short = EndedRun {
+        kind: KindName::new("short"),
+        organisation: OrganisationName::new("a"),
+        written: 12,
+    };
+    let ended = vec![short; 30];
+    let report = Report { ended: &ended, ..Report::default() };
+    pool.report(Time(0), &HostName::new("edge-1"), &report);
+    let mut n = 0;
+    while let Answer::Placed(_) = pool.place(Time(0), wish(&format!("r{n}"), 3_000)) {
+        n += 1;
+    }
+    pool.withdraw(&RunId::new(&format!("r{n}")));
+    (pool, n)
+}
+
+/// Pattern: a crowd that lasts. What waited too long to be on time lets those pass that can still
+/// be; else all would be late.
+#[test]
+fn in_a_lasting_crowd_those_who_can_still_be_on_time_go_first() {
+    let (mut pool, running) = full_pool();
+    let late = Wish { on_time_until: Time(100), ..wish("late", 3_000) };
+    let fresh = Wish { on_time_until: Time(2_000), ..wish("fresh", 3_000) };
+    assert_eq!(pool.place(Time(10), late), Answer::Waits);
+    assert_eq!(pool.place(Time(300), fresh.clone()), Answer::Waits);
+    assert!(running > 3);
+    let over: Vec<_> = (0..3).map(|n| RunId::new(&format!("r{n}"))).collect();
+    pool.report(Time(400), &HostName::new("edge-1"), &Report { over: &over, ..Report::default() });
+    let events = pool.tick(Time(410));
+    assert!(matches!(&events[0], Event::Placed(run, _) if *run == fresh.run), "{events:?}");
+}
+
+/// Pattern: memory is kept for long runs that will grow. A run that is over before they do fits.
+#[test]
+fn a_short_run_fits_where_memory_is_kept_for_later() {
+    let (mut pool, _) = full_pool();
+    let short = Wish { kind: KindName::new("short"), ..wish("short", 1_500) };
+    assert!(matches!(pool.place(Time(20), short), Answer::Placed(_)));
+}
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -148,7 +148,6 @@
             upstream: &upstream.name,
             organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
             remaining: fwd.remaining_ms(),
-            priority: None,
             backup: None,
             resume: None,
         };
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -20,6 +20,9 @@
 /// Added to that for each daemon, so that an owner's work does not grow with their number.
 const REPORT_EVERY_PER_DAEMON: Millis = Millis(3);
 
+/// Time between two lines that say how full the pools are.
+const LOG_EVERY: Millis = Millis(1_000);
+
 /// Time for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -49,6 +52,7 @@
     report_soon: bool,
     /// When the owner that decides last answered a report.
     owner_heard_at: Time,
+    logged_at: Time,
 }
 
 impl Pools {
@@ -59,6 +63,7 @@
             reported_at: now,
             report_soon: false,
             owner_heard_at: now,
+            logged_at: now,
         }
     }
 
@@ -149,6 +154,7 @@
         }
         self.report_if_due(now);
         self.move_runs(now);
+        self.log_occupancy(now);
     }
 
     /// Reports this daemon's runs to the owners, and to its own pools.
@@ -267,6 +273,27 @@
         }
     }
 
+    /// Says how full the pools are, as the owner that decides.
+    fn log_occupancy(&mut self, now: Time) {
+        let (_, decides) = self.ownership();
+        if !decides || now.since(self.pools.logged_at) < LOG_EVERY {
+            return;
+        }
+        self.pools.logged_at = now;
+        for (service, pool) in &self.pools.by_service {
+            let occupancy = pool.occupancy(now);
+            log::info!(
+                service = service.as_str(),
+                engines = occupancy.engines,
+                running = occupancy.running,
+                waiting = occupancy.waiting,
+                tokens = occupancy.tokens,
+                memory_tokens = occupancy.memory_tokens;
+                "pool"
+            );
+        }
+    }
+
     /// Gets runs off an upstream that leaves.
     pub(super) fn vacate(&mut self, now: Time, engine: &UpstreamName) {
         for pool in self.pools.by_service.values_mut() {
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -55,6 +55,7 @@
     async fn place(&self, req: Request<PlaceRequest>) -> Result<Response<PlaceReply>, Status> {
         let req = req.into_inner();
         let service = ServiceName::new(&req.service);
+        let now = self.shared.clock.now();
         let wish = Box::new(Wish {
             run: RunId::new(&req.run),
             holder: HostName::new(&req.host),
@@ -64,7 +65,8 @@
             prompt_tokens: req.prompt_tokens,
             max_tokens: req.max_tokens,
             priority: req.priority.min(u32::from(u8::MAX)) as u8,
-            patience_until: self.shared.clock.now() + Millis(u64::from(req.patience_ms)),
+            on_time_until: now + Millis(u64::from(req.on_time_ms)),
+            patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
         });
         let decided = self.ask(|reply| Message::Place { service, wish, reply }).await?;
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -14,6 +14,7 @@
 use magnoliawinch_peer::{PlaceReply, PlaceRequest};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time for an owner's answer; it holds a question for 200 ms at the most.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
@@ -21,9 +22,16 @@
 /// How long an owner that did not answer is passed over.
 const SILENT_FOR: Millis = Millis(1_500);
 
-/// Part of the time that is left for which a run waits for a place: a caller that is refused
-/// then can still come back in time.
-const PATIENCE_PART: u32 = 4;
+/// Part of a request's time for which it waits for a place: a caller that is refused then can
+/// still come back in time.
+const PATIENCE_PART: u32 = 2;
+
+/// Latency objectives for which a request waits at the most. Callers leave after four without an
+/// event, of which the last is for the prompt, and those that come back want as much again.
+const PATIENCE_OBJECTIVES: f64 = 2.5;
+
+/// Time from its place to its first event: a prompt of the users' sheets is read in about this.
+const FIRST_EVENT: Duration = Duration::from_millis(500);
 
 /// Pause before a question is repeated that found its pool or engine unknown.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(50);
@@ -35,11 +43,17 @@
 const UNKNOWN_RETRY: Millis = Millis(500);
 
 impl<W: Wire> Entry<W> {
-    /// The time for which a request may wait for a place.
+    /// The time for which a request may still wait for a place.
     fn patience(fwd: &Forward) -> Millis {
+        let objective = Duration::from(fwd.route.objective);
         let whole = fwd.until.saturating_duration_since(fwd.arrived) / PATIENCE_PART;
-        let left = (fwd.arrived + whole).saturating_duration_since(tokio::time::Instant::now());
-        Millis(left.as_millis() as u64)
+        left(fwd.arrived + whole.min(objective.mul_f64(PATIENCE_OBJECTIVES)))
+    }
+
+    /// The time in which a request must have its place to be on time.
+    fn on_time(fwd: &Forward) -> Millis {
+        let objective = Duration::from(fwd.route.objective);
+        left(fwd.arrived + objective.saturating_sub(FIRST_EVENT))
     }
 
     /// A place for a run; asks until the owner has decided.
@@ -115,6 +129,7 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             max_tokens: prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: u32::from(fwd.priority()),
+            on_time_ms: Self::on_time(fwd).0 as u32,
             patience_ms: Self::patience(fwd).0 as u32,
             avoid: avoid.iter().map(UpstreamName::to_string).collect(),
         };
@@ -149,12 +164,17 @@
             prompt_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.tokens),
             max_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: fwd.priority(),
+            on_time_until: self.shared.clock.now() + Self::on_time(fwd),
             patience_until: self.shared.clock.now() + Self::patience(fwd),
             avoid: avoid.to_vec(),
         }
     }
 }
 
+fn left(until: Instant) -> Millis {
+    Millis(until.saturating_duration_since(Instant::now()).as_millis() as u64)
+}
+
 fn decided(reply: &PlaceReply) -> Option<Decided> {
     let target = |name: &str, address: &str| {
         let address: SocketAddr = address.parse().ok()?;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -189,7 +189,6 @@
             upstream: &placed.engine.name,
             organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
             remaining: fwd.remaining_ms(),
-            priority: Some(fwd.priority()),
             backup: placed.backup.as_ref().map(|backup| backup.address),
             resume: None,
         };
@@ -494,7 +493,6 @@
             upstream: &to.name,
             organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
             remaining: self.fwd.remaining_ms(),
-            priority: Some(self.fwd.priority()),
             backup: None,
             resume: Some(&resume),
         };
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -64,8 +64,6 @@
     pub organisation: Option<&'a str>,
     /// Time that the upstream has.
     pub remaining: Millis,
-    /// Rank of the request at an engine; 0 goes first.
-    pub priority: Option<u8>,
     /// The engine that keeps a copy of the run's memory.
     pub backup: Option<SocketAddr>,
     /// Where to go on from.
