One runtime for both daemons; moving apart from streaming

Ruled out: sharing the control state itself (its messages differ). Behaviour otherwise the same; tests of the platform, relay and telemetry pass.

--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -10,7 +10,7 @@
 pub(crate) use admissions::{AdmitAnswer, AdmitCall, AdmitResult};
 pub(crate) use catalogue::{FollowAnswer, NextRead, STREAM};
 pub(crate) use ledgers::ClaimCall;
-pub(crate) use thread::{cpu_ms, start_control};
+pub(crate) use thread::cpu_ms;
 
 use crate::shared::Shared;
 use crate::view::{Services, View};
@@ -30,10 +30,11 @@
 use magnoliawinch_log::Page;
 use magnoliawinch_operator::{InForce, Published, ServiceInForce, Status};
 use magnoliawinch_peer::{ProbeReply, ProbeRequest, RenewRequest};
+use magnoliawinch_runtime::ControlState;
 use members::Members;
 use placement::Placement;
 use std::sync::Arc;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 /// What the control thread is asked and told.
 #[derive(Debug)]
@@ -143,85 +144,6 @@
         self.shared.clock.now()
     }
 
-    /// Handles one message.
-    pub(crate) fn handle(&mut self, message: Message) {
-        let now = self.now();
-        match message {
-            Message::Admit { call, reply } => self.admit(now, call, reply),
-            Message::Withdraw { upstream, token } => self.admissions.withdraw(&upstream, token),
-            Message::Renew(req) => self.renew(now, &req),
-            Message::Load { upstream, report } => self.load(now, &upstream, report),
-            Message::UpstreamLeaves(upstream) => self.upstream_leaves(&upstream),
-            Message::UpstreamUnreachable(upstream) => {
-                self.members.upstreams.unreachable(now, &upstream);
-                self.view_is_old = true;
-            }
-            Message::Probe { req, reply } => self.probe(now, &req, reply),
-            Message::Probed(answer) => self.probed(now, &answer),
-            Message::Listed(list) => self.listed(now, &list),
-            Message::NextRead(reply) => self.next_read(reply),
-            Message::CataloguePage { page, reply } => self.catalogue_page(now, &page, reply),
-            Message::CatalogueState { state, reply } => self.catalogue_state(*state, reply),
-            Message::Follow { host, from, wait, reply } => {
-                self.configuration.follow(now, host, from, wait, reply);
-            }
-            Message::Publish { change, reply } => self.publish(now, *change, reply),
-            Message::PublishFailed { nonce, reason } => {
-                self.configuration.publish_failed(nonce, reason);
-            }
-            Message::Service { name, reply } => {
-                let _ = reply.send(self.configuration.service(&name));
-            }
-            Message::InForce { offset, reply } => {
-                let own = self.members.membership.own().host.clone();
-                let _ = reply.send(self.configuration.in_force(now, &own, offset));
-            }
-            Message::Claim { call, reply } => self.claim(now, call, reply),
-            Message::Settle { shard, key, nonce, outcome, reply } => {
-                let shared = &self.shared;
-                self.ledgers.settle(shared, now, shard, &key, nonce, outcome, reply);
-            }
-            Message::LedgerPage { shard, page, reply } => {
-                let next = self.ledgers.page(&self.shared, now, shard, page);
-                let _ = reply.send(next);
-            }
-            Message::LedgerAppended { shard, succeeded } => {
-                self.ledgers.appended(&self.shared, now, shard, succeeded);
-            }
-            Message::LeasePage { page, reply } => {
-                let _ = reply.send(self.lease_page(now, page.as_ref()));
-            }
-            Message::Observed { service, upstream, observed } => {
-                self.observed(now, &service, &upstream, observed);
-            }
-            Message::Treatment { fingerprint, reply } => {
-                let _ = reply.send(self.quarantine.treatment(now, fingerprint));
-            }
-            Message::Crashed { fingerprint, reply } => {
-                let _ = reply.send(self.quarantine.crashed(now, fingerprint));
-            }
-            Message::SuspectCompleted(fingerprint) => self.quarantine.completed(fingerprint),
-            Message::Leave => self.leave(),
-            Message::Status(reply) => {
-                let _ = reply.send(self.status(now));
-            }
-        }
-    }
-
-    /// Does what is due.
-    pub(crate) fn tick(&mut self) {
-        let now = self.now();
-        self.send_probes(now);
-        self.admissions.tick(now);
-        self.ledgers.tick(&self.shared, now);
-        self.configuration.tick(now);
-        if now.since(self.swept_at) >= SWEEP_EVERY {
-            self.swept_at = now;
-            self.sweep(now);
-        }
-        self.publish_view(now);
-    }
-
     fn sweep(&mut self, now: Time) {
         self.quarantine.tick(now);
         self.admissions.sweep(now);
@@ -232,14 +154,6 @@
         self.tick_placement(now);
     }
 
-    /// Time until `tick` has to be called again.
-    pub(crate) fn next_tick(&self) -> Millis {
-        const BUSY: Millis = Millis(5);
-        const IDLE: Millis = Millis(50);
-        let is_busy = self.ledgers.is_waiting() || self.admissions.is_waiting();
-        if is_busy || self.view_is_old { BUSY } else { IDLE }
-    }
-
     /// Publishes a new view when the old one is out of date.
     fn publish_view(&mut self, now: Time) {
         let members_changed = self.members.membership.version() != self.members_version;
@@ -313,5 +227,90 @@
     }
 }
 
-/// The control thread's mailbox.
-pub(crate) type Mailbox = mpsc::Receiver<Message>;
+impl ControlState for Control {
+    type Message = Message;
+
+    fn handle(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Admit { call, reply } => self.admit(now, call, reply),
+            Message::Withdraw { upstream, token } => self.admissions.withdraw(&upstream, token),
+            Message::Renew(req) => self.renew(now, &req),
+            Message::Load { upstream, report } => self.load(now, &upstream, report),
+            Message::UpstreamLeaves(upstream) => self.upstream_leaves(&upstream),
+            Message::UpstreamUnreachable(upstream) => {
+                self.members.upstreams.unreachable(now, &upstream);
+                self.view_is_old = true;
+            }
+            Message::Probe { req, reply } => self.probe(now, &req, reply),
+            Message::Probed(answer) => self.probed(now, &answer),
+            Message::Listed(list) => self.listed(now, &list),
+            Message::NextRead(reply) => self.next_read(reply),
+            Message::CataloguePage { page, reply } => self.catalogue_page(now, &page, reply),
+            Message::CatalogueState { state, reply } => self.catalogue_state(*state, reply),
+            Message::Follow { host, from, wait, reply } => {
+                self.configuration.follow(now, host, from, wait, reply);
+            }
+            Message::Publish { change, reply } => self.publish(now, *change, reply),
+            Message::PublishFailed { nonce, reason } => {
+                self.configuration.publish_failed(nonce, reason);
+            }
+            Message::Service { name, reply } => {
+                let _ = reply.send(self.configuration.service(&name));
+            }
+            Message::InForce { offset, reply } => {
+                let own = self.members.membership.own().host.clone();
+                let _ = reply.send(self.configuration.in_force(now, &own, offset));
+            }
+            Message::Claim { call, reply } => self.claim(now, call, reply),
+            Message::Settle { shard, key, nonce, outcome, reply } => {
+                let shared = &self.shared;
+                self.ledgers.settle(shared, now, shard, &key, nonce, outcome, reply);
+            }
+            Message::LedgerPage { shard, page, reply } => {
+                let next = self.ledgers.page(&self.shared, now, shard, page);
+                let _ = reply.send(next);
+            }
+            Message::LedgerAppended { shard, succeeded } => {
+                self.ledgers.appended(&self.shared, now, shard, succeeded);
+            }
+            Message::LeasePage { page, reply } => {
+                let _ = reply.send(self.lease_page(now, page.as_ref()));
+            }
+            Message::Observed { service, upstream, observed } => {
+                self.observed(now, &service, &upstream, observed);
+            }
+            Message::Treatment { fingerprint, reply } => {
+                let _ = reply.send(self.quarantine.treatment(now, fingerprint));
+            }
+            Message::Crashed { fingerprint, reply } => {
+                let _ = reply.send(self.quarantine.crashed(now, fingerprint));
+            }
+            Message::SuspectCompleted(fingerprint) => self.quarantine.completed(fingerprint),
+            Message::Leave => self.leave(),
+            Message::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.send_probes(now);
+        self.admissions.tick(now);
+        self.ledgers.tick(&self.shared, now);
+        self.configuration.tick(now);
+        if now.since(self.swept_at) >= SWEEP_EVERY {
+            self.swept_at = now;
+            self.sweep(now);
+        }
+        self.publish_view(now);
+    }
+
+    fn next_tick(&self) -> Millis {
+        const BUSY: Millis = Millis(5);
+        const IDLE: Millis = Millis(50);
+        let is_busy = self.ledgers.is_waiting() || self.admissions.is_waiting();
+        if is_busy || self.view_is_old { BUSY } else { IDLE }
+    }
+}
--- a/daemon/src/control/thread.rs
+++ b/daemon/src/control/thread.rs
@@ -1,48 +1,4 @@
-//! Runs the control state on a thread of its own.
-
-use super::{Control, Mailbox};
-use std::io;
-use tokio::runtime::Builder;
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
-
-/// Messages handled between two ticks at the most.
-const MAX_BATCH: usize = 256;
-
-/// Starts the thread; it ends when every sender of its mailbox is gone or `stop` turns true.
-pub(crate) fn start_control(
-    control: Control,
-    mailbox: Mailbox,
-    stop: watch::Receiver<bool>,
-) -> io::Result<()> {
-    let rt = Builder::new_current_thread().enable_time().build()?;
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || rt.block_on(run(control, mailbox, stop)))?;
-    Ok(())
-}
-
-async fn run(mut control: Control, mut mailbox: Mailbox, mut stop: watch::Receiver<bool>) {
-    let mut next_tick = Instant::now();
-    loop {
-        tokio::select! {
-            message = mailbox.recv() => match message {
-                Some(message) => control.handle(message),
-                None => return,
-            },
-            () = sleep_until(next_tick) => {}
-            _ = stop.wait_for(|stop| *stop) => return,
-        }
-        for _ in 0..MAX_BATCH {
-            match mailbox.try_recv() {
-                Ok(message) => control.handle(message),
-                Err(_) => break,
-            }
-        }
-        control.tick();
-        next_tick = Instant::now() + control.next_tick().into();
-    }
-}
+//! The processor time of the control thread.
 
 /// Processor time that the calling thread has used, in milliseconds; zero where the platform does
 /// not tell.
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts and stops a daemon.
 
 use crate::clock::Clock;
-use crate::control::{Control, Message, start_control};
+use crate::control::{Control, Message};
 use crate::follow::follow;
 use crate::grants::keep_grants;
 use crate::metrics::Metrics;
@@ -15,6 +15,7 @@
 use magnoliawinch::time::Millis;
 use magnoliawinch_http::{ServerLimits, serve};
 use magnoliawinch_peer::PeerServer;
+use magnoliawinch_runtime::start_control;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -17,11 +17,11 @@
 use magnoliawinch_hosts::HostsClient;
 use magnoliawinch_log::LogClient;
 use magnoliawinch_peer::{PeerClient, Peers};
+use magnoliawinch_runtime::{InProgress, Requests};
 use magnoliawinch_service::ServiceClient;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tonic::transport::Channel;
@@ -43,7 +43,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
-    in_progress: AtomicU64,
+    requests: Requests,
 }
 
 /// Routing state of the traffic threads.
@@ -86,7 +86,7 @@
             metrics: parts.metrics,
             traffic: parts.traffic,
             routing: Mutex::new(routing),
-            in_progress: AtomicU64::new(0),
+            requests: Requests::new(),
             settings,
         }
     }
@@ -139,24 +139,11 @@
 
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
-        self.in_progress.load(Ordering::Acquire)
+        self.requests.in_progress()
     }
 
     /// Counts a request as in progress until the guard is dropped.
-    pub(crate) fn enter(self: &Arc<Self>) -> InProgress {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
-        InProgress { shared: Arc::clone(self) }
-    }
-}
-
-/// A request in progress.
-#[derive(Debug)]
-pub(crate) struct InProgress {
-    shared: Arc<Shared>,
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
+    pub(crate) fn enter(&self) -> InProgress {
+        self.requests.enter()
     }
 }
--- a/daemon/src/traffic/stream.rs
+++ b/daemon/src/traffic/stream.rs
@@ -3,7 +3,7 @@
 use super::attempt::Attempt;
 use super::job::Job;
 use super::run::{Output, Run, RunFailure};
-use crate::shared::{InProgress, Shared};
+use crate::shared::Shared;
 use bytes::Bytes;
 use http_body_util::Either;
 use http_body_util::channel::{Channel, Sender};
@@ -13,6 +13,7 @@
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_caller::{Code, ErrorBody, GenerationId, sse};
 use magnoliawinch_http::{Body, BodyAborted};
+use magnoliawinch_runtime::InProgress;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -91,7 +91,7 @@
                 Attempt::Answered(whole) if whole.status.is_server_error() && may_repeat => {
                     verdict = Verdict::Ran;
                     runs += 1;
-                    self.note_attempt(fwd, &upstream, whole.status.as_str(), Verdict::Ran);
+                    self.note_attempt(fwd, &upstream.name, whole.status.as_str(), Verdict::Ran);
                     failure = Some(whole);
                 }
                 Attempt::Answered(whole) => return Ok(whole),
@@ -171,11 +171,11 @@
             }
             Err(e) if e.verdict() == Verdict::NotRun => {
                 self.shared.tell(Message::UpstreamUnreachable(upstream.name.clone()));
-                self.note_attempt(fwd, upstream, &e.to_string(), Verdict::NotRun);
+                self.note_attempt(fwd, &upstream.name, &e.to_string(), Verdict::NotRun);
                 Attempt::NotRun { arrived: false }
             }
             Err(e) => {
-                self.note_attempt(fwd, upstream, &e.to_string(), Verdict::MayHaveRun);
+                self.note_attempt(fwd, &upstream.name, &e.to_string(), Verdict::MayHaveRun);
                 Attempt::MayHaveRun(e.to_string())
             }
         };
@@ -225,7 +225,7 @@
     pub(crate) fn note_attempt(
         &self,
         fwd: &Forward,
-        upstream: &Listed,
+        upstream: &UpstreamName,
         why: &str,
         verdict: Verdict,
     ) {
@@ -233,8 +233,7 @@
         if self.shared.journal.admits(self.shared.clock.now()) {
             log::info!(
                 request = fwd.ask.run.as_str(),
-                upstream = upstream.name.as_str(),
-                address:% = upstream.address,
+                upstream = upstream.as_str(),
                 verdict:% = verdict,
                 list_age_ms = self.shared.list_age().0,
                 reason = why;
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -4,11 +4,9 @@
 mod members;
 mod news;
 mod pools;
-mod thread;
 
 pub use news::ListNews;
 pub(crate) use pools::report_every;
-pub(crate) use thread::start_control;
 
 use crate::runs::Placed;
 use crate::shared::Shared;
@@ -23,6 +21,7 @@
 use magnoliawinch_peer::{
     ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
 };
+use magnoliawinch_runtime::ControlState;
 use pools::Pools;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -139,54 +138,6 @@
         }
     }
 
-    /// Handles one message.
-    pub(crate) fn handle(&mut self, message: Message) {
-        let now = self.shared.clock.now();
-        match message {
-            Message::Place { service, wish, reply } => self.place(now, &service, *wish, reply),
-            Message::Report { report, reply } => {
-                let _ = reply.send(self.take_report(now, &report));
-            }
-            Message::Reported { service, reply } => self.take_reply(now, &service, &reply),
-            Message::Configuration(configuration) => self.configure(now, *configuration),
-            Message::List(news) => self.take_list(now, news),
-            Message::UpstreamLeaves(name) => self.upstream_leaves(now, &name),
-            Message::UpstreamUnreachable(name) => {
-                self.fleet.unreachable(now, &name);
-                self.fleet_is_old = true;
-            }
-            Message::Relocate(req) => self.relocate(&req),
-            Message::ReportSoon => self.pools.report_soon(),
-            Message::Crashed(fingerprint) => self.crashed.push(fingerprint),
-            Message::Probe { req, reply } => self.probe(now, &req, reply),
-            Message::Probed(answer) => self.probed(now, &answer),
-            Message::Seeds(seeds) => self.probe_seeds(&seeds),
-            Message::State { req, reply } => {
-                let _ = reply.send(self.state_for(now, &req));
-            }
-            Message::PeerState(state) => self.take_state(now, &state),
-            Message::Leave => self.leave(),
-        }
-    }
-
-    /// Does what is due.
-    pub(crate) fn tick(&mut self) {
-        let now = self.shared.clock.now();
-        self.send_probes(now);
-        let gone = self.fleet.tick(now);
-        self.upstreams_left(now, &gone);
-        self.tick_pools(now);
-        self.quarantine.tick(now);
-        self.publish_view(now);
-    }
-
-    /// Time until `tick` has to be called again.
-    pub(crate) fn next_tick(&self) -> Millis {
-        const BUSY: Millis = Millis(5);
-        const IDLE: Millis = Millis(50);
-        if self.pools.is_busy() || self.view_is_old { BUSY } else { IDLE }
-    }
-
     /// Puts a configuration in force, unless a newer one is.
     fn configure(&mut self, now: Time, configuration: Configuration) {
         let version = configuration.version;
@@ -268,3 +219,52 @@
         (is_owner, decides)
     }
 }
+
+impl ControlState for Control {
+    type Message = Message;
+
+    fn handle(&mut self, message: Message) {
+        let now = self.shared.clock.now();
+        match message {
+            Message::Place { service, wish, reply } => self.place(now, &service, *wish, reply),
+            Message::Report { report, reply } => {
+                let _ = reply.send(self.take_report(now, &report));
+            }
+            Message::Reported { service, reply } => self.take_reply(now, &service, &reply),
+            Message::Configuration(configuration) => self.configure(now, *configuration),
+            Message::List(news) => self.take_list(now, news),
+            Message::UpstreamLeaves(name) => self.upstream_leaves(now, &name),
+            Message::UpstreamUnreachable(name) => {
+                self.fleet.unreachable(now, &name);
+                self.fleet_is_old = true;
+            }
+            Message::Relocate(req) => self.relocate(&req),
+            Message::ReportSoon => self.pools.report_soon(),
+            Message::Crashed(fingerprint) => self.crashed.push(fingerprint),
+            Message::Probe { req, reply } => self.probe(now, &req, reply),
+            Message::Probed(answer) => self.probed(now, &answer),
+            Message::Seeds(seeds) => self.probe_seeds(&seeds),
+            Message::State { req, reply } => {
+                let _ = reply.send(self.state_for(now, &req));
+            }
+            Message::PeerState(state) => self.take_state(now, &state),
+            Message::Leave => self.leave(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        self.send_probes(now);
+        let gone = self.fleet.tick(now);
+        self.upstreams_left(now, &gone);
+        self.tick_pools(now);
+        self.quarantine.tick(now);
+        self.publish_view(now);
+    }
+
+    fn next_tick(&self) -> Millis {
+        const BUSY: Millis = Millis(5);
+        const IDLE: Millis = Millis(50);
+        if self.pools.is_busy() || self.view_is_old { BUSY } else { IDLE }
+    }
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -27,7 +27,7 @@
 pub use directory::Spread;
 pub use entry::Entry;
 pub use events::Events;
-pub use node::{Node, Source, StartError};
+pub use node::{Node, Source, StartError, listen};
 pub use refusal::Refusal;
 pub use settings::{Bounds, Settings};
 pub use wire::{Ask, BadAsk, Copied, CopyRefused, Marks, Outgoing, Prompt, Resume, Wire};
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! Starts and stops a daemon.
 
 use crate::clock::Clock;
-use crate::control::{Control, ListNews, Message, report_every, start_control};
+use crate::control::{Control, ListNews, Message, report_every};
 use crate::entry::Entry;
 use crate::peer_server::CellService;
 use crate::settings::Settings;
@@ -11,6 +11,7 @@
 use magnoliawinch::route_table::Configuration;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::CellServer;
+use magnoliawinch_runtime::start_control;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,10 +67,7 @@
 }
 
 /// Opens a listener for the setting `key`.
-pub(crate) async fn listen(
-    key: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, StartError> {
+pub async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|source| StartError::Listen { key, address, source })
 }
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -13,12 +13,13 @@
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
 use magnoliawinch_peer::{CellClient, Peers};
+use magnoliawinch_runtime::{InProgress, Requests};
 use magnoliawinch_telemetry::{Journal, Metrics};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -52,7 +53,7 @@
     pub(crate) journal: Journal,
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
-    in_progress: AtomicU64,
+    requests: Requests,
     /// When the list of upstreams was last read, as a `Time`; zero for never.
     list_read_at: AtomicU64,
 }
@@ -82,7 +83,7 @@
             journal: Journal::new(clock.now()),
             traffic,
             routing: Mutex::new(routing),
-            in_progress: AtomicU64::new(0),
+            requests: Requests::new(),
             list_read_at: AtomicU64::new(0),
             clock,
         }
@@ -145,24 +146,11 @@
 
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
-        self.in_progress.load(Ordering::Acquire)
+        self.requests.in_progress()
     }
 
     /// Counts a request as in progress until the guard is dropped.
-    pub(crate) fn enter(self: &Arc<Self>) -> InProgress {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
-        InProgress { shared: Arc::clone(self) }
-    }
-}
-
-/// A request in progress.
-#[derive(Debug)]
-pub(crate) struct InProgress {
-    shared: Arc<Shared>,
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.shared.in_progress.fetch_sub(1, Ordering::AcqRel);
+    pub(crate) fn enter(&self) -> InProgress {
+        self.requests.enter()
     }
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -3,6 +3,8 @@
 //! A stream is one run. When its engine leaves or is lost, the run goes on at another engine from
 //! a copy of its memory, and the caller sees the next event.
 
+mod moving;
+
 use crate::call::{Attempt, Whole, problem};
 use crate::control::Message;
 use crate::entry::Entry;
@@ -11,37 +13,28 @@
 use crate::refusal::Refusal;
 use crate::relocate::CopyError;
 use crate::runs::{MoveOrder, Placed, RunFacts, RunGuard, Target};
-use crate::shared::InProgress;
-use crate::wire::{Copied, CopyRefused, Outgoing, Resume, Wire};
+use crate::wire::{Copied, CopyRefused, Outgoing, Wire};
 use bytes::Bytes;
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
-use magnoliawinch::fleet::Listed;
-use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
-use magnoliawinch::pool::Way;
+use magnoliawinch::names::{KindName, OrganisationName};
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Reply, Reuse, SendError};
-use std::net::SocketAddr;
+use magnoliawinch_runtime::InProgress;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// Engines that may refuse a run before its caller is refused.
 const MAX_NOT_RUN: u32 = 3;
 
-/// Time for the head of the answer of an engine where a run goes on.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
-
 /// Silence of a stream after which its engine is asked whether it lives.
 const SILENCE: Duration = Duration::from_millis(600);
 
-/// Time in which a living engine answers.
-const ALIVE_WITHIN: Duration = Duration::from_millis(400);
-
 /// The stream ends here without its end.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the stream was cut")]
@@ -144,20 +137,10 @@
                 }
                 Err(e) if e.verdict() == Verdict::NotRun => {
                     self.shared.tell(Message::UpstreamUnreachable(name.clone()));
-                    self.note_attempt(
-                        &fwd,
-                        &listed(&fwd, &placed.engine),
-                        &e.to_string(),
-                        Verdict::NotRun,
-                    );
+                    self.note_attempt(&fwd, &name, &e.to_string(), Verdict::NotRun);
                 }
                 Err(e) => {
-                    self.note_attempt(
-                        &fwd,
-                        &listed(&fwd, &placed.engine),
-                        &e.to_string(),
-                        Verdict::MayHaveRun,
-                    );
+                    self.note_attempt(&fwd, &name, &e.to_string(), Verdict::MayHaveRun);
                     self.shared.tell(Message::Crashed(fwd.fingerprint()));
                     return Err(match fwd.remaining().is_zero() {
                         true => Refusal::TimedOut,
@@ -249,18 +232,6 @@
     headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
 }
 
-fn listed(fwd: &Forward, target: &Target) -> Listed {
-    Listed {
-        name: target.name.clone(),
-        born: 0,
-        service: fwd.service.clone(),
-        address: target.address,
-        failure_domain: magnoliawinch::names::FailureDomain::new(""),
-        slots: 0,
-        leaving: false,
-    }
-}
-
 impl<W: Wire> Streaming<W> {
     /// The next events; `None` at the end of a whole stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Frame<Bytes>, Cut>> {
@@ -361,251 +332,6 @@
         );
         Some(Err(Cut))
     }
-
-    /// Begins a move.
-    async fn obey(&mut self, order: MoveOrder) {
-        if order.from != self.engine.name || order.to.name == self.engine.name {
-            return self.move_failed(None);
-        }
-        match order.way {
-            Way::Copy => self.begin_copy(order.to, false),
-            Way::Backup => {
-                if let Err(why) = self.go_to_backup().await {
-                    // The copy was not complete yet. The engine still runs and can make one.
-                    log::info!(
-                        request = self.fwd.ask.run.as_str(),
-                        to = order.to.name.as_str(),
-                        reason = why.as_str();
-                        "no copy to go on from"
-                    );
-                    self.move_failed(None);
-                }
-            }
-        }
-    }
-
-    /// Asks for another engine to move to.
-    fn move_failed(&mut self, refused_by: Option<&UpstreamName>) {
-        self.run.move_failed(refused_by);
-        self.entry.shared.tell(Message::ReportSoon);
-    }
-
-    fn begin_copy(&mut self, to: Target, is_last: bool) {
-        let (tx, result) = oneshot::channel();
-        let entry = self.entry.clone();
-        let (run, from, address) = (self.fwd.ask.run.clone(), self.engine.address, to.address);
-        self.entry.shared.traffic.spawn(async move {
-            // The receiver is gone when the stream has ended meanwhile.
-            let _ = tx.send(entry.copy(&run, from, address, is_last).await);
-        });
-        self.moving = Some(Moving { to, is_last, result });
-    }
-
-    /// Goes on with a move whose copy ended.
-    async fn copied(&mut self, result: CopyResult) -> Result<(), String> {
-        let Some(moving) = self.moving.take() else {
-            return Ok(());
-        };
-        self.note_copy(&moving, &result);
-        match result {
-            Ok(copied) if moving.is_last => self.go_on_at(moving.to, &copied.copy).await,
-            Ok(copied) => {
-                self.copied = Some((moving.to.clone(), copied));
-                self.begin_copy(moving.to, true);
-                Ok(())
-            }
-            Err(e) if moving.is_last => self.stopped_without_copy(moving, e).await,
-            // It has not begun to write, or has ended.
-            Err(CopyError::Refused(CopyRefused::NoRun | CopyRefused::Busy)) => {
-                self.move_failed(None);
-                Ok(())
-            }
-            Err(_) => {
-                self.move_failed(Some(&moving.to.name));
-                Ok(())
-            }
-        }
-    }
-
-    /// The run may have been stopped, and its last copy did not arrive.
-    async fn stopped_without_copy(&mut self, moving: Moving, e: CopyError) -> Result<(), String> {
-        match e {
-            // The run ended by itself; the rest of its stream is still to come.
-            CopyError::Refused(CopyRefused::NoRun | CopyRefused::Busy) => Ok(()),
-            CopyError::Refused(CopyRefused::NoRoom { kept: Some(kept) }) => {
-                // The engine that stopped it goes on with it.
-                let engine = self.engine.clone();
-                self.drain_stopped().await;
-                self.resume(engine.clone(), engine.address, kept).await
-            }
-            e => {
-                let copied = self.copied.take();
-                match copied {
-                    Some((to, copied)) if to == moving.to => self.go_on_at(to, &copied.copy).await,
-                    _ => Err(e.to_string()),
-                }
-            }
-        }
-    }
-
-    /// Takes what the stopped engine still had sent.
-    async fn drain_stopped(&mut self) {
-        let drain = async {
-            while let Some(Ok(piece)) = self.upstream.piece().await {
-                if let Err(e) = self.events.push(&piece) {
-                    log::warn!(request = self.fwd.ask.run.as_str(); "events of a stopped run: {e}");
-                    return;
-                }
-            }
-        };
-        if timeout(RESUME_TIMEOUT, drain).await.is_err() {
-            log::warn!(request = self.fwd.ask.run.as_str(); "a stopped run did not close its stream");
-        }
-    }
-
-    /// Goes on at `to` from the copy that its former engine made there.
-    async fn go_on_at(&mut self, to: Target, copy: &str) -> Result<(), String> {
-        let source = self.engine.address;
-        self.resume(to, source, copy.to_owned()).await
-    }
-
-    /// Goes on at the engine that keeps a copy of the run.
-    async fn go_to_backup(&mut self) -> Result<(), String> {
-        let Some(backup) = self.run.place().backup else {
-            return Err("there is no copy".to_owned());
-        };
-        self.run.lost_backup();
-        self.moving = None;
-        let run = self.fwd.ask.run.to_string();
-        self.resume(backup.clone(), backup.address, run).await
-    }
-
-    /// Sends the request to `to`, to go on from a copy.
-    async fn resume(
-        &mut self,
-        to: Target,
-        address: SocketAddr,
-        copy: String,
-    ) -> Result<(), String> {
-        let begun = Instant::now();
-        let resume = Resume { address, copy, last_event: self.events.last() };
-        let out = Outgoing {
-            upstream: &to.name,
-            organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
-            remaining: self.fwd.remaining_ms(),
-            backup: None,
-            resume: Some(&resume),
-        };
-        let req = self.fwd.request(&*self.entry.wire, &out);
-        let limit = self.fwd.remaining().min(RESUME_TIMEOUT);
-        let sent = self.entry.shared.upstreams.send(to.address, req, Reuse::Never, limit).await;
-        let reply = sent.map_err(|e| e.to_string())?;
-        let marks = self.entry.wire.marks(reply.headers());
-        let status = reply.status();
-        if !status.is_success() || marks.not_run {
-            return Err(format!("{} does not go on: {status}", to.name));
-        }
-        if let Some(problem) = problem(&self.fwd, status, &marks) {
-            return Err(format!("{} answered {status}, {problem}", to.name));
-        }
-        log::info!(
-            request = self.fwd.ask.run.as_str(),
-            from = self.engine.name.as_str(),
-            to = to.name.as_str(),
-            last_event = resume.last_event.unwrap_or(0),
-            took_ms = begun.elapsed().as_millis() as u64,
-            pause_ms = self.heard_at.elapsed().as_millis() as u64;
-            "run goes on"
-        );
-        self.moves += 1;
-        self.is_framed = is_framed(reply.headers());
-        self.upstream = reply.into_body();
-        self.events.drop_part();
-        let backup = self.run.place().backup.filter(|backup| *backup != to);
-        self.engine = to;
-        self.copied = None;
-        self.run.moved(Placed { engine: self.engine.clone(), backup });
-        Ok(())
-    }
-
-    /// The stream broke off.
-    async fn broke(&mut self, why: &str) -> Result<(), String> {
-        if self.moving.as_ref().is_some_and(|moving| moving.is_last) {
-            return self.await_last_copy().await;
-        }
-        log::info!(
-            request = self.fwd.ask.run.as_str(),
-            upstream = self.engine.name.as_str(),
-            events = self.events.count(),
-            reason = why;
-            "stream broke off"
-        );
-        self.entry.shared.tell(Message::UpstreamUnreachable(self.engine.name.clone()));
-        self.go_on_after_loss(why).await
-    }
-
-    /// Goes on from whatever copy there is of a run whose engine is lost.
-    async fn go_on_after_loss(&mut self, why: &str) -> Result<(), String> {
-        self.moving = None;
-        let mut reason = why.to_owned();
-        if let Some((to, copied)) = self.copied.take() {
-            match self.go_on_at(to, &copied.copy).await {
-                Ok(()) => return Ok(()),
-                Err(e) => reason = e,
-            }
-        }
-        if self.run.place().backup.is_some() {
-            return self.go_to_backup().await;
-        }
-        self.entry.shared.tell(Message::Crashed(self.fwd.fingerprint()));
-        Err(reason)
-    }
-
-    /// The run was stopped; its copy arrives at the other engine.
-    async fn await_last_copy(&mut self) -> Result<(), String> {
-        let Some(moving) = &mut self.moving else {
-            return Err("no move is in progress".to_owned());
-        };
-        let result = (&mut moving.result).await;
-        self.copied(result.unwrap_or(Err(CopyRefused::Busy.into()))).await
-    }
-
-    /// The stream ended; returns whether it is whole.
-    async fn ended(&mut self) -> Result<bool, String> {
-        let is_stopping = self.moving.as_ref().is_some_and(|moving| moving.is_last);
-        if self.is_framed || !is_stopping {
-            return match self.events.has_part() {
-                true => self.broke("the stream ended within an event").await.map(|()| false),
-                false => Ok(true),
-            };
-        }
-        let before = self.moves;
-        self.await_last_copy().await?;
-        Ok(self.moves == before)
-    }
-
-    /// The stream is silent; goes on elsewhere if its engine does not live.
-    async fn silent(&mut self) -> Result<(), String> {
-        self.heard_at = Instant::now();
-        let has_copy = self.copied.is_some() || self.run.place().backup.is_some();
-        if !has_copy || self.entry.is_alive(self.engine.address, ALIVE_WITHIN).await {
-            return Ok(());
-        }
-        self.go_on_after_loss("the engine is silent").await
-    }
-
-    fn note_copy(&self, moving: &Moving, result: &CopyResult) {
-        let problem = result.as_ref().err().map(ToString::to_string);
-        log::info!(
-            request = self.fwd.ask.run.as_str(),
-            from = self.engine.name.as_str(),
-            to = moving.to.name.as_str(),
-            last = moving.is_last,
-            events = self.events.count(),
-            problem = problem.as_deref().unwrap_or("");
-            "memory copied"
-        );
-    }
 }
 
 impl<W: Wire> Drop for Streaming<W> {
--- a/relay/src/control/thread.rs
+++ b/runtime/src/control.rs
@@ -1,6 +1,6 @@
-//! Runs the control state on a thread of its own.
+//! Runs control state on a thread of its own.
 
-use super::{Control, Message};
+use magnoliawinch::time::Millis;
 use std::io;
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
@@ -9,10 +9,25 @@
 /// Messages handled between two ticks at the most.
 const MAX_BATCH: usize = 256;
 
+/// State that is changed by messages and by time, and does no I/O.
+pub trait ControlState: Send + 'static {
+    /// What it is asked and told.
+    type Message: Send + 'static;
+
+    /// Handles one message.
+    fn handle(&mut self, message: Self::Message);
+
+    /// Does what is due.
+    fn tick(&mut self);
+
+    /// Time until `tick` has to be called again.
+    fn next_tick(&self) -> Millis;
+}
+
 /// Starts the thread; it ends when every sender of its mailbox is gone or `stop` turns true.
-pub(crate) fn start_control(
-    control: Control,
-    mailbox: mpsc::Receiver<Message>,
+pub fn start_control<C: ControlState>(
+    control: C,
+    mailbox: mpsc::Receiver<C::Message>,
     stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let rt = Builder::new_current_thread().enable_time().build()?;
@@ -22,9 +37,9 @@
     Ok(())
 }
 
-async fn run(
-    mut control: Control,
-    mut mailbox: mpsc::Receiver<Message>,
+async fn run<C: ControlState>(
+    mut control: C,
+    mut mailbox: mpsc::Receiver<C::Message>,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut next_tick = Instant::now();
