--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -48,6 +48,10 @@
 /// Shortest time after which a refused caller may come back.
 const MIN_RETRY: Millis = Millis(250);
 
+/// Time after which a caller may come back that found no engine at all: the list of a daemon that
+/// has just started is there within about a second.
+const NO_ENGINE_RETRY: Millis = Millis(1_000);
+
 /// Longest time after which a refused caller may come back.
 const MAX_RETRY: Millis = Millis(10_000);
 
@@ -332,8 +336,10 @@
             return Answer::Placed(place);
         }
         let wait = self.expected_wait(now, &wish);
-        let has_engines = self.engines.values().any(|engine| engine.is_usable);
-        if now + wait > wish.patience_until || !has_engines {
+        if !self.engines.values().any(|engine| engine.is_usable) {
+            return Answer::Refused(NO_ENGINE_RETRY);
+        }
+        if now + wait > wish.patience_until {
             return Answer::Refused(retry_after(wait));
         }
         self.queue.push(now, wish);
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -6,7 +6,7 @@
 };
 use magnoliawinch::pool::{Answer, EndedRun, Event, Place, Pool, Report, RunState, Way, Wish};
 use magnoliawinch::route_table::EngineShape;
-use magnoliawinch::time::Time;
+use magnoliawinch::time::{Millis, Time};
 
 const MEMORY: u64 = 34_000;
 
@@ -298,3 +298,12 @@
     let short = Wish { kind: KindName::new("short"), ..wish("short", 1_500) };
     assert!(matches!(pool.place(Time(20), short), Answer::Placed(_)));
 }
+
+/// Pattern: all daemons have lost power, and the list of engines is not there yet. Callers come
+/// back once, so they are not sent back too early.
+#[test]
+fn a_pool_without_engines_refuses_at_once_and_for_long_enough() {
+    let mut pool = Pool::new(ServiceName::new("guide"), shape());
+    let answer = pool.place(Time(0), wish("r", 3_000));
+    assert_eq!(answer, Answer::Refused(Millis(1_000)));
+}
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -39,8 +39,9 @@
 /// Time after which a caller may come back to another host, or to this one once it is ready.
 const ELSEWHERE: Millis = Millis(100);
 
-/// Time after which a caller may come back that a daemon without configuration refused.
-const NOT_READY: Millis = Millis(300);
+/// Time after which a caller may come back that a daemon without configuration refused: a daemon
+/// that has just started has one within about a second, and most callers come back only once.
+const NOT_READY: Millis = Millis(1_000);
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
