Count a crash also where an incomplete backup was tried, and none where the engine leaves

Cause: a request that crashes engines was never counted when its run had a backup that could not be used, as the loss ended in the backup's error; and losses at engines that are taken away counted as crashes. Test: a_request_that_crashes_engines_is_refused, which failed first.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -18,7 +18,7 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
-use magnoliawinch::names::{KindName, OrganisationName};
+use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Reply, Reuse, SendError};
@@ -141,7 +141,7 @@
                 }
                 Err(e) => {
                     self.note_attempt(&fwd, &name, &e.to_string(), Verdict::MayHaveRun);
-                    self.shared.tell(Message::Crashed(fwd.fingerprint()));
+                    self.note_crash(&fwd, &name);
                     return Err(match fwd.remaining().is_zero() {
                         true => Refusal::TimedOut,
                         false => Refusal::Lost(e.to_string()),
@@ -155,6 +155,13 @@
         }
     }
 
+    /// Notes that an engine died under a request, unless it was to be taken away anyhow.
+    fn note_crash(&self, fwd: &Forward, engine: &UpstreamName) {
+        if self.shared.view.load().fleet.is_usable(engine) {
+            self.shared.tell(Message::Crashed(fwd.fingerprint()));
+        }
+    }
+
     fn facts(&self, fwd: &Forward) -> RunFacts {
         RunFacts {
             run: fwd.ask.run.clone(),
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -221,9 +221,12 @@
             }
         }
         if self.run.place().backup.is_some() {
-            return self.go_to_backup().await;
+            match self.go_to_backup().await {
+                Ok(()) => return Ok(()),
+                Err(e) => reason = e,
+            }
         }
-        self.entry.shared.tell(Message::Crashed(self.fwd.fingerprint()));
+        self.entry.note_crash(&self.fwd, &self.engine.name);
         Err(reason)
     }
 
