Streams of services without engines are relayed as they come

A run that is refused when it asks again no longer keeps its place in the queue until its question expires.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -340,6 +340,7 @@
             return Answer::Refused(NO_ENGINE_RETRY);
         }
         if now + wait > wish.patience_until {
+            self.queue.remove(&wish.run);
             return Answer::Refused(retry_after(wait));
         }
         self.queue.push(now, wish);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -126,7 +126,7 @@
     }
 
     /// The server for the next attempt.
-    fn choose(&self, fwd: &Forward, tried: &[UpstreamName]) -> Option<Listed> {
+    pub(crate) fn choose(&self, fwd: &Forward, tried: &[UpstreamName]) -> Option<Listed> {
         let view = self.shared.view.load();
         let now = self.shared.clock.now();
         let own = &self.shared.settings.failure_domain;
--- a/relay/src/entry.rs
+++ b/relay/src/entry.rs
@@ -142,7 +142,7 @@
         let until = arrived + Duration::from(timeout);
         let body = read_body(body, table.limits().body_bytes, until).await?;
         let service = route.destination(ask.run.as_str()).ok_or(Refusal::NoRoute)?.clone();
-        let is_engine = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
+        let is_pooled = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
         let (method, uri, headers) = end_to_end(parts);
         let route = Arc::clone(route);
         let fwd = Forward {
@@ -153,13 +153,14 @@
             ask,
             route,
             service,
+            is_pooled,
             organisation,
             arrived,
             until,
         };
         self.check_quarantine(&view, &fwd)?;
         self.shared.earn_retry(&fwd.service);
-        if fwd.route.delivery == Delivery::Stream && is_engine {
+        if fwd.route.delivery == Delivery::Stream {
             return self.start_stream(fwd).await;
         }
         self.call(&fwd).await.map(Answer::Whole)
--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -59,6 +59,8 @@
     pub(crate) ask: Ask,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// Whether the service's upstreams are a pool of engines.
+    pub(crate) is_pooled: bool,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) arrived: Instant,
     /// When the final answer is due.
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -63,6 +63,8 @@
     pub(crate) prompt_tokens: u32,
     pub(crate) max_tokens: u32,
     pub(crate) priority: u8,
+    /// Whether it has its place in a pool of engines, whose owner hears of it.
+    pub(crate) is_pooled: bool,
 }
 
 #[derive(Debug)]
@@ -229,6 +231,9 @@
         let facts = &self.cell.facts;
         let mut inner = self.runs.lock();
         inner.cells.remove(&facts.run);
+        if !facts.is_pooled {
+            return;
+        }
         let news = inner.news.entry(facts.service.clone()).or_default();
         news.over.push(facts.run.clone());
         if self.completed {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -118,7 +118,7 @@
     pub(crate) async fn stream(&self, fwd: Arc<Forward>) -> Result<Started<W>, Refusal> {
         let mut avoid = Vec::new();
         loop {
-            let placed = self.place(&fwd, &avoid).await?;
+            let placed = self.place_for(&fwd, &avoid).await?;
             let waited = fwd.arrived.elapsed();
             let in_progress = self.shared.enter();
             let (run, orders) = self.shared.runs.enter(self.facts(&fwd), placed.clone());
@@ -155,6 +155,15 @@
         }
     }
 
+    /// A place in the pool of the service, or at a server of a service without engines.
+    async fn place_for(&self, fwd: &Forward, avoid: &[UpstreamName]) -> Result<Placed, Refusal> {
+        if fwd.is_pooled {
+            return self.place(fwd, avoid).await;
+        }
+        let server = self.choose(fwd, avoid).ok_or(Refusal::Overloaded(REFUSED_RETRY))?;
+        Ok(Placed { engine: Target { name: server.name, address: server.address }, backup: None })
+    }
+
     /// Notes that an engine died under a request, unless it was to be taken away anyhow.
     fn note_crash(&self, fwd: &Forward, engine: &UpstreamName) {
         if self.shared.view.load().fleet.is_usable(engine) {
@@ -171,6 +180,7 @@
             prompt_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.tokens),
             max_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: fwd.priority(),
+            is_pooled: fwd.is_pooled,
         }
     }
 
