--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -19,10 +19,11 @@
 };
 use crate::route_table::EngineShape;
 use crate::time::{Millis, Time};
-use engine::Engine;
+use engine::{Engine, Loads};
 use queue::Queue;
 use relocation::{Ordered, Refusals};
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Time for one token of an answer, in milliseconds, as a middle of the users' engines: a step
@@ -230,6 +231,8 @@
     leaving: HashMap<UpstreamName, Time>,
     /// Links of engines over which memory is copied, and until when.
     links: HashMap<UpstreamName, Time>,
+    /// What the engines carry, projected once for all questions of a moment.
+    loads: RefCell<Loads>,
 }
 
 impl Pool {
@@ -244,6 +247,7 @@
             lengths: Estimator::new(),
             leaving: HashMap::new(),
             links: HashMap::new(),
+            loads: RefCell::default(),
         }
     }
 
@@ -283,6 +287,7 @@
             engines.insert(listed.name.clone(), Engine { is_usable, ..engine });
         }
         self.engines = engines;
+        self.changed();
     }
 
     /// Notes what the owner of the pool says of runs of other daemons.
@@ -292,6 +297,7 @@
                 engine.note_foreign(now, engine_use.running, engine_use.tokens);
             }
         }
+        self.changed();
     }
 
     /// What runs at each engine, apart from the runs of `holder`.
@@ -351,6 +357,7 @@
     pub fn withdraw(&mut self, run: &RunId) {
         self.queue.remove(run);
         self.runs.remove(run);
+        self.changed();
     }
 
     /// Places what fits now, and refuses what waited too long.
@@ -361,6 +368,7 @@
             let wait = self.expected_wait(now, &wish);
             events.push(Event::Refused(wish.run, retry_after(wait)));
         }
+        self.changed();
         while let Some((place, wish)) = self.next_that_fits(now) {
             self.start(now, &wish, &place);
             events.push(Event::Placed(wish.run, place));
@@ -373,11 +381,17 @@
             let own = self.runs.values().filter(|run| run.organisation == *organisation);
             own.map(|run| run.tokens(now)).sum()
         });
+        // What does not fit now does not fit with a longer prompt of the same kind either.
+        let mut unfit: HashMap<KindName, u32> = HashMap::new();
         for (run, may_be_passed) in order {
             let wish = self.queue.get(&run)?.clone();
-            if let Some(place) = self.find(now, &wish) {
+            let is_unfit = unfit.get(&wish.kind).is_some_and(|least| wish.prompt_tokens >= *least);
+            if !is_unfit && let Some(place) = self.find(now, &wish) {
                 return Some((place, wish));
             }
+            if !is_unfit && wish.avoid.is_empty() {
+                unfit.insert(wish.kind.clone(), wish.prompt_tokens);
+            }
             if !may_be_passed {
                 return None;
             }
@@ -408,10 +422,12 @@
             confirmed_at: now,
         };
         self.runs.insert(wish.run.clone(), run);
+        self.changed();
     }
 
     /// Takes the report of a daemon.
     pub fn report(&mut self, now: Time, holder: &HostName, report: &Report<'_>) {
+        self.changed();
         for end in report.ended {
             self.lengths.learn(&self.service, &end.kind, &end.organisation, end.written);
         }
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Listed;
 use crate::names::{FailureDomain, UpstreamName};
 use crate::time::{Millis, Time};
+use std::collections::HashMap;
 
 /// Part of an engine's memory that projections may use; the rest is lost in partly used blocks.
 const USABLE_MEMORY: f64 = 0.96;
@@ -102,6 +103,27 @@
     }
 }
 
+/// What one engine carries.
+#[derive(Clone, Debug)]
+struct EngineLoad {
+    running: f64,
+    tokens: f64,
+    projection: Projection,
+}
+
+impl EngineLoad {
+    fn new(running: f64, tokens: f64) -> Self {
+        Self { running, tokens, projection: Projection::new(tokens) }
+    }
+}
+
+/// What all engines carry at one moment.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Loads {
+    at: Option<Time>,
+    by_engine: HashMap<UpstreamName, EngineLoad>,
+}
+
 /// What one engine would carry with one more run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Burden {
@@ -122,20 +144,59 @@
 
     /// What `engine` would carry with `extra` as well.
     pub(super) fn burden(&self, now: Time, name: &UpstreamName, extra: &Footprint) -> Burden {
-        let (foreign_running, foreign_tokens) =
-            self.engines.get(name).map_or((0.0, 0.0), |engine| engine.foreign(now));
-        let mut projection = Projection::new(foreign_tokens);
-        let mut running = 1.0 + foreign_running;
-        let mut tokens = foreign_tokens + extra.tokens(now, STEP_MS);
-        for run in self.runs.values().filter(|run| run.occupies(name)) {
-            projection.add(now, STEP_MS, &run.footprint);
-            tokens += run.tokens(now);
-            let is_copy = run.backup.as_ref() == Some(name);
-            running += if is_copy { 0.0 } else { 1.0 };
-        }
+        let base = self.load_of(now, name);
+        let mut projection = base.projection;
         projection.add(now, STEP_MS, extra);
-        let peak = projection.peak(HEADROOM);
-        Burden { running, peak, own_peak: projection.peak_during(HEADROOM, &extra.curve), tokens }
+        Burden {
+            running: base.running + 1.0,
+            peak: projection.peak(HEADROOM),
+            own_peak: projection.peak_during(HEADROOM, &extra.curve),
+            tokens: base.tokens + extra.tokens(now, STEP_MS),
+        }
+    }
+
+    /// What an engine carries; projected once for all questions of a moment.
+    fn load_of(&self, now: Time, name: &UpstreamName) -> EngineLoad {
+        let mut loads = self.loads.borrow_mut();
+        if loads.at != Some(now) {
+            *loads = self.project(now);
+        }
+        match loads.by_engine.get(name) {
+            Some(load) => load.clone(),
+            None => EngineLoad::new(0.0, 0.0),
+        }
+    }
+
+    /// Projects what every engine carries, in one pass over the runs.
+    fn project(&self, now: Time) -> Loads {
+        let mut by_engine: HashMap<UpstreamName, EngineLoad> = HashMap::new();
+        for (name, engine) in &self.engines {
+            let (running, tokens) = engine.foreign(now);
+            by_engine.insert(name.clone(), EngineLoad::new(running, tokens));
+        }
+        for run in self.runs.values() {
+            let ordered = run.ordered.as_ref().map(|ordered| &ordered.to);
+            let mut seen: Vec<&UpstreamName> = Vec::with_capacity(3);
+            for (name, runs_there) in
+                [(Some(&run.engine), true), (ordered, true), (run.backup.as_ref(), false)]
+            {
+                let Some(name) = name.filter(|name| !seen.contains(name)) else {
+                    continue;
+                };
+                seen.push(name);
+                if let Some(load) = by_engine.get_mut(name) {
+                    load.projection.add(now, STEP_MS, &run.footprint);
+                    load.tokens += run.tokens(now);
+                    load.running += if runs_there { 1.0 } else { 0.0 };
+                }
+            }
+        }
+        Loads { at: Some(now), by_engine }
+    }
+
+    /// Forgets what was projected, as the runs or engines have changed.
+    pub(super) fn changed(&self) {
+        self.loads.borrow_mut().at = None;
     }
 
     fn has_room(&self, name: &UpstreamName, burden: Burden) -> bool {
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -99,6 +99,7 @@
         for run in self.runs.values_mut() {
             run.backup.take_if(|backup| backup == engine);
         }
+        self.changed();
     }
 
     /// Whether a run waits for its move.
@@ -150,7 +151,9 @@
         };
         let run = self.runs.get_mut(id)?;
         run.ordered = Some(Ordered { to: to.clone(), at: now });
-        Some(Order { run: id.clone(), holder: run.holder.clone(), from, to, way })
+        let holder = run.holder.clone();
+        self.changed();
+        Some(Order { run: id.clone(), holder, from, to, way })
     }
 
     /// Whether a copy to or from the engine is in progress.
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -263,7 +263,7 @@
     }
 
     fn next_tick(&self) -> Millis {
-        const BUSY: Millis = Millis(5);
+        const BUSY: Millis = Millis(10);
         const IDLE: Millis = Millis(50);
         if self.pools.is_busy() || self.view_is_old { BUSY } else { IDLE }
     }
