Tell followers of the list only what they missed

Change: a log of changed entries (core, ChangeLog); a report's answer holds what changed since the reporter's offset, the whole only when that is forgotten. Tests: a_follower_is_told_only_what_it_missed, a_log_that_forgets_says_so.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::names::{FailureDomain, ServiceName, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Time after an outage of the list in which lapsed entries are back; from the platform's page.
@@ -236,3 +236,37 @@
         self.all().filter(move |l| l.service.as_str() == service && self.is_usable(&l.name))
     }
 }
+
+/// Changes that are remembered: with few hundred upstreams, some minutes of an ordinary day.
+const REMEMBERED: usize = 512;
+
+/// Which entries changed at which offsets, so that others are told only what they missed.
+#[derive(Clone, Debug, Default)]
+pub struct ChangeLog {
+    changes: VecDeque<(u64, UpstreamName)>,
+    /// What changed up to this offset is forgotten.
+    floor: u64,
+}
+
+impl ChangeLog {
+    /// A log that begins after `offset`.
+    pub fn new(offset: u64) -> Self {
+        Self { changes: VecDeque::new(), floor: offset }
+    }
+
+    /// Notes entries that changed up to the offset `through`.
+    pub fn note(&mut self, through: u64, names: impl IntoIterator<Item = UpstreamName>) {
+        self.changes.extend(names.into_iter().map(|name| (through, name)));
+        while self.changes.len() > REMEMBERED {
+            if let Some((offset, _)) = self.changes.pop_front() {
+                self.floor = self.floor.max(offset);
+            }
+        }
+    }
+
+    /// The entries that changed after `offset`; `None` when that is not known any more.
+    pub fn since(&self, offset: u64) -> Option<BTreeSet<&UpstreamName>> {
+        let newer = self.changes.iter().filter(|(through, _)| *through > offset);
+        (offset >= self.floor).then(|| newer.map(|(_, name)| name).collect())
+    }
+}
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Tests of the list of upstreams as a daemon believes it.
 
-use magnoliawinch::fleet::{Change, Fleet, LAPSE_GRACE, Listed};
+use magnoliawinch::fleet::{Change, ChangeLog, Fleet, LAPSE_GRACE, Listed};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 
@@ -102,3 +102,30 @@
     assert!(!fleet.is_down(Time(5_000), &name));
     assert!(fleet.is_usable(&name), "it is used when there is no other");
 }
+
+/// Pattern: many servers are replaced while many daemons follow one owner over a small link. Each
+/// is told what it missed, not the whole list.
+#[test]
+fn a_follower_is_told_only_what_it_missed() {
+    let name = UpstreamName::new;
+    let mut log = ChangeLog::new(10);
+    log.note(12, [name("e1"), name("e2")]);
+    log.note(15, [name("e2"), name("e3")]);
+    let names = |offset: u64| -> Option<Vec<String>> {
+        Some(log.since(offset)?.into_iter().map(ToString::to_string).collect())
+    };
+    assert_eq!(names(9), None, "older than the log");
+    assert_eq!(names(10).unwrap(), ["e1", "e2", "e3"]);
+    assert_eq!(names(12).unwrap(), ["e2", "e3"]);
+    assert!(names(15).unwrap().is_empty());
+}
+
+#[test]
+fn a_log_that_forgets_says_so() {
+    let mut log = ChangeLog::new(0);
+    for offset in 1..=600 {
+        log.note(offset, [UpstreamName::new("e")]);
+    }
+    assert_eq!(log.since(10), None);
+    assert_eq!(log.since(590).unwrap().len(), 1);
+}
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -11,7 +11,7 @@
 use crate::runs::Placed;
 use crate::shared::Shared;
 use crate::view::View;
-use magnoliawinch::fleet::Fleet;
+use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::Wish;
@@ -99,6 +99,7 @@
     fleet: Fleet,
     /// Offset of the list at its last change that matters here.
     fleet_changed_at: u64,
+    list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
     refused: HashSet<u64>,
@@ -122,6 +123,7 @@
             table: None,
             fleet: Fleet::new(),
             fleet_changed_at: 0,
+            list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
             refused: HashSet::new(),
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -1,10 +1,11 @@
 //! News of the configuration and of the list of upstreams, from the platform or from peers.
 
 use super::{Control, Message};
-use magnoliawinch::fleet::{Change, Listed};
+use magnoliawinch::fleet::{Change, ChangeLog, Listed};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{StateReply, StateRequest};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +34,28 @@
     Read,
 }
 
+/// News of the list between daemons.
+#[derive(Debug, Serialize, Deserialize)]
+struct ListMessage {
+    /// Whether `put` is every entry.
+    is_whole: bool,
+    /// Entries as they are now.
+    put: Vec<Listed>,
+    /// Entries that were removed.
+    removed: Vec<UpstreamName>,
+}
+
+impl ListMessage {
+    fn news(self, through: u64) -> ListNews {
+        if self.is_whole {
+            return ListNews::Whole { through, all: self.put };
+        }
+        let put = self.put.into_iter().map(Change::Put);
+        let removed = self.removed.into_iter().map(Change::Removed);
+        ListNews::Changes { through, changes: put.chain(removed).collect() }
+    }
+}
+
 impl Control {
     /// Takes news of the list.
     pub(super) fn take_list(&mut self, now: Time, news: ListNews) {
@@ -43,16 +66,17 @@
                 (Vec::new(), false)
             }
             ListNews::Changes { through, changes } => {
-                let matters = changes.iter().any(|change| self.matters(change));
+                let changed = self.changed_by(&changes);
                 let left = self.fleet.fold(now, through, changes);
-                self.note_change(through, matters);
-                (left, matters)
+                (left, self.note_changes(through, changed))
             }
             ListNews::Whole { through, all } => {
-                let matters = self.differs(&all);
+                let changed = self.changed_in(&all);
+                if !was_known {
+                    self.list_log = ChangeLog::new(through);
+                }
                 let left = self.fleet.replace(now, through, all);
-                self.note_change(through, matters);
-                (left, matters)
+                (left, self.note_changes(through, changed))
             }
         };
         if has_changes || !was_known {
@@ -65,22 +89,34 @@
         self.upstreams_left(now, &left);
     }
 
-    fn note_change(&mut self, through: u64, matters: bool) {
-        if matters {
-            self.fleet_changed_at = self.fleet_changed_at.max(through);
+    /// Notes the entries that changed; returns whether there are any.
+    fn note_changes(&mut self, through: u64, changed: Vec<UpstreamName>) -> bool {
+        if changed.is_empty() {
+            return false;
         }
+        self.fleet_changed_at = self.fleet_changed_at.max(through);
+        self.list_log.note(through, changed);
+        true
     }
 
-    fn matters(&self, change: &Change) -> bool {
-        match change {
-            Change::Put(listed) => self.fleet.get(&listed.name) != Some(listed),
-            Change::Removed(name) => self.fleet.get(name).is_some(),
-        }
+    /// The entries that `changes` really change.
+    fn changed_by(&self, changes: &[Change]) -> Vec<UpstreamName> {
+        let changed = changes.iter().filter_map(|change| match change {
+            Change::Put(listed) => {
+                (self.fleet.get(&listed.name) != Some(listed)).then(|| listed.name.clone())
+            }
+            Change::Removed(name) => self.fleet.get(name).map(|listed| listed.name.clone()),
+        });
+        changed.collect()
     }
 
-    fn differs(&self, all: &[Listed]) -> bool {
-        all.len() != self.fleet.all().count()
-            || all.iter().any(|listed| self.fleet.get(&listed.name) != Some(listed))
+    /// The entries in which `all` differs from what is known.
+    fn changed_in(&self, all: &[Listed]) -> Vec<UpstreamName> {
+        let missing = |listed: &&Listed| !all.iter().any(|other| other.name == listed.name);
+        let gone = self.fleet.all().filter(missing);
+        let differs = |listed: &&Listed| self.fleet.get(&listed.name) != Some(*listed);
+        let other = all.iter().filter(differs);
+        gone.chain(other).map(|listed| listed.name.clone()).collect()
     }
 
     /// Looks for a newer configuration where a peer has one.
@@ -125,11 +161,29 @@
         }
     }
 
-    /// The list as JSON, or nothing when one that knows it up to `offset` has missed no change.
+    /// What one that knows the list up to `offset` has missed, as JSON; nothing when that is
+    /// nothing.
     pub(super) fn list_json_after(&self, offset: u64) -> String {
-        let is_news = self.fleet.is_known() && offset < self.fleet_changed_at;
-        let all: Vec<&Listed> = self.fleet.all().collect();
-        if is_news { to_json(&all) } else { String::new() }
+        if !self.fleet.is_known() || offset >= self.fleet_changed_at {
+            return String::new();
+        }
+        let message = match self.list_log.since(offset) {
+            Some(names) => {
+                let (put, removed): (Vec<_>, Vec<_>) =
+                    names.into_iter().partition(|name| self.fleet.get(name).is_some());
+                ListMessage {
+                    is_whole: false,
+                    put: put.into_iter().filter_map(|name| self.fleet.get(name)).cloned().collect(),
+                    removed: removed.into_iter().cloned().collect(),
+                }
+            }
+            None => ListMessage {
+                is_whole: true,
+                put: self.fleet.all().cloned().collect(),
+                removed: Vec::new(),
+            },
+        };
+        to_json(&message)
     }
 
     pub(super) fn list_age_ms(&self, now: Time) -> u32 {
@@ -163,8 +217,8 @@
             }
             return;
         }
-        match serde_json::from_str(list) {
-            Ok(all) => self.take_list(read_at, ListNews::Whole { through: offset, all }),
+        match serde_json::from_str::<ListMessage>(list) {
+            Ok(message) => self.take_list(read_at, message.news(offset)),
             Err(e) => log::warn!("a peer's list of upstreams cannot be read: {e}"),
         }
     }
@@ -183,7 +237,7 @@
     }
 }
 
-fn to_json(value: &impl serde::Serialize) -> String {
+fn to_json(value: &impl Serialize) -> String {
     match serde_json::to_string(value) {
         Ok(text) => text,
         Err(e) => {
