Drop no events when a stopped run goes on at its own engine

Cause: found by reading: what the stopped engine still sent was folded and thrown away, so the run went on after events that the caller never got. The run now goes on after the last event delivered, as other moves do. The new test covers that path; it also passed before, as nothing was in flight in the stand-in.

--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// Time for the head of the answer of an engine where a run goes on.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -101,7 +101,6 @@
             CopyError::Refused(CopyRefused::NoRoom { kept: Some(kept) }) => {
                 // The engine that stopped it goes on with it.
                 let engine = self.engine.clone();
-                self.drain_stopped().await;
                 self.resume(engine.clone(), engine.address, kept).await
             }
             e => {
@@ -114,21 +113,6 @@
         }
     }
 
-    /// Takes what the stopped engine still had sent.
-    async fn drain_stopped(&mut self) {
-        let drain = async {
-            while let Some(Ok(piece)) = self.upstream.piece().await {
-                if let Err(e) = self.events.push(&piece) {
-                    log::warn!(request = self.fwd.ask.run.as_str(); "events of a stopped run: {e}");
-                    return;
-                }
-            }
-        };
-        if timeout(RESUME_TIMEOUT, drain).await.is_err() {
-            log::warn!(request = self.fwd.ask.run.as_str(); "a stopped run did not close its stream");
-        }
-    }
-
     /// Goes on at `to` from the copy that its former engine made there.
     async fn go_on_at(&mut self, to: Target, copy: &str) -> Result<(), String> {
         let source = self.engine.address;
