Refused requests are served again once their owner does; gone servers are forgotten

Causes, found by reading: what owners said of crashing requests was kept for ever by the daemons that heard it, while the owner forgets it after ten minutes; the balancer kept servers that had left the list. Ownership was worked out in three places and now stands in one type.

--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -246,7 +246,6 @@
         if !self.shape.can_back_up || left < MIN_LEFT.0 as f64 {
             return None;
         }
-        let home = self.engines.get(engine).map(|engine| &engine.failure_domain);
         let mut best: Option<(f64, &UpstreamName)> = None;
         for (name, other) in &self.engines {
             if !other.is_usable || name == engine {
@@ -257,7 +256,7 @@
                 continue;
             }
             // A copy to another failure domain takes twice as long.
-            let is_far = home.is_some_and(|home| other.failure_domain != *home);
+            let is_far = self.is_far(engine, name);
             let Millis(copy) = self.shape.copy_time(extra.tokens(now, STEP_MS) as u64);
             let score = self.crowding_ms(burden.peak, burden.running)
                 + if is_far { copy as f64 } else { 0.0 };
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -161,7 +161,8 @@
         self.links.get(engine).is_some_and(|free_at| *free_at > now)
     }
 
-    fn is_far(&self, from: &UpstreamName, to: &UpstreamName) -> bool {
+    /// Whether the engines stand in different failure domains.
+    pub(super) fn is_far(&self, from: &UpstreamName, to: &UpstreamName) -> bool {
         let domain = |name| self.engines.get(name).map(|engine| &engine.failure_domain);
         domain(from) != domain(to)
     }
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -100,8 +100,48 @@
         }
     }
 
+    /// The fingerprints that are refused.
+    pub fn refused(&self) -> impl Iterator<Item = Fingerprint> {
+        let is_refused = |case: &Case| case.crashes >= MAX_CRASHES;
+        self.cases.iter().filter(move |(_, case)| is_refused(case)).map(|(print, _)| *print)
+    }
+
     /// Drops cases that are over.
     pub fn tick(&mut self, now: Time) {
         self.cases.retain(|_, case| now.since(case.last_crash) < REFUSED_FOR.max(SUSPECT_FOR));
     }
 }
+
+/// How long a fingerprint stays refused without word from an owner: well over the time in which
+/// another daemon takes an owner's place.
+pub const TOLD_FOR: Millis = Millis(10_000);
+
+/// The fingerprints that owners of their cases tell other daemons to refuse.
+#[derive(Clone, Debug, Default)]
+pub struct RefusedPrints {
+    told_at: HashMap<Fingerprint, Time>,
+}
+
+impl RefusedPrints {
+    /// Refuses nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the word of an owner; returns whether it was news.
+    pub fn told(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.told_at.insert(fingerprint, now).is_none()
+    }
+
+    /// Drops what owners do not tell any more; returns whether something was dropped.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let before = self.told_at.len();
+        self.told_at.retain(|_, at| now.since(*at) < TOLD_FOR);
+        self.told_at.len() < before
+    }
+
+    /// Those that are refused.
+    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
+        self.told_at.keys().copied()
+    }
+}
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -10,12 +10,12 @@
 
 use crate::runs::Placed;
 use crate::shared::Shared;
-use crate::view::View;
+use crate::view::{Owners, View};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::Wish;
-use magnoliawinch::quarantine::{Fingerprint, Quarantine};
+use magnoliawinch::quarantine::{Fingerprint, Quarantine, RefusedPrints};
 use magnoliawinch::route_table::{Configuration, RouteTable};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{
@@ -25,7 +25,6 @@
 use pools::Pools;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -102,12 +101,12 @@
     list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
-    refused: HashSet<u64>,
+    refused: RefusedPrints,
     crashed: Vec<Fingerprint>,
     most_daemons: usize,
     members_version: u64,
     members: Arc<Vec<Member>>,
-    owners: Arc<Vec<Member>>,
+    owners: Owners,
     fleet_view: Arc<Fleet>,
     fleet_is_old: bool,
     view_is_old: bool,
@@ -126,12 +125,12 @@
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
-            refused: HashSet::new(),
+            refused: RefusedPrints::new(),
             crashed: Vec::new(),
             most_daemons: 1,
             members_version: u64::MAX,
             members: Arc::default(),
-            owners: Arc::default(),
+            owners: Owners::default(),
             fleet_view: Arc::default(),
             fleet_is_old: true,
             view_is_old: true,
@@ -170,6 +169,8 @@
         self.update_members();
         if self.fleet_is_old {
             self.fleet_view = Arc::new(self.fleet.clone());
+            let is_listed = |name: &UpstreamName| self.fleet.get(name).is_some();
+            self.shared.routing().balancer.retain(is_listed);
             self.fleet_is_old = false;
         }
         self.viewed_at = now;
@@ -177,11 +178,11 @@
         self.shared.view.store(Arc::new(View {
             own: self.membership.own().clone(),
             members: Arc::clone(&self.members),
-            owners: Arc::clone(&self.owners),
+            owners: self.owners.clone(),
             daemons: self.most_daemons,
             table: self.table.clone(),
             fleet: Arc::clone(&self.fleet_view),
-            refused: Arc::new(self.refused.clone()),
+            refused: Arc::new(self.refused.iter().collect()),
         }));
     }
 
@@ -197,7 +198,7 @@
         let names = self.membership.alive().map(|member| member.host.as_str());
         let ranked = magnoliawinch::rendezvous::ranked(OWNERS_KEY, names, OWNERS);
         let owners = ranked.into_iter().filter_map(|host| self.membership.get(host));
-        self.owners = Arc::new(owners.cloned().collect());
+        self.owners = Owners::new(owners.cloned().collect());
         self.most_daemons = self.most_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
@@ -213,12 +214,14 @@
         self.store_view(now);
     }
 
-    /// Whether this daemon owns the pools, and whether it is the one that decides.
-    fn ownership(&self) -> (bool, bool) {
-        let own = &self.membership.own().host;
-        let is_owner = self.owners.iter().any(|owner| owner.host == *own);
-        let decides = self.owners.first().is_some_and(|owner| owner.host == *own);
-        (is_owner, decides)
+    /// Whether this daemon owns the pools.
+    fn is_owner(&self) -> bool {
+        self.owners.include(&self.membership.own().host)
+    }
+
+    /// Whether this daemon decides for all.
+    fn decides(&self) -> bool {
+        self.owners.are_led_by(&self.membership.own().host)
     }
 }
 
@@ -260,7 +263,7 @@
         let gone = self.fleet.tick(now);
         self.upstreams_left(now, &gone);
         self.tick_pools(now);
-        self.quarantine.tick(now);
+        self.tick_quarantine(now);
         self.publish_view(now);
     }
 
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -240,7 +240,7 @@
             list_age_ms: self.list_age_ms(now),
             list: self.list_json_after(report.list_offset),
             configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
-            refused: self.refused.iter().copied().collect(),
+            refused: self.quarantine.refused().map(|print| print.0).collect(),
         }
     }
 
@@ -250,13 +250,14 @@
             self.pools.owner_heard_at = now;
         }
         let uses: Vec<_> = reply.uses.iter().map(engine_use).collect();
-        let (is_owner, _) = self.ownership();
-        if !is_owner && let Some(pool) = self.pools.by_service.get_mut(service) {
+        if !self.is_owner()
+            && let Some(pool) = self.pools.by_service.get_mut(service)
+        {
             pool.note_use(now, &uses);
         }
         self.take_peer_list(now, &reply.list, reply.list_offset, reply.list_age_ms);
         for fingerprint in &reply.refused {
-            self.view_is_old |= self.refused.insert(*fingerprint);
+            self.view_is_old |= self.refused.told(now, Fingerprint(*fingerprint));
         }
         if reply.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
             && let Some(owner) = self.owners.first()
@@ -268,15 +269,21 @@
     fn note_crash(&mut self, now: Time, fingerprint: Fingerprint) {
         if let Treatment::Refused(_) = self.quarantine.crashed(now, fingerprint) {
             log::warn!(fingerprint = fingerprint.0; "requests that crash upstreams are refused");
-            self.refused.insert(fingerprint.0);
-            self.view_is_old = true;
+            self.view_is_old |= self.refused.told(now, fingerprint);
+        }
+    }
+
+    pub(super) fn tick_quarantine(&mut self, now: Time) {
+        self.quarantine.tick(now);
+        for fingerprint in self.quarantine.refused() {
+            self.view_is_old |= self.refused.told(now, fingerprint);
         }
+        self.view_is_old |= self.refused.tick(now);
     }
 
     /// Says how full the pools are, as the owner that decides.
     fn log_occupancy(&mut self, now: Time) {
-        let (_, decides) = self.ownership();
-        if !decides || now.since(self.pools.logged_at) < LOG_EVERY {
+        if !self.decides() || now.since(self.pools.logged_at) < LOG_EVERY {
             return;
         }
         self.pools.logged_at = now;
@@ -307,10 +314,9 @@
     /// when the owner's orders do not come.
     fn move_runs(&mut self, now: Time) {
         let own = self.membership.own().host.clone();
-        let (_, decides) = self.ownership();
         let Millis(every) = report_every(self.members.len());
         let silence = now.since(self.pools.owner_heard_at);
-        let holder = match decides || self.owners.is_empty() {
+        let holder = match self.decides() || self.owners.first().is_none() {
             true => None,
             false if silence > Millis(2 * every + OWNER_LAG.0) => Some(&own),
             false => return,
--- a/relay/src/entry.rs
+++ b/relay/src/entry.rs
@@ -179,7 +179,7 @@
     }
 
     fn check_quarantine(&self, view: &View, fwd: &Forward) -> Result<(), Refusal> {
-        let is_refused = !view.refused.is_empty() && view.refused.contains(&fwd.fingerprint().0);
+        let is_refused = !view.refused.is_empty() && view.refused.contains(&fwd.fingerprint());
         if is_refused { Err(Refusal::Quarantined(REFUSED_FOR)) } else { Ok(()) }
     }
 
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -115,13 +115,13 @@
     /// Whether this daemon reads the list of upstreams for the others.
     pub fn reads_for_others(&self) -> bool {
         let view = self.shared.view.load();
-        view.owners.iter().any(|owner| owner.host == view.own.host)
+        view.owners.include(&view.own.host)
     }
 
     /// Whether this daemon decides for all, so that its list must be the freshest.
     pub fn decides(&self) -> bool {
         let view = self.shared.view.load();
-        view.owners.first().is_some_and(|owner| owner.host == view.own.host)
+        view.owners.are_led_by(&view.own.host)
     }
 
     /// Whether the list is as fresh as owners keep it who are heard from.
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -80,7 +80,7 @@
     }
 
     async fn ask_owners(&self, fwd: &Forward, avoid: &[UpstreamName]) -> Decided {
-        let owners = std::sync::Arc::clone(&self.shared.view.load().owners);
+        let owners = self.shared.view.load().owners.clone();
         let own = &self.shared.settings.host;
         for owner in owners.iter() {
             if owner.host == *own {
