Bounds of callers' headers and silence follow the configuration in force

Cause: the adapter had its own constants; a configuration's sizes of headers and its idle time had no effect. Headers over the bound are answered 431; each new connection gets the times of the configuration in force (the HTTP library has one for headers and silence: the larger counts).

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -7,4 +7,6 @@
 
 pub use client::{Client, Reply, Reuse, SendError};
 pub use lines::JsonLines;
-pub use server::{Body, BodyAborted, ServerLimits, Shutdown, full_body, json_response, serve};
+pub use server::{
+    Body, BodyAborted, ServerLimits, Shutdown, full_body, json_response, serve, serve_within,
+};
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -72,6 +72,22 @@
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: ServerLimits,
+    shutdown: Shutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    serve_within(listener, limits.max_connections, move || limits, shutdown, handler).await;
+}
+
+/// Like `serve`, with bounds that may change: each connection gets those of its beginning.
+pub async fn serve_within<H, F, B>(
+    listener: TcpListener,
+    max_connections: usize,
+    limits: impl Fn() -> ServerLimits,
     mut shutdown: Shutdown,
     handler: H,
 ) where
@@ -80,7 +96,7 @@
     B: hyper::body::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let places = Arc::new(Semaphore::new(limits.max_connections));
+    let places = Arc::new(Semaphore::new(max_connections));
     let graceful = GracefulShutdown::new();
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
@@ -99,7 +115,7 @@
             let answer = handler(req);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = builder(limits).serve_connection(TokioIo::new(stream), service);
+        let connection = builder(limits()).serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A peer that breaks its own connection is no error of this server.
--- a/relay/src/entry.rs
+++ b/relay/src/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Whole;
 use crate::directory::{Spread, spread};
-use crate::forward::{Forward, end_to_end, read_body};
+use crate::forward::{Forward, end_to_end, header_bytes, read_body};
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::stream::{Cut, Started, Streaming};
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use magnoliawinch::names::FailureDomain;
 use magnoliawinch::quarantine::REFUSED_FOR;
-use magnoliawinch::route_table::{Delivery, Organisation, Route, RouteTable};
+use magnoliawinch::route_table::{CallerLimits, Delivery, Organisation, Route, RouteTable};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -59,6 +59,11 @@
         spread(&view, near, self.shared.settings.bounds.directory_lifetime)
     }
 
+    /// Bounds of callers' connections, once a configuration is in force.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.shared.view.load().table.as_ref().map(|table| *table.limits())
+    }
+
     /// All metrics as text.
     pub fn metrics(&self) -> String {
         self.shared.metrics.text()
@@ -138,6 +143,9 @@
         if view.is_leaving() && route.delivery == Delivery::Stream {
             return Err(Refusal::Leaving);
         }
+        if header_bytes(&parts.headers) > table.limits().header_bytes {
+            return Err(Refusal::HeadersTooLarge);
+        }
         let timeout = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let until = arrived + Duration::from(timeout);
         let body = read_body(body, table.limits().body_bytes, until).await?;
--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -119,6 +119,13 @@
     (parts.method, uri, headers)
 }
 
+/// Size of headers on the wire, in bytes.
+pub(crate) fn header_bytes(headers: &HeaderMap) -> usize {
+    // A colon, a blank and the end of the line.
+    const AROUND: usize = 4;
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + AROUND).sum()
+}
+
 /// Reads a body of at most `max_bytes`.
 pub(crate) async fn read_body(
     body: Incoming,
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -22,6 +22,8 @@
     UnknownKey,
     /// No route fits.
     NoRoute,
+    /// The headers are larger than allowed.
+    HeadersTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// No upstream has room; the caller may come back after this time.
@@ -52,6 +54,7 @@
             Self::BadRequest(_) => StatusCode::BAD_REQUEST,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost(_) => StatusCode::BAD_GATEWAY,
