Place no prompt where it is read too late while another engine may still get room

A run that can still be on time goes only where its prompt is read in time; one that cannot goes where prompts wait 0.8 s at the most. What can be on time is worked out from the time of its prompt, in place of a fixed 500 ms.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -19,7 +19,7 @@
 };
 use crate::route_table::EngineShape;
 use crate::time::{Millis, Time};
-use engine::{Engine, Loads};
+use engine::{Choice, Engine, Loads};
 use queue::Queue;
 use relocation::{Ordered, Refusals};
 use serde::{Deserialize, Serialize};
@@ -34,6 +34,10 @@
 /// users' sheets say, as each step of about 8 ms carries a chunk that takes as long again.
 const PROMPT_TOKENS_PER_MS: f64 = 7.0;
 
+/// Time from the end of a prompt to the first event at its caller, in milliseconds: four tokens and
+/// the way back.
+const FIRST_EVENT_MS: f64 = 100.0;
+
 /// How long a run counts without news from its holder.
 const RUN_LIFETIME: Millis = Millis(3_000);
 
@@ -75,7 +79,7 @@
     pub max_tokens: u32,
     /// 0 goes first.
     pub priority: u8,
-    /// When it must have its place to be on time.
+    /// When its first event must be there to be on time.
     pub on_time_until: Time,
     /// When it stops waiting.
     pub patience_until: Time,
@@ -83,6 +87,24 @@
     pub avoid: Vec<UpstreamName>,
 }
 
+impl Wish {
+    /// Time for reading its prompt, in milliseconds.
+    fn reading_ms(&self) -> f64 {
+        f64::from(self.prompt_tokens) / PROMPT_TOKENS_PER_MS
+    }
+
+    /// Whether it is on time at an engine that reads other prompts for `wait_ms` before its own.
+    fn is_on_time_after(&self, now: Time, wait_ms: f64) -> bool {
+        let first_event = now.0 as f64 + wait_ms + self.reading_ms() + FIRST_EVENT_MS;
+        first_event <= self.on_time_until.0 as f64
+    }
+
+    /// Whether it can still be on time.
+    fn can_be_on_time(&self, now: Time) -> bool {
+        self.is_on_time_after(now, 0.0)
+    }
+}
+
 /// Where a run goes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
@@ -337,7 +359,7 @@
             });
         }
         let must_queue = self.queue.has_before(now, &wish);
-        if !must_queue && let Some(place) = self.find(now, &wish) {
+        if !must_queue && let Choice::Fits(place) = self.find(now, &wish) {
             self.start(now, &wish, &place);
             return Answer::Placed(place);
         }
@@ -386,14 +408,18 @@
         for (run, may_be_passed) in order {
             let wish = self.queue.get(&run)?.clone();
             let is_unfit = unfit.get(&wish.kind).is_some_and(|least| wish.prompt_tokens >= *least);
-            if !is_unfit && let Some(place) = self.find(now, &wish) {
-                return Some((place, wish));
-            }
-            if !is_unfit && wish.avoid.is_empty() {
-                unfit.insert(wish.kind.clone(), wish.prompt_tokens);
-            }
-            if !may_be_passed {
-                return None;
+            let choice = if is_unfit { Choice::NoRoom } else { self.find(now, &wish) };
+            match choice {
+                Choice::Fits(place) => return Some((place, wish)),
+                Choice::TooLate => {}
+                Choice::NoRoom => {
+                    if !is_unfit && wish.avoid.is_empty() {
+                        unfit.insert(wish.kind.clone(), wish.prompt_tokens);
+                    }
+                    if !may_be_passed {
+                        return None;
+                    }
+                }
             }
         }
         None
@@ -403,7 +429,7 @@
         self.queue.remove(&wish.run);
         let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
         if let Some(engine) = self.engines.get_mut(&place.engine) {
-            engine.reads_prompt(now, f64::from(wish.prompt_tokens) / PROMPT_TOKENS_PER_MS);
+            engine.reads_prompt(now, wish.reading_ms());
         }
         let run = Run {
             holder: wish.holder.clone(),
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -38,6 +38,20 @@
 /// it takes, the more often its engine leaves under it.
 const PACE_WEIGHT: f64 = 0.08;
 
+/// Time that prompts may wait at an engine for one that is late anyhow, in milliseconds: enough that
+/// no engine runs out of prompts between two looks.
+const LATE_PROMPT_WAIT_MS: f64 = 800.0;
+
+/// The choice of an engine for a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Choice {
+    Fits(Place),
+    /// No engine has the memory.
+    NoRoom,
+    /// Those that have it read other prompts for too long.
+    TooLate,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Foreign {
     at: Time,
@@ -206,12 +220,23 @@
         burden.running <= f64::from(slots) && (fits || is_alone)
     }
 
-    /// The place for a run, if there is room.
-    pub(super) fn find(&mut self, now: Time, wish: &Wish) -> Option<Place> {
+    /// Whether the engine reads its prompt soon enough: one that is late after others' prompts may
+    /// be on time at an engine that gets room while it waits.
+    fn reads_in_time(now: Time, engine: &Engine, wish: &Wish) -> bool {
+        let wait = engine.prompt_wait(now);
+        match wish.can_be_on_time(now) {
+            true => wish.is_on_time_after(now, wait),
+            false => wait <= LATE_PROMPT_WAIT_MS,
+        }
+    }
+
+    /// The place for a run.
+    pub(super) fn find(&mut self, now: Time, wish: &Wish) -> Choice {
         let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
         let prompt = f64::from(wish.prompt_tokens);
         let extra = Footprint { prompt, written: 0.0, told_at: now, curve };
         let mut best: Option<(f64, &UpstreamName)> = None;
+        let mut is_full = true;
         for (name, engine) in &self.engines {
             if !engine.is_usable || wish.avoid.contains(name) {
                 continue;
@@ -220,6 +245,10 @@
             if !self.has_room(name, burden) {
                 continue;
             }
+            is_full = false;
+            if !Self::reads_in_time(now, engine, wish) {
+                continue;
+            }
             let is_far = engine.failure_domain != wish.near;
             let slower_ms = extra.curve.mean() * (engine.pace_ms(now) - STEP_MS);
             let score = engine.prompt_wait(now)
@@ -230,9 +259,12 @@
                 best = Some((score, name));
             }
         }
-        let engine = best?.1.clone();
+        let Some((_, engine)) = best else {
+            return if is_full { Choice::NoRoom } else { Choice::TooLate };
+        };
+        let engine = engine.clone();
         let backup = self.backup_for(now, &engine, &extra);
-        Some(Place { engine, backup })
+        Choice::Fits(Place { engine, backup })
     }
 
     /// The engine that keeps a copy of a run, while memory is idle.
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -19,13 +19,13 @@
 impl Waiting {
     /// Whether it is due before the newcomer `wish`: it can still be on time, and ranks no lower.
     fn goes_before(&self, now: Time, wish: &Wish) -> bool {
-        let is_due = !self.is_overdue(now) || wish.on_time_until <= now;
+        let is_due = !self.is_overdue(now) || !wish.can_be_on_time(now);
         is_due && self.wish.priority <= wish.priority && self.wish.run != wish.run
     }
 
     /// Whether it cannot be on time any more.
     fn is_overdue(&self, now: Time) -> bool {
-        self.wish.on_time_until <= now
+        !self.wish.can_be_on_time(now)
     }
 
     /// Whether others of its rank may still start before it: for the first half of its patience.
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -30,9 +30,6 @@
 /// event, of which the last is for the prompt, and those that come back want as much again.
 const PATIENCE_OBJECTIVES: f64 = 2.5;
 
-/// Time from its place to its first event: a prompt of the users' sheets is read in about this.
-const FIRST_EVENT: Duration = Duration::from_millis(500);
-
 /// Pause before a question is repeated that found its pool or engine unknown.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(50);
 
@@ -50,10 +47,9 @@
         left(fwd.arrived + whole.min(objective.mul_f64(PATIENCE_OBJECTIVES)))
     }
 
-    /// The time in which a request must have its place to be on time.
+    /// The time in which a request's first event is on time.
     fn on_time(fwd: &Forward) -> Millis {
-        let objective = Duration::from(fwd.route.objective);
-        left(fwd.arrived + objective.saturating_sub(FIRST_EVENT))
+        left(fwd.arrived + Duration::from(fwd.route.objective))
     }
 
     /// A place for a run; asks until the owner has decided.
