Send nothing to an engine at which a prompt waits for memory

Cause: an engine can hold more than its owner knows (copies that nobody uses any more): a prompt of 5,434 tokens waited 5.1 s at an engine that held 9,500 of its 22,000 tokens as far as known, and three more waited behind it. Ruled out: a slow engine (runs there wrote at the usual pace). The holders' reports show it: no event 0.4 s after the prompt should be read.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -47,6 +47,10 @@
 /// How long the word of an owner about runs of other daemons counts.
 const FOREIGN_LIFETIME: Millis = Millis(3_000);
 
+/// Time beyond its prompt's after which a run without an event waits for memory that its engine does
+/// not have: well over the 100 ms of a first event, and short of what makes the next one late.
+const STUCK_AFTER: Millis = Millis(400);
+
 /// Expected time that a run must still take to be worth a copy or a move.
 const MIN_LEFT: Millis = Millis(600);
 
@@ -220,6 +224,8 @@
     refusals: Refusals,
     footprint: Footprint,
     placed_at: Time,
+    /// When its prompt should be read.
+    read_by: Time,
     confirmed_at: Time,
 }
 
@@ -232,6 +238,12 @@
         self.footprint.expected_residual(now, STEP_MS) * STEP_MS
     }
 
+    /// Whether it waits at its engine for longer than prompts take.
+    fn is_stuck(&self) -> bool {
+        let has_begun = self.footprint.written > 0.0;
+        !has_begun && self.ordered.is_none() && self.confirmed_at.since(self.read_by) > STUCK_AFTER
+    }
+
     /// Whether its memory, or a copy of it, lies at `engine`.
     fn occupies(&self, engine: &UpstreamName) -> bool {
         self.engine == *engine
@@ -428,9 +440,8 @@
     fn start(&mut self, now: Time, wish: &Wish, place: &Place) {
         self.queue.remove(&wish.run);
         let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
-        if let Some(engine) = self.engines.get_mut(&place.engine) {
-            engine.reads_prompt(now, wish.reading_ms());
-        }
+        let engine = self.engines.get_mut(&place.engine);
+        let read_by = engine.map_or(now, |engine| engine.reads_prompt(now, wish.reading_ms()));
         let run = Run {
             holder: wish.holder.clone(),
             organisation: wish.organisation.clone(),
@@ -445,6 +456,7 @@
                 curve,
             },
             placed_at: now,
+            read_by,
             confirmed_at: now,
         };
         self.runs.insert(wish.run.clone(), run);
@@ -490,6 +502,7 @@
                         refusals: Refusals::default(),
                         footprint,
                         placed_at: now,
+                        read_by: now,
                         confirmed_at: now,
                     };
                     self.runs.insert(state.run.clone(), run);
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -108,8 +108,10 @@
         fresh.map_or((0.0, 0.0), |f| (f64::from(f.running), f.tokens as f64))
     }
 
-    pub(super) fn reads_prompt(&mut self, now: Time, ms: f64) {
+    /// Notes a prompt that takes `ms`; returns when it should be read.
+    pub(super) fn reads_prompt(&mut self, now: Time, ms: f64) -> Time {
         self.prompts_until = self.prompts_until.max(now.0 as f64) + ms;
+        Time(self.prompts_until as u64)
     }
 
     fn prompt_wait(&self, now: Time) -> f64 {
@@ -123,11 +125,13 @@
     running: f64,
     tokens: f64,
     projection: Projection,
+    /// Whether a run waits there for memory: the engine holds more than is known.
+    is_stuck: bool,
 }
 
 impl EngineLoad {
     fn new(running: f64, tokens: f64) -> Self {
-        Self { running, tokens, projection: Projection::new(tokens) }
+        Self { running, tokens, projection: Projection::new(tokens), is_stuck: false }
     }
 }
 
@@ -149,6 +153,8 @@
     pub(super) own_peak: f64,
     /// Its memory now, in tokens.
     pub(super) tokens: f64,
+    /// Whether a run waits there for memory.
+    pub(super) is_stuck: bool,
 }
 
 impl Pool {
@@ -166,6 +172,7 @@
             peak: projection.peak(HEADROOM),
             own_peak: projection.peak_during(HEADROOM, &extra.curve),
             tokens: base.tokens + extra.tokens(now, STEP_MS),
+            is_stuck: base.is_stuck,
         }
     }
 
@@ -202,6 +209,7 @@
                     load.projection.add(now, STEP_MS, &run.footprint);
                     load.tokens += run.tokens(now);
                     load.running += if runs_there { 1.0 } else { 0.0 };
+                    load.is_stuck |= *name == run.engine && run.is_stuck();
                 }
             }
         }
@@ -246,7 +254,7 @@
                 continue;
             }
             is_full = false;
-            if !Self::reads_in_time(now, engine, wish) {
+            if burden.is_stuck || !Self::reads_in_time(now, engine, wish) {
                 continue;
             }
             let is_far = engine.failure_domain != wish.near;
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -313,6 +313,26 @@
     assert!(all_at_e2, "{events:?}");
 }
 
+/// Pattern: an engine holds copies that its owner does not know of, so a prompt waits there until
+/// memory is free; whatever is sent there waits behind it.
+#[test]
+fn nothing_goes_to_an_engine_at_which_a_prompt_waits_for_memory() {
+    let mut pool = pool(&[("e1", "a"), ("e2", "b")]);
+    let stuck = placed(pool.place(Time(0), wish("stuck", 3_000)));
+    assert_eq!(stuck.engine.as_str(), "e1");
+    let report = |pool: &mut Pool, now: Time, written: u32| {
+        let runs = [state("stuck", &stuck, 3_000, written)];
+        let report = Report { runs: &runs, ..Report::default() };
+        pool.report(now, &HostName::new("edge-1"), &report);
+    };
+    report(&mut pool, Time(800), 0);
+    assert_eq!(placed(pool.place(Time(800), wish("r1", 100))).engine.as_str(), "e1");
+    report(&mut pool, Time(1_000), 0);
+    assert_eq!(placed(pool.place(Time(1_000), wish("r2", 100))).engine.as_str(), "e2");
+    report(&mut pool, Time(1_300), 4);
+    assert_eq!(placed(pool.place(Time(1_300), wish("r3", 100))).engine.as_str(), "e1");
+}
+
 /// Pattern: no engine can read the prompt in time any more. It is served all the same, without
 /// making others late.
 #[test]
