Move runs only into memory that is free for what engines write next

Cause: moves filled engines up to 0.98 of their memory as it was at the moment; the runs there then overflowed it, and prompts waited or runs were preempted. Test: core/tests/pool.rs, a_run_is_not_moved_into_memory_that_others_need_next.

--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -11,9 +11,10 @@
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
-/// Part of an engine's memory that a moved run may fill it up to as things are now: a run that is
-/// preempted later still ends, one that stays is lost.
-const MOVES_UP_TO: f64 = 0.98;
+/// Part of an engine's memory that a moved run may fill it up to as things are now. The rest is for
+/// what the runs there write next: an engine that overflows makes more callers wait than a move
+/// saves.
+const MOVES_UP_TO: f64 = 0.9;
 
 /// Time for the calls around a copy, in milliseconds.
 const CALLS_MS: u64 = 30;
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -365,3 +365,27 @@
     let answer = pool.place(Time(0), wish("r", 3_000));
     assert_eq!(answer, Answer::Refused(Millis(1_000)));
 }
+
+/// Pattern: a pool near its limit loses an engine. Runs that are moved into the last of the memory
+/// make the engine overflow as soon as its own runs write on.
+#[test]
+fn a_run_is_not_moved_into_memory_that_others_need_next() {
+    let mut pool = leaving_pool(&["mover"]);
+    let e2 = Place { engine: UpstreamName::new("e2"), backup: None };
+    let e3 = Place { engine: UpstreamName::new("e3"), backup: None };
+    let fills = |written: u32| {
+        [("a", &e2), ("b", &e3)].map(|(run, place)| state(run, place, 28_000, written))
+    };
+    let report = |pool: &mut Pool, now: Time, runs: &[RunState]| {
+        let e1 = Place { engine: UpstreamName::new("e1"), backup: None };
+        let mut all = vec![state("mover", &e1, 3_000, 200)];
+        all.extend_from_slice(runs);
+        let report = Report { runs: &all, ..Report::default() };
+        pool.report(now, &HostName::new("edge-1"), &report);
+    };
+    report(&mut pool, Time(20), &fills(1_000));
+    assert_eq!(pool.plan_moves(Time(20), None), []);
+    report(&mut pool, Time(40), &[state("b", &e3, 26_000, 1_000)]);
+    let orders = pool.plan_moves(Time(40), None);
+    assert!(matches!(&orders[..], [order] if order.to.as_str() != "e1"), "{orders:?}");
+}
