--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! only while no other suspect runs at the same upstream, so that a second crash names one of
 //! them. A fingerprint that meets its second crash is refused for a while.
 
+use crate::names::UpstreamName;
 use crate::rendezvous;
 use crate::time::{Millis, Time};
 use std::collections::HashMap;
@@ -17,6 +18,9 @@
 /// How long a suspect stays one when it does not run again.
 const SUSPECT_FOR: Millis = Millis(600_000);
 
+/// Time in which the reports of one crash arrive: a daemon that was suspended may be late.
+const ONE_CRASH: Millis = Millis(5_000);
+
 /// Identifies equal requests of one organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
@@ -39,10 +43,12 @@
     Refused(Millis),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Case {
     crashes: u32,
     last_crash: Time,
+    /// The upstream that died last, if it is known.
+    upstream: Option<UpstreamName>,
 }
 
 /// The crashes that this daemon knows of, as owner of their fingerprints.
@@ -69,13 +75,39 @@
 
     /// Notes that a request with this fingerprint was in progress at an upstream that died.
     pub fn crashed(&mut self, now: Time, fingerprint: Fingerprint) -> Treatment {
-        let case = self.cases.entry(fingerprint).or_insert(Case { crashes: 0, last_crash: now });
-        case.crashes += 1;
-        case.last_crash = now;
+        self.note(now, fingerprint, None)
+    }
+
+    /// The same, when it is known which upstream died: several equal requests there died of one
+    /// crash.
+    pub fn crashed_at(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        upstream: &UpstreamName,
+    ) -> Treatment {
+        let is_known = self.cases.get(&fingerprint).is_some_and(|case| {
+            case.upstream.as_ref() == Some(upstream) && now.since(case.last_crash) < ONE_CRASH
+        });
+        match is_known {
+            true => self.treatment(now, fingerprint),
+            false => self.note(now, fingerprint, Some(upstream.clone())),
+        }
+    }
+
+    fn note(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        upstream: Option<UpstreamName>,
+    ) -> Treatment {
+        let none = Case { crashes: 0, last_crash: now, upstream: None };
+        let case = self.cases.entry(fingerprint).or_insert(none);
+        *case = Case { crashes: case.crashes + 1, last_crash: now, upstream };
         self.treatment(now, fingerprint)
     }
 
-    /// Notes that a suspect ran to its end.
+    /// Notes that a request with this fingerprint ran to its end: it was not what crashed.
     pub fn completed(&mut self, fingerprint: Fingerprint) {
         self.cases.remove(&fingerprint);
     }
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! Tests of which requests are refused for the crashes that they caused.
 
+use magnoliawinch::names::UpstreamName;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine, REFUSED_FOR, RefusedPrints, TOLD_FOR};
 use magnoliawinch::time::{Millis, Time};
 
@@ -21,6 +22,29 @@
     assert_eq!(quarantine.refused().collect::<Vec<_>>(), [PRINT]);
 }
 
+/// Pattern: a popular prompt. Its runs at one engine die together when that engine crashes.
+#[test]
+fn equal_requests_that_die_with_one_upstream_count_as_one_crash() {
+    let mut quarantine = Quarantine::new();
+    let (first, second) = (UpstreamName::new("e1"), UpstreamName::new("e2"));
+    for ms in [0, 1, 300] {
+        quarantine.crashed_at(Time(ms), PRINT, &first);
+    }
+    assert_eq!(quarantine.refused().count(), 0);
+    quarantine.crashed_at(Time(400), PRINT, &second);
+    assert_eq!(quarantine.refused().count(), 1);
+}
+
+/// Pattern: a popular prompt, and engines that crash for another reason.
+#[test]
+fn a_request_that_ran_to_its_end_is_no_suspect() {
+    let mut quarantine = Quarantine::new();
+    quarantine.crashed_at(Time(0), PRINT, &UpstreamName::new("e1"));
+    quarantine.completed(PRINT);
+    quarantine.crashed_at(Time(9_000), PRINT, &UpstreamName::new("e2"));
+    assert_eq!(quarantine.refused().count(), 0);
+}
+
 #[test]
 fn a_daemon_serves_a_request_again_once_its_owner_does() {
     let mut quarantine = Quarantine::new();
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -42,6 +42,13 @@
     Unknown,
 }
 
+/// A request was in progress at an upstream that died.
+#[derive(Clone, Debug)]
+pub(crate) struct Crash {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) upstream: UpstreamName,
+}
+
 /// What the control thread is asked and told.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -64,7 +71,7 @@
     /// The owners are to hear of the runs without delay.
     ReportSoon,
     /// A request was in progress at an upstream that died.
-    Crashed(Fingerprint),
+    Crashed(Crash),
     /// Another daemon probes this one.
     Probe { req: ProbeRequest, reply: oneshot::Sender<ProbeReply> },
     /// A probe was answered.
@@ -102,7 +109,7 @@
     pools: Pools,
     quarantine: Quarantine,
     refused: RefusedPrints,
-    crashed: Vec<Fingerprint>,
+    crashed: Vec<Crash>,
     most_daemons: usize,
     members_version: u64,
     members: Arc<Vec<Member>>,
@@ -245,7 +252,7 @@
             }
             Message::Relocate(req) => self.relocate(&req),
             Message::ReportSoon => self.pools.report_soon(),
-            Message::Crashed(fingerprint) => self.crashed.push(fingerprint),
+            Message::Crashed(crash) => self.crashed.push(crash),
             Message::Probe { req, reply } => self.probe(now, &req, reply),
             Message::Probed(answer) => self.probed(now, &answer),
             Message::Seeds(seeds) => self.probe_seeds(&seeds),
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -1,7 +1,9 @@
 //! Conversions between peer messages and the types of the pools.
 
+use super::Crash;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, UpstreamName};
 use magnoliawinch::pool::{EndedRun, EngineUse, RunState};
+use magnoliawinch::quarantine::Fingerprint;
 
 pub(super) fn run_message(state: &RunState) -> magnoliawinch_peer::RunState {
     magnoliawinch_peer::RunState {
@@ -67,3 +69,15 @@
         tokens: message.tokens,
     }
 }
+
+pub(super) fn crash_message(crash: &Crash) -> magnoliawinch_peer::Crash {
+    magnoliawinch_peer::Crash {
+        fingerprint: crash.fingerprint.0,
+        upstream: crash.upstream.to_string(),
+    }
+}
+
+pub(super) fn crash_of(message: &magnoliawinch_peer::Crash) -> Crash {
+    let upstream = UpstreamName::new(&message.upstream);
+    Crash { fingerprint: Fingerprint(message.fingerprint), upstream }
+}
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -1,7 +1,10 @@
 //! The pools: places, reports and moves.
 
-use super::convert::{ended_message, ended_run, engine_use, run_message, run_state, use_message};
-use super::{Control, Decided, Message};
+use super::convert::{
+    crash_message, crash_of, ended_message, ended_run, engine_use, run_message, run_state,
+    use_message,
+};
+use super::{Control, Crash, Decided, Message};
 use crate::runs::{MoveOrder, OwnRuns, Placed, Target};
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
@@ -167,12 +170,13 @@
         self.pools.report_soon = false;
         let own = self.membership.own().host.clone();
         let crashed: Vec<_> = self.crashed.drain(..).collect();
-        for fingerprint in &crashed {
-            self.note_crash(now, *fingerprint);
+        for crash in &crashed {
+            self.note_crash(now, crash);
         }
         let services: Vec<_> = self.pools.by_service.keys().cloned().collect();
         for service in services {
             let held = self.shared.runs.take(&service);
+            self.note_completed(&held);
             if let Some(pool) = self.pools.by_service.get_mut(&service) {
                 pool.report(now, &own, &held.report());
             }
@@ -185,7 +189,8 @@
                 leaving: Vec::new(),
                 list_offset: self.fleet.through(),
                 configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
-                crashed: crashed.iter().map(|fingerprint| fingerprint.0).collect(),
+                crashed: crashed.iter().map(crash_message).collect(),
+                completed: held.completed.iter().map(|print| print.0).collect(),
             };
             self.send_report(&service, &report);
         }
@@ -214,14 +219,17 @@
     pub(super) fn take_report(&mut self, now: Time, report: &RunsReport) -> RunsReply {
         let holder = HostName::new(&report.host);
         self.membership.heard_from(now, &report.host);
-        for fingerprint in &report.crashed {
-            self.note_crash(now, Fingerprint(*fingerprint));
+        for crash in report.crashed.iter().map(crash_of) {
+            self.note_crash(now, &crash);
         }
+        let completed = report.completed.iter().copied().map(Fingerprint).collect();
         let held = OwnRuns {
             runs: report.runs.iter().map(run_state).collect(),
             ended: report.ended.iter().map(ended_run).collect(),
+            completed,
             over: report.over.iter().map(|run| RunId::new(run)).collect(),
         };
+        self.note_completed(&held);
         let mut uses = Vec::new();
         if let Some(pool) = self.pools.by_service.get_mut(report.service.as_str()) {
             pool.report(now, &holder, &held.report());
@@ -266,10 +274,18 @@
         }
     }
 
-    fn note_crash(&mut self, now: Time, fingerprint: Fingerprint) {
-        if let Treatment::Refused(_) = self.quarantine.crashed(now, fingerprint) {
+    fn note_completed(&mut self, held: &OwnRuns) {
+        for fingerprint in &held.completed {
+            self.quarantine.completed(*fingerprint);
+        }
+    }
+
+    fn note_crash(&mut self, now: Time, crash: &Crash) {
+        let Crash { fingerprint, upstream } = crash;
+        let treatment = self.quarantine.crashed_at(now, *fingerprint, upstream);
+        if let Treatment::Refused(_) = treatment {
             log::warn!(fingerprint = fingerprint.0; "requests that crash upstreams are refused");
-            self.view_is_old |= self.refused.told(now, fingerprint);
+            self.view_is_old |= self.refused.told(now, *fingerprint);
         }
     }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -2,6 +2,7 @@
 
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Place, Report, RunState};
+use magnoliawinch::quarantine::Fingerprint;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -65,6 +66,7 @@
     pub(crate) priority: u8,
     /// Whether it has its place in a pool of engines, whose owner hears of it.
     pub(crate) is_pooled: bool,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 #[derive(Debug)]
@@ -114,6 +116,7 @@
 #[derive(Debug, Default)]
 struct News {
     ended: Vec<EndedRun>,
+    completed: Vec<Fingerprint>,
     over: Vec<RunId>,
 }
 
@@ -122,6 +125,8 @@
 pub(crate) struct OwnRuns {
     pub(crate) runs: Vec<RunState>,
     pub(crate) ended: Vec<EndedRun>,
+    /// Fingerprints of those that ended by themselves.
+    pub(crate) completed: Vec<Fingerprint>,
     pub(crate) over: Vec<RunId>,
 }
 
@@ -171,7 +176,7 @@
     pub(crate) fn take(&self, service: &ServiceName) -> OwnRuns {
         let runs = self.states(service);
         let news = self.lock().news.remove(service).unwrap_or_default();
-        OwnRuns { runs, ended: news.ended, over: news.over }
+        OwnRuns { runs, ended: news.ended, completed: news.completed, over: news.over }
     }
 
     /// Hands an order to a run; returns whether it is held here and can take it.
@@ -237,6 +242,7 @@
         let news = inner.news.entry(facts.service.clone()).or_default();
         news.over.push(facts.run.clone());
         if self.completed {
+            news.completed.push(facts.fingerprint);
             news.ended.push(EndedRun {
                 kind: facts.kind.clone(),
                 organisation: facts.organisation.clone(),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,7 +6,7 @@
 mod moving;
 
 use crate::call::{Attempt, Whole, problem};
-use crate::control::Message;
+use crate::control::{Crash, Message};
 use crate::entry::Entry;
 use crate::events::Events;
 use crate::forward::{Forward, strip_hop_headers};
@@ -167,7 +167,8 @@
     /// Notes that an engine died under a request, unless it was to be taken away anyhow.
     fn note_crash(&self, fwd: &Forward, engine: &UpstreamName) {
         if self.shared.view.load().fleet.is_usable(engine) {
-            self.shared.tell(Message::Crashed(fwd.fingerprint()));
+            let crash = Crash { fingerprint: fwd.fingerprint(), upstream: engine.clone() };
+            self.shared.tell(Message::Crashed(crash));
         }
     }
 
@@ -181,6 +182,7 @@
             max_tokens: fwd.ask.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: fwd.priority(),
             is_pooled: fwd.is_pooled,
+            fingerprint: fwd.fingerprint(),
         }
     }
 
