--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -423,7 +423,7 @@
             let choice = if is_unfit { Choice::NoRoom } else { self.find(now, &wish) };
             match choice {
                 Choice::Fits(place) => return Some((place, wish)),
-                Choice::TooLate => {}
+                Choice::NotNow => {}
                 Choice::NoRoom => {
                     if !is_unfit && wish.avoid.is_empty() {
                         unfit.insert(wish.kind.clone(), wish.prompt_tokens);
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -48,8 +48,8 @@
     Fits(Place),
     /// No engine has the memory.
     NoRoom,
-    /// Those that have it read other prompts for too long.
-    TooLate,
+    /// Those that have it would read the prompt too late.
+    NotNow,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -244,7 +244,7 @@
         let prompt = f64::from(wish.prompt_tokens);
         let extra = Footprint { prompt, written: 0.0, told_at: now, curve };
         let mut best: Option<(f64, &UpstreamName)> = None;
-        let mut is_full = true;
+        let mut has_room = false;
         for (name, engine) in &self.engines {
             if !engine.is_usable || wish.avoid.contains(name) {
                 continue;
@@ -253,7 +253,7 @@
             if !self.has_room(name, burden) {
                 continue;
             }
-            is_full = false;
+            has_room = true;
             if burden.is_stuck || !Self::reads_in_time(now, engine, wish) {
                 continue;
             }
@@ -268,7 +268,7 @@
             }
         }
         let Some((_, engine)) = best else {
-            return if is_full { Choice::NoRoom } else { Choice::TooLate };
+            return if has_room { Choice::NotNow } else { Choice::NoRoom };
         };
         let engine = engine.clone();
         let backup = self.backup_for(now, &engine, &extra);
