One piece of code for what both daemons do with peers and their control thread

Found by reading the whole change again: the relay had written again what the product's own daemon has: what a probe is answered and who is told at once (now in core's Membership), taking over what peers say of members and serving them (now in the peer package), a question to the control thread (now in the runtime package). The view's owners were named like core's Owners, which are others: PoolOwners. Two constants stand beside their only use.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -94,6 +94,9 @@
 /// Successors that each daemon probes.
 const SUCCESSORS: usize = 2;
 
+/// Members told at once that this daemon takes work or leaves.
+const TOLD_AT_ONCE: usize = 16;
+
 /// Members that changed last, sent to one whose view differs.
 const RECENT_PER_MESSAGE: usize = 12;
 
@@ -360,6 +363,27 @@
         recent.iter().chain(random).map(|record| record.member.clone()).collect()
     }
 
+    /// What a daemon that probes is told: all if it has just joined, what it may miss if its view
+    /// differs, else what changed last.
+    pub fn answer<R: Rng>(&mut self, is_new: bool, differs: bool, rng: &mut R) -> Vec<Member> {
+        match (is_new, differs) {
+            (true, _) => self.all(),
+            (false, true) => {
+                let mut changes = self.changes();
+                changes.extend(self.some(rng));
+                changes
+            }
+            (false, false) => self.changes(),
+        }
+    }
+
+    /// The members that are told at once that this daemon takes work or leaves; the rest learn it
+    /// from them.
+    pub fn told_at_once(&self) -> Vec<Member> {
+        let reachable = self.others().filter(|member| member.state <= MemberState::Alive);
+        reachable.take(TOLD_AT_ONCE).cloned().collect()
+    }
+
     /// Whether `host` is known at all.
     pub fn knows(&self, host: &str) -> bool {
         self.get(host).is_some()
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -29,14 +29,6 @@
 /// takes 7 ms and more.
 const STEP_MS: f64 = 9.0;
 
-/// Tokens of a prompt that an engine reads in a millisecond while it also writes: half of what the
-/// users' sheets say, as each step of about 8 ms carries a chunk that takes as long again.
-const PROMPT_TOKENS_PER_MS: f64 = 7.0;
-
-/// Time from the end of a prompt to the first event at its caller, in milliseconds: four tokens and
-/// the way back.
-const FIRST_EVENT_MS: f64 = 100.0;
-
 /// How long a run counts without news from its holder.
 const RUN_LIFETIME: Millis = Millis(3_000);
 
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -1,10 +1,17 @@
 //! What a pool is asked and told, and what it answers.
 
-use super::{FIRST_EVENT_MS, PROMPT_TOKENS_PER_MS};
 use crate::names::{FailureDomain, HostName, KindName, OrganisationName, RunId, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
+/// Tokens of a prompt that an engine reads in a millisecond while it also writes: half of what the
+/// users' sheets say, as each step of about 8 ms carries a chunk that takes as long again.
+const PROMPT_TOKENS_PER_MS: f64 = 7.0;
+
+/// Time from the end of a prompt to the first event at its caller, in milliseconds: four tokens and
+/// the way back.
+const FIRST_EVENT_MS: f64 = 100.0;
+
 /// What a run asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wish {
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -1,12 +1,12 @@
 //! Membership and evidence about upstreams, driven over the network.
 
 use super::{Control, Message};
-use magnoliawinch::membership::{Member, MemberState, Membership};
+use magnoliawinch::membership::{Member, Membership};
 use magnoliawinch::names::{HostName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstreams::{HostNotice, Leaving, Upstreams};
 use magnoliawinch_hosts::{HostList, HostState};
-use magnoliawinch_peer::{ProbeReply, ProbeRequest, UpstreamLeaving};
+use magnoliawinch_peer::{ProbeReply, ProbeRequest, UpstreamLeaving, learn};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
@@ -17,9 +17,6 @@
 /// Time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Members told at once that this daemon takes work or leaves.
-const TOLD_AT_ONCE: usize = 16;
-
 /// Unknown hosts of the platform's list that are probed at a time.
 const SEEDS: usize = 3;
 
@@ -67,17 +64,6 @@
         }
     }
 
-    fn learn_all(&mut self, now: Time, members: &[magnoliawinch_peer::Member]) {
-        for message in members {
-            match Member::try_from(message) {
-                Ok(member) => {
-                    self.membership.learn(now, member);
-                }
-                Err(e) => log::warn!("{e}"),
-            }
-        }
-    }
-
     fn learn_leaving(&mut self, leaving: &[UpstreamLeaving]) -> bool {
         let mut changed = false;
         for notice in leaving {
@@ -177,15 +163,7 @@
         self.take_news(now, sender, &req.changes, req.catalogue_offset);
         self.take_notices(&req.leaving, &req.hosts);
         let members = &mut self.members;
-        let changes = match (is_new, differs) {
-            (true, _) => members.membership.all(),
-            (false, true) => {
-                let mut changes = members.membership.changes();
-                changes.extend(members.membership.some(&mut members.rng));
-                changes
-            }
-            (false, false) => members.membership.changes(),
-        };
+        let changes = members.membership.answer(is_new, differs, &mut members.rng);
         let _ = reply.send(ProbeReply {
             sender: self.members.sender(),
             changes: changes.iter().map(Into::into).collect(),
@@ -216,9 +194,9 @@
     ) {
         self.members.note_offset(now, offset);
         if let Some(sender) = sender {
-            self.members.learn_all(now, std::slice::from_ref(sender));
+            learn(&mut self.members.membership, now, std::slice::from_ref(sender));
         }
-        self.members.learn_all(now, changes);
+        learn(&mut self.members.membership, now, changes);
     }
 
     fn take_notices(
@@ -267,16 +245,8 @@
     /// Tells some members at once that this daemon takes work or leaves; the rest learn it from
     /// them.
     pub(super) fn announce(&mut self) {
-        let others: Vec<_> = self
-            .members
-            .membership
-            .others()
-            .filter(|member| member.state <= MemberState::Alive)
-            .take(TOLD_AT_ONCE)
-            .map(|member| (member.peer_address, member.host.clone()))
-            .collect();
-        for (address, host) in others {
-            self.send_probe(address, Some(host));
+        for member in self.members.membership.told_at_once() {
+            self.send_probe(member.peer_address, Some(member.host));
         }
     }
 
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -26,7 +26,6 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
-use tonic::transport::server::TcpIncoming;
 
 /// Messages that wait for the control thread.
 const MAILBOX: usize = 8_192;
@@ -222,17 +221,10 @@
     .await;
 }
 
-async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    let stopped = async move {
-        let _ = stop.wait_for(|stop| *stop).await;
-    };
-    let server = tonic::transport::Server::builder()
-        .add_service(PeerServer::new(PeerService::new(shared)))
-        .serve_with_incoming_shutdown(incoming, stopped);
-    if let Err(e) = server.await {
-        log::error!("serving peers failed: {e}");
-    }
+async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let services =
+        tonic::transport::Server::builder().add_service(PeerServer::new(PeerService::new(shared)));
+    magnoliawinch_peer::serve(services, listener, stop).await;
 }
 
 /// Reads the platform's list of hosts until the daemon ends: whenever this daemon knows no other,
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -17,7 +17,7 @@
 use magnoliawinch_hosts::HostsClient;
 use magnoliawinch_log::LogClient;
 use magnoliawinch_peer::{PeerClient, Peers};
-use magnoliawinch_runtime::{InProgress, Requests};
+use magnoliawinch_runtime::{InProgress, Requests, ask};
 use magnoliawinch_service::ServiceClient;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -100,9 +100,7 @@
         &self,
         message: impl FnOnce(oneshot::Sender<T>) -> Message,
     ) -> Option<T> {
-        let (tx, rx) = oneshot::channel();
-        self.control.send(message(tx)).await.ok()?;
-        rx.await.ok()
+        ask(&self.control, message).await
     }
 
     /// The usable upstreams of `service` for a request, best first.
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -2,8 +2,9 @@
 
 use crate::generated;
 use magnoliawinch::admission::LoadReport;
-use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{FailureDomain, HostName, is_valid};
+use magnoliawinch::time::Time;
 use thiserror::Error;
 
 /// A member in a message cannot be used.
@@ -80,3 +81,15 @@
         }
     }
 }
+
+/// Hands what a peer says of members on to the membership; what cannot be read is logged.
+pub fn learn(membership: &mut Membership, now: Time, members: &[generated::Member]) {
+    for message in members {
+        match Member::try_from(message) {
+            Ok(member) => {
+                membership.learn(now, member);
+            }
+            Err(e) => log::warn!("{e}"),
+        }
+    }
+}
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -10,7 +10,7 @@
 
 use crate::runs::Placed;
 use crate::shared::Shared;
-use crate::view::{Owners, View};
+use crate::view::{PoolOwners, View};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
@@ -113,7 +113,7 @@
     most_daemons: usize,
     members_version: u64,
     members: Arc<Vec<Member>>,
-    owners: Owners,
+    owners: PoolOwners,
     fleet_view: Arc<Fleet>,
     fleet_is_old: bool,
     view_is_old: bool,
@@ -137,7 +137,7 @@
             most_daemons: 1,
             members_version: u64::MAX,
             members: Arc::default(),
-            owners: Owners::default(),
+            owners: PoolOwners::default(),
             fleet_view: Arc::default(),
             fleet_is_old: true,
             view_is_old: true,
@@ -205,7 +205,7 @@
         let names = self.membership.alive().map(|member| member.host.as_str());
         let ranked = magnoliawinch::rendezvous::ranked(OWNERS_KEY, names, OWNERS);
         let owners = ranked.into_iter().filter_map(|host| self.membership.get(host));
-        self.owners = Owners::new(owners.cloned().collect());
+        self.owners = PoolOwners::new(owners.cloned().collect());
         self.most_daemons = self.most_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -1,10 +1,9 @@
 //! Membership, driven over the network.
 
 use super::{Control, Message};
-use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::{HostName, UpstreamName};
 use magnoliawinch::time::Time;
-use magnoliawinch_peer::{ProbeReply, ProbeRequest};
+use magnoliawinch_peer::{ProbeReply, ProbeRequest, learn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,9 +12,6 @@
 /// Time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Members told at once that this daemon takes work or leaves.
-const TOLD_AT_ONCE: usize = 16;
-
 impl Control {
     /// Probes the members that are due.
     pub(super) fn send_probes(&mut self, now: Time) {
@@ -62,17 +58,6 @@
         self.membership.changes().iter().map(Into::into).collect()
     }
 
-    fn learn_all(&mut self, now: Time, members: &[magnoliawinch_peer::Member]) {
-        for message in members {
-            match Member::try_from(message) {
-                Ok(member) => {
-                    self.membership.learn(now, member);
-                }
-                Err(e) => log::warn!("{e}"),
-            }
-        }
-    }
-
     /// Answers a probe.
     pub(super) fn probe(
         &mut self,
@@ -84,19 +69,11 @@
         let differs = req.table_digest != self.membership.digest();
         if let Some(sender) = &req.sender {
             self.membership.heard_from(now, &sender.host);
-            self.learn_all(now, std::slice::from_ref(sender));
+            learn(&mut self.membership, now, std::slice::from_ref(sender));
         }
-        self.learn_all(now, &req.changes);
+        learn(&mut self.membership, now, &req.changes);
         self.note_version(req.catalogue_offset, req.sender.as_ref());
-        let changes = match (is_new, differs) {
-            (true, _) => self.membership.all(),
-            (false, true) => {
-                let mut changes = self.membership.changes();
-                changes.extend(self.membership.some(&mut self.rng));
-                changes
-            }
-            (false, false) => self.membership.changes(),
-        };
+        let changes = self.membership.answer(is_new, differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
             changes: changes.iter().map(Into::into).collect(),
@@ -110,23 +87,16 @@
     pub(super) fn probed(&mut self, now: Time, answer: &ProbeReply) {
         if let Some(sender) = &answer.sender {
             self.membership.heard_from(now, &sender.host);
-            self.learn_all(now, std::slice::from_ref(sender));
+            learn(&mut self.membership, now, std::slice::from_ref(sender));
         }
-        self.learn_all(now, &answer.changes);
+        learn(&mut self.membership, now, &answer.changes);
         self.note_version(answer.catalogue_offset, answer.sender.as_ref());
     }
 
     /// Tells other members at once that this daemon takes work or leaves.
     pub(super) fn announce(&mut self) {
-        let others: Vec<_> = self
-            .membership
-            .others()
-            .filter(|member| member.state <= MemberState::Alive)
-            .take(TOLD_AT_ONCE)
-            .map(|member| (member.peer_address, member.host.clone()))
-            .collect();
-        for (address, host) in others {
-            self.send_probe(address, Some(host));
+        for member in self.membership.told_at_once() {
+            self.send_probe(member.peer_address, Some(member.host));
         }
     }
 
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -21,7 +21,6 @@
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
-use tonic::transport::server::TcpIncoming;
 
 /// Messages that wait for the control thread.
 const MAILBOX: usize = 4_096;
@@ -210,17 +209,10 @@
     }
 }
 
-async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    let stopped = async move {
-        let _ = stop.wait_for(|stop| *stop).await;
-    };
-    let server = tonic::transport::Server::builder()
-        .add_service(CellServer::new(CellService::new(shared)))
-        .serve_with_incoming_shutdown(incoming, stopped);
-    if let Err(e) = server.await {
-        log::error!("serving peers failed: {e}");
-    }
+async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let services =
+        tonic::transport::Server::builder().add_service(CellServer::new(CellService::new(shared)));
+    magnoliawinch_peer::serve(services, listener, stop).await;
 }
 
 /// Asks the seeds of the settings for other daemons, often while none is known.
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -13,7 +13,7 @@
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
 use magnoliawinch_peer::{CellClient, Peers};
-use magnoliawinch_runtime::{InProgress, Requests};
+use magnoliawinch_runtime::{InProgress, Requests, ask};
 use magnoliawinch_telemetry::{Journal, Metrics};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -98,9 +98,7 @@
         &self,
         message: impl FnOnce(oneshot::Sender<T>) -> Message,
     ) -> Option<T> {
-        let (tx, rx) = oneshot::channel();
-        self.control.send(message(tx)).await.ok()?;
-        rx.await.ok()
+        ask(&self.control, message).await
     }
 
     /// Tells the control thread something that it may miss under overload.
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -10,9 +10,9 @@
 
 /// The daemons that own the pools: the first decides, the second knows the same.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Owners(Arc<Vec<Member>>);
+pub(crate) struct PoolOwners(Arc<Vec<Member>>);
 
-impl Owners {
+impl PoolOwners {
     pub(crate) fn new(ranked: Vec<Member>) -> Self {
         Self(Arc::new(ranked))
     }
@@ -44,7 +44,7 @@
     pub(crate) own: Member,
     /// All daemons that take work or leave, this one among them.
     pub(crate) members: Arc<Vec<Member>>,
-    pub(crate) owners: Owners,
+    pub(crate) owners: PoolOwners,
     /// Daemons that the shared budgets are divided among.
     pub(crate) daemons: usize,
     /// The configuration in force.
@@ -59,7 +59,7 @@
     pub(crate) fn new(own: Member) -> Self {
         Self {
             members: Arc::new(vec![own.clone()]),
-            owners: Owners::default(),
+            owners: PoolOwners::default(),
             daemons: 1,
             table: None,
             fleet: Arc::default(),
--- a/runtime/src/control.rs
+++ b/runtime/src/control.rs
@@ -3,7 +3,7 @@
 use magnoliawinch::time::Millis;
 use std::io;
 use tokio::runtime::Builder;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 /// Messages handled between two ticks at the most.
@@ -62,3 +62,14 @@
         next_tick = Instant::now() + control.next_tick().into();
     }
 }
+
+/// Sends a message with a place for its answer to a control thread, and waits for the answer; none
+/// if the thread has ended.
+pub async fn ask<M, T>(
+    control: &mpsc::Sender<M>,
+    message: impl FnOnce(oneshot::Sender<T>) -> M,
+) -> Option<T> {
+    let (tx, rx) = oneshot::channel();
+    control.send(message(tx)).await.ok()?;
+    rx.await.ok()
+}
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -4,5 +4,5 @@
 mod control;
 mod in_progress;
 
-pub use control::{ControlState, start_control};
+pub use control::{ControlState, ask, start_control};
 pub use in_progress::{InProgress, Requests};
