Owners of the pools are among the larger hosts

Cause: the two owners were ranked by name alone.

Hosts tell their capacity with their membership; owners are two of those with at least half of the largest's, in two failure domains if there are.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod capacity;
 pub mod catalogue;
 pub mod decision;
 pub mod delivery;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -4,6 +4,7 @@
 //! every probe and reply carries a few changes. Views may differ for a while; owners chosen by
 //! rendezvous hashing over them then differ too, which costs efficiency only.
 
+use crate::capacity::Capacity;
 use crate::ledger::Claimant;
 use crate::names::{FailureDomain, HostName};
 use crate::rendezvous;
@@ -57,6 +58,8 @@
     pub peer_address: SocketAddr,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// What its host can carry.
+    pub capacity: Capacity,
     /// Its state.
     pub state: MemberState,
 }
--- a/core/src/ownership.rs
+++ b/core/src/ownership.rs
@@ -1,5 +1,6 @@
 //! Which daemon decides about what, by rendezvous hashing over the members that take work.
 
+use crate::capacity::Capacity;
 use crate::membership::{Member, Membership};
 use crate::names::{FailureDomain, ServiceName, UpstreamName};
 use crate::quarantine::Fingerprint;
@@ -65,6 +66,27 @@
     }
 }
 
+/// The owner of `key` and the one that takes its place: two of the larger hosts, in two failure
+/// domains if there are.
+///
+/// An owner's work grows with the whole system while other daemons' does not, so a small host would
+/// answer late for all.
+pub fn large_owners<'a>(key: &str, membership: &'a Membership) -> Vec<&'a Member> {
+    let largest = membership.alive().map(|member| member.capacity).max().unwrap_or_default();
+    let is_large = |member: &&Member| Capacity::is_large(member.capacity, largest);
+    let large = || membership.alive().filter(is_large);
+    let Some(first) = best(key, large()) else {
+        return Vec::new();
+    };
+    let others = || large().filter(|member| member.host != first.host);
+    let apart = others().filter(|member| member.failure_domain != first.failure_domain);
+    let second = best(key, apart).or_else(|| best(key, others())).or_else(|| {
+        let rest = membership.alive().filter(|member| member.host != first.host);
+        best(key, rest)
+    });
+    std::iter::once(first).chain(second).collect()
+}
+
 fn best<'a, I>(key: &str, members: I) -> Option<&'a Member>
 where
     I: IntoIterator<Item = &'a Member>,
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -1,6 +1,7 @@
 //! Views of the members converge after joins, crashes, pauses and parted failure domains, and
 //! owners with them.
 
+use magnoliawinch::capacity::Capacity;
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{FailureDomain, HostName, UpstreamName};
 use magnoliawinch::ownership::Owners;
@@ -68,6 +69,7 @@
         failure_domain: FailureDomain::from(format!("domain-{}", host % 3)),
         peer_address: address(1),
         caller_address: address(2),
+        capacity: Capacity::default(),
         state: MemberState::Alive,
     }
 }
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::shared::{Parts, Shared};
 use crate::view::View;
 use crate::{operator, traffic};
+use magnoliawinch::capacity::Capacity;
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::HostName;
 use magnoliawinch::settings::Settings;
@@ -91,6 +92,7 @@
             failure_domain: settings.failure_domain.clone(),
             peer_address: settings.peer_address,
             caller_address: settings.caller_address,
+            capacity: Capacity::default(),
             state: MemberState::Joining,
         };
         let (control_tx, control_rx) = mpsc::channel(MAILBOX);
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -2,6 +2,7 @@
 
 use crate::generated;
 use magnoliawinch::admission::LoadReport;
+use magnoliawinch::capacity::Capacity;
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{FailureDomain, HostName, is_valid};
 use magnoliawinch::time::Time;
@@ -25,6 +26,7 @@
             failure_domain: member.failure_domain.to_string(),
             peer_address: member.peer_address.to_string(),
             caller_address: member.caller_address.to_string(),
+            capacity: member.capacity.0,
             state: member.state as u32,
         }
     }
@@ -45,6 +47,7 @@
             failure_domain: FailureDomain::new(&message.failure_domain),
             peer_address: message.peer_address.parse().map_err(|_| bad("peer address"))?,
             caller_address: message.caller_address.parse().map_err(|_| bad("caller address"))?,
+            capacity: Capacity(message.capacity),
             state: state.ok_or_else(|| bad("state"))?,
         })
     }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -14,6 +14,7 @@
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
+use magnoliawinch::ownership::large_owners;
 use magnoliawinch::pool::Wish;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine, RefusedPrints};
 use magnoliawinch::route_table::{Configuration, RouteTable};
@@ -92,9 +93,6 @@
 /// Key by which the owners of the pools are ranked.
 const OWNERS_KEY: &str = "pools";
 
-/// Owners: one that decides, and one that knows the same and takes its place.
-const OWNERS: usize = 2;
-
 /// The state of the control thread.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -202,10 +200,8 @@
         let takes_part = |m: &&Member| m.state != MemberState::Failed;
         self.members =
             Arc::new(own.chain(self.membership.others()).filter(takes_part).cloned().collect());
-        let names = self.membership.alive().map(|member| member.host.as_str());
-        let ranked = magnoliawinch::rendezvous::ranked(OWNERS_KEY, names, OWNERS);
-        let owners = ranked.into_iter().filter_map(|host| self.membership.get(host));
-        self.owners = PoolOwners::new(owners.cloned().collect());
+        let owners = large_owners(OWNERS_KEY, &self.membership);
+        self.owners = PoolOwners::new(owners.into_iter().cloned().collect());
         self.most_daemons = self.most_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -153,6 +153,7 @@
             failure_domain: settings.failure_domain.clone(),
             peer_address: settings.peer_address,
             caller_address: settings.caller_address,
+            capacity: settings.capacity,
             state: MemberState::Joining,
         };
         let (control_tx, control_rx) = mpsc::channel(MAILBOX);
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one relay daemon.
 
+use magnoliawinch::capacity::Capacity;
 use magnoliawinch::ini::{Document, IniError, SectionReader};
 use magnoliawinch::names::{FailureDomain, HostName};
 use magnoliawinch::retry::SharedBounds;
@@ -13,6 +14,8 @@
     pub host: HostName,
     /// Where the host stands.
     pub failure_domain: FailureDomain,
+    /// What the host can carry.
+    pub capacity: Capacity,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address that tells whether the daemon takes requests.
@@ -46,6 +49,12 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+/// More cores than a host has.
+const MAX_CORES: f64 = 1_024.0;
+
+/// A faster link than a host has, in Mbit/s.
+const MAX_LINK_MBPS: f64 = 1_000_000.0;
+
 /// A day: no bound of the platform is longer.
 const MAX_SECONDS: f64 = 86_400.0;
 
@@ -53,19 +62,21 @@
     /// Reads a settings file.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let doc = Document::parse(text)?;
-        let known = ["daemon", "platform", "bounds"];
+        let known = ["daemon", "host", "platform", "bounds"];
         if let Some(section) = doc.sections().keys().find(|s| !known.contains(&s.as_str())) {
             return Err(IniError::UnknownSection {
                 section: section.clone(),
-                expected: "[daemon], [platform] or [bounds]".to_owned(),
+                expected: "[daemon], [host], [platform] or [bounds]".to_owned(),
             });
         }
         let mut daemon = doc.section("daemon")?;
+        let mut host = doc.section("host")?;
         let mut platform = doc.section("platform")?;
         let mut bounds = doc.section("bounds")?;
         let settings = Self {
             host: HostName::from(daemon.name("host")?),
             failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
+            capacity: capacity(&mut host)?,
             caller_address: daemon.required("caller_address")?,
             ready_address: daemon.required("ready_address")?,
             directory_address: daemon.required("directory_address")?,
@@ -85,6 +96,7 @@
             },
         };
         daemon.finish()?;
+        host.finish()?;
         platform.finish()?;
         bounds.finish()?;
         Ok(settings)
@@ -101,6 +113,14 @@
         .collect()
 }
 
+/// What the host can carry, from its part of a core, how fast that is beside one core, and its link.
+fn capacity(section: &mut SectionReader) -> Result<Capacity, IniError> {
+    let share = positive(section, "processor_share", MAX_CORES)?;
+    let speed = positive(section, "processor_speed", MAX_CORES)?;
+    let link_mbps = positive(section, "link_mbps", MAX_LINK_MBPS)?;
+    Ok(Capacity::new(share * speed, link_mbps))
+}
+
 fn positive(section: &mut SectionReader, key: &str, max: f64) -> Result<f64, IniError> {
     let value: f64 = section.required(key)?;
     if (0.0..=max).contains(&value) {
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -11,6 +11,10 @@
 directory_address = 10.0.0.1:8746
 peer_address = 10.0.0.1:8748
 seeds = 10.0.0.1:8748, 10.0.0.2:8748
+[host]
+processor_share = 0.25
+processor_speed = 1
+link_mbps = 1000.0
 [platform]
 store_address = 10.9.0.1:8742
 [bounds]
@@ -32,6 +36,8 @@
     let cases = [
         ("grace_s = 8", "grace_s = soon"),
         ("grace_s = 8", "grace_s = -1"),
+        ("link_mbps = 1000.0", "link_mbps = fast"),
+        ("processor_share = 0.25\n", ""),
         ("retry_ratio = 0.2", "retry_ratio = 3"),
         ("seeds = 10.0.0.1:8748", "seeds = somewhere"),
         ("host = edge-1", "host = Edge 1"),
