--- a/core/benches/decisions.rs
+++ b/core/benches/decisions.rs
@@ -3,9 +3,12 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use magnoliawinch::admission::{Admission, Bounds, GrantId, Request};
 use magnoliawinch::estimate::Estimator;
+use magnoliawinch::fleet::Listed;
 use magnoliawinch::names::{
-    FailureDomain, HostName, KindName, OrganisationName, ServiceName, UpstreamName,
+    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
 };
+use magnoliawinch::pool::{Answer, Pool, Report, RunState};
+use magnoliawinch::route_table::EngineShape;
 use magnoliawinch::routing::{Router, Wish, pool};
 use magnoliawinch::service_file::ServiceSpec;
 use magnoliawinch::time::{Millis, Time};
@@ -98,5 +101,102 @@
     group.finish();
 }
 
-criterion_group!(benches, routing, admission);
+/// Holders of runs, as many as the users' larger site has hosts.
+const HOLDERS: u64 = 90;
+
+fn crowded_wish(run: u64) -> magnoliawinch::pool::Wish {
+    magnoliawinch::pool::Wish {
+        run: RunId::from(format!("run-{run}")),
+        holder: HostName::from(format!("entry-{}", run % HOLDERS)),
+        near: FailureDomain::from(format!("d-{}", run % 3)),
+        kind: KindName::new("k"),
+        organisation: OrganisationName::from(format!("o-{}", run % 24)),
+        prompt_tokens: 3_000,
+        max_tokens: 2_000,
+        priority: 1,
+        on_time_until: Time(1_000_000),
+        patience_until: Time(1_000_000),
+        avoid: Vec::new(),
+    }
+}
+
+/// A pool in which as much runs as fits, and as many runs again as there are engines wait.
+fn crowded_pool(engines: usize) -> (Pool, Vec<RunState>) {
+    let shape = EngineShape {
+        slots: 24,
+        memory_tokens: 22_000,
+        bytes_per_token: 18_432,
+        link_bits_per_ms: 2_700_000,
+        tokens_per_event: 4,
+        can_move: true,
+        can_back_up: true,
+    };
+    let mut pool = Pool::new(ServiceName::new("s"), shape);
+    let listed: Vec<_> = (0..engines)
+        .map(|engine| Listed {
+            name: UpstreamName::from(format!("engine-{engine}")),
+            born: 1,
+            service: ServiceName::new("s"),
+            address: ([10, 0, 0, 1], 80).into(),
+            failure_domain: FailureDomain::from(format!("d-{}", engine % 3)),
+            slots: 24,
+            leaving: false,
+        })
+        .collect();
+    pool.set_engines(listed.iter().map(|listed| (listed, true)));
+    let mut runs = Vec::new();
+    for run in 0..engines as u64 * 8 {
+        let wish = crowded_wish(run);
+        if let Answer::Placed(place) = pool.place(Time(1_000 + run), wish.clone()) {
+            runs.push(RunState {
+                run: wish.run,
+                kind: wish.kind,
+                organisation: wish.organisation,
+                engine: place.engine,
+                backup: place.backup,
+                prompt_tokens: wish.prompt_tokens,
+                written: 0,
+                max_tokens: wish.max_tokens,
+                priority: wish.priority,
+                moving_to: None,
+                refused: Vec::new(),
+            });
+        }
+    }
+    (pool, runs)
+}
+
+fn pools(c: &mut Criterion) {
+    for engines in [44, 128] {
+        let (pool, runs) = crowded_pool(engines);
+        let now = Time(1_000 + engines as u64 * 8);
+        let mut group = c.benchmark_group(format!("pool of {engines} engines"));
+        group.bench_function("report and its answer", |b| {
+            let mut pool = pool.clone();
+            let holder = HostName::new("entry-1");
+            let held: Vec<_> = runs.iter().filter(|run| run.run.as_str().ends_with('1')).collect();
+            let held: Vec<_> = held.into_iter().take(3).cloned().collect();
+            b.iter(|| {
+                pool.report(now, &holder, &Report { runs: &held, ..Report::default() });
+                black_box(pool.use_apart_from(now, &holder))
+            });
+        });
+        group.bench_function("tick with runs that wait", |b| {
+            let mut pool = pool.clone();
+            b.iter(|| black_box(pool.tick(now)));
+        });
+        group.bench_function("question for a place after a report", |b| {
+            let mut pool = pool.clone();
+            b.iter(|| {
+                let holder = HostName::new("entry-0");
+                pool.report(now, &holder, &Report { runs: &runs[..1], ..Report::default() });
+                black_box(pool.place(now, crowded_wish(1_000_000)));
+                pool.withdraw(&RunId::new("run-1000000"));
+            });
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(benches, routing, admission, pools);
 criterion_main!(benches);
--- a/core/src/admission/load.rs
+++ b/core/src/admission/load.rs
@@ -170,26 +170,40 @@
 
     pub(crate) fn add(&mut self, now: Time, step_ms: f64, footprint: &Footprint) {
         let written = footprint.written_at(now, step_ms);
+        let rest = footprint.curve.rest(written);
         for (place, horizon) in HORIZONS.iter().enumerate() {
-            let p = footprint.curve.residual(written, *horizon);
+            let p = rest.at_least(*horizon);
             let size = footprint.prompt + written + horizon;
             self.mean[place] += size * p;
             self.variance[place] += size * size * p * (1.0 - p);
         }
     }
 
-    /// The largest memory for as long as an answer with this distribution probably runs.
-    pub(crate) fn peak_during(&self, headroom: f64, curve: &Curve) -> f64 {
-        let is_running = |horizon: &f64| curve.residual(0.0, *horizon) >= PROBABLY_RUNNING;
+    /// Adds what `other` projects.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        for (mean, more) in self.mean.iter_mut().zip(&other.mean) {
+            *mean += more;
+        }
+        for (variance, more) in self.variance.iter_mut().zip(&other.variance) {
+            *variance += more;
+        }
+    }
+
+    /// The largest memory over the first `horizons`, `headroom` standard deviations above the mean.
+    pub(crate) fn peak_within(&self, headroom: f64, horizons: usize) -> f64 {
         let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
-        let peaks = self.mean.iter().zip(&self.variance).map(at);
-        let relevant = HORIZONS.iter().take_while(|horizon| is_running(horizon)).count().max(1);
-        peaks.take(relevant).fold(0.0, f64::max)
+        self.mean.iter().zip(&self.variance).map(at).take(horizons).fold(0.0, f64::max)
     }
 
-    /// The largest memory over all horizons, `headroom` standard deviations above the mean.
+    /// The same over all horizons.
     pub(crate) fn peak(&self, headroom: f64) -> f64 {
-        let at = |(mean, variance): (&f64, &f64)| mean + headroom * variance.sqrt();
-        self.mean.iter().zip(&self.variance).map(at).fold(0.0, f64::max)
+        self.peak_within(headroom, HORIZONS.len())
     }
 }
+
+/// Horizons over which an answer with this distribution probably runs.
+pub(crate) fn horizons_of(curve: &Curve) -> usize {
+    let rest = curve.rest(0.0);
+    let is_running = |horizon: &f64| rest.at_least(*horizon) >= PROBABLY_RUNNING;
+    HORIZONS.iter().take_while(|horizon| is_running(horizon)).count().max(1)
+}
--- a/core/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -121,12 +121,12 @@
 
     /// The probability that an answer with `written` tokens gets at least `more` of them.
     pub fn residual(&self, written: f64, more: f64) -> f64 {
-        let now = self.survival(written);
-        if now < MIN_SURVIVAL {
-            // Longer than any answer before it: the rest may be as long as what is written.
-            return (written + 1.0) / (written + more + 1.0);
-        }
-        self.survival(written + more) / now
+        self.rest(written).at_least(more)
+    }
+
+    /// What is known of the rest of an answer with `written` tokens.
+    pub(crate) fn rest(&self, written: f64) -> Rest<'_> {
+        Rest { curve: self, written, survival: self.survival(written) }
     }
 
     /// The length that the answer stays below with probability `p`, given `written` tokens.
@@ -151,6 +151,26 @@
     }
 }
 
+/// What is known of the rest of an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rest<'a> {
+    curve: &'a Curve,
+    written: f64,
+    /// The probability of what is written.
+    survival: f64,
+}
+
+impl Rest<'_> {
+    /// The probability that it has `more` tokens or more.
+    pub(crate) fn at_least(self, more: f64) -> f64 {
+        if self.survival < MIN_SURVIVAL {
+            // Longer than any answer before it: the rest may be as long as what is written.
+            return (self.written + 1.0) / (self.written + more + 1.0);
+        }
+        self.curve.survival(self.written + more) / self.survival
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KindLengths {
     all: Histogram,
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -86,11 +86,13 @@
         !has_begun && self.ordered.is_none() && self.confirmed_at.since(self.read_by) > STUCK_AFTER
     }
 
-    /// Whether its memory, or a copy of it, lies at `engine`.
-    fn occupies(&self, engine: &UpstreamName) -> bool {
-        self.engine == *engine
-            || self.backup.as_ref() == Some(engine)
-            || self.ordered.as_ref().is_some_and(|ordered| ordered.to == *engine)
+    /// The engines at which its memory, or a copy of it, lies, each once.
+    fn occupied(&self) -> impl Iterator<Item = &UpstreamName> {
+        let ordered = self.ordered.as_ref().map(|ordered| &ordered.to);
+        let ordered = ordered.filter(|to| **to != self.engine);
+        let backup = self.backup.as_ref();
+        let backup = backup.filter(|name| **name != self.engine && ordered != Some(*name));
+        std::iter::once(&self.engine).chain(ordered).chain(backup)
     }
 }
 
@@ -178,15 +180,22 @@
 
     /// What runs at each engine, apart from the runs of `holder`.
     pub fn use_apart_from(&self, now: Time, holder: &HostName) -> Vec<EngineUse> {
-        let of_engine = |name: &UpstreamName| {
-            let others = || self.runs.values().filter(|r| r.holder != *holder && r.occupies(name));
-            EngineUse {
-                engine: name.clone(),
-                running: others().filter(|run| run.engine == *name).count() as u32,
-                tokens: others().map(|run| run.tokens(now) as u64).sum(),
+        let mut uses: HashMap<&UpstreamName, (u32, u64)> =
+            self.engines.keys().map(|name| (name, (0, 0))).collect();
+        for run in self.runs.values().filter(|run| run.holder != *holder) {
+            for name in run.occupied() {
+                if let Some((running, tokens)) = uses.get_mut(name) {
+                    *running += u32::from(*name == run.engine);
+                    *tokens += run.tokens(now) as u64;
+                }
             }
-        };
-        self.engines.keys().map(of_engine).collect()
+        }
+        let told = uses.into_iter().map(|(engine, (running, tokens))| EngineUse {
+            engine: engine.clone(),
+            running,
+            tokens,
+        });
+        told.collect()
     }
 
     fn is_usable(&self, engine: &UpstreamName) -> bool {
@@ -253,14 +262,12 @@
     }
 
     fn next_that_fits(&mut self, now: Time) -> Option<(Place, Wish)> {
-        let order = self.queue.order(now, |organisation| {
-            let own = self.runs.values().filter(|run| run.organisation == *organisation);
-            own.map(|run| run.tokens(now)).sum()
-        });
+        if self.queue.len() == 0 {
+            return None;
+        }
         // What does not fit now does not fit with a longer prompt of the same kind either.
         let mut unfit: HashMap<KindName, u32> = HashMap::new();
-        for (run, may_be_passed) in order {
-            let wish = self.queue.get(&run)?.clone();
+        for (wish, may_be_passed) in self.in_order(now) {
             let is_unfit = unfit.get(&wish.kind).is_some_and(|least| wish.prompt_tokens >= *least);
             let choice = if is_unfit { Choice::NoRoom } else { self.find(now, &wish) };
             match choice {
@@ -279,6 +286,16 @@
         None
     }
 
+    /// The waiting runs in the order in which they are due, each with whether others may pass it.
+    fn in_order(&self, now: Time) -> Vec<(Wish, bool)> {
+        let mut uses: HashMap<&OrganisationName, f64> = HashMap::new();
+        for run in self.runs.values() {
+            *uses.entry(&run.organisation).or_default() += run.tokens(now);
+        }
+        let order = self.queue.order(now, &uses);
+        order.into_iter().map(|(wish, may_be_passed)| (wish.clone(), may_be_passed)).collect()
+    }
+
     fn start(&mut self, now: Time, wish: &Wish, place: &Place) {
         self.queue.remove(&wish.run);
         let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
@@ -301,8 +318,8 @@
             read_by,
             confirmed_at: now,
         };
+        self.note_start(now, place, &run.footprint);
         self.runs.insert(wish.run.clone(), run);
-        self.changed();
     }
 
     /// Takes the report of a daemon.
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -1,7 +1,7 @@
 //! One engine of a pool, and the choice among them.
 
 use super::{FOREIGN_LIFETIME, MIN_LEFT, Place, Pool, STEP_MS, Wish};
-use crate::admission::load::{Footprint, Projection};
+use crate::admission::load::{Footprint, Projection, horizons_of};
 use crate::fleet::Listed;
 use crate::names::{FailureDomain, UpstreamName};
 use crate::time::{Millis, Time};
@@ -142,6 +142,38 @@
     by_engine: HashMap<UpstreamName, EngineLoad>,
 }
 
+impl EngineLoad {
+    /// Adds a run, or a copy of one.
+    fn add(&mut self, now: Time, footprint: &Footprint, runs_there: bool) {
+        self.projection.add(now, STEP_MS, footprint);
+        self.tokens += footprint.tokens(now, STEP_MS);
+        self.running += if runs_there { 1.0 } else { 0.0 };
+    }
+}
+
+/// A run that looks for an engine, projected once for all of them.
+#[derive(Clone, Debug)]
+pub(super) struct Newcomer {
+    footprint: Footprint,
+    tokens: f64,
+    projection: Projection,
+    /// For how many horizons it probably runs.
+    horizons: usize,
+}
+
+impl Newcomer {
+    pub(super) fn new(now: Time, footprint: Footprint) -> Self {
+        let mut projection = Projection::new(0.0);
+        projection.add(now, STEP_MS, &footprint);
+        Self {
+            tokens: footprint.tokens(now, STEP_MS),
+            projection,
+            horizons: horizons_of(&footprint.curve),
+            footprint,
+        }
+    }
+}
+
 /// What one engine would carry with one more run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Burden {
@@ -162,16 +194,16 @@
         self.shape.memory_tokens as f64
     }
 
-    /// What `engine` would carry with `extra` as well.
-    pub(super) fn burden(&self, now: Time, name: &UpstreamName, extra: &Footprint) -> Burden {
+    /// What the engine `name` would carry with `extra` as well.
+    pub(super) fn burden(&self, now: Time, name: &UpstreamName, extra: &Newcomer) -> Burden {
         let base = self.load_of(now, name);
         let mut projection = base.projection;
-        projection.add(now, STEP_MS, extra);
+        projection.merge(&extra.projection);
         Burden {
             running: base.running + 1.0,
             peak: projection.peak(HEADROOM),
-            own_peak: projection.peak_during(HEADROOM, &extra.curve),
-            tokens: base.tokens + extra.tokens(now, STEP_MS),
+            own_peak: projection.peak_within(HEADROOM, extra.horizons),
+            tokens: base.tokens + extra.tokens,
             is_stuck: base.is_stuck,
         }
     }
@@ -206,9 +238,7 @@
                 };
                 seen.push(name);
                 if let Some(load) = by_engine.get_mut(name) {
-                    load.projection.add(now, STEP_MS, &run.footprint);
-                    load.tokens += run.tokens(now);
-                    load.running += if runs_there { 1.0 } else { 0.0 };
+                    load.add(now, &run.footprint, runs_there);
                     load.is_stuck |= *name == run.engine && run.is_stuck();
                 }
             }
@@ -216,6 +246,20 @@
         Loads { at: Some(now), by_engine }
     }
 
+    /// Adds a run that starts to what was projected.
+    pub(super) fn note_start(&self, now: Time, place: &Place, footprint: &Footprint) {
+        let mut loads = self.loads.borrow_mut();
+        if loads.at != Some(now) {
+            return;
+        }
+        if let Some(load) = loads.by_engine.get_mut(&place.engine) {
+            load.add(now, footprint, true);
+        }
+        if let Some(load) = place.backup.as_ref().and_then(|name| loads.by_engine.get_mut(name)) {
+            load.add(now, footprint, false);
+        }
+    }
+
     /// Forgets what was projected, as the runs or engines have changed.
     pub(super) fn changed(&self) {
         self.loads.borrow_mut().at = None;
@@ -242,7 +286,8 @@
     pub(super) fn find(&mut self, now: Time, wish: &Wish) -> Choice {
         let curve = self.lengths.curve(&self.service, &wish.kind, &wish.organisation);
         let prompt = f64::from(wish.prompt_tokens);
-        let extra = Footprint { prompt, written: 0.0, told_at: now, curve };
+        let extra = Newcomer::new(now, Footprint { prompt, written: 0.0, told_at: now, curve });
+        let mean = extra.footprint.curve.mean();
         let mut best: Option<(f64, &UpstreamName)> = None;
         let mut has_room = false;
         for (name, engine) in &self.engines {
@@ -258,7 +303,7 @@
                 continue;
             }
             let is_far = engine.failure_domain != wish.near;
-            let slower_ms = extra.curve.mean() * (engine.pace_ms(now) - STEP_MS);
+            let slower_ms = mean * (engine.pace_ms(now) - STEP_MS);
             let score = engine.prompt_wait(now)
                 + PACE_WEIGHT * slower_ms
                 + self.crowding_ms(burden.peak, burden.running)
@@ -280,9 +325,9 @@
         &self,
         now: Time,
         engine: &UpstreamName,
-        extra: &Footprint,
+        extra: &Newcomer,
     ) -> Option<UpstreamName> {
-        let left = extra.expected_residual(now, STEP_MS) * STEP_MS;
+        let left = extra.footprint.expected_residual(now, STEP_MS) * STEP_MS;
         if !self.shape.can_back_up || left < MIN_LEFT.0 as f64 {
             return None;
         }
@@ -297,7 +342,7 @@
             }
             // A copy to another failure domain takes twice as long.
             let is_far = self.is_far(engine, name);
-            let Millis(copy) = self.shape.copy_time(extra.tokens(now, STEP_MS) as u64);
+            let Millis(copy) = self.shape.copy_time(extra.tokens as u64);
             let score = self.crowding_ms(burden.peak, burden.running)
                 + if is_far { copy as f64 } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -3,6 +3,7 @@
 use super::Wish;
 use crate::names::{OrganisationName, RunId};
 use crate::time::{Millis, Time};
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 #[derive(Clone, Debug)]
@@ -57,10 +58,6 @@
         }
     }
 
-    pub(super) fn get(&self, run: &RunId) -> Option<&Wish> {
-        self.waiting.iter().map(|waiting| &waiting.wish).find(|wish| wish.run == *run)
-    }
-
     pub(super) fn remove(&mut self, run: &RunId) {
         self.waiting.retain(|waiting| waiting.wish.run != *run);
     }
@@ -89,22 +86,48 @@
     pub(super) fn order(
         &self,
         now: Time,
-        use_of: impl Fn(&OrganisationName) -> f64,
-    ) -> Vec<(RunId, bool)> {
-        let mut uses: HashMap<&OrganisationName, f64> = HashMap::new();
-        for waiting in &self.waiting {
-            let organisation = &waiting.wish.organisation;
-            uses.entry(organisation).or_insert_with(|| use_of(organisation));
+        uses: &HashMap<&OrganisationName, f64>,
+    ) -> Vec<(&Wish, bool)> {
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|waiting| (Urgency::new(now, waiting, uses), waiting))
+            .collect();
+        order.sort_by(|(a, _), (b, _)| a.order(b));
+        let in_order = order.into_iter();
+        in_order.map(|(urgency, waiting)| (&waiting.wish, urgency.may_be_passed)).collect()
+    }
+}
+
+/// What the order of the waiting runs goes by.
+#[derive(Clone, Copy, Debug)]
+struct Urgency {
+    is_overdue: bool,
+    rank: u8,
+    may_be_passed: bool,
+    /// Memory that its organisation uses already, in tokens.
+    in_use: f64,
+    since: Time,
+}
+
+impl Urgency {
+    fn new(now: Time, waiting: &Waiting, uses: &HashMap<&OrganisationName, f64>) -> Self {
+        Self {
+            is_overdue: waiting.is_overdue(now),
+            rank: waiting.wish.priority,
+            may_be_passed: waiting.may_be_passed(now),
+            in_use: uses.get(&waiting.wish.organisation).copied().unwrap_or_default(),
+            since: waiting.since,
         }
-        let mut order: Vec<_> = self.waiting.iter().collect();
-        order.sort_by(|a, b| {
-            let by_time = a.is_overdue(now).cmp(&b.is_overdue(now));
-            let by_rank = a.wish.priority.cmp(&b.wish.priority);
-            // What others may no longer pass goes first within its rank.
-            let by_age = a.may_be_passed(now).cmp(&b.may_be_passed(now));
-            let by_use = uses[&a.wish.organisation].total_cmp(&uses[&b.wish.organisation]);
-            by_time.then(by_rank).then(by_age).then(by_use).then(a.since.cmp(&b.since))
-        });
-        order.into_iter().map(|w| (w.wish.run.clone(), w.may_be_passed(now))).collect()
+    }
+
+    fn order(&self, other: &Self) -> Ordering {
+        let by_time = self.is_overdue.cmp(&other.is_overdue);
+        let by_rank = self.rank.cmp(&other.rank);
+        // What others may no longer pass goes first within its rank.
+        let by_age = self.may_be_passed.cmp(&other.may_be_passed);
+        let by_use = self.in_use.total_cmp(&other.in_use);
+        let by_wait = self.since.cmp(&other.since);
+        by_time.then(by_rank).then(by_age).then(by_use).then(by_wait)
     }
 }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -5,7 +5,7 @@
 //! size, and the notice may be too short for all. What finds no room yet is tried again until its
 //! engine is gone.
 
-use super::engine::Burden;
+use super::engine::{Burden, Newcomer};
 use super::{MIN_LEFT, Pool, Run};
 use crate::names::{HostName, RunId, UpstreamName};
 use crate::time::{Millis, Time};
@@ -179,9 +179,10 @@
         let candidates = self.engines.iter().filter(|(name, engine)| {
             engine.is_usable && !run.is_refused(now, name) && !self.is_busy(now, name)
         });
+        let extra = Newcomer::new(now, run.footprint.clone());
         let mut best: Option<(f64, &UpstreamName)> = None;
         for (name, engine) in candidates {
-            let Burden { running, peak, tokens, .. } = self.burden(now, name, &run.footprint);
+            let Burden { running, peak, tokens, .. } = self.burden(now, name, &extra);
             let is_full = tokens > self.memory() * MOVES_UP_TO;
             if is_full || running > f64::from(engine.slots) {
                 continue;
