Daemons look for a configuration when one that waits for it names a newer one

The two owners wait (600 ms a read) and tell in their answers how long ago they looked. The others look when a version is named, or when that is over 1.3 s ago, as when both owners are parted from the store; where the store turns them away, they ask the peer that named the version. Ruled out: asking the owner for it at once, as ninety would over its link.

--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -11,6 +11,7 @@
 use crate::runs::Placed;
 use crate::shared::Shared;
 use crate::view::{PoolOwners, View};
+use magnoliawinch::configuration_news::NamedVersions;
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
@@ -107,6 +108,7 @@
     pools: Pools,
     quarantine: Quarantine,
     refused: RefusedPrints,
+    named_versions: NamedVersions,
     crashed: Vec<Crash>,
     most_daemons: usize,
     members_version: u64,
@@ -131,6 +133,7 @@
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
             refused: RefusedPrints::new(),
+            named_versions: NamedVersions::new(),
             crashed: Vec::new(),
             most_daemons: 1,
             members_version: u64::MAX,
@@ -267,6 +270,7 @@
         self.upstreams_left(now, &gone);
         self.tick_pools(now);
         self.tick_quarantine(now);
+        self.ask_for_version(now);
         self.publish_view(now);
     }
 
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -72,7 +72,7 @@
             learn(&mut self.membership, now, std::slice::from_ref(sender));
         }
         learn(&mut self.membership, now, &req.changes);
-        self.note_version(req.catalogue_offset, req.sender.as_ref());
+        self.note_version(now, req.catalogue_offset, req.sender.as_ref());
         let changes = self.membership.answer(is_new, differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
@@ -90,7 +90,7 @@
             learn(&mut self.membership, now, std::slice::from_ref(sender));
         }
         learn(&mut self.membership, now, &answer.changes);
-        self.note_version(answer.catalogue_offset, answer.sender.as_ref());
+        self.note_version(now, answer.catalogue_offset, answer.sender.as_ref());
     }
 
     /// Tells other members at once that this daemon takes work or leaves.
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -120,13 +120,33 @@
     }
 
     /// Looks for a newer configuration where a peer has one.
-    pub(super) fn note_version(&mut self, version: u64, peer: Option<&magnoliawinch_peer::Member>) {
+    pub(super) fn note_version(
+        &mut self,
+        now: Time,
+        version: u64,
+        peer: Option<&magnoliawinch_peer::Member>,
+    ) {
         let own = self.table.as_ref().map_or(0, |table| table.version());
         if version <= own {
             return;
         }
         if let Some(address) = peer.and_then(|peer| peer.peer_address.parse().ok()) {
-            self.ask_state(address);
+            self.note_version_at(now, version, address);
+        }
+    }
+
+    /// Has a newer configuration looked for that the daemon at `peer` has.
+    pub(super) fn note_version_at(&mut self, now: Time, version: u64, peer: SocketAddr) {
+        if self.named_versions.name(now, version, peer) {
+            self.shared.named_version.send_replace(version);
+        }
+    }
+
+    /// Asks a peer for a version that the store has not given.
+    pub(super) fn ask_for_version(&mut self, now: Time) {
+        let own = self.table.as_ref().map_or(0, |table| table.version());
+        if let Some(peer) = self.named_versions.ask(now, own) {
+            self.ask_state(peer);
         }
     }
 
@@ -187,8 +207,7 @@
     }
 
     pub(super) fn list_age_ms(&self, now: Time) -> u32 {
-        let age = self.fleet.read_at().map(|at| now.since(at));
-        age.map_or(u32::MAX, |Millis(ms)| ms.min(u64::from(u32::MAX)) as u32)
+        self.fleet.read_at().map_or(u32::MAX, |at| age_ms(now, at))
     }
 
     /// Takes the state that a peer told.
@@ -237,6 +256,11 @@
     }
 }
 
+/// Time since `at`, in milliseconds.
+pub(super) fn age_ms(now: Time, at: Time) -> u32 {
+    now.since(at).0.min(u64::from(u32::MAX)) as u32
+}
+
 fn to_json(value: &impl Serialize) -> String {
     match serde_json::to_string(value) {
         Ok(text) => text,
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -4,6 +4,7 @@
     crash_message, crash_of, ended_message, ended_run, engine_use, run_message, run_state,
     use_message,
 };
+use super::news::age_ms;
 use super::{Control, Crash, Decided, Message};
 use crate::runs::{MoveOrder, OwnRuns, Placed, Target};
 use magnoliawinch::fleet::Fleet;
@@ -238,7 +239,7 @@
         if report.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
             && let Some(peer) = self.membership.get(&report.host)
         {
-            self.ask_state(peer.peer_address);
+            self.note_version_at(now, report.configuration_version, peer.peer_address);
         }
         RunsReply {
             host: self.membership.own().host.to_string(),
@@ -249,6 +250,7 @@
             list: self.list_json_after(report.list_offset),
             configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
             refused: self.quarantine.refused().map(|print| print.0).collect(),
+            configuration_age_ms: age_ms(now, self.shared.looked_at()),
         }
     }
 
@@ -267,10 +269,11 @@
         for fingerprint in &reply.refused {
             self.view_is_old |= self.refused.told(now, Fingerprint(*fingerprint));
         }
+        self.shared.note_look(now - Millis(u64::from(reply.configuration_age_ms)));
         if reply.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
-            && let Some(owner) = self.owners.first()
+            && let Some(owner) = self.membership.get(&reply.host)
         {
-            self.ask_state(owner.peer_address);
+            self.note_version_at(now, reply.configuration_version, owner.peer_address);
         }
     }
 
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -7,6 +7,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
+use magnoliawinch::configuration_news::{Look, look};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
 use magnoliawinch::time::Millis;
@@ -20,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Messages that wait for the control thread.
 const MAILBOX: usize = 4_096;
@@ -111,6 +112,30 @@
         self.shared.view.load().table.as_ref().map_or(0, |table| table.version())
     }
 
+    /// Notes that the store was asked for a newer configuration just now. Only those that do so for
+    /// others rest on it.
+    pub fn looked_for_configuration(&self) {
+        if self.reads_for_others() {
+            self.shared.note_look(self.shared.clock.now());
+        }
+    }
+
+    /// Waits until this daemon should look for a newer configuration, and says why.
+    pub async fn should_look(&self) -> Look {
+        let mut named = self.shared.named_version.subscribe();
+        loop {
+            let newest = *named.borrow_and_update();
+            let now = self.shared.clock.now();
+            match look(now, self.version(), newest, self.shared.looked_at()) {
+                Look::NotBefore(until) => {
+                    // An error means that the daemon ends.
+                    let _ = timeout(until.since(now).into(), named.changed()).await;
+                }
+                look => return look,
+            }
+        }
+    }
+
     /// Whether this daemon reads the list of upstreams for the others.
     pub fn reads_for_others(&self) -> bool {
         let view = self.shared.view.load();
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -22,7 +22,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tonic::transport::Channel;
 
 /// Longest time to open a connection to an upstream: one that does not answer by then is passed
@@ -56,6 +56,10 @@
     requests: Requests,
     /// When the list of upstreams was last read, as a `Time`; zero for never.
     list_read_at: AtomicU64,
+    /// When a configuration was last looked for, here or by an owner that is heard from.
+    configuration_looked_at: AtomicU64,
+    /// The newest version of the configuration that a peer has named.
+    pub(crate) named_version: watch::Sender<u64>,
 }
 
 impl Shared {
@@ -85,6 +89,8 @@
             routing: Mutex::new(routing),
             requests: Requests::new(),
             list_read_at: AtomicU64::new(0),
+            configuration_looked_at: AtomicU64::new(0),
+            named_version: watch::Sender::new(0),
             clock,
         }
     }
@@ -142,6 +148,16 @@
         self.clock.now().since(Time(self.list_read_at.load(Ordering::Acquire)))
     }
 
+    /// Notes when a configuration was looked for, here or by an owner that tells so.
+    pub(crate) fn note_look(&self, at: Time) {
+        self.configuration_looked_at.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// When a configuration was last looked for.
+    pub(crate) fn looked_at(&self) -> Time {
+        Time(self.configuration_looked_at.load(Ordering::Acquire))
+    }
+
     /// Requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.requests.in_progress()
