Engines of large systems are divided into cells with owners of their own

Cause: one owner knew every engine and answered every daemon.

Beyond 128 engines they are divided into cells by the hash of their names, as many as keep a cell between 40 and 128; each cell has two owners of its own. A daemon knows the engines of its home cell and of those it owns; the owners hear the list from the two that read it, the others with the answers to their reports. Runs of a crowded cell go to another one, the more often the less that holds.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -133,6 +133,11 @@
         self.fold(now, through, changes)
     }
 
+    /// Forgets upstreams that are none of this daemon's concern any more.
+    pub fn retain(&mut self, is_kept: impl Fn(&Listed) -> bool) {
+        self.upstreams.retain(|_, upstream| is_kept(&upstream.listed));
+    }
+
     /// Notes that the list was read and held no news.
     pub fn note_read(&mut self, now: Time) {
         let was_away = self.read_at.is_some_and(|at| now.since(at) >= OUTAGE_AFTER);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod capacity;
 pub mod catalogue;
+pub mod cells;
 pub mod configuration_news;
 pub mod decision;
 pub mod delivery;
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -151,6 +151,7 @@
             engines: usable,
             running: self.runs.len(),
             waiting: self.queue.len(),
+            waiting_tokens: self.queue.tokens(),
             tokens: self.runs.values().map(|run| run.tokens(now) as u64).sum(),
             memory_tokens: self.shape.memory_tokens * usable as u64,
         }
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -146,6 +146,8 @@
     pub waiting: usize,
     /// Memory of the runs, without copies, in tokens.
     pub tokens: u64,
+    /// Prompts of those that wait, in tokens.
+    pub waiting_tokens: u64,
     /// Memory of the engines that get work, in tokens.
     pub memory_tokens: u64,
 }
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -73,6 +73,11 @@
         before.map(|waiting| f64::from(waiting.wish.prompt_tokens)).sum()
     }
 
+    /// Tokens of all prompts.
+    pub(super) fn tokens(&self) -> u64 {
+        self.waiting.iter().map(|waiting| u64::from(waiting.wish.prompt_tokens)).sum()
+    }
+
     /// Takes out what has waited too long; what nobody asks for any more is dropped.
     pub(super) fn expire(&mut self, now: Time) -> Vec<Wish> {
         self.waiting.retain(|waiting| now.since(waiting.asked_at) < ASKED_LIFETIME);
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -41,6 +41,14 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0 + other.0)
+    }
+}
+
 impl Sub for Millis {
     type Output = Self;
 
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -3,6 +3,7 @@
 use crate::generated;
 use magnoliawinch::admission::LoadReport;
 use magnoliawinch::capacity::Capacity;
+use magnoliawinch::cells::{Cell, Layout};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{FailureDomain, HostName, is_valid};
 use magnoliawinch::time::Time;
@@ -53,6 +54,32 @@
     }
 }
 
+impl From<Cell> for generated::CellOf {
+    fn from(cell: Cell) -> Self {
+        Self { number: cell.number(), of: cell.of() }
+    }
+}
+
+impl generated::CellOf {
+    /// The cell, if there can be such a one.
+    pub fn cell(&self) -> Option<Cell> {
+        Cell::new(self.number, self.of)
+    }
+}
+
+impl From<Layout> for generated::Layout {
+    fn from(layout: Layout) -> Self {
+        Self { cells: layout.count(), decided_at: layout.decided_at() }
+    }
+}
+
+impl generated::Layout {
+    /// The layout, if there can be such a one.
+    pub fn layout(&self) -> Option<Layout> {
+        Layout::new(self.cells, self.decided_at)
+    }
+}
+
 impl generated::UpstreamLoad {
     /// The load of `upstream` as `report` has it.
     pub fn new(upstream: &str, report: &LoadReport) -> Self {
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: owns what this daemon believes, and the pools.
 
+mod cells;
 mod convert;
 mod members;
 mod news;
@@ -10,12 +11,13 @@
 
 use crate::runs::Placed;
 use crate::shared::Shared;
-use crate::view::{PoolOwners, View};
+use crate::view::View;
+use cells::Cells;
+use magnoliawinch::cells::{Cell, Interest};
 use magnoliawinch::configuration_news::NamedVersions;
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
-use magnoliawinch::ownership::large_owners;
 use magnoliawinch::pool::Wish;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine, RefusedPrints};
 use magnoliawinch::route_table::{Configuration, RouteTable};
@@ -55,11 +57,11 @@
 #[derive(Debug)]
 pub(crate) enum Message {
     /// A place in a pool is wanted.
-    Place { service: ServiceName, wish: Box<Wish>, reply: oneshot::Sender<Decided> },
+    Place { service: ServiceName, cell: Cell, wish: Box<Wish>, reply: oneshot::Sender<Decided> },
     /// The runs of another daemon.
     Report { report: Box<RunsReport>, reply: oneshot::Sender<RunsReply> },
     /// The answer of an owner to a report.
-    Reported { service: ServiceName, reply: Box<RunsReply> },
+    Reported { service: ServiceName, cell: Cell, reply: Box<RunsReply> },
     /// A whole configuration.
     Configuration(Box<Configuration>),
     /// News of the list of upstreams.
@@ -91,9 +93,6 @@
 /// Time between two views at the least.
 const VIEW_EVERY: Millis = Millis(5);
 
-/// Key by which the owners of the pools are ranked.
-const OWNERS_KEY: &str = "pools";
-
 /// The state of the control thread.
 #[derive(Debug)]
 pub(crate) struct Control {
@@ -113,7 +112,7 @@
     most_daemons: usize,
     members_version: u64,
     members: Arc<Vec<Member>>,
-    owners: PoolOwners,
+    cells: Cells,
     fleet_view: Arc<Fleet>,
     fleet_is_old: bool,
     view_is_old: bool,
@@ -138,7 +137,7 @@
             most_daemons: 1,
             members_version: u64::MAX,
             members: Arc::default(),
-            owners: PoolOwners::default(),
+            cells: Cells::new(),
             fleet_view: Arc::default(),
             fleet_is_old: true,
             view_is_old: true,
@@ -156,7 +155,8 @@
         }
         log::info!(version, old_version = old.unwrap_or(0); "configuration in force");
         self.table = Some(Arc::new(RouteTable::new(configuration)));
-        self.shape_pools();
+        // What an engine is, the configuration says.
+        self.update_owners();
         if self.membership.own().state == MemberState::Joining {
             self.membership.ready();
             self.announce();
@@ -186,7 +186,9 @@
         self.shared.view.store(Arc::new(View {
             own: self.membership.own().clone(),
             members: Arc::clone(&self.members),
-            owners: self.owners.clone(),
+            cells: self.cells.owners.clone(),
+            cell_loads: Arc::new(self.cells.loads.clone()),
+            knows_whole_list: self.cells.covered.covers(&Interest::whole()),
             daemons: self.most_daemons,
             table: self.table.clone(),
             fleet: Arc::clone(&self.fleet_view),
@@ -203,12 +205,12 @@
         let takes_part = |m: &&Member| m.state != MemberState::Failed;
         self.members =
             Arc::new(own.chain(self.membership.others()).filter(takes_part).cloned().collect());
-        let owners = large_owners(OWNERS_KEY, &self.membership);
-        self.owners = PoolOwners::new(owners.into_iter().cloned().collect());
+        self.update_owners();
         self.most_daemons = self.most_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
-            owner = self.owners.first().map_or("", |owner| owner.host.as_str());
+            owner = self.cells.owners.readers().first().map_or("", |owner| owner.host.as_str()),
+            cells = self.cells.layout.count();
             "members changed"
         );
     }
@@ -219,16 +221,6 @@
         let now = self.shared.clock.now();
         self.store_view(now);
     }
-
-    /// Whether this daemon owns the pools.
-    fn is_owner(&self) -> bool {
-        self.owners.include(&self.membership.own().host)
-    }
-
-    /// Whether this daemon decides for all.
-    fn decides(&self) -> bool {
-        self.owners.are_led_by(&self.membership.own().host)
-    }
 }
 
 impl ControlState for Control {
@@ -237,13 +229,17 @@
     fn handle(&mut self, message: Message) {
         let now = self.shared.clock.now();
         match message {
-            Message::Place { service, wish, reply } => self.place(now, &service, *wish, reply),
+            Message::Place { service, cell, wish, reply } => {
+                self.place(now, service, cell, *wish, reply);
+            }
             Message::Report { report, reply } => {
                 let _ = reply.send(self.take_report(now, &report));
             }
-            Message::Reported { service, reply } => self.take_reply(now, &service, &reply),
+            Message::Reported { service, cell, reply } => {
+                self.take_reply(now, service, cell, &reply);
+            }
             Message::Configuration(configuration) => self.configure(now, *configuration),
-            Message::List(news) => self.take_list(now, news),
+            Message::List(news) => self.take_list(now, news, &Interest::whole()),
             Message::UpstreamLeaves(name) => self.upstream_leaves(now, &name),
             Message::UpstreamUnreachable(name) => {
                 self.fleet.unreachable(now, &name);
@@ -271,6 +267,7 @@
         self.tick_pools(now);
         self.tick_quarantine(now);
         self.ask_for_version(now);
+        self.ask_readers(now);
         self.publish_view(now);
     }
 
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -1,10 +1,11 @@
 //! News of the configuration and of the list of upstreams, from the platform or from peers.
 
 use super::{Control, Message};
+use magnoliawinch::cells::{Cell, Interest};
 use magnoliawinch::fleet::{Change, ChangeLog, Listed};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch_peer::{StateReply, StateRequest};
+use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -58,7 +59,16 @@
 
 impl Control {
     /// Takes news of the list.
-    pub(super) fn take_list(&mut self, now: Time, news: ListNews) {
+    pub(super) fn take_list(&mut self, now: Time, news: ListNews, told: &Interest) {
+        if !told.covers(&self.cells.needed) {
+            return;
+        }
+        let is_partly = !matches!(news, ListNews::Whole { .. }) && !self.cells.are_covered();
+        if is_partly {
+            // Changes of what is not known yet.
+            return;
+        }
+        let news = self.only_needed(news);
         let was_known = self.fleet.is_known();
         let (left, has_changes) = match news {
             ListNews::Read => {
@@ -75,6 +85,9 @@
                 if !was_known {
                     self.list_log = ChangeLog::new(through);
                 }
+                if through >= self.fleet.through() {
+                    self.cells.covered = self.cells.needed.clone();
+                }
                 let left = self.fleet.replace(now, through, all);
                 (left, self.note_changes(through, changed))
             }
@@ -87,6 +100,31 @@
             self.shared.note_list_read(at);
         }
         self.upstreams_left(now, &left);
+        if has_changes || !was_known {
+            self.decide_layout();
+        }
+    }
+
+    /// News without upstreams that are none of this daemon's concern.
+    fn only_needed(&self, news: ListNews) -> ListNews {
+        if self.cells.needed == Interest::whole() {
+            return news;
+        }
+        match news {
+            ListNews::Read => ListNews::Read,
+            ListNews::Whole { through, all } => {
+                let all = all.into_iter().filter(|listed| self.needs(listed)).collect();
+                ListNews::Whole { through, all }
+            }
+            ListNews::Changes { through, changes } => {
+                let is_needed = |change: &Change| match change {
+                    Change::Put(listed) => self.needs(listed),
+                    Change::Removed(_) => true,
+                };
+                let changes = changes.into_iter().filter(is_needed).collect();
+                ListNews::Changes { through, changes }
+            }
+        }
     }
 
     /// Notes the entries that changed; returns whether there are any.
@@ -154,7 +192,10 @@
     pub(super) fn ask_state(&self, address: SocketAddr) {
         let req = StateRequest {
             configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
-            list_offset: self.fleet.through(),
+            list_offset: self.list_offset(),
+            wanted: self.cells.needed.cells().map(Into::into).collect(),
+            loads: self.own_loads(self.shared.clock.now()).into_iter().map(cell_load).collect(),
+            refused: self.quarantine.refused().map(|print| print.0).collect(),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -169,37 +210,56 @@
     }
 
     /// What another daemon needs to begin.
-    pub(super) fn state_for(&self, now: Time, req: &StateRequest) -> StateReply {
+    pub(super) fn state_for(&mut self, now: Time, req: &StateRequest) -> StateReply {
+        if self.is_reader() {
+            self.take_cell_loads(&req.loads);
+            self.pass_on_refused(now, &req.refused);
+        }
+        let wanted = interest_of(&req.wanted);
+        let is_covered = self.cells.covered.covers(&wanted);
         let is_newer = |version: u64| version > req.configuration_version;
         let newer = self.table.as_ref().filter(|table| is_newer(table.version()));
         let configuration = newer.map(|table| to_json(table.configuration()));
         StateReply {
             configuration: configuration.unwrap_or_default(),
-            list: self.list_json_after(req.list_offset),
+            list: self.list_json_after(req.list_offset, &wanted),
             list_offset: self.fleet.through(),
-            list_age_ms: self.list_age_ms(now),
+            list_age_ms: if is_covered { self.list_age_ms(now) } else { u32::MAX },
+            told: req.wanted.clone(),
+            layout: Some(self.cells.layout.into()),
+            cell_loads: self.all_loads(now),
+            refused: self.refused_anywhere(),
         }
     }
 
-    /// What one that knows the list up to `offset` has missed, as JSON; nothing when that is
-    /// nothing.
-    pub(super) fn list_json_after(&self, offset: u64) -> String {
-        if !self.fleet.is_known() || offset >= self.fleet_changed_at {
+    /// The offset up to which this daemon knows what it has to know of the list.
+    pub(super) fn list_offset(&self) -> u64 {
+        if self.cells.are_covered() { self.fleet.through() } else { 0 }
+    }
+
+    /// What one that knows the list up to `offset`, which is zero for nothing, has missed of the
+    /// upstreams of `interest`, as JSON; nothing when that is nothing.
+    pub(super) fn list_json_after(&self, offset: u64, interest: &Interest) -> String {
+        let is_covered = self.fleet.is_known() && self.cells.covered.covers(interest);
+        if !is_covered || offset >= self.fleet_changed_at {
             return String::new();
         }
-        let message = match self.list_log.since(offset) {
+        let is_told = |listed: &&Listed| self.is_in(interest, listed);
+        let names = (offset > 0).then(|| self.list_log.since(offset)).flatten();
+        let message = match names {
             Some(names) => {
                 let (put, removed): (Vec<_>, Vec<_>) =
                     names.into_iter().partition(|name| self.fleet.get(name).is_some());
+                let put = put.into_iter().filter_map(|name| self.fleet.get(name));
                 ListMessage {
                     is_whole: false,
-                    put: put.into_iter().filter_map(|name| self.fleet.get(name)).cloned().collect(),
+                    put: put.filter(is_told).cloned().collect(),
                     removed: removed.into_iter().cloned().collect(),
                 }
             }
             None => ListMessage {
                 is_whole: true,
-                put: self.fleet.all().cloned().collect(),
+                put: self.fleet.all().filter(is_told).cloned().collect(),
                 removed: Vec::new(),
             },
         };
@@ -218,11 +278,26 @@
                 Err(e) => log::warn!("a peer's configuration cannot be read: {e}"),
             }
         }
-        self.take_peer_list(now, &state.list, state.list_offset, state.list_age_ms);
+        if let Some(layout) = state.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
+            self.take_layout(layout);
+        }
+        if !self.cells.layout.is_whole() && !self.is_reader() {
+            self.take_loads(&state.cell_loads);
+            self.pass_on_refused(now, &state.refused);
+        }
+        let told = interest_of(&state.told);
+        self.take_peer_list(now, &state.list, state.list_offset, state.list_age_ms, &told);
     }
 
-    /// Takes the list as a peer knows it.
-    pub(super) fn take_peer_list(&mut self, now: Time, list: &str, offset: u64, age_ms: u32) {
+    /// Takes the list of the upstreams of `told` as a peer knows it.
+    pub(super) fn take_peer_list(
+        &mut self,
+        now: Time,
+        list: &str,
+        offset: u64,
+        age_ms: u32,
+        told: &Interest,
+    ) {
         /// Age at which a peer's list is no better than none.
         const TOO_OLD_MS: u32 = 5_000;
         if age_ms > TOO_OLD_MS || offset < self.fleet.through() {
@@ -232,12 +307,13 @@
         if list.is_empty() {
             // The peer has read further and found no change.
             if offset >= self.fleet_changed_at && self.fleet.is_known() {
-                self.take_list(read_at, ListNews::Changes { through: offset, changes: Vec::new() });
+                let news = ListNews::Changes { through: offset, changes: Vec::new() };
+                self.take_list(read_at, news, told);
             }
             return;
         }
         match serde_json::from_str::<ListMessage>(list) {
-            Ok(message) => self.take_list(read_at, message.news(offset)),
+            Ok(message) => self.take_list(read_at, message.news(offset), told),
             Err(e) => log::warn!("a peer's list of upstreams cannot be read: {e}"),
         }
     }
@@ -256,6 +332,18 @@
     }
 }
 
+fn cell_load((cell, load): (Cell, f32)) -> CellLoad {
+    CellLoad { cell: Some(cell.into()), load }
+}
+
+/// The interest that a peer names; all upstreams when it names none.
+fn interest_of(cells: &[CellOf]) -> Interest {
+    match cells.is_empty() {
+        true => Interest::whole(),
+        false => Interest::new(cells.iter().filter_map(CellOf::cell)),
+    }
+}
+
 /// Time since `at`, in milliseconds.
 pub(super) fn age_ms(now: Time, at: Time) -> u32 {
     now.since(at).0.min(u64::from(u32::MAX)) as u32
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -7,13 +7,14 @@
 use super::news::age_ms;
 use super::{Control, Crash, Decided, Message};
 use crate::runs::{MoveOrder, OwnRuns, Placed, Target};
-use magnoliawinch::fleet::Fleet;
+use magnoliawinch::cells::{Cell, Interest};
+use magnoliawinch::fleet::{Fleet, Listed};
 use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{Answer, Event, Order, Place, Pool, Report, Way, Wish};
 use magnoliawinch::quarantine::{Fingerprint, Treatment};
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch_peer::{RelocateRequest, RunsReply, RunsReport};
-use std::collections::HashMap;
+use magnoliawinch_peer::{CellOf, RelocateRequest, RunsReply, RunsReport};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -47,14 +48,21 @@
     reply: oneshot::Sender<Decided>,
 }
 
-/// The pools by service, and who waits for a place.
+/// The engines of one service in one cell.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct PoolKey {
+    service: ServiceName,
+    cell: Cell,
+}
+
+/// The pools of the cells that concern this daemon, and who waits for a place.
 #[derive(Debug)]
 pub(super) struct Pools {
-    by_service: HashMap<ServiceName, Pool>,
+    by_key: HashMap<PoolKey, Pool>,
     askers: HashMap<RunId, Asker>,
     reported_at: Time,
     report_soon: bool,
-    /// When the owner that decides last answered a report.
+    /// When the owner that decides for this daemon's cell last answered a report.
     owner_heard_at: Time,
     logged_at: Time,
 }
@@ -62,7 +70,7 @@
 impl Pools {
     pub(super) fn new(now: Time) -> Self {
         Self {
-            by_service: HashMap::new(),
+            by_key: HashMap::new(),
             askers: HashMap::new(),
             reported_at: now,
             report_soon: false,
@@ -73,7 +81,7 @@
 
     /// Whether something waits for the next tick.
     pub(super) fn is_busy(&self) -> bool {
-        let has_movers = || self.by_service.values().any(Pool::has_movers);
+        let has_movers = || self.by_key.values().any(Pool::has_movers);
         !self.askers.is_empty() || self.report_soon || has_movers()
     }
 
@@ -84,18 +92,25 @@
 }
 
 impl Control {
-    /// Makes a pool for each service of engines.
+    /// Makes a pool for each service of engines in each cell that concerns this daemon.
     pub(super) fn shape_pools(&mut self) {
         let Some(table) = self.table.clone() else {
             return;
         };
-        let pools = &mut self.pools.by_service;
-        pools.retain(|name, _| table.service(name.as_str()).is_some_and(|s| s.engine.is_some()));
+        let cells = self.pool_cells();
+        let pools = &mut self.pools.by_key;
+        pools.retain(|key, _| {
+            let service = table.service(key.service.as_str());
+            cells.contains(&key.cell) && service.is_some_and(|service| service.engine.is_some())
+        });
         for (name, shape) in table.engine_services() {
-            match pools.get_mut(name) {
-                Some(pool) => pool.reshape(shape),
-                None => {
-                    pools.insert(name.clone(), Pool::new(name.clone(), shape));
+            for cell in &cells {
+                let key = PoolKey { service: name.clone(), cell: *cell };
+                match pools.get_mut(&key) {
+                    Some(pool) => pool.reshape(shape),
+                    None => {
+                        pools.insert(key, Pool::new(name.clone(), shape));
+                    }
                 }
             }
         }
@@ -105,8 +120,10 @@
     /// Tells the pools which engines there are.
     pub(super) fn fill_pools(&mut self) {
         let fleet = &self.fleet;
-        for (service, pool) in &mut self.pools.by_service {
-            let engines = fleet.all().filter(|listed| listed.service == *service);
+        for (PoolKey { service, cell }, pool) in &mut self.pools.by_key {
+            let is_in_pool =
+                |listed: &&Listed| listed.service == *service && cell.has(&listed.name);
+            let engines = fleet.all().filter(is_in_pool);
             pool.set_engines(engines.map(|listed| (listed, fleet.is_usable(&listed.name))));
         }
     }
@@ -115,11 +132,15 @@
     pub(super) fn place(
         &mut self,
         now: Time,
-        service: &ServiceName,
+        service: ServiceName,
+        cell: Cell,
         wish: Wish,
         reply: oneshot::Sender<Decided>,
     ) {
-        let Some(pool) = self.pools.by_service.get_mut(service) else {
+        let is_known = self.cells.covered.covers_cell(cell);
+        let key = PoolKey { service: service.clone(), cell };
+        let pool = is_known.then(|| self.pools.by_key.get_mut(&key)).flatten();
+        let Some(pool) = pool else {
             let _ = reply.send(Decided::Unknown);
             return;
         };
@@ -132,14 +153,14 @@
                 let _ = reply.send(Decided::Refused(wait));
             }
             Answer::Waits => {
-                let asker = Asker { service: service.clone(), until: now + HELD, reply };
+                let asker = Asker { service, until: now + HELD, reply };
                 self.pools.askers.insert(run, asker);
             }
         }
     }
 
     pub(super) fn tick_pools(&mut self, now: Time) {
-        for pool in self.pools.by_service.values_mut() {
+        for pool in self.pools.by_key.values_mut() {
             for event in pool.tick(now) {
                 let (run, decided) = match event {
                     Event::Placed(run, place) => (run, placed(&self.fleet, &place)),
@@ -163,7 +184,8 @@
 
     /// Reports this daemon's runs to the owners, and to its own pools.
     fn report_if_due(&mut self, now: Time) {
-        let is_due = now.since(self.pools.reported_at) >= report_every(self.members.len());
+        let reporters = self.cells.owners.share_of(self.members.len());
+        let is_due = now.since(self.pools.reported_at) >= report_every(reporters);
         if !is_due && !self.pools.report_soon {
             return;
         }
@@ -174,32 +196,50 @@
         for crash in &crashed {
             self.note_crash(now, crash);
         }
-        let services: Vec<_> = self.pools.by_service.keys().cloned().collect();
+        let home = self.cells.owners.home();
+        let services: HashSet<_> =
+            self.pools.by_key.keys().map(|key| key.service.clone()).collect();
         for service in services {
             let held = self.shared.runs.take(&service);
             self.note_completed(&held);
-            if let Some(pool) = self.pools.by_service.get_mut(&service) {
-                pool.report(now, &own, &held.report());
+            for (cell, part) in held.by_cell(self.cells.layout, home) {
+                let key = PoolKey { service: service.clone(), cell };
+                if let Some(pool) = self.pools.by_key.get_mut(&key) {
+                    pool.report(now, &own, &Report { over: &part.over_ids(), ..part.report() });
+                }
+                let crashed = if cell == home { crashed.as_slice() } else { &[] };
+                let report = self.report_of(&key, &part, crashed);
+                self.send_report(&service, cell, &report);
             }
-            let report = RunsReport {
-                host: own.to_string(),
-                service: service.to_string(),
-                runs: held.runs.iter().map(run_message).collect(),
-                ended: held.ended.iter().map(ended_message).collect(),
-                over: held.over.iter().map(RunId::to_string).collect(),
-                leaving: Vec::new(),
-                list_offset: self.fleet.through(),
-                configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
-                crashed: crashed.iter().map(crash_message).collect(),
-                completed: held.completed.iter().map(|print| print.0).collect(),
-            };
-            self.send_report(&service, &report);
         }
     }
 
-    fn send_report(&self, service: &ServiceName, report: &RunsReport) {
+    fn report_of(&self, key: &PoolKey, held: &OwnRuns, crashed: &[Crash]) -> RunsReport {
+        RunsReport {
+            host: self.membership.own().host.to_string(),
+            service: key.service.to_string(),
+            runs: held.runs.iter().map(run_message).collect(),
+            ended: held.ended.iter().map(ended_message).collect(),
+            over: held.over.iter().map(|(run, _)| run.to_string()).collect(),
+            leaving: Vec::new(),
+            list_offset: self.list_offset(),
+            configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+            crashed: crashed.iter().map(crash_message).collect(),
+            completed: held.completed.iter().map(|print| print.0).collect(),
+            cell: Some(key.cell.into()),
+            wants_list: self.hears_list_from_owners_of(key.cell),
+        }
+    }
+
+    /// Whether this daemon hears all that it has to know of the list from the owners of a cell.
+    fn hears_list_from_owners_of(&self, cell: Cell) -> bool {
+        self.cells.needed == Interest::new([cell])
+    }
+
+    fn send_report(&self, service: &ServiceName, cell: Cell, report: &RunsReport) {
         let own = &self.membership.own().host;
-        for owner in self.owners.iter().filter(|owner| owner.host != *own) {
+        let owners = self.cells.owners.of(cell);
+        for owner in owners.iter().filter(|owner| owner.host != *own) {
             let (shared, service) = (Arc::clone(&self.shared), service.clone());
             let (address, report) = (owner.peer_address, report.clone());
             self.shared.traffic.spawn(async move {
@@ -208,7 +248,7 @@
                 });
                 match call.await {
                     Ok(reply) => {
-                        shared.tell(Message::Reported { service, reply: Box::new(reply) });
+                        shared.tell(Message::Reported { service, cell, reply: Box::new(reply) });
                     }
                     Err(e) => log::debug!("no answer to a report: {e}"),
                 }
@@ -228,12 +268,15 @@
             runs: report.runs.iter().map(run_state).collect(),
             ended: report.ended.iter().map(ended_run).collect(),
             completed,
-            over: report.over.iter().map(|run| RunId::new(run)).collect(),
+            over: Vec::new(),
         };
         self.note_completed(&held);
+        let cell = report.cell.as_ref().and_then(CellOf::cell).unwrap_or(Cell::WHOLE);
+        let over: Vec<_> = report.over.iter().map(|run| RunId::new(run)).collect();
         let mut uses = Vec::new();
-        if let Some(pool) = self.pools.by_service.get_mut(report.service.as_str()) {
-            pool.report(now, &holder, &held.report());
+        let key = PoolKey { service: ServiceName::new(&report.service), cell };
+        if let Some(pool) = self.pools.by_key.get_mut(&key) {
+            pool.report(now, &holder, &Report { over: &over, ..held.report() });
             uses = pool.use_apart_from(now, &holder);
         }
         if report.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
@@ -241,31 +284,55 @@
         {
             self.note_version_at(now, report.configuration_version, peer.peer_address);
         }
+        let told = Interest::new([cell]);
+        let tells_list = report.wants_list && self.cells.covered.covers(&told);
         RunsReply {
             host: self.membership.own().host.to_string(),
             uses: uses.iter().map(use_message).collect(),
             leaving: Vec::new(),
             list_offset: self.fleet.through(),
-            list_age_ms: self.list_age_ms(now),
-            list: self.list_json_after(report.list_offset),
+            list_age_ms: if tells_list { self.list_age_ms(now) } else { u32::MAX },
+            list: match tells_list {
+                true => self.list_json_after(report.list_offset, &told),
+                false => String::new(),
+            },
             configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
-            refused: self.quarantine.refused().map(|print| print.0).collect(),
+            refused: self.refused_anywhere(),
+            layout: Some(self.cells.layout.into()),
+            cell_loads: self.all_loads(now),
             configuration_age_ms: age_ms(now, self.shared.looked_at()),
         }
     }
 
     /// Takes the answer of an owner to a report.
-    pub(super) fn take_reply(&mut self, now: Time, service: &ServiceName, reply: &RunsReply) {
-        if self.owners.first().is_some_and(|owner| owner.host.as_str() == reply.host) {
+    pub(super) fn take_reply(
+        &mut self,
+        now: Time,
+        service: ServiceName,
+        cell: Cell,
+        reply: &RunsReply,
+    ) {
+        let owners = self.cells.owners.of(cell);
+        let is_home = cell == self.cells.owners.home();
+        if is_home && owners.first().is_some_and(|owner| owner.host.as_str() == reply.host) {
             self.pools.owner_heard_at = now;
         }
         let uses: Vec<_> = reply.uses.iter().map(engine_use).collect();
-        if !self.is_owner()
-            && let Some(pool) = self.pools.by_service.get_mut(service)
+        if !self.owns(cell)
+            && let Some(pool) = self.pools.by_key.get_mut(&PoolKey { service, cell })
         {
             pool.note_use(now, &uses);
         }
-        self.take_peer_list(now, &reply.list, reply.list_offset, reply.list_age_ms);
+        if self.hears_list_from_owners_of(cell) {
+            let told = Interest::new([cell]);
+            self.take_peer_list(now, &reply.list, reply.list_offset, reply.list_age_ms, &told);
+        }
+        if let Some(layout) = reply.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
+            self.take_layout(layout);
+        }
+        if !self.is_reader() && is_home {
+            self.take_loads(&reply.cell_loads);
+        }
         for fingerprint in &reply.refused {
             self.view_is_old |= self.refused.told(now, Fingerprint(*fingerprint));
         }
@@ -300,16 +367,31 @@
         self.view_is_old |= self.refused.tick(now);
     }
 
+    /// The part of a cell's memory that is in use or waited for.
+    pub(super) fn load_of(&self, now: Time, cell: Cell) -> f32 {
+        let pools = self.pools.by_key.iter().filter(|(key, _)| key.cell == cell);
+        let (used, memory) = pools.fold((0, 0), |(used, memory), (_, pool)| {
+            let occupancy = pool.occupancy(now);
+            let wanted = occupancy.tokens + occupancy.waiting_tokens;
+            (used + wanted, memory + occupancy.memory_tokens)
+        });
+        if memory == 0 { 1.0 } else { used as f32 / memory as f32 }
+    }
+
     /// Says how full the pools are, as the owner that decides.
     fn log_occupancy(&mut self, now: Time) {
-        if !self.decides() || now.since(self.pools.logged_at) < LOG_EVERY {
+        if now.since(self.pools.logged_at) < LOG_EVERY {
             return;
         }
         self.pools.logged_at = now;
-        for (service, pool) in &self.pools.by_service {
+        for (key, pool) in &self.pools.by_key {
+            if !self.decides_in(key.cell) {
+                continue;
+            }
             let occupancy = pool.occupancy(now);
             log::info!(
-                service = service.as_str(),
+                service = key.service.as_str(),
+                cell = key.cell.number(),
                 engines = occupancy.engines,
                 running = occupancy.running,
                 waiting = occupancy.waiting,
@@ -322,8 +404,10 @@
 
     /// Gets runs off an upstream that leaves.
     pub(super) fn vacate(&mut self, now: Time, engine: &UpstreamName) {
-        for pool in self.pools.by_service.values_mut() {
-            pool.vacate(now, engine);
+        for (key, pool) in &mut self.pools.by_key {
+            if key.cell.has(engine) {
+                pool.vacate(now, engine);
+            }
         }
         // Shows soon whether the owner is there to move what runs here.
         self.pools.report_soon();
@@ -333,20 +417,24 @@
     /// when the owner's orders do not come.
     fn move_runs(&mut self, now: Time) {
         let own = self.membership.own().host.clone();
-        let Millis(every) = report_every(self.members.len());
+        let Millis(every) = report_every(self.cells.owners.share_of(self.members.len()));
         let silence = now.since(self.pools.owner_heard_at);
-        let holder = match self.decides() || self.owners.first().is_none() {
-            true => None,
-            false if silence > Millis(2 * every + OWNER_LAG.0) => Some(&own),
-            false => return,
-        };
+        let is_home_silent = silence > Millis(2 * every + OWNER_LAG.0);
+        let owners = self.cells.owners.clone();
         let mut orders = Vec::new();
-        for (service, pool) in &mut self.pools.by_service {
+        for (key, pool) in &mut self.pools.by_key {
+            let decider = owners.of(key.cell);
+            let holder = match decider.first().is_none() || decider.are_led_by(&own) {
+                true => None,
+                false if is_home_silent && key.cell == owners.home() => Some(&own),
+                false => continue,
+            };
             if !pool.has_movers() {
                 continue;
             }
             // What the runs here have written since the last report decides which are moved.
-            let runs = self.shared.runs.states(service);
+            let mut runs = self.shared.runs.states(&key.service);
+            runs.retain(|run| key.cell.has(&run.engine));
             pool.report(now, &own, &Report { runs: &runs, ..Report::default() });
             orders.extend(pool.plan_moves(now, holder));
         }
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -48,6 +48,9 @@
 /// Age of the list at an owner, and the time for its answer.
 const LIST_LAG: Millis = Millis(400);
 
+/// Time for those who read the list to tell it, when the owners of a cell do not.
+const READERS_ASKED: Millis = Millis(1_000);
+
 /// Why a daemon does not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -139,23 +142,31 @@
     /// Whether this daemon reads the list of upstreams for the others.
     pub fn reads_for_others(&self) -> bool {
         let view = self.shared.view.load();
-        view.owners.include(&view.own.host)
+        view.cells.readers().include(&view.own.host)
     }
 
     /// Whether this daemon decides for all, so that its list must be the freshest.
     pub fn decides(&self) -> bool {
         let view = self.shared.view.load();
-        view.owners.are_led_by(&view.own.host)
+        view.cells.readers().are_led_by(&view.own.host)
     }
 
     /// Whether the list is as fresh as owners keep it who are heard from.
     pub fn list_is_fresh(&self) -> bool {
         let view = self.shared.view.load();
-        let Millis(every) = report_every(view.members.len());
-        let too_old = Millis(REPORTS_MISSED * every + LIST_LAG.0);
+        let Millis(every) = report_every(view.cells.share_of(view.members.len()));
+        let mut too_old = Millis(REPORTS_MISSED * every + LIST_LAG.0);
+        if !view.cells.layout().is_whole() {
+            too_old = too_old + READERS_ASKED;
+        }
         self.shared.list_age() < too_old
     }
 
+    /// Whether this daemon knows the whole list, of which most need only a part.
+    pub fn knows_whole_list(&self) -> bool {
+        self.shared.view.load().knows_whole_list
+    }
+
     /// This daemon as the others know it.
     pub fn own(&self) -> Member {
         self.shared.view.load().own.clone()
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -8,8 +8,8 @@
 use magnoliawinch::pool::Wish;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
-    Cell, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, RelocateReply, RelocateRequest,
-    RunsReply, RunsReport, StateReply, StateRequest,
+    Cell, CellOf, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, RelocateReply,
+    RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
 };
 use std::sync::Arc;
 use strum::FromRepr;
@@ -69,7 +69,9 @@
             patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
         });
-        let decided = self.ask(|reply| Message::Place { service, wish, reply }).await?;
+        let cell = req.cell.as_ref().and_then(CellOf::cell);
+        let cell = cell.ok_or_else(|| Status::invalid_argument("no cell"))?;
+        let decided = self.ask(|reply| Message::Place { service, cell, wish, reply }).await?;
         Ok(Response::new(place_reply(decided)))
     }
 
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -7,6 +7,7 @@
 use crate::refusal::Refusal;
 use crate::runs::{Placed, Target};
 use crate::wire::Wire;
+use magnoliawinch::cells::Cell;
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
 use magnoliawinch::pool::Wish;
@@ -58,9 +59,11 @@
         fwd: &Forward,
         avoid: &[UpstreamName],
     ) -> Result<Placed, Refusal> {
+        // It waits in one cell only.
+        let cell = self.choose_cell();
         let mut unknown = 0;
         loop {
-            match self.ask_owners(fwd, avoid).await {
+            match self.ask_owners(cell, fwd, avoid).await {
                 Decided::Placed(placed) => return Ok(placed),
                 Decided::Refused(wait) => return Err(Refusal::Overloaded(wait)),
                 Decided::Waits => {}
@@ -75,8 +78,15 @@
         }
     }
 
-    async fn ask_owners(&self, fwd: &Forward, avoid: &[UpstreamName]) -> Decided {
-        let owners = self.shared.view.load().owners.clone();
+    fn choose_cell(&self) -> Cell {
+        let view = self.shared.view.load();
+        let mut routing = self.shared.routing();
+        let cells = &view.cells;
+        cells.layout().choose(cells.home(), &view.cell_loads, &mut routing.rng)
+    }
+
+    async fn ask_owners(&self, cell: Cell, fwd: &Forward, avoid: &[UpstreamName]) -> Decided {
+        let owners = self.shared.view.load().cells.of(cell);
         let own = &self.shared.settings.host;
         for owner in owners.iter() {
             if owner.host == *own {
@@ -85,13 +95,13 @@
             if self.is_silent(owner) {
                 continue;
             }
-            match self.ask_owner(owner, fwd, avoid).await {
+            match self.ask_owner(owner, cell, fwd, avoid).await {
                 Some(Decided::Unknown) => {}
                 Some(decided) => return decided,
                 None => self.note_silent(owner),
             }
         }
-        self.ask_own_pool(fwd, avoid).await
+        self.ask_own_pool(cell, fwd, avoid).await
     }
 
     fn is_silent(&self, owner: &Member) -> bool {
@@ -110,6 +120,7 @@
     async fn ask_owner(
         &self,
         owner: &Member,
+        cell: Cell,
         fwd: &Forward,
         avoid: &[UpstreamName],
     ) -> Option<Decided> {
@@ -128,6 +139,7 @@
             on_time_ms: Self::on_time(fwd).0 as u32,
             patience_ms: Self::patience(fwd).0 as u32,
             avoid: avoid.iter().map(UpstreamName::to_string).collect(),
+            cell: Some(cell.into()),
         };
         let call =
             self.shared.peers.call(owner.peer_address, ANSWER_TIMEOUT, |mut peer| async move {
@@ -142,10 +154,17 @@
         }
     }
 
-    async fn ask_own_pool(&self, fwd: &Forward, avoid: &[UpstreamName]) -> Decided {
+    /// The cell itself if this daemon owns it, else the one of which it keeps a pool.
+    fn own_cell(&self, cell: Cell) -> Cell {
+        let cells = &self.shared.view.load().cells;
+        if cells.of(cell).include(&self.shared.settings.host) { cell } else { cells.home() }
+    }
+
+    async fn ask_own_pool(&self, cell: Cell, fwd: &Forward, avoid: &[UpstreamName]) -> Decided {
         let wish = Box::new(self.wish(fwd, avoid));
         let service = fwd.service.clone();
-        let decided = self.shared.ask(|reply| Message::Place { service, wish, reply }).await;
+        let cell = self.own_cell(cell);
+        let decided = self.shared.ask(|reply| Message::Place { service, cell, wish, reply }).await;
         decided.unwrap_or(Decided::Unknown)
     }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -1,9 +1,10 @@
 //! The runs that this daemon holds.
 
+use magnoliawinch::cells::{Cell, Layout};
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Place, Report, RunState};
 use magnoliawinch::quarantine::Fingerprint;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -70,7 +71,7 @@
 }
 
 #[derive(Debug)]
-struct Cell {
+struct Entry {
     facts: RunFacts,
     place: Mutex<Placed>,
     written: AtomicU32,
@@ -78,7 +79,7 @@
     orders: mpsc::Sender<MoveOrder>,
 }
 
-impl Cell {
+impl Entry {
     fn place(&self) -> MutexGuard<'_, Placed> {
         self.place.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -108,7 +109,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    cells: HashMap<RunId, Arc<Cell>>,
+    entries: HashMap<RunId, Arc<Entry>>,
     news: HashMap<ServiceName, News>,
 }
 
@@ -117,22 +118,46 @@
 struct News {
     ended: Vec<EndedRun>,
     completed: Vec<Fingerprint>,
-    over: Vec<RunId>,
+    /// Each with its last engine.
+    over: Vec<(RunId, UpstreamName)>,
 }
 
 /// The runs of a service, for a report.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct OwnRuns {
     pub(crate) runs: Vec<RunState>,
     pub(crate) ended: Vec<EndedRun>,
     /// Fingerprints of those that ended by themselves.
     pub(crate) completed: Vec<Fingerprint>,
-    pub(crate) over: Vec<RunId>,
+    /// Those that are not held any more, each with its last engine.
+    pub(crate) over: Vec<(RunId, UpstreamName)>,
 }
 
 impl OwnRuns {
+    /// What it says of runs and lengths.
     pub(crate) fn report(&self) -> Report<'_> {
-        Report { runs: &self.runs, ended: &self.ended, over: &self.over }
+        Report { runs: &self.runs, ended: &self.ended, over: &[] }
+    }
+
+    /// The ids of those that are not held any more.
+    pub(crate) fn over_ids(&self) -> Vec<RunId> {
+        self.over.iter().map(|(run, _)| run.clone()).collect()
+    }
+
+    /// What concerns each cell. What is learned from ended runs goes to `home`, of which there is
+    /// always a part.
+    pub(crate) fn by_cell(self, layout: Layout, home: Cell) -> BTreeMap<Cell, Self> {
+        let mut parts = BTreeMap::from([(home, Self::default())]);
+        for run in self.runs {
+            parts.entry(layout.cell_of(&run.engine)).or_default().runs.push(run);
+        }
+        for (run, engine) in self.over {
+            parts.entry(layout.cell_of(&engine)).or_default().over.push((run, engine));
+        }
+        let at_home = parts.entry(home).or_default();
+        at_home.ended = self.ended;
+        at_home.completed = self.completed;
+        parts
     }
 }
 
@@ -160,16 +185,16 @@
         let (orders, receiver) = mpsc::channel(ORDERS);
         let written = AtomicU32::new(0);
         let (place, moving) = (Mutex::new(place), Mutex::default());
-        let cell = Arc::new(Cell { facts, place, written, moving, orders });
-        self.lock().cells.insert(cell.facts.run.clone(), Arc::clone(&cell));
-        (RunGuard { runs: self.clone(), cell, completed: false }, receiver)
+        let entry = Arc::new(Entry { facts, place, written, moving, orders });
+        self.lock().entries.insert(entry.facts.run.clone(), Arc::clone(&entry));
+        (RunGuard { runs: self.clone(), entry, completed: false }, receiver)
     }
 
     /// The runs of a service as they are now.
     pub(crate) fn states(&self, service: &ServiceName) -> Vec<RunState> {
         let inner = self.lock();
-        let of_service = inner.cells.values().filter(|cell| cell.facts.service == *service);
-        of_service.map(|cell| cell.state()).collect()
+        let of_service = inner.entries.values().filter(|entry| entry.facts.service == *service);
+        of_service.map(|entry| entry.state()).collect()
     }
 
     /// The runs of a service, and those that ended since the last call.
@@ -181,10 +206,10 @@
 
     /// Hands an order to a run; returns whether it is held here and can take it.
     pub(crate) fn order(&self, run: &RunId, order: MoveOrder) -> bool {
-        let cell = self.lock().cells.get(run).cloned();
-        cell.is_some_and(|cell| {
-            cell.moving().to = Some(order.to.name.clone());
-            cell.orders.try_send(order).is_ok()
+        let entry = self.lock().entries.get(run).cloned();
+        entry.is_some_and(|entry| {
+            entry.moving().to = Some(order.to.name.clone());
+            entry.orders.try_send(order).is_ok()
         })
     }
 }
@@ -193,36 +218,36 @@
 #[derive(Debug)]
 pub(crate) struct RunGuard {
     runs: Runs,
-    cell: Arc<Cell>,
+    entry: Arc<Entry>,
     completed: bool,
 }
 
 impl RunGuard {
     pub(crate) fn place(&self) -> Placed {
-        self.cell.place().clone()
+        self.entry.place().clone()
     }
 
     /// Notes where the run goes on.
     pub(crate) fn moved(&self, place: Placed) {
-        *self.cell.place() = place;
-        *self.cell.moving() = MoveNews::default();
+        *self.entry.place() = place;
+        *self.entry.moving() = MoveNews::default();
     }
 
     /// Notes that the move in progress ended without success; `refused_by` cannot take the run.
     pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
-        let mut moving = self.cell.moving();
+        let mut moving = self.entry.moving();
         moving.to = None;
         moving.refused.extend(refused_by.cloned());
     }
 
     /// Notes that the copy at another engine is of no use any more.
     pub(crate) fn lost_backup(&self) {
-        self.cell.place().backup = None;
+        self.entry.place().backup = None;
     }
 
     /// Notes how many tokens are written.
     pub(crate) fn wrote(&self, tokens: u32) {
-        self.cell.written.store(tokens, Ordering::Relaxed);
+        self.entry.written.store(tokens, Ordering::Relaxed);
     }
 
     /// Notes that the run came to its own end.
@@ -233,20 +258,20 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let facts = &self.cell.facts;
+        let facts = &self.entry.facts;
         let mut inner = self.runs.lock();
-        inner.cells.remove(&facts.run);
+        inner.entries.remove(&facts.run);
         if !facts.is_pooled {
             return;
         }
         let news = inner.news.entry(facts.service.clone()).or_default();
-        news.over.push(facts.run.clone());
+        news.over.push((facts.run.clone(), self.entry.place().engine.name.clone()));
         if self.completed {
             news.completed.push(facts.fingerprint);
             news.ended.push(EndedRun {
                 kind: facts.kind.clone(),
                 organisation: facts.organisation.clone(),
-                written: self.cell.written.load(Ordering::Relaxed),
+                written: self.entry.written.load(Ordering::Relaxed),
             });
         }
     }
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -1,5 +1,6 @@
 //! What the traffic thread sees of the control state.
 
+use magnoliawinch::cells::{Cell, Layout};
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::HostName;
@@ -37,6 +38,58 @@
     }
 }
 
+/// The owners of each cell of engines.
+#[derive(Clone, Debug)]
+pub(crate) struct CellOwners {
+    layout: Layout,
+    home: Cell,
+    by_number: Arc<Vec<PoolOwners>>,
+}
+
+impl Default for CellOwners {
+    fn default() -> Self {
+        Self { layout: Layout::default(), home: Cell::WHOLE, by_number: Arc::default() }
+    }
+}
+
+impl CellOwners {
+    /// The owners by number of their cell, for a daemon at `home`.
+    pub(crate) fn new(layout: Layout, home: Cell, by_number: Vec<PoolOwners>) -> Self {
+        Self { layout, home, by_number: Arc::new(by_number) }
+    }
+
+    pub(crate) fn layout(&self) -> Layout {
+        self.layout
+    }
+
+    /// The cell whose owners this daemon asks first.
+    pub(crate) fn home(&self) -> Cell {
+        self.home
+    }
+
+    /// The owners of a cell of this layout; none of any other.
+    pub(crate) fn of(&self, cell: Cell) -> PoolOwners {
+        let is_known = cell.of() == self.layout.count();
+        let owners = is_known.then(|| self.by_number.get(cell.number() as usize)).flatten();
+        owners.cloned().unwrap_or_default()
+    }
+
+    /// Those that read the platform's list for all: the owners of the first cell.
+    pub(crate) fn readers(&self) -> PoolOwners {
+        self.by_number.first().cloned().unwrap_or_default()
+    }
+
+    /// The cells that `host` owns.
+    pub(crate) fn owned_by(&self, host: &HostName) -> impl Iterator<Item = Cell> {
+        self.layout.cells().filter(|cell| self.of(*cell).include(host))
+    }
+
+    /// Daemons of each cell, when there are so many in all.
+    pub(crate) fn share_of(&self, daemons: usize) -> usize {
+        daemons.div_ceil(self.layout.count() as usize)
+    }
+}
+
 /// A snapshot of the control state.
 #[derive(Clone, Debug)]
 pub(crate) struct View {
@@ -44,13 +97,17 @@
     pub(crate) own: Member,
     /// All daemons that take work or leave, this one among them.
     pub(crate) members: Arc<Vec<Member>>,
-    pub(crate) owners: PoolOwners,
+    pub(crate) cells: CellOwners,
+    /// Parts of the cells' memory in use, by number.
+    pub(crate) cell_loads: Arc<Vec<f32>>,
     /// Daemons that the shared budgets are divided among.
     pub(crate) daemons: usize,
     /// The configuration in force.
     pub(crate) table: Option<Arc<RouteTable>>,
     /// The upstreams.
     pub(crate) fleet: Arc<Fleet>,
+    /// Whether the upstreams are all that there are, and not only those of this daemon's cells.
+    pub(crate) knows_whole_list: bool,
     /// Fingerprints of requests that are refused.
     pub(crate) refused: Arc<HashSet<Fingerprint>>,
 }
@@ -59,10 +116,12 @@
     pub(crate) fn new(own: Member) -> Self {
         Self {
             members: Arc::new(vec![own.clone()]),
-            owners: PoolOwners::default(),
+            cells: CellOwners::default(),
+            cell_loads: Arc::default(),
             daemons: 1,
             table: None,
             fleet: Arc::default(),
+            knows_whole_list: false,
             refused: Arc::default(),
             own,
         }
