--- a/cli/src/commands/experiment.rs
+++ b/cli/src/commands/experiment.rs
@@ -3,9 +3,11 @@
 use super::{CommandError, block_on};
 use crate::options::{
     ControlOptions, CrowdOptions, ExperimentCommand, ExperimentOptions, OrdersOptions,
+    ReclaimOptions,
 };
 use crate::output::{print_json, print_rows};
 use magnoliawinch_experiments::crowd::{self, Options, Policy, Report};
+use magnoliawinch_experiments::reclaim;
 use magnoliawinch_testbed::control::{self, ControlReport};
 use magnoliawinch_testbed::orders;
 use std::process::ExitCode;
@@ -16,6 +18,7 @@
         Some(ExperimentCommand::Crowd(options)) => run_crowd(options),
         Some(ExperimentCommand::Control(options)) => run_control(options),
         Some(ExperimentCommand::Orders(options)) => run_orders(options),
+        Some(ExperimentCommand::Reclaim(options)) => run_reclaim(options),
         Some(ExperimentCommand::CrowdTable(options)) => super::crowd_table::run(options),
         Some(ExperimentCommand::Capacity(options)) => super::capacity::run(options),
         None => Err(CommandError::Missing("EXPERIMENT")),
@@ -93,6 +96,59 @@
     }
 }
 
+fn run_reclaim(options: &ReclaimOptions) -> Result<ExitCode, CommandError> {
+    let deployment = options.deployment.ok_or(CommandError::Missing("--deployment"))?;
+    let report = reclaim::run(&reclaim::Options {
+        deployment,
+        seeds: options.seeds,
+        load: options.load,
+        seconds: options.seconds,
+    });
+    match options.json {
+        true => print_json(&report),
+        false => print_reclaim(&report),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_reclaim(report: &reclaim::Report) {
+    let options = &report.options;
+    println!(
+        "{}, {} days of {} s at load {}; parts of all long requests, survivors on time of all hit",
+        options.deployment, options.seeds, options.seconds, options.load
+    );
+    println!(
+        "{:8} {:>7} {:>7} {:>7} {:>8} {:>9} {:>7} {:>7} {:>7} {:>8}",
+        "policy",
+        "worth",
+        "late",
+        "lost",
+        "refused",
+        "reclaimed",
+        "crashed",
+        "pause50",
+        "pause99",
+        "preempt"
+    );
+    for row in &report.rows {
+        let f = &row.figures;
+        let part = |count: u64| count as f64 / f.long.max(1) as f64;
+        println!(
+            "{:8} {:7.3} {:7.3} {:7.3} {:8.3} {:9.3} {:7.3} {:7} {:7} {:8}",
+            row.policy.to_string(),
+            f.part_earned(),
+            part(f.long_late),
+            part(f.long_lost),
+            part(f.long_refused),
+            f.reclaimed.part_on_time(),
+            f.crashed.part_on_time(),
+            f.pause_ms(0.5),
+            f.pause_ms(0.99),
+            f.preemptions
+        );
+    }
+}
+
 fn run_control(options: &ControlOptions) -> Result<ExitCode, CommandError> {
     let control_options = control::ControlOptions {
         daemons: options.daemons,
--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -206,6 +206,8 @@
     Control(ControlOptions),
     #[options(help = "measure what calls that run at most once cost at the log")]
     Orders(OrdersOptions),
+    #[options(help = "compare what is done for generations whose engine is taken away")]
+    Reclaim(ReclaimOptions),
     #[options(help = "rewrite the tables of docs/design/admission.md from docs/crowd")]
     CrowdTable(CrowdTableOptions),
     #[options(help = "rewrite the tables of docs/CAPACITY.md from docs/capacity")]
@@ -241,6 +243,23 @@
     pub(crate) json: bool,
 }
 
+/// Arguments of `experiment reclaim`.
+#[derive(Debug, Options)]
+pub(crate) struct ReclaimOptions {
+    #[options(help = "show this help")]
+    pub(crate) help: bool,
+    #[options(no_short, required, help = "peachtree or lo-presti")]
+    pub(crate) deployment: Option<Deployment>,
+    #[options(no_short, help = "days to play, each with a seed of its own", default = "100")]
+    pub(crate) seeds: u64,
+    #[options(no_short, help = "requests as a part of the user's sheet", default = "1")]
+    pub(crate) load: f64,
+    #[options(no_short, help = "seconds of arrivals of a day", default = "30")]
+    pub(crate) seconds: u64,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+}
+
 /// Arguments of `experiment control`.
 #[derive(Debug, Options)]
 pub(crate) struct ControlOptions {
