A daemon that reads a large list divides it for itself until it hears how

Cause: suspected of the 30 s until service is back after all of 301 daemons were killed (500 ms at 31): until it hears of the cells, each reads every heartbeat of 3,000 servers from the store, three quarters of a megabyte a second over a link of 10 Mbit/s. Now it divides by what it has read, asks the readers for its part, and takes what the leader decides.

--- a/core/src/cells.rs
+++ b/core/src/cells.rs
@@ -21,6 +21,9 @@
 /// Cells at the most: twice what 12,000 engines need.
 const MOST_CELLS: u32 = 256;
 
+/// When a layout was decided that no daemon has decided for all.
+const PROVISIONAL: u64 = 1;
+
 /// Part of a cell's memory in use from which runs of its own daemons look at other cells.
 const CROWDED: f32 = 0.85;
 
@@ -103,7 +106,8 @@
         Cell::new(0, cells).map(|_| Self { cells, decided_at })
     }
 
-    /// The layout for so many engines, as known at an offset of the list.
+    /// The layout for so many engines, as known at an offset of the list; offset zero is for a
+    /// provisional one, which any other replaces.
     pub fn for_engines(self, engines: usize, offset: u64) -> Self {
         let mut cells = self.cells;
         while cells < MOST_CELLS && engines > MOST_ENGINES * cells as usize {
@@ -112,7 +116,8 @@
         while cells > 1 && engines < FEWEST_ENGINES * cells as usize {
             cells /= 2;
         }
-        if cells == self.cells {
+        let was_provisional = self.decided_at == PROVISIONAL && offset > PROVISIONAL;
+        if cells == self.cells && !was_provisional {
             return self;
         }
         Self { cells, decided_at: offset.max(self.decided_at + 1) }
--- a/core/tests/cells.rs
+++ b/core/tests/cells.rs
@@ -32,11 +32,20 @@
 
 #[test]
 fn engines_that_come_and_go_do_not_change_the_layout() {
-    let layout = Layout::default().for_engines(3_000, 1);
+    let layout = Layout::default().for_engines(3_000, 5_000);
     for engines in [2_500, 2_000, 3_600] {
-        assert_eq!(layout.for_engines(engines, 2), layout);
+        assert_eq!(layout.for_engines(engines, 6_000), layout);
     }
-    assert!(layout.for_engines(1_000, 2).is_newer_than(layout));
+    assert!(layout.for_engines(1_000, 6_000).is_newer_than(layout));
+}
+
+#[test]
+fn what_one_decides_for_all_replaces_what_each_decided_for_itself() {
+    let own = Layout::default().for_engines(300, 0);
+    let leaders = own.for_engines(300, 70);
+    assert_eq!(leaders.count(), own.count());
+    assert!(leaders.is_newer_than(own));
+    assert_eq!(leaders.for_engines(300, 80), leaders);
 }
 
 #[test]
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -127,9 +127,13 @@
         self.fleet_is_old = true;
     }
 
-    /// Divides the engines by their number, as the daemon that decides for all.
+    /// Divides the engines by their number, as the daemon that decides for all; as another one only
+    /// until that is heard, so that after a start of all not each reads the list of a large system
+    /// again and again.
     pub(super) fn decide_layout(&mut self) {
-        if !self.decides_in(self.first_cell()) || !self.cells.covered.covers(&Interest::whole()) {
+        let leads = self.decides_in(self.first_cell());
+        let may_decide = leads || self.cells.layout == Layout::default();
+        if !may_decide || !self.cells.covered.covers(&Interest::whole()) {
             return;
         }
         let engines = self.fleet.all().filter(|listed| {
@@ -137,7 +141,8 @@
             let service = table.and_then(|table| table.service(listed.service.as_str()));
             service.is_some_and(|service| service.engine.is_some())
         });
-        let layout = self.cells.layout.for_engines(engines.count(), self.fleet.through());
+        let offset = if leads { self.fleet.through() } else { 0 };
+        let layout = self.cells.layout.for_engines(engines.count(), offset);
         self.take_layout(layout);
     }
 
@@ -150,6 +155,11 @@
         if !layout.is_newer_than(self.cells.layout) {
             return;
         }
+        let is_same = layout.count() == self.cells.layout.count();
+        if is_same {
+            self.cells.layout = layout;
+            return;
+        }
         log::info!(
             cells = layout.count(),
             old_cells = self.cells.layout.count(),
