--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -13,8 +13,9 @@
 /// Standard deviations of the projected memory that are kept free.
 const HEADROOM: f64 = 1.0;
 
-/// Part of an engine's memory up to which copies for insurance may fill it.
-const COPIES_UP_TO: f64 = 0.7;
+/// Part of an engine's memory up to which copies for insurance may fill it; with more, a crowd finds
+/// too little room (docs/design/reclaim.md).
+const COPIES_UP_TO: f64 = 0.4;
 
 /// Expected time that an engine with full memory costs a run, in milliseconds.
 const FULL_MEMORY_MS: f64 = 300.0;
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -112,6 +112,27 @@
     assert_eq!(orders[0].way, Way::Copy);
 }
 
+/// How many runs of 3,000 tokens find a place before one waits.
+fn runs_placed(mut pool: Pool) -> usize {
+    let is_placed = |run: &usize| {
+        let answer = pool.place(Time(10 * *run as u64), wish(&format!("r{run}"), 3_000));
+        matches!(answer, Answer::Placed(_))
+    };
+    (0..1_000).take_while(is_placed).count()
+}
+
+/// Pattern: a crowd comes to an idle pool, which has kept copies of its runs until then.
+#[test]
+fn copies_leave_most_of_the_room_to_a_crowd() {
+    let names: Vec<_> = (0..12).map(|engine| format!("e{engine}")).collect();
+    let engines: Vec<_> = names.iter().map(|name| (name.as_str(), "a")).collect();
+    let with_copies = pool(&engines);
+    let mut without = pool(&engines);
+    without.reshape(EngineShape { can_back_up: false, ..shape() });
+    let (with_copies, without) = (runs_placed(with_copies), runs_placed(without));
+    assert!(with_copies * 4 >= without * 3, "{with_copies} of {without} find a place");
+}
+
 /// The pool with `runs` of 3,000 tokens at an engine that leaves, and two others.
 fn leaving_pool(runs: &[&str]) -> Pool {
     let mut pool = pool(&[("e1", "a")]);
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -9,6 +9,7 @@
 use magnoliawinch::quarantine::{Fingerprint, RefusedPrints};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf};
+use std::collections::HashSet;
 
 /// Time between two questions of an owner to those who read the list.
 const ASK_READERS_EVERY: Millis = Millis(150);
@@ -67,9 +68,9 @@
         });
         let home = layout.home_of(&self.membership.own().host);
         self.cells.owners = CellOwners::new(layout, home, ranked.collect());
-        let is_whole = layout.is_whole() || self.is_reader();
+        let needs_all = layout.is_whole() || self.is_reader();
         self.cells.needed =
-            if is_whole { Interest::whole() } else { Interest::new(self.pool_cells()) };
+            if needs_all { Interest::whole() } else { Interest::new(self.pool_cells()) };
         self.forget_what_is_not_needed();
         self.shape_pools();
     }
@@ -107,21 +108,22 @@
 
     /// Whether an upstream is of interest to one that has to know `interest`.
     pub(super) fn is_in(&self, interest: &Interest, listed: &Listed) -> bool {
+        !self.is_engine(listed) || interest.has(&listed.name)
+    }
+
+    fn is_engine(&self, listed: &Listed) -> bool {
         let table = self.table.as_ref();
-        let is_engine = table
-            .and_then(|table| table.service(listed.service.as_str()))
-            .is_some_and(|service| service.engine.is_some());
-        !is_engine || interest.has(&listed.name)
+        let service = table.and_then(|table| table.service(listed.service.as_str()));
+        service.is_some_and(|service| service.engine.is_some())
     }
 
     fn forget_what_is_not_needed(&mut self) {
         if !self.cells.are_covered() || self.cells.covered == self.cells.needed {
             return;
         }
-        let fleet = &self.fleet;
-        let kept: Vec<_> =
-            fleet.all().filter(|listed| self.needs(listed)).map(|l| l.name.clone()).collect();
-        let kept: std::collections::HashSet<_> = kept.into_iter().collect();
+        let is_needed = |listed: &&Listed| self.needs(listed);
+        let kept: HashSet<_> =
+            self.fleet.all().filter(is_needed).map(|listed| listed.name.clone()).collect();
         self.fleet.retain(|listed| kept.contains(&listed.name));
         self.cells.covered = self.cells.needed.clone();
         self.fleet_is_old = true;
@@ -136,11 +138,7 @@
         if !may_decide || !self.cells.covered.covers(&Interest::whole()) {
             return;
         }
-        let engines = self.fleet.all().filter(|listed| {
-            let table = self.table.as_ref();
-            let service = table.and_then(|table| table.service(listed.service.as_str()));
-            service.is_some_and(|service| service.engine.is_some())
-        });
+        let engines = self.fleet.all().filter(|listed| self.is_engine(listed));
         let offset = if leads { self.fleet.through() } else { 0 };
         let layout = self.cells.layout.for_engines(engines.count(), offset);
         self.take_layout(layout);
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -71,7 +71,7 @@
 }
 
 #[derive(Debug)]
-struct Entry {
+struct Held {
     facts: RunFacts,
     place: Mutex<Placed>,
     written: AtomicU32,
@@ -79,7 +79,7 @@
     orders: mpsc::Sender<MoveOrder>,
 }
 
-impl Entry {
+impl Held {
     fn place(&self) -> MutexGuard<'_, Placed> {
         self.place.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -109,7 +109,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    entries: HashMap<RunId, Arc<Entry>>,
+    held: HashMap<RunId, Arc<Held>>,
     news: HashMap<ServiceName, News>,
 }
 
@@ -185,16 +185,16 @@
         let (orders, receiver) = mpsc::channel(ORDERS);
         let written = AtomicU32::new(0);
         let (place, moving) = (Mutex::new(place), Mutex::default());
-        let entry = Arc::new(Entry { facts, place, written, moving, orders });
-        self.lock().entries.insert(entry.facts.run.clone(), Arc::clone(&entry));
-        (RunGuard { runs: self.clone(), entry, completed: false }, receiver)
+        let held = Arc::new(Held { facts, place, written, moving, orders });
+        self.lock().held.insert(held.facts.run.clone(), Arc::clone(&held));
+        (RunGuard { runs: self.clone(), held, completed: false }, receiver)
     }
 
     /// The runs of a service as they are now.
     pub(crate) fn states(&self, service: &ServiceName) -> Vec<RunState> {
         let inner = self.lock();
-        let of_service = inner.entries.values().filter(|entry| entry.facts.service == *service);
-        of_service.map(|entry| entry.state()).collect()
+        let of_service = inner.held.values().filter(|held| held.facts.service == *service);
+        of_service.map(|held| held.state()).collect()
     }
 
     /// The runs of a service, and those that ended since the last call.
@@ -206,10 +206,10 @@
 
     /// Hands an order to a run; returns whether it is held here and can take it.
     pub(crate) fn order(&self, run: &RunId, order: MoveOrder) -> bool {
-        let entry = self.lock().entries.get(run).cloned();
-        entry.is_some_and(|entry| {
-            entry.moving().to = Some(order.to.name.clone());
-            entry.orders.try_send(order).is_ok()
+        let held = self.lock().held.get(run).cloned();
+        held.is_some_and(|held| {
+            held.moving().to = Some(order.to.name.clone());
+            held.orders.try_send(order).is_ok()
         })
     }
 }
@@ -218,36 +218,36 @@
 #[derive(Debug)]
 pub(crate) struct RunGuard {
     runs: Runs,
-    entry: Arc<Entry>,
+    held: Arc<Held>,
     completed: bool,
 }
 
 impl RunGuard {
     pub(crate) fn place(&self) -> Placed {
-        self.entry.place().clone()
+        self.held.place().clone()
     }
 
     /// Notes where the run goes on.
     pub(crate) fn moved(&self, place: Placed) {
-        *self.entry.place() = place;
-        *self.entry.moving() = MoveNews::default();
+        *self.held.place() = place;
+        *self.held.moving() = MoveNews::default();
     }
 
     /// Notes that the move in progress ended without success; `refused_by` cannot take the run.
     pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
-        let mut moving = self.entry.moving();
+        let mut moving = self.held.moving();
         moving.to = None;
         moving.refused.extend(refused_by.cloned());
     }
 
     /// Notes that the copy at another engine is of no use any more.
     pub(crate) fn lost_backup(&self) {
-        self.entry.place().backup = None;
+        self.held.place().backup = None;
     }
 
     /// Notes how many tokens are written.
     pub(crate) fn wrote(&self, tokens: u32) {
-        self.entry.written.store(tokens, Ordering::Relaxed);
+        self.held.written.store(tokens, Ordering::Relaxed);
     }
 
     /// Notes that the run came to its own end.
@@ -258,20 +258,20 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let facts = &self.entry.facts;
+        let facts = &self.held.facts;
         let mut inner = self.runs.lock();
-        inner.entries.remove(&facts.run);
+        inner.held.remove(&facts.run);
         if !facts.is_pooled {
             return;
         }
         let news = inner.news.entry(facts.service.clone()).or_default();
-        news.over.push((facts.run.clone(), self.entry.place().engine.name.clone()));
+        news.over.push((facts.run.clone(), self.held.place().engine.name.clone()));
         if self.completed {
             news.completed.push(facts.fingerprint);
             news.ended.push(EndedRun {
                 kind: facts.kind.clone(),
                 organisation: facts.organisation.clone(),
-                written: self.entry.written.load(Ordering::Relaxed),
+                written: self.held.written.load(Ordering::Relaxed),
             });
         }
     }
