Owners of cells hear when a configuration was looked for, and refusals end there

Found in the reading of the change: of a divided system only the daemons of the first cell heard that the readers had looked, so all others looked for themselves; refusals that an owner passes on never ended, as nothing counted their time; loads that readers heard did not reach their own view.

--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -211,6 +211,7 @@
             let known = cell.filter(|cell| cell.of() == self.cells.layout.count());
             if let Some(load) = known.and_then(|c| self.cells.loads.get_mut(c.number() as usize)) {
                 *load = told.load;
+                self.view_is_old = true;
             }
         }
     }
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -229,6 +229,7 @@
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
             refused: self.refused_anywhere(),
+            configuration_age_ms: age_ms(now, self.shared.looked_at()),
         }
     }
 
@@ -278,6 +279,7 @@
                 Err(e) => log::warn!("a peer's configuration cannot be read: {e}"),
             }
         }
+        self.shared.note_look(now - Millis(u64::from(state.configuration_age_ms)));
         if let Some(layout) = state.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
             self.take_layout(layout);
         }
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -365,6 +365,7 @@
             self.view_is_old |= self.refused.told(now, fingerprint);
         }
         self.view_is_old |= self.refused.tick(now);
+        self.cells.passed_on.tick(now);
     }
 
     /// The part of a cell's memory that is in use or waited for.
