--- a/peer/src/channels.rs
+++ b/peer/src/channels.rs
@@ -1,7 +1,7 @@
 //! Connections to other daemons.
 
-use crate::generated::cell_client::CellClient;
 use crate::generated::peer_client::PeerClient;
+use crate::generated::relay_client::RelayClient;
 use std::collections::HashMap;
 use std::future::Future;
 use std::marker::PhantomData;
@@ -58,7 +58,7 @@
     }
 }
 
-impl FromChannel for CellClient<Channel> {
+impl FromChannel for RelayClient<Channel> {
     fn from_channel(channel: Channel) -> Self {
         Self::new(channel)
     }
--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -13,9 +13,9 @@
 
 pub use channels::{FromChannel, PeerError, Peers};
 pub use convert::{BadMember, learn};
-pub use generated::cell_client::CellClient;
-pub use generated::cell_server::{Cell, CellServer};
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
+pub use generated::relay_client::RelayClient;
+pub use generated::relay_server::{Relay, RelayServer};
 pub use generated::*;
 pub use serve::serve;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::control::{Control, ListNews, Message, report_every};
 use crate::entry::Entry;
-use crate::peer_server::CellService;
+use crate::peer_server::RelayService;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
@@ -11,7 +11,7 @@
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
 use magnoliawinch::time::Millis;
-use magnoliawinch_peer::CellServer;
+use magnoliawinch_peer::RelayServer;
 use magnoliawinch_runtime::start_control;
 use std::io;
 use std::net::SocketAddr;
@@ -247,8 +247,8 @@
 }
 
 async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, stop: watch::Receiver<bool>) {
-    let services =
-        tonic::transport::Server::builder().add_service(CellServer::new(CellService::new(shared)));
+    let services = tonic::transport::Server::builder()
+        .add_service(RelayServer::new(RelayService::new(shared)));
     magnoliawinch_peer::serve(services, listener, stop).await;
 }
 
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -8,7 +8,7 @@
 use magnoliawinch::pool::Wish;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
-    Cell, CellOf, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, RelocateReply,
+    CellOf, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, Relay, RelocateReply,
     RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
 };
 use std::sync::Arc;
@@ -28,11 +28,11 @@
 
 /// The service that other daemons call.
 #[derive(Debug)]
-pub(crate) struct CellService {
+pub(crate) struct RelayService {
     shared: Arc<Shared>,
 }
 
-impl CellService {
+impl RelayService {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
@@ -46,7 +46,7 @@
 }
 
 #[tonic::async_trait]
-impl Cell for CellService {
+impl Relay for RelayService {
     async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
         let req = req.into_inner();
         self.ask(|reply| Message::Probe { req, reply }).await.map(Response::new)
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -12,7 +12,7 @@
 use magnoliawinch::retry::SharedBudget;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
-use magnoliawinch_peer::{CellClient, Peers};
+use magnoliawinch_peer::{Peers, RelayClient};
 use magnoliawinch_runtime::{InProgress, Requests, ask};
 use magnoliawinch_telemetry::{Journal, Metrics};
 use rand::SeedableRng;
@@ -46,7 +46,7 @@
     pub(crate) clock: Clock,
     pub(crate) view: ArcSwap<View>,
     pub(crate) control: mpsc::Sender<Message>,
-    pub(crate) peers: Peers<CellClient<Channel>>,
+    pub(crate) peers: Peers<RelayClient<Channel>>,
     pub(crate) upstreams: Client,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
