--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -5,9 +5,10 @@
 mod members;
 mod news;
 mod pools;
+mod reports;
 
 pub use news::ListNews;
-pub(crate) use pools::report_every;
+pub(crate) use reports::report_every;
 
 use crate::runs::Placed;
 use crate::shared::Shared;
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -1,7 +1,7 @@
 //! The cells of engines: who owns them, which upstreams this daemon has to know, and their loads.
 
 use super::Control;
-use super::pools::report_every;
+use super::reports::report_every;
 use crate::view::{CellOwners, PoolOwners};
 use magnoliawinch::cells::{Cell, Interest, Layout};
 use magnoliawinch::fleet::Listed;
