One question for the version in force, and lists compared by their names once

The version in force was written out ten times, and whether a named one is newer was asked by each caller of note_version_at, which now asks it itself. Comparing a whole list with what is known looked through the list for each entry, here and in Fleet::replace: nine million names at 3,000 servers; now one set of names. A pool's report takes its ended ids in place of an empty list that every caller replaced.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::names::{FailureDomain, ServiceName, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Time after an outage of the list in which lapsed entries are back; from the platform's page.
@@ -125,7 +125,8 @@
         if through < self.through {
             return Vec::new();
         }
-        let is_listed = |name: &UpstreamName| all.iter().any(|listed| listed.name == *name);
+        let names: HashSet<_> = all.iter().map(|listed| &listed.name).collect();
+        let is_listed = |name: &UpstreamName| names.contains(name);
         let missing: Vec<_> =
             self.upstreams.keys().filter(|name| !is_listed(name)).cloned().collect();
         let changes = missing.into_iter().map(Change::Removed);
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// The version of the configuration in force; zero for none.
+    fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version())
+    }
+
     /// Puts a configuration in force, unless a newer one is.
     fn configure(&mut self, now: Time, configuration: Configuration) {
         let version = configuration.version;
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -33,7 +33,7 @@
         let req = ProbeRequest {
             sender: Some(self.membership.own().into()),
             changes: self.changes(),
-            catalogue_offset: self.table.as_ref().map_or(0, |table| table.version()),
+            catalogue_offset: self.version(),
             table_digest: self.membership.digest(),
             leaving: Vec::new(),
             hosts: Vec::new(),
@@ -77,7 +77,7 @@
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
             changes: changes.iter().map(Into::into).collect(),
-            catalogue_offset: self.table.as_ref().map_or(0, |table| table.version()),
+            catalogue_offset: self.version(),
             leaving: Vec::new(),
             hosts: Vec::new(),
         });
--- a/relay/src/control/news.rs
+++ b/relay/src/control/news.rs
@@ -7,6 +7,7 @@
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -150,7 +151,8 @@
 
     /// The entries in which `all` differs from what is known.
     fn changed_in(&self, all: &[Listed]) -> Vec<UpstreamName> {
-        let missing = |listed: &&Listed| !all.iter().any(|other| other.name == listed.name);
+        let names: HashSet<_> = all.iter().map(|listed| &listed.name).collect();
+        let missing = |listed: &&Listed| !names.contains(&listed.name);
         let gone = self.fleet.all().filter(missing);
         let differs = |listed: &&Listed| self.fleet.get(&listed.name) != Some(*listed);
         let other = all.iter().filter(differs);
@@ -164,26 +166,22 @@
         version: u64,
         peer: Option<&magnoliawinch_peer::Member>,
     ) {
-        let own = self.table.as_ref().map_or(0, |table| table.version());
-        if version <= own {
-            return;
-        }
         if let Some(address) = peer.and_then(|peer| peer.peer_address.parse().ok()) {
             self.note_version_at(now, version, address);
         }
     }
 
-    /// Has a newer configuration looked for that the daemon at `peer` has.
+    /// Has the configuration looked for that the daemon at `peer` has, if it is newer.
     pub(super) fn note_version_at(&mut self, now: Time, version: u64, peer: SocketAddr) {
-        if self.named_versions.name(now, version, peer) {
+        if version > self.version() && self.named_versions.name(now, version, peer) {
             self.shared.named_version.send_replace(version);
         }
     }
 
     /// Asks a peer for a version that the store has not given.
     pub(super) fn ask_for_version(&mut self, now: Time) {
-        let own = self.table.as_ref().map_or(0, |table| table.version());
-        if let Some(peer) = self.named_versions.ask(now, own) {
+        let in_force = self.version();
+        if let Some(peer) = self.named_versions.ask(now, in_force) {
             self.ask_state(peer);
         }
     }
@@ -191,7 +189,7 @@
     /// Asks a peer for what is newer there.
     pub(super) fn ask_state(&self, address: SocketAddr) {
         let req = StateRequest {
-            configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+            configuration_version: self.version(),
             list_offset: self.list_offset(),
             wanted: self.cells.needed.cells().map(Into::into).collect(),
             loads: self.own_loads(self.shared.clock.now()).into_iter().map(cell_load).collect(),
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -10,7 +10,6 @@
 use crate::runs::OwnRuns;
 use magnoliawinch::cells::{Cell, Interest};
 use magnoliawinch::names::{HostName, RunId, ServiceName};
-use magnoliawinch::pool::Report;
 use magnoliawinch::quarantine::{Fingerprint, Treatment};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellOf, RunsReply, RunsReport};
@@ -51,7 +50,7 @@
             for (cell, part) in held.by_cell(self.cells.layout, home) {
                 let key = PoolKey { service: service.clone(), cell };
                 if let Some(pool) = self.pools.by_key.get_mut(&key) {
-                    pool.report(now, &own, &Report { over: &part.over_ids(), ..part.report() });
+                    pool.report(now, &own, &part.report(&part.over_ids()));
                 }
                 let crashed = if cell == home { crashed.as_slice() } else { &[] };
                 let report = self.report_of(&key, &part, crashed);
@@ -69,7 +68,7 @@
             over: held.over.iter().map(|(run, _)| run.to_string()).collect(),
             leaving: Vec::new(),
             list_offset: self.list_offset(),
-            configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+            configuration_version: self.version(),
             crashed: crashed.iter().map(crash_message).collect(),
             completed: held.completed.iter().map(|print| print.0).collect(),
             cell: Some(key.cell.into()),
@@ -122,13 +121,11 @@
         let mut uses = Vec::new();
         let key = PoolKey { service: ServiceName::new(&report.service), cell };
         if let Some(pool) = self.pools.by_key.get_mut(&key) {
-            pool.report(now, &holder, &Report { over: &over, ..held.report() });
+            pool.report(now, &holder, &held.report(&over));
             uses = pool.use_apart_from(now, &holder);
         }
-        if report.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
-            && let Some(peer) = self.membership.get(&report.host)
-        {
-            self.note_version_at(now, report.configuration_version, peer.peer_address);
+        if let Some(peer) = self.membership.get(&report.host).map(|peer| peer.peer_address) {
+            self.note_version_at(now, report.configuration_version, peer);
         }
         let told = Interest::new([cell]);
         let tells_list = report.wants_list && self.cells.covered.covers(&told);
@@ -142,7 +139,7 @@
                 true => self.list_json_after(report.list_offset, &told),
                 false => String::new(),
             },
-            configuration_version: self.table.as_ref().map_or(0, |table| table.version()),
+            configuration_version: self.version(),
             refused: self.refused_anywhere(),
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
@@ -183,10 +180,8 @@
             self.view_is_old |= self.refused.told(now, Fingerprint(*fingerprint));
         }
         self.shared.note_look(now - Millis(u64::from(reply.configuration_age_ms)));
-        if reply.configuration_version > self.table.as_ref().map_or(0, |t| t.version())
-            && let Some(owner) = self.membership.get(&reply.host)
-        {
-            self.note_version_at(now, reply.configuration_version, owner.peer_address);
+        if let Some(owner) = self.membership.get(&reply.host).map(|owner| owner.peer_address) {
+            self.note_version_at(now, reply.configuration_version, owner);
         }
     }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -134,9 +134,9 @@
 }
 
 impl OwnRuns {
-    /// What it says of runs and lengths.
-    pub(crate) fn report(&self) -> Report<'_> {
-        Report { runs: &self.runs, ended: &self.ended, over: &[] }
+    /// The same for a pool, with the ids of those that are not held any more.
+    pub(crate) fn report<'a>(&'a self, over: &'a [RunId]) -> Report<'a> {
+        Report { runs: &self.runs, ended: &self.ended, over }
     }
 
     /// The ids of those that are not held any more.
