Testbed: a refreshed list of hosts does not lead a caller back to the failed one

The choice is now a small type without I/O that skips the host that failed last while another is known.

Ruled out: a fault of the daemons; two of three hosts served all the while.

Test: a_refreshed_list_does_not_lead_back_to_the_failed_host, which the former order of steps fails by construction (index set to 0 by the refresh).

--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod figures;
+pub mod host_choice;
 pub mod load;
 pub mod orders;
 pub mod response;
@@ -12,5 +13,6 @@
 pub mod test_caller;
 pub mod testbed;
 
+pub use host_choice::HostChoice;
 pub use response::{ResponseCheck, ResponseError};
 pub use testbed::{Testbed, TestbedOptions};
--- a/testbed/src/test_caller.rs
+++ b/testbed/src/test_caller.rs
@@ -1,6 +1,7 @@
 //! A caller that behaves like an organisation's application: it caches the addresses it received,
 //! resumes interrupted streams at another host, and retries refused requests when told to.
 
+use crate::host_choice::HostChoice;
 use crate::response::{ResponseCheck, ResponseError};
 use bytes::Bytes;
 use magnoliawinch::verdict::Verdict;
@@ -74,10 +75,8 @@
 #[derive(Clone, Debug)]
 pub struct TestCaller {
     caller: CallerClient,
-    seed_hosts: Vec<SocketAddr>,
-    hosts: Vec<SocketAddr>,
+    hosts: HostChoice,
     hosts_expire_at: Instant,
-    host_index: usize,
     run_counts: Option<RunCounts>,
     not_run_but_ran: u64,
 }
@@ -88,10 +87,8 @@
     pub fn new(key: &str, seed_hosts: &[SocketAddr], host_index: usize) -> Self {
         Self {
             caller: CallerClient::new(key),
-            seed_hosts: seed_hosts.to_vec(),
-            hosts: Vec::new(),
+            hosts: HostChoice::new(seed_hosts, host_index),
             hosts_expire_at: Instant::now(),
-            host_index,
             run_counts: None,
             not_run_but_ran: 0,
         }
@@ -118,30 +115,21 @@
         if Instant::now() >= self.hosts_expire_at {
             self.refresh_hosts().await;
         }
-        let known = if self.hosts.is_empty() { &self.seed_hosts } else { &self.hosts };
-        known[self.host_index % known.len()]
+        self.hosts.selected()
     }
 
     async fn refresh_hosts(&mut self) {
-        let addresses: Vec<_> = self.hosts.iter().chain(&self.seed_hosts).copied().collect();
-        for step in 0..addresses.len() {
-            let address = addresses[(self.host_index + step) % addresses.len()];
+        for address in self.hosts.to_ask() {
             if let Ok(response) = self.caller.hosts(address).await
                 && !response.hosts.is_empty()
             {
-                self.hosts = response.hosts.iter().map(|host| host.address).collect();
+                self.hosts.refresh(response.hosts.iter().map(|host| host.address).collect());
                 self.hosts_expire_at = Instant::now() + Duration::from(response.lifetime_ms);
-                self.host_index = 0;
                 return;
             }
         }
     }
 
-    /// Selects the next host of the list.
-    fn next_host(&mut self) {
-        self.host_index += 1;
-    }
-
     /// Waits as long as the refusal asks and selects the next host; returns whether the request may
     /// be retried.
     async fn wait_before_retry(&mut self, error: &ErrorBody) -> bool {
@@ -159,7 +147,7 @@
             let ms = error.retry_after_ms.unwrap_or(100);
             sleep(Duration::from_millis(ms)).await;
         }
-        self.next_host();
+        self.hosts.select_next();
         may_retry || is_in_progress
     }
 
@@ -189,7 +177,7 @@
                     }
                 }
                 Err(_) => {
-                    self.next_host();
+                    self.hosts.select_next();
                     sleep(HOST_RETRY_DELAY).await;
                 }
             }
@@ -244,7 +232,7 @@
         let (generation, _) = magnoliawinch_caller::sse::split_event_id(id)?;
         while stats.resumes < MAX_RESUMES {
             stats.resumes += 1;
-            self.next_host();
+            self.hosts.select_next();
             self.hosts_expire_at = Instant::now();
             let host = self.current_host().await;
             match self.caller.resume(host, generation, Some(id)).await {
@@ -286,7 +274,7 @@
                     }
                 }
                 Err(_) => {
-                    self.next_host();
+                    self.hosts.select_next();
                     sleep(HOST_RETRY_DELAY).await;
                 }
             }
@@ -316,7 +304,7 @@
                 }
                 Err(e) => {
                     last_error = e.to_string();
-                    self.next_host();
+                    self.hosts.select_next();
                     sleep(HOST_RETRY_DELAY).await;
                 }
             }
