Daemons follow each other for what the readers have read, in hops that grow with the logarithm

Change: the daemons of a failure domain form a forest with two roots and eight followers a daemon; a daemon follows its parent with long polls that are answered when there is news (a configuration with its body, changes of the list, a newer read of the store). Silent or outdated sources are left for another of the parent's level, then for the readers and 14 ranked deputies. A deputy reads the store when it hears of no read for 1.1 s, twice as many every 300 ms; the others only if no reader or deputy is heard, after a random delay that grows with the logarithm of the fleet. Reads of the store are counted by purpose and fallbacks logged.

What peers pass on is now final, with the time left of entries that may return. - A primary that keeps one cell never decided so, and any daemon could decide otherwise. It decides now, and engines that leave are not counted. - A change of the list made all daemons report in step. Only holders of a run at a leaving engine report at once, and the interval has a random factor.

Ruled out: a longer MAX_POLL_AGE (a trial with 4,000 ms saved as many calls, but then a change takes effect too late when the readers are silent, and the interval goes on growing).

Tests: core/tests/dissemination.rs. The three tests of polls for announced versions are replaced: two by tests of the fallback with the same bound of 1,700 ms; an announced version is no longer polled for in the store but arrives from the source, or from the announcing peer after 300 ms as before.

--- a/core/src/cells.rs
+++ b/core/src/cells.rs
@@ -120,8 +120,8 @@
         while cells > 1 && engines < MIN_ENGINES_PER_CELL * cells as usize {
             cells /= 2;
         }
-        let was_provisional = self.decided_at == PROVISIONAL_OFFSET && offset > PROVISIONAL_OFFSET;
-        if cells == self.cells && !was_provisional {
+        let was_decided = self.decided_at > PROVISIONAL_OFFSET || offset <= PROVISIONAL_OFFSET;
+        if cells == self.cells && was_decided {
             return self;
         }
         Self { cells, decided_at: offset.max(self.decided_at + 1) }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -54,6 +54,16 @@
     Removed(UpstreamName),
 }
 
+/// Where an update of the list comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Read from the store by this daemon.
+    Store,
+    /// Passed on by a peer, with the entries that the peer removes after the given times unless they
+    /// return. What the peer has removed is gone for good.
+    Peer(Vec<(UpstreamName, Millis)>),
+}
+
 #[derive(Clone, Debug)]
 struct Upstream {
     listed: ListedUpstream,
@@ -110,6 +120,7 @@
         &mut self,
         now: Time,
         offset: u64,
+        origin: &Origin,
         changes: impl IntoIterator<Item = Change>,
     ) -> Vec<UpstreamName> {
         if offset < self.offset {
@@ -119,9 +130,17 @@
         self.offset = offset;
         let mut leaving = Vec::new();
         for change in changes {
-            match change {
-                Change::Put(listed) => leaving.extend(self.put(now, listed)),
-                Change::Removed(name) => leaving.extend(self.remove(now, &name)),
+            leaving.extend(match (change, origin) {
+                (Change::Put(listed), _) => self.put(now, listed),
+                (Change::Removed(name), Origin::Store) => self.expire(now, &name),
+                (Change::Removed(name), Origin::Peer(_)) => self.remove(now, &name),
+            });
+        }
+        if let Origin::Peer(expiring) = origin {
+            for (name, left) in expiring {
+                if let Some(upstream) = self.upstreams.get_mut(name) {
+                    upstream.removal_at.get_or_insert(now + *left);
+                }
             }
         }
         leaving
@@ -133,6 +152,7 @@
         &mut self,
         now: Time,
         offset: u64,
+        origin: &Origin,
         all: Vec<ListedUpstream>,
     ) -> Vec<UpstreamName> {
         if offset < self.offset {
@@ -144,7 +164,7 @@
             self.upstreams.keys().filter(|name| !is_listed(name)).cloned().collect();
         let changes = missing.into_iter().map(Change::Removed);
         let changes: Vec<_> = changes.chain(all.into_iter().map(Change::Put)).collect();
-        self.apply(now, offset, changes)
+        self.apply(now, offset, origin, changes)
     }
 
     /// Drops the upstreams that `is_kept` rejects: this daemon no longer needs to know them.
@@ -177,13 +197,18 @@
         (was_usable && leaves).then_some(name)
     }
 
-    fn remove(&mut self, now: Time, name: &UpstreamName) -> Option<UpstreamName> {
+    /// Removes an entry that the store no longer has; later if it may be renewed after an outage.
+    fn expire(&mut self, now: Time, name: &UpstreamName) -> Option<UpstreamName> {
         let is_after_outage = self.outage_ended_at.is_some_and(|at| now.since(at) < EXPIRY_GRACE);
         let upstream = self.upstreams.get_mut(name)?;
         if is_after_outage && !upstream.listed.leaving {
             upstream.removal_at.get_or_insert(now + EXPIRY_GRACE);
             return None;
         }
+        self.remove(now, name)
+    }
+
+    fn remove(&mut self, now: Time, name: &UpstreamName) -> Option<UpstreamName> {
         let upstream = self.upstreams.remove(name)?;
         let born = upstream.listed.born;
         let was_leaving = upstream.listed.leaving || self.is_leaving(name);
@@ -252,6 +277,12 @@
         self.upstreams.values().map(|upstream| &upstream.listed)
     }
 
+    /// Expired entries and when they are removed unless they return.
+    pub fn expiring(&self) -> impl Iterator<Item = (&UpstreamName, Time)> {
+        let removals = self.upstreams.iter();
+        removals.filter_map(|(name, upstream)| Some((name, upstream.removal_at?)))
+    }
+
     /// Upstreams of a service that may get new work.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ListedUpstream> {
         self.all().filter(move |l| l.service.as_str() == service && self.is_usable(&l.name))
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,14 +4,15 @@
 //! arguments. Daemons, tests and experiments run the same code.
 
 pub mod admission;
+pub mod announced_versions;
 pub mod balance;
 pub mod capacity;
 pub mod catalogue;
 pub mod cells;
-pub mod configuration_polling;
 pub mod decision;
 pub mod delivery;
 pub mod directory;
+pub mod dissemination;
 pub mod estimate;
 pub mod fleet;
 pub mod ini;
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A daemon's view of the upstreams, and its log of changes.
 
-use magnoliawinch::fleet::{Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream};
+use magnoliawinch::fleet::{Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream, Origin};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 
@@ -22,27 +22,33 @@
 
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new();
-    fleet.replace(Time(0), 10, vec![listed("e1", 1, false), listed("e2", 1, false)]);
+    fleet.replace(
+        Time(0),
+        10,
+        &Origin::Store,
+        vec![listed("e1", 1, false), listed("e2", 1, false)],
+    );
     fleet
 }
 
 #[test]
 fn a_leaving_upstream_gets_no_new_work_and_is_reported_once() {
     let mut fleet = fleet();
-    let leaving = fleet.apply(Time(100), 11, [Change::Put(listed("e1", 1, true))]);
+    let leaving = fleet.apply(Time(100), 11, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
     assert_eq!(leaving, [UpstreamName::new("e1")]);
     assert_eq!(usable(&fleet), ["e2"]);
-    let again = fleet.apply(Time(200), 12, [Change::Put(listed("e1", 1, true))]);
+    let again = fleet.apply(Time(200), 12, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
     assert!(again.is_empty());
-    let removed = fleet.apply(Time(300), 13, [Change::Removed(UpstreamName::new("e1"))]);
+    let removed =
+        fleet.apply(Time(300), 13, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
     assert!(removed.is_empty());
 }
 
 #[test]
 fn an_older_list_is_ignored() {
     let mut fleet = fleet();
-    fleet.apply(Time(100), 20, [Change::Put(listed("e1", 1, true))]);
-    fleet.replace(Time(200), 15, vec![listed("e1", 1, false)]);
+    fleet.apply(Time(100), 20, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
+    fleet.replace(Time(200), 15, &Origin::Store, vec![listed("e1", 1, false)]);
     assert_eq!(usable(&fleet), ["e2"]);
     assert_eq!(fleet.offset(), 20);
 }
@@ -53,9 +59,9 @@
     assert!(fleet.mark_leaving(Time(50), &UpstreamName::new("e1")));
     assert!(!fleet.mark_leaving(Time(60), &UpstreamName::new("e1")));
     assert_eq!(usable(&fleet), ["e2"]);
-    fleet.apply(Time(100), 11, [Change::Put(listed("e1", 1, false))]);
+    fleet.apply(Time(100), 11, &Origin::Store, [Change::Put(listed("e1", 1, false))]);
     assert_eq!(usable(&fleet), ["e2"], "a late entry of the leaving incarnation");
-    fleet.apply(Time(200), 12, [Change::Put(listed("e1", 2, false))]);
+    fleet.apply(Time(200), 12, &Origin::Store, [Change::Put(listed("e1", 2, false))]);
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
 
@@ -65,7 +71,7 @@
     let outage_end = Time(10_000);
     fleet.record_read(outage_end);
     let expired = [Change::Removed(UpstreamName::new("e1"))];
-    assert!(fleet.apply(outage_end + Millis(5), 11, expired).is_empty());
+    assert!(fleet.apply(outage_end + Millis(5), 11, &Origin::Store, expired).is_empty());
     assert_eq!(usable(&fleet), ["e1", "e2"]);
     assert!(fleet.tick(outage_end + Millis(EXPIRY_GRACE.0 / 2)).is_empty());
     let removed = fleet.tick(outage_end + EXPIRY_GRACE + Millis(10));
@@ -78,8 +84,13 @@
     let mut fleet = fleet();
     let outage_end = Time(10_000);
     fleet.record_read(outage_end);
-    fleet.apply(outage_end, 11, [Change::Removed(UpstreamName::new("e1"))]);
-    fleet.apply(outage_end + Millis(800), 12, [Change::Put(listed("e1", 1, false))]);
+    fleet.apply(outage_end, 11, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
+    fleet.apply(
+        outage_end + Millis(800),
+        12,
+        &Origin::Store,
+        [Change::Put(listed("e1", 1, false))],
+    );
     assert!(fleet.tick(outage_end + Millis(60_000)).is_empty());
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
@@ -87,9 +98,10 @@
 #[test]
 fn a_removal_outside_an_outage_applies_at_once_until_a_new_entry() {
     let mut fleet = fleet();
-    let leaving = fleet.apply(Time(100), 11, [Change::Removed(UpstreamName::new("e1"))]);
+    let leaving =
+        fleet.apply(Time(100), 11, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
     assert_eq!(leaving, [UpstreamName::new("e1")]);
-    fleet.apply(Time(900), 12, [Change::Put(listed("e1", 1, false))]);
+    fleet.apply(Time(900), 12, &Origin::Store, [Change::Put(listed("e1", 1, false))]);
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
 
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -2,6 +2,7 @@
 
 mod cells;
 mod convert;
+mod following;
 mod members;
 mod pools;
 mod reports;
@@ -14,8 +15,10 @@
 use crate::shared::Shared;
 use crate::view::View;
 use cells::Cells;
+use following::HeldPoll;
+use magnoliawinch::announced_versions::AnnouncedVersions;
 use magnoliawinch::cells::{Cell, CellSet};
-use magnoliawinch::configuration_polling::AnnouncedVersions;
+use magnoliawinch::dissemination::Follower;
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
@@ -91,6 +94,8 @@
     State { req: StateRequest, reply: oneshot::Sender<StateReply> },
     /// A peer's reply to such a request.
     PeerState(Box<StateReply>),
+    /// The reply of the daemon that this one follows; `None` if the poll failed.
+    Followed { source: SocketAddr, reply: Option<Box<StateReply>> },
     /// This daemon is shutting down.
     Leave,
 }
@@ -113,6 +118,9 @@
     quarantine: Quarantine,
     refused: RefusedFingerprints,
     announced_versions: AnnouncedVersions,
+    follower: Follower,
+    reader_rank: Option<usize>,
+    held_polls: Vec<HeldPoll>,
     unreported_crashes: Vec<Crash>,
     peak_daemons: usize,
     members_version: u64,
@@ -138,6 +146,9 @@
             quarantine: Quarantine::new(),
             refused: RefusedFingerprints::new(),
             announced_versions: AnnouncedVersions::new(),
+            follower: Follower::new(now),
+            reader_rank: None,
+            held_polls: Vec::new(),
             unreported_crashes: Vec::new(),
             peak_daemons: 1,
             members_version: u64::MAX,
@@ -199,6 +210,7 @@
             cells: self.cells.owners.clone(),
             cell_loads: Arc::new(self.cells.loads.clone()),
             knows_whole_list: self.cells.covered.covers(&CellSet::all()),
+            reader_rank: self.reader_rank,
             peak_daemons: self.peak_daemons,
             table: self.table.clone(),
             fleet: Arc::clone(&self.fleet_view),
@@ -216,6 +228,7 @@
         self.members =
             Arc::new(own.chain(self.membership.others()).filter(has_not_failed).cloned().collect());
         self.update_owners();
+        self.update_sources();
         self.peak_daemons = self.peak_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
@@ -262,9 +275,12 @@
             Message::ProbeReply(reply) => self.handle_probe_reply(now, &reply),
             Message::Seeds(seeds) => self.probe_seeds(&seeds),
             Message::State { req, reply } => {
-                let _ = reply.send(self.state_reply(now, &req));
+                self.handle_state_request(now, req, reply);
             }
             Message::PeerState(state) => self.apply_peer_state(now, &state),
+            Message::Followed { source, reply } => {
+                self.handle_followed(now, source, reply.as_deref());
+            }
             Message::Leave => self.leave(),
         }
     }
@@ -278,6 +294,8 @@
         self.tick_quarantine(now);
         self.request_announced_version(now);
         self.poll_readers(now);
+        self.follow_source(now);
+        self.answer_held_polls(now);
         self.publish_view_if_due(now);
     }
 
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -139,7 +139,10 @@
         if !may_decide || !self.cells.covered.covers(&CellSet::all()) {
             return;
         }
-        let engines = self.fleet.all().filter(|listed| self.is_engine(listed));
+        // Engines that leave overlap with those that replace them.
+        let is_counted =
+            |listed: &&ListedUpstream| self.is_engine(listed) && self.fleet.is_usable(&listed.name);
+        let engines = self.fleet.all().filter(is_counted);
         let offset = if is_primary { self.fleet.offset() } else { 0 };
         let layout = self.cells.layout.for_engines(engines.count(), offset);
         self.apply_layout(layout);
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -49,7 +49,8 @@
 pub(super) struct Pools {
     pub(super) by_key: HashMap<PoolKey, Pool>,
     waiters: HashMap<RunId, Waiter>,
-    pub(super) reported_at: Time,
+    /// When the next regular report is due.
+    pub(super) report_due_at: Time,
     pub(super) report_soon: bool,
     /// When the primary owner of this daemon's home cell last replied to a report.
     pub(super) owner_replied_at: Time,
@@ -61,7 +62,7 @@
         Self {
             by_key: HashMap::new(),
             waiters: HashMap::new(),
-            reported_at: now,
+            report_due_at: now,
             report_soon: false,
             owner_replied_at: now,
             logged_at: now,
@@ -217,8 +218,11 @@
                 pool.drain_engine(now, engine);
             }
         }
-        // The reply shows early whether the owner is up and will move the runs held here.
-        self.pools.report_soon();
+        let holds_run = |key: &PoolKey| self.shared.runs.holds_run_at(&key.service, engine);
+        if self.pools.by_key.keys().any(holds_run) {
+            // The reply shows early whether the owner is up and will move the runs held here.
+            self.pools.report_soon();
+        }
     }
 
     /// Orders moves off upstreams that are leaving. The primary owner does so for the runs of all
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -13,6 +13,7 @@
 use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellOf, RunsReply, RunsReport};
+use rand::RngExt;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,17 +24,22 @@
 /// Added to the interval for each daemon, so that an owner's load does not grow with their number.
 const REPORT_INTERVAL_PER_DAEMON: Millis = Millis(3);
 
+/// Random factor of each interval.
+const REPORT_JITTER: std::ops::Range<f64> = 0.8..1.1;
+
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Control {
     /// Reports this daemon's runs to the owners and to its own pools.
     pub(super) fn report_if_due(&mut self, now: Time) {
         let reporters = self.cells.owners.daemons_per_cell(self.members.len());
-        let is_due = now.since(self.pools.reported_at) >= report_interval(reporters);
-        if !is_due && !self.pools.report_soon {
+        if now < self.pools.report_due_at && !self.pools.report_soon {
             return;
         }
-        self.pools.reported_at = now;
+        // Daemons that an event lets report at the same time must not go on doing so.
+        let Millis(interval) = report_interval(reporters);
+        let jitter = self.rng.random_range(REPORT_JITTER);
+        self.pools.report_due_at = now + Millis((interval as f64 * jitter) as u64);
         self.pools.report_soon = false;
         let own = self.membership.own().host.clone();
         let crashed: Vec<_> = self.unreported_crashes.drain(..).collect();
@@ -75,9 +81,10 @@
         }
     }
 
-    /// Whether the owners of `cell` supply the whole part of the list that this daemon tracks.
+    /// Whether the owners of `cell` supply the whole part of the list that this daemon tracks. If
+    /// the engines are not divided, the list comes from the daemon that this one follows.
     fn gets_list_from_owners_of(&self, cell: Cell) -> bool {
-        self.cells.needed == CellSet::new([cell])
+        !self.cells.layout.is_undivided() && self.cells.needed == CellSet::new([cell])
     }
 
     fn send_report(&self, service: &ServiceName, cell: Cell, report: &RunsReport) {
@@ -142,7 +149,7 @@
             refused: self.all_refused(),
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
-            configuration_age_ms: age_ms(now, self.shared.last_configuration_poll()),
+            configuration_age_ms: age_ms(now, self.shared.last_configuration_read()),
         }
     }
 
@@ -178,7 +185,10 @@
         for fingerprint in &reply.refused {
             self.view_is_stale |= self.refused.renew(now, Fingerprint(*fingerprint));
         }
-        self.shared.note_configuration_poll(now - Millis(u64::from(reply.configuration_age_ms)));
+        if reply.configuration_version <= self.version() {
+            let read_at = now - Millis(u64::from(reply.configuration_age_ms));
+            self.shared.note_configuration_read(read_at);
+        }
         if let Some(owner) = self.membership.get(&reply.host).map(|owner| owner.peer_address) {
             self.note_announced_version(now, reply.configuration_version, owner);
         }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -2,7 +2,7 @@
 
 use super::{Control, Message};
 use magnoliawinch::cells::{Cell, CellSet};
-use magnoliawinch::fleet::{Change, ChangeLog, ListedUpstream};
+use magnoliawinch::fleet::{Change, ChangeLog, ListedUpstream, Origin};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
@@ -22,6 +22,8 @@
     Changes {
         /// Offset after the last change.
         end_offset: u64,
+        /// Where the changes come from.
+        origin: Origin,
         /// The changes, in order.
         changes: Vec<Change>,
     },
@@ -29,6 +31,8 @@
     Snapshot {
         /// Offset after the last change that it contains.
         end_offset: u64,
+        /// Where the list comes from.
+        origin: Origin,
         /// All entries.
         entries: Vec<ListedUpstream>,
     },
@@ -44,16 +48,19 @@
     /// New or changed entries.
     put: Vec<ListedUpstream>,
     removed: Vec<UpstreamName>,
+    /// Expired entries, each with the time after which it is removed unless it returns.
+    expiring: Vec<(UpstreamName, Millis)>,
 }
 
 impl ListMessage {
     fn into_update(self, end_offset: u64) -> ListUpdate {
+        let origin = Origin::Peer(self.expiring);
         if self.is_whole {
-            return ListUpdate::Snapshot { end_offset, entries: self.put };
+            return ListUpdate::Snapshot { end_offset, origin, entries: self.put };
         }
         let put = self.put.into_iter().map(Change::Put);
         let removed = self.removed.into_iter().map(Change::Removed);
-        ListUpdate::Changes { end_offset, changes: put.chain(removed).collect() }
+        ListUpdate::Changes { end_offset, origin, changes: put.chain(removed).collect() }
     }
 }
 
@@ -77,12 +84,12 @@
                 self.fleet.record_read(now);
                 (Vec::new(), false)
             }
-            ListUpdate::Changes { end_offset, changes } => {
+            ListUpdate::Changes { end_offset, origin, changes } => {
                 let changed = self.names_changed_by(&changes);
-                let leaving = self.fleet.apply(now, end_offset, changes);
+                let leaving = self.fleet.apply(now, end_offset, &origin, changes);
                 (leaving, self.record_changes(end_offset, changed))
             }
-            ListUpdate::Snapshot { end_offset, entries } => {
+            ListUpdate::Snapshot { end_offset, origin, entries } => {
                 let changed = self.names_differing_from(&entries);
                 if !was_read {
                     self.list_log = ChangeLog::new(end_offset);
@@ -90,7 +97,7 @@
                 if end_offset >= self.fleet.offset() {
                     self.cells.covered = self.cells.needed.clone();
                 }
-                let leaving = self.fleet.replace(now, end_offset, entries);
+                let leaving = self.fleet.replace(now, end_offset, &origin, entries);
                 (leaving, self.record_changes(end_offset, changed))
             }
         };
@@ -114,17 +121,17 @@
         }
         match update {
             ListUpdate::Unchanged => ListUpdate::Unchanged,
-            ListUpdate::Snapshot { end_offset, entries } => {
+            ListUpdate::Snapshot { end_offset, origin, entries } => {
                 let entries = entries.into_iter().filter(|listed| self.needs(listed)).collect();
-                ListUpdate::Snapshot { end_offset, entries }
+                ListUpdate::Snapshot { end_offset, origin, entries }
             }
-            ListUpdate::Changes { end_offset, changes } => {
+            ListUpdate::Changes { end_offset, origin, changes } => {
                 let is_needed = |change: &Change| match change {
                     Change::Put(listed) => self.needs(listed),
                     Change::Removed(_) => true,
                 };
                 let changes = changes.into_iter().filter(is_needed).collect();
-                ListUpdate::Changes { end_offset, changes }
+                ListUpdate::Changes { end_offset, origin, changes }
             }
         }
     }
@@ -172,14 +179,14 @@
         }
     }
 
-    /// Triggers a read of the configuration if the daemon at `peer` has a newer version.
+    /// Notes that the daemon at `peer` has `version`, to be requested from it if it does not arrive.
     pub(super) fn note_announced_version(&mut self, now: Time, version: u64, peer: SocketAddr) {
-        if version > self.version() && self.announced_versions.record(now, version, peer) {
-            self.shared.announced_version.send_replace(version);
+        if version > self.version() {
+            self.announced_versions.record(now, version, peer);
         }
     }
 
-    /// Requests an announced version from a peer if the store has not returned it in time.
+    /// Requests an announced version from a peer if it has not arrived in time.
     pub(super) fn request_announced_version(&mut self, now: Time) {
         let in_force = self.version();
         if let Some(peer) = self.announced_versions.peer_to_query(now, in_force) {
@@ -187,19 +194,24 @@
         }
     }
 
-    /// Requests newer configuration and list entries from a peer.
-    pub(super) fn request_state(&self, address: SocketAddr) {
-        let req = StateRequest {
+    /// A request for newer configuration and list entries.
+    pub(super) fn state_request(&self, now: Time) -> StateRequest {
+        let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
+        StateRequest {
             configuration_version: self.version(),
             list_offset: self.list_offset(),
             wanted: self.cells.needed.cells().map(Into::into).collect(),
-            loads: self
-                .own_loads(self.shared.clock.now())
-                .into_iter()
-                .map(cell_load_to_proto)
-                .collect(),
+            loads: self.own_loads(now).into_iter().map(cell_load_to_proto).collect(),
             refused: self.quarantine.refused().map(|fingerprint| fingerprint.0).collect(),
-        };
+            wait_ms: 0,
+            configuration_age_ms,
+            attempt_age_ms,
+        }
+    }
+
+    /// Requests newer configuration and list entries from a peer.
+    pub(super) fn request_state(&self, address: SocketAddr) {
+        let req = self.state_request(self.shared.clock.now());
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
             let call = shared
@@ -222,6 +234,7 @@
         let is_newer = |version: u64| version > req.configuration_version;
         let newer = self.table.as_ref().filter(|table| is_newer(table.version()));
         let configuration = newer.map(|table| to_json(table.configuration()));
+        let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         StateReply {
             configuration: configuration.unwrap_or_default(),
             list: self.list_json_after(req.list_offset, &wanted),
@@ -231,7 +244,8 @@
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
             refused: self.all_refused(),
-            configuration_age_ms: age_ms(now, self.shared.last_configuration_poll()),
+            configuration_age_ms,
+            attempt_age_ms,
         }
     }
 
@@ -240,15 +254,32 @@
         if self.cells.covers_needed() { self.fleet.offset() } else { 0 }
     }
 
+    fn has_changes_after(&self, offset: u64, cells: &CellSet) -> bool {
+        let is_covered = self.fleet.has_been_read() && self.cells.covered.covers(cells);
+        is_covered && offset < self.fleet_changed_at
+    }
+
+    /// Whether the list has changes for the sender of `req`.
+    pub(super) fn has_list_for(&self, req: &StateRequest) -> bool {
+        self.has_changes_after(req.list_offset, &cell_set(&req.wanted))
+    }
+
+    /// Whether this daemon's list is complete for all upstreams.
+    pub(super) fn has_whole_list(&self) -> bool {
+        self.fleet.has_been_read() && self.cells.covered.covers(&CellSet::all())
+    }
+
     /// Changes since `offset` to the upstreams of `cells`, as JSON; all of these upstreams if
     /// `offset` is zero or the changes are no longer kept. Empty if there are none, or if this
     /// daemon's list is incomplete for `cells`.
     pub(super) fn list_json_after(&self, offset: u64, cells: &CellSet) -> String {
-        let is_covered = self.fleet.has_been_read() && self.cells.covered.covers(cells);
-        if !is_covered || offset >= self.fleet_changed_at {
+        if !self.has_changes_after(offset, cells) {
             return String::new();
         }
         let is_wanted = |listed: &&ListedUpstream| self.is_relevant(cells, listed);
+        let now = self.shared.clock.now();
+        let expiring = self.fleet.expiring().map(|(name, at)| (name.clone(), at.since(now)));
+        let expiring = expiring.collect();
         let names = (offset > 0).then(|| self.list_log.since(offset)).flatten();
         let message = match names {
             Some(names) => {
@@ -259,12 +290,14 @@
                     is_whole: false,
                     put: put.filter(is_wanted).cloned().collect(),
                     removed: removed.into_iter().cloned().collect(),
+                    expiring,
                 }
             }
             None => ListMessage {
                 is_whole: true,
                 put: self.fleet.all().filter(is_wanted).cloned().collect(),
                 removed: Vec::new(),
+                expiring,
             },
         };
         to_json(&message)
@@ -281,7 +314,8 @@
                 Err(e) => log::warn!("failed to parse a peer's configuration: {e}"),
             }
         }
-        self.shared.note_configuration_poll(now - Millis(u64::from(state.configuration_age_ms)));
+        self.shared.note_configuration_read(now - Millis(u64::from(state.configuration_age_ms)));
+        self.shared.note_read_attempt(now - Millis(u64::from(state.attempt_age_ms)));
         if let Some(layout) = state.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
             self.apply_layout(layout);
         }
@@ -311,7 +345,11 @@
         if list.is_empty() {
             // The peer has read up to a later offset and found no change.
             if offset >= self.fleet_changed_at && self.fleet.has_been_read() {
-                let update = ListUpdate::Changes { end_offset: offset, changes: Vec::new() };
+                let update = ListUpdate::Changes {
+                    end_offset: offset,
+                    origin: Origin::Peer(Vec::new()),
+                    changes: Vec::new(),
+                };
                 self.apply_list(read_at, update, scope);
             }
             return;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -7,10 +7,10 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
-use magnoliawinch::configuration_polling::{StorePoll, next_poll};
+use magnoliawinch::dissemination::{MAX_READ_AGE, ReadStatus};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
-use magnoliawinch::time::Millis;
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::RelayServer;
 use magnoliawinch_runtime::start_control;
 use std::io;
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Messages that may be queued for the control thread.
 const CONTROL_QUEUE_LEN: usize = 4_096;
@@ -51,6 +51,13 @@
 /// Allowance for getting the list from its readers if a cell's owners do not reply.
 const READER_REPLY_TIME: Millis = Millis(1_000);
 
+/// Rank of the reader that takes over from the primary one.
+const STANDBY_RANK: usize = 1;
+
+/// Age of the list from which the standby reader reads it itself: it decides about placements as
+/// soon as the primary is silent.
+const STANDBY_MAX_LIST_AGE: Millis = Millis(700);
+
 /// Errors that prevent a daemon from starting.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -115,32 +122,66 @@
         self.shared.view.load().table.as_ref().map_or(0, |table| table.version())
     }
 
-    /// Notes that the store was just polled for a newer configuration. Has no effect unless this
-    /// daemon is a reader, because only the polls of readers cover the other daemons.
-    pub fn note_configuration_poll(&self) {
-        if self.is_reader() {
-            self.shared.note_configuration_poll(self.shared.clock.now());
+    /// Notes that the store's configuration was just read.
+    pub fn note_configuration_read(&self) {
+        self.shared.note_configuration_read(self.shared.clock.now());
+    }
+
+    /// Notes that this daemon tried to read the store. Has no effect unless it is a reader or a
+    /// deputy: the others conclude from a recent attempt that these live.
+    pub fn note_read_attempt(&self) {
+        if self.shared.view.load().reader_rank.is_some() {
+            self.shared.note_read_attempt(self.shared.clock.now());
         }
     }
 
-    /// Waits until a poll for a newer configuration is due; returns the reason.
-    pub async fn next_configuration_poll(&self) -> StorePoll {
-        let mut announced = self.shared.announced_version.subscribe();
-        loop {
-            let newest = *announced.borrow_and_update();
-            let now = self.shared.clock.now();
-            match next_poll(
-                now,
-                self.configuration_version(),
-                newest,
-                self.shared.last_configuration_poll(),
-            ) {
-                StorePoll::NotBefore(until) => {
-                    // An error means that the daemon is stopping.
-                    let _ = timeout(until.since(now).into(), announced.changed()).await;
-                }
-                poll => return poll,
-            }
+    /// Counts a call to the store by its purpose.
+    pub fn count_store_call(&self, purpose: &'static str) {
+        self.shared.metrics.count("store_call", purpose);
+    }
+
+    /// The time by the daemon's clock.
+    pub fn now(&self) -> Time {
+        self.shared.clock.now()
+    }
+
+    /// When the store's configuration was last read, here or at the daemons followed.
+    pub fn configuration_read_at(&self) -> Time {
+        self.shared.last_configuration_read()
+    }
+
+    /// When the list of upstreams was last read, here or at the daemons followed.
+    pub fn list_read_at(&self) -> Time {
+        self.shared.last_list_read()
+    }
+
+    /// What is known of the reads of the configuration.
+    pub fn configuration_read_status(&self) -> ReadStatus {
+        self.read_status(self.shared.configuration_read_age(), MAX_READ_AGE)
+    }
+
+    /// What is known of the reads of the list of upstreams.
+    pub fn list_read_status(&self) -> ReadStatus {
+        let view = self.shared.view.load();
+        let max_age = if view.reader_rank == Some(STANDBY_RANK) {
+            STANDBY_MAX_LIST_AGE
+        } else if view.cells.layout().is_undivided() {
+            MAX_READ_AGE
+        } else {
+            let interval = report_interval(view.cells.daemons_per_cell(view.members.len()));
+            Millis(MAX_MISSED_REPORTS * interval.0) + OWNER_LIST_LAG + READER_REPLY_TIME
+        };
+        self.read_status(self.shared.list_age(), max_age)
+    }
+
+    fn read_status(&self, age: Millis, max_age: Millis) -> ReadStatus {
+        let view = self.shared.view.load();
+        ReadStatus {
+            age,
+            max_age,
+            attempt_age: self.shared.clock.now().since(self.shared.last_read_attempt()),
+            rank: view.reader_rank,
+            daemons: view.members.len(),
         }
     }
 
@@ -156,17 +197,6 @@
         view.cells.readers().is_primary(&view.own.host)
     }
 
-    /// Whether the list is as fresh as regular replies from the owners keep it.
-    pub fn list_is_fresh(&self) -> bool {
-        let view = self.shared.view.load();
-        let Millis(interval) = report_interval(view.cells.daemons_per_cell(view.members.len()));
-        let mut max_age = Millis(MAX_MISSED_REPORTS * interval + OWNER_LIST_LAG.0);
-        if !view.cells.layout().is_undivided() {
-            max_age = max_age + READER_REPLY_TIME;
-        }
-        self.shared.list_age() < max_age
-    }
-
     /// Whether this daemon has the whole list of upstreams; most need only a part.
     pub fn knows_whole_list(&self) -> bool {
         self.shared.view.load().knows_whole_list
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -195,6 +195,13 @@
         of_service.map(|active| active.state()).collect()
     }
 
+    /// Whether a run of a service is at an engine.
+    pub(crate) fn holds_run_at(&self, service: &ServiceName, engine: &UpstreamName) -> bool {
+        let inner = self.lock();
+        let mut of_service = inner.active.values().filter(|active| active.info.service == *service);
+        of_service.any(|active| active.assignment().engine.name == *engine)
+    }
+
     /// Current states of the runs of a service, and its events since the last call.
     pub(crate) fn take_update(&self, service: &ServiceName) -> RunsUpdate {
         let runs = self.states(service);
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -22,7 +22,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tonic::transport::Channel;
 
 /// Timeout for connecting to an upstream, after which it is skipped. Well below the time limit of
@@ -56,10 +56,10 @@
     requests: RequestCounter,
     /// When the list of upstreams was last read, as a `Time`; zero if never.
     list_read_at: AtomicU64,
-    /// When this daemon, or a peer that reported it, last polled the store for a configuration.
-    configuration_polled_at: AtomicU64,
-    /// Newest configuration version announced by a peer.
-    pub(crate) announced_version: watch::Sender<u64>,
+    /// When this daemon, or a peer that reported it, last read the store's configuration.
+    configuration_read_at: AtomicU64,
+    /// When a reader or deputy last tried to.
+    read_attempted_at: AtomicU64,
 }
 
 impl Shared {
@@ -89,8 +89,8 @@
             routing: Mutex::new(routing),
             requests: RequestCounter::new(),
             list_read_at: AtomicU64::new(0),
-            configuration_polled_at: AtomicU64::new(0),
-            announced_version: watch::Sender::new(0),
+            configuration_read_at: AtomicU64::new(0),
+            read_attempted_at: AtomicU64::new(0),
             clock,
         }
     }
@@ -148,17 +148,37 @@
 
     /// Time since the list of upstreams was last read.
     pub(crate) fn list_age(&self) -> Millis {
-        self.clock.now().since(Time(self.list_read_at.load(Ordering::Acquire)))
+        self.clock.now().since(self.last_list_read())
     }
 
-    /// Notes when this daemon, or a peer that reported it, polled the store for a configuration.
-    pub(crate) fn note_configuration_poll(&self, at: Time) {
-        self.configuration_polled_at.fetch_max(at.0, Ordering::AcqRel);
+    /// When the list of upstreams was last read.
+    pub(crate) fn last_list_read(&self) -> Time {
+        Time(self.list_read_at.load(Ordering::Acquire))
     }
 
-    /// When the store was last polled for a newer configuration.
-    pub(crate) fn last_configuration_poll(&self) -> Time {
-        Time(self.configuration_polled_at.load(Ordering::Acquire))
+    /// Notes when this daemon, or a peer that reported it, read the store's configuration.
+    pub(crate) fn note_configuration_read(&self, at: Time) {
+        self.configuration_read_at.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// When the store's configuration was last read.
+    pub(crate) fn last_configuration_read(&self) -> Time {
+        Time(self.configuration_read_at.load(Ordering::Acquire))
+    }
+
+    /// Time since the store's configuration was last read.
+    pub(crate) fn configuration_read_age(&self) -> Millis {
+        self.clock.now().since(self.last_configuration_read())
+    }
+
+    /// Notes when a reader or deputy tried to read the store.
+    pub(crate) fn note_read_attempt(&self, at: Time) {
+        self.read_attempted_at.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// When a reader or deputy last tried to read the store.
+    pub(crate) fn last_read_attempt(&self) -> Time {
+        Time(self.read_attempted_at.load(Ordering::Acquire))
     }
 
     /// Number of requests in progress.
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -95,6 +95,8 @@
     pub(crate) cells: CellOwners,
     /// Fraction of memory in use or requested by waiting runs, by cell number; may exceed 1.
     pub(crate) cell_loads: Arc<Vec<f32>>,
+    /// Rank of this daemon among the readers of the store and their deputies, from 0.
+    pub(crate) reader_rank: Option<usize>,
     /// Largest number of daemons seen; shared budgets are divided among that many.
     pub(crate) peak_daemons: usize,
     /// The configuration in force.
@@ -113,6 +115,7 @@
             members: Arc::new(vec![own.clone()]),
             cells: CellOwners::default(),
             cell_loads: Arc::default(),
+            reader_rank: None,
             peak_daemons: 1,
             table: None,
             fleet: Arc::default(),
