One daemon reads the store regularly, and a start does not repeat its reads

Each daemon went on reading after its first read, because it knew no other yet; for the list it compared what it had heard only during a read and not during the pause after it, so all daemons read every 900 ms for six seconds.

Ruled out: more pages of the list (one call each) and registrations (6 calls).

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -35,7 +35,7 @@
 
 const FOREST_KEY: &str = "followers";
 
-/// Readers, best first: the two that read regularly, then their deputies. Large hosts go first.
+/// Readers, best first: the primary, which reads regularly, its standby and their deputies. Large hosts go first.
 pub fn ranked_readers(membership: &Membership) -> Vec<&Member> {
     let mut readers = large_owners(READER_KEY, membership);
     let regular: Vec<_> = readers.iter().map(|member| &member.host).collect();
@@ -238,6 +238,10 @@
 /// number: a single read reaches the others within a few hops.
 const SPREAD_PER_DOUBLING: Millis = Millis(200);
 
+/// Reads of a daemon that hears of no other's, after which it reads without pause. One alone is
+/// common after a start, when a daemon knows few others.
+const MAX_UNHEARD_READS: u32 = 2;
+
 /// Shortest wait between two checks whether to read.
 const MIN_CHECK_INTERVAL: Millis = Millis(20);
 
@@ -245,8 +249,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoreFallback {
     due_at: Option<Time>,
-    /// Whether this daemon reads without pause because it hears of no other's reads.
-    is_reading: bool,
+    /// Consecutive successful reads of this daemon while it heard of no other's.
+    unheard_reads: u32,
 }
 
 impl StoreFallback {
@@ -257,7 +261,7 @@
 
     /// How long to wait before the next check; zero if this daemon has to read now.
     pub fn wait<R: Rng>(&mut self, now: Time, status: &ReadStatus, rng: &mut R) -> Millis {
-        if self.is_reading {
+        if self.unheard_reads >= MAX_UNHEARD_READS {
             return Millis(0);
         }
         if status.age < status.max_age {
@@ -283,10 +287,11 @@
         Millis(rng.random_range(0..SPREAD_PER_DOUBLING.0 * doublings))
     }
 
-    /// Records a read. After a successful one during which this daemon heard of no other's read, it
-    /// goes on reading.
+    /// Records a read. After two successful ones while this daemon heard of no other's, it reads
+    /// without pause.
     pub fn record_read(&mut self, has_succeeded: bool, has_heard_others: bool) {
-        self.is_reading = has_succeeded && !has_heard_others;
         self.due_at = None;
+        let is_unheard = has_succeeded && !has_heard_others;
+        self.unheard_reads = if is_unheard { self.unheard_reads + 1 } else { 0 };
     }
 }
--- a/core/tests/dissemination.rs
+++ b/core/tests/dissemination.rs
@@ -199,6 +199,8 @@
     let mut fallback = StoreFallback::new();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     fallback.record_read(true, false);
+    assert_ne!(fallback.wait(START, &status(0, 9_000, None), &mut rng), Millis(0));
+    fallback.record_read(true, false);
     assert_eq!(fallback.wait(START, &status(0, 9_000, None), &mut rng), Millis(0));
     fallback.record_read(true, true);
     assert_ne!(fallback.wait(START, &status(0, 9_000, None), &mut rng), Millis(0));
--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -127,7 +127,7 @@
 
     /// Whether this daemon reads the store regularly and reaches it, so that it needs no source.
     fn reads_regularly(&self) -> bool {
-        self.is_reader()
+        self.cells.owners.readers().is_primary(&self.membership.own().host)
             && self.shared.configuration_read_age() < MAX_SOURCE_AGE
             && self.has_whole_list()
     }
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -54,9 +54,9 @@
 /// Rank of the reader that takes over from the primary one.
 const STANDBY_RANK: usize = 1;
 
-/// Age of the list from which the standby reader reads it itself: it decides about placements as
-/// soon as the primary is silent.
-const STANDBY_MAX_LIST_AGE: Millis = Millis(700);
+/// Age from which the standby reader reads for itself: it decides about placements as soon as the
+/// primary is silent.
+const STANDBY_MAX_READ_AGE: Millis = Millis(700);
 
 /// Errors that prevent a daemon from starting.
 #[derive(Debug, Error)]
@@ -157,14 +157,16 @@
 
     /// What is known of the reads of the configuration.
     pub fn configuration_read_status(&self) -> ReadStatus {
-        self.read_status(self.shared.configuration_read_age(), MAX_READ_AGE)
+        let is_standby = self.shared.view.load().reader_rank == Some(STANDBY_RANK);
+        let max_age = if is_standby { STANDBY_MAX_READ_AGE } else { MAX_READ_AGE };
+        self.read_status(self.shared.configuration_read_age(), max_age)
     }
 
     /// What is known of the reads of the list of upstreams.
     pub fn list_read_status(&self) -> ReadStatus {
         let view = self.shared.view.load();
         let max_age = if view.reader_rank == Some(STANDBY_RANK) {
-            STANDBY_MAX_LIST_AGE
+            STANDBY_MAX_READ_AGE
         } else if view.cells.layout().is_undivided() {
             MAX_READ_AGE
         } else {
