The store may return from an older copy: positions belong to an era

Cause: nothing read the header Store-Era. When the store returns from a copy, offsets are given out again, and a reader whose next offset was taken by another record missed it without notice; entries of the copy could bring back upstreams that had left.

Configuration versions only rise, as before.

Ruled out: taking the copy's list as it is (brings back engines that are gone) and ignoring it until all is written again (new engines would be missed).

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -3,12 +3,14 @@
 //!
 //! An incarnation that has begun to leave stays unusable, except that a new entry cancels a
 //! removal. After an outage of the list, an upstream with an expired entry may only have failed to
-//! renew it, so it stays in use for a short while.
+//! renew it, so it stays in use for a short while. The same holds for entries that are missing when
+//! the store returns from a copy; entries of that copy do not bring back what has left since.
 //!
 //! `magnoliawinch-edge` learns from the list which upstreams exist, whereas `magnoliawinchd` has
 //! them from the service files and tracks only their health, in [`crate::upstreams`].
 
 use crate::names::{FailureDomain, ServiceName, UpstreamName};
+use crate::store_position::StorePosition;
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -20,6 +22,10 @@
 /// Time without a successful read that counts as an outage of the list.
 const OUTAGE_AFTER: Millis = Millis(1_500);
 
+/// Time by which an upstream that has stopped loses an entry that the store's copy brought back:
+/// three renewals at the platform's interval, and the time to read the list.
+const COPY_EXPIRY: Millis = Millis(4_500);
+
 /// How long an unreachable upstream gets no work, unless there is no alternative.
 const UNREACHABLE_BACKOFF: Millis = Millis(1_000);
 
@@ -87,10 +93,13 @@
     upstreams: BTreeMap<UpstreamName, Upstream>,
     leaving: HashMap<UpstreamName, Leaving>,
     unreachable_until: HashMap<UpstreamName, Time>,
-    /// The list's records before this offset are applied.
-    offset: u64,
+    /// The list's records before this position are applied.
+    position: StorePosition,
     read_at: Option<Time>,
     outage_ended_at: Option<Time>,
+    /// Removed upstreams that the store's copy lists, and when they are usable if they still are
+    /// listed then.
+    brought_back: HashMap<UpstreamName, Time>,
 }
 
 impl Fleet {
@@ -99,9 +108,9 @@
         Self::default()
     }
 
-    /// Offset up to which the list is applied.
-    pub fn offset(&self) -> u64 {
-        self.offset
+    /// Position up to which the list is applied.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Whether the list was ever read.
@@ -114,23 +123,28 @@
         self.read_at
     }
 
-    /// Applies `changes` up to `offset`, unless a later one is already applied; returns upstreams
+    /// Applies `changes` up to `position`, unless a later one is already applied; returns upstreams
     /// that have begun to leave.
     pub fn apply(
         &mut self,
         now: Time,
-        offset: u64,
+        position: StorePosition,
         origin: &Origin,
         changes: impl IntoIterator<Item = Change>,
     ) -> Vec<UpstreamName> {
-        if offset < self.offset {
+        if position < self.position {
             return Vec::new();
         }
+        let is_copy = self.has_been_read() && position.is_rewound_since(self.position);
         self.record_read(now);
-        self.offset = offset;
+        if is_copy {
+            self.outage_ended_at = Some(now);
+        }
+        self.position = position;
         let mut leaving = Vec::new();
         for change in changes {
             leaving.extend(match (change, origin) {
+                (Change::Put(listed), _) if is_copy => self.put_from_copy(now, listed),
                 (Change::Put(listed), _) => self.put(now, listed),
                 (Change::Removed(name), Origin::Store) => self.expire(now, &name),
                 (Change::Removed(name), Origin::Peer(_)) => self.remove(now, &name),
@@ -146,16 +160,16 @@
         leaving
     }
 
-    /// Replaces all entries by the list as of `offset`, unless a later offset is already applied;
+    /// Replaces all entries by the list as of `position`, unless a later one is already applied;
     /// returns the upstreams that have begun to leave.
     pub fn replace(
         &mut self,
         now: Time,
-        offset: u64,
+        position: StorePosition,
         origin: &Origin,
         all: Vec<ListedUpstream>,
     ) -> Vec<UpstreamName> {
-        if offset < self.offset {
+        if position < self.position {
             return Vec::new();
         }
         let names: HashSet<_> = all.iter().map(|listed| &listed.name).collect();
@@ -164,7 +178,7 @@
             self.upstreams.keys().filter(|name| !is_listed(name)).cloned().collect();
         let changes = missing.into_iter().map(Change::Removed);
         let changes: Vec<_> = changes.chain(all.into_iter().map(Change::Put)).collect();
-        self.apply(now, offset, origin, changes)
+        self.apply(now, position, origin, changes)
     }
 
     /// Drops the upstreams that `is_kept` rejects: this daemon no longer needs to know them.
@@ -190,13 +204,41 @@
         if leaves {
             let leaving = Leaving { born: listed.born, at: now, was_removed: false };
             self.leaving.insert(name.clone(), leaving);
-        } else if self.leaving.get(&name).is_some_and(|leaving| leaving.was_removed) {
-            self.leaving.remove(&name);
+        } else {
+            self.cancel_removal(&name);
         }
+        self.brought_back.remove(&name);
         self.upstreams.insert(name.clone(), Upstream { listed, removal_at: None });
         (was_usable && leaves).then_some(name)
     }
 
+    fn cancel_removal(&mut self, name: &UpstreamName) {
+        if self.leaving.get(name).is_some_and(|leaving| leaving.was_removed) {
+            self.leaving.remove(name);
+        }
+    }
+
+    /// Adds an entry of the store's copy, which may be older than what is known.
+    fn put_from_copy(&mut self, now: Time, listed: ListedUpstream) -> Option<UpstreamName> {
+        let name = listed.name.clone();
+        let known = self.upstreams.get_mut(&name);
+        if let Some(known) = known.filter(|known| known.listed.born >= listed.born) {
+            if listed.leaving && known.listed.born == listed.born {
+                return self.put(now, listed);
+            }
+            // Renewed or not, the entry is there.
+            known.removal_at = None;
+            return None;
+        }
+        let has_left = self.leaving.get(&name).is_some_and(|leaving| leaving.born >= listed.born);
+        if !has_left {
+            return self.put(now, listed);
+        }
+        self.brought_back.insert(name.clone(), now + COPY_EXPIRY);
+        self.upstreams.insert(name, Upstream { listed, removal_at: None });
+        None
+    }
+
     /// Removes an entry that the store no longer has; later if it may be renewed after an outage.
     fn expire(&mut self, now: Time, name: &UpstreamName) -> Option<UpstreamName> {
         let is_after_outage = self.outage_ended_at.is_some_and(|at| now.since(at) < EXPIRY_GRACE);
@@ -223,6 +265,12 @@
     pub fn tick(&mut self, now: Time) -> Vec<UpstreamName> {
         self.leaving.retain(|_, leaving| now.since(leaving.at) < LEAVING_RETENTION);
         self.unreachable_until.retain(|_, until| now < *until);
+        let renewed: Vec<_> = self.brought_back.extract_if(|_, at| now >= *at).collect();
+        for (name, _) in renewed {
+            if self.upstreams.contains_key(&name) {
+                self.cancel_removal(&name);
+            }
+        }
         let is_due = |upstream: &Upstream| upstream.removal_at.is_some_and(|at| now >= at);
         let removed: Vec<_> = self
             .upstreams
@@ -292,33 +340,37 @@
 /// Changes that are kept: with a few hundred upstreams, several minutes of normal operation.
 const MAX_LOGGED_CHANGES: usize = 512;
 
-/// Latest changed entries with their offsets, so that peers receive only what they missed.
+/// Latest changed entries with their positions, so that peers receive only what they missed.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
-    changes: VecDeque<(u64, UpstreamName)>,
-    /// Every change after this offset is held; earlier ones may be missing.
-    complete_after: u64,
+    changes: VecDeque<(StorePosition, UpstreamName)>,
+    /// Every change after this position is held; earlier ones may be missing.
+    complete_after: StorePosition,
 }
 
 impl ChangeLog {
-    /// Creates a log of changes after `offset`.
-    pub fn new(offset: u64) -> Self {
-        Self { changes: VecDeque::new(), complete_after: offset }
+    /// Creates a log of changes after `position`.
+    pub fn new(position: StorePosition) -> Self {
+        Self { changes: VecDeque::new(), complete_after: position }
     }
 
-    /// Adds entries changed at or before `offset`.
-    pub fn record(&mut self, offset: u64, names: impl IntoIterator<Item = UpstreamName>) {
-        self.changes.extend(names.into_iter().map(|name| (offset, name)));
+    /// Adds entries changed at or before `position`.
+    pub fn record(
+        &mut self,
+        position: StorePosition,
+        names: impl IntoIterator<Item = UpstreamName>,
+    ) {
+        self.changes.extend(names.into_iter().map(|name| (position, name)));
         while self.changes.len() > MAX_LOGGED_CHANGES {
-            if let Some((offset, _)) = self.changes.pop_front() {
-                self.complete_after = self.complete_after.max(offset);
+            if let Some((position, _)) = self.changes.pop_front() {
+                self.complete_after = self.complete_after.max(position);
             }
         }
     }
 
-    /// Entries changed after `offset`; `None` if the log does not reach back that far.
-    pub fn since(&self, offset: u64) -> Option<BTreeSet<&UpstreamName>> {
-        let newer = self.changes.iter().filter(|(changed_at, _)| *changed_at > offset);
-        (offset >= self.complete_after).then(|| newer.map(|(_, name)| name).collect())
+    /// Entries changed after `position`; `None` if the log does not reach back that far.
+    pub fn since(&self, position: StorePosition) -> Option<BTreeSet<&UpstreamName>> {
+        let newer = self.changes.iter().filter(|(changed_at, _)| *changed_at > position);
+        (position >= self.complete_after).then(|| newer.map(|(_, name)| name).collect())
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod routing;
 pub mod service_file;
 pub mod settings;
+pub mod store_position;
 pub mod time;
 pub mod upstreams;
 pub mod verdict;
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use magnoliawinch::fleet::{Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream, Origin};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
+use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 
 fn listed(name: &str, born: u64, leaving: bool) -> ListedUpstream {
@@ -16,6 +17,10 @@
     }
 }
 
+fn at(offset: u64) -> StorePosition {
+    StorePosition { era: 1, offset }
+}
+
 fn usable(fleet: &Fleet) -> Vec<&str> {
     fleet.usable("guide").map(|listed| listed.name.as_str()).collect()
 }
@@ -24,7 +29,7 @@
     let mut fleet = Fleet::new();
     fleet.replace(
         Time(0),
-        10,
+        at(10),
         &Origin::Store,
         vec![listed("e1", 1, false), listed("e2", 1, false)],
     );
@@ -34,23 +39,25 @@
 #[test]
 fn a_leaving_upstream_gets_no_new_work_and_is_reported_once() {
     let mut fleet = fleet();
-    let leaving = fleet.apply(Time(100), 11, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
+    let leaving =
+        fleet.apply(Time(100), at(11), &Origin::Store, [Change::Put(listed("e1", 1, true))]);
     assert_eq!(leaving, [UpstreamName::new("e1")]);
     assert_eq!(usable(&fleet), ["e2"]);
-    let again = fleet.apply(Time(200), 12, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
+    let again =
+        fleet.apply(Time(200), at(12), &Origin::Store, [Change::Put(listed("e1", 1, true))]);
     assert!(again.is_empty());
     let removed =
-        fleet.apply(Time(300), 13, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
+        fleet.apply(Time(300), at(13), &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
     assert!(removed.is_empty());
 }
 
 #[test]
 fn an_older_list_is_ignored() {
     let mut fleet = fleet();
-    fleet.apply(Time(100), 20, &Origin::Store, [Change::Put(listed("e1", 1, true))]);
-    fleet.replace(Time(200), 15, &Origin::Store, vec![listed("e1", 1, false)]);
+    fleet.apply(Time(100), at(20), &Origin::Store, [Change::Put(listed("e1", 1, true))]);
+    fleet.replace(Time(200), at(15), &Origin::Store, vec![listed("e1", 1, false)]);
     assert_eq!(usable(&fleet), ["e2"]);
-    assert_eq!(fleet.offset(), 20);
+    assert_eq!(fleet.position(), at(20));
 }
 
 #[test]
@@ -59,9 +66,9 @@
     assert!(fleet.mark_leaving(Time(50), &UpstreamName::new("e1")));
     assert!(!fleet.mark_leaving(Time(60), &UpstreamName::new("e1")));
     assert_eq!(usable(&fleet), ["e2"]);
-    fleet.apply(Time(100), 11, &Origin::Store, [Change::Put(listed("e1", 1, false))]);
+    fleet.apply(Time(100), at(11), &Origin::Store, [Change::Put(listed("e1", 1, false))]);
     assert_eq!(usable(&fleet), ["e2"], "a late entry of the leaving incarnation");
-    fleet.apply(Time(200), 12, &Origin::Store, [Change::Put(listed("e1", 2, false))]);
+    fleet.apply(Time(200), at(12), &Origin::Store, [Change::Put(listed("e1", 2, false))]);
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
 
@@ -71,7 +78,7 @@
     let outage_end = Time(10_000);
     fleet.record_read(outage_end);
     let expired = [Change::Removed(UpstreamName::new("e1"))];
-    assert!(fleet.apply(outage_end + Millis(5), 11, &Origin::Store, expired).is_empty());
+    assert!(fleet.apply(outage_end + Millis(5), at(11), &Origin::Store, expired).is_empty());
     assert_eq!(usable(&fleet), ["e1", "e2"]);
     assert!(fleet.tick(outage_end + Millis(EXPIRY_GRACE.0 / 2)).is_empty());
     let removed = fleet.tick(outage_end + EXPIRY_GRACE + Millis(10));
@@ -84,10 +91,10 @@
     let mut fleet = fleet();
     let outage_end = Time(10_000);
     fleet.record_read(outage_end);
-    fleet.apply(outage_end, 11, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
+    fleet.apply(outage_end, at(11), &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
     fleet.apply(
         outage_end + Millis(800),
-        12,
+        at(12),
         &Origin::Store,
         [Change::Put(listed("e1", 1, false))],
     );
@@ -99,9 +106,9 @@
 fn a_removal_outside_an_outage_applies_at_once_until_a_new_entry() {
     let mut fleet = fleet();
     let leaving =
-        fleet.apply(Time(100), 11, &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
+        fleet.apply(Time(100), at(11), &Origin::Store, [Change::Removed(UpstreamName::new("e1"))]);
     assert_eq!(leaving, [UpstreamName::new("e1")]);
-    fleet.apply(Time(900), 12, &Origin::Store, [Change::Put(listed("e1", 1, false))]);
+    fleet.apply(Time(900), at(12), &Origin::Store, [Change::Put(listed("e1", 1, false))]);
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
 
@@ -120,11 +127,11 @@
 #[test]
 fn a_follower_gets_only_the_changes_that_it_missed() {
     let name = UpstreamName::new;
-    let mut log = ChangeLog::new(10);
-    log.record(12, [name("e1"), name("e2")]);
-    log.record(15, [name("e2"), name("e3")]);
+    let mut log = ChangeLog::new(at(10));
+    log.record(at(12), [name("e1"), name("e2")]);
+    log.record(at(15), [name("e2"), name("e3")]);
     let names = |offset: u64| -> Option<Vec<String>> {
-        Some(log.since(offset)?.into_iter().map(ToString::to_string).collect())
+        Some(log.since(at(offset))?.into_iter().map(ToString::to_string).collect())
     };
     assert_eq!(names(9), None, "older than the log");
     assert_eq!(names(10).unwrap(), ["e1", "e2", "e3"]);
@@ -134,10 +141,10 @@
 
 #[test]
 fn a_full_log_reports_offsets_that_it_no_longer_covers() {
-    let mut log = ChangeLog::new(0);
+    let mut log = ChangeLog::new(at(0));
     for offset in 1..=600 {
-        log.record(offset, [UpstreamName::new("e")]);
+        log.record(at(offset), [UpstreamName::new("e")]);
     }
-    assert_eq!(log.since(10), None);
-    assert_eq!(log.since(590).unwrap().len(), 1);
+    assert_eq!(log.since(at(10)), None);
+    assert_eq!(log.since(at(590)).unwrap().len(), 1);
 }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -25,6 +25,7 @@
 use magnoliawinch::pool::PlacementRequest;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine, RefusedFingerprints};
 use magnoliawinch::route_table::{Configuration, RouteTable};
+use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{
     ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
@@ -111,8 +112,8 @@
     rng: ChaCha8Rng,
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
-    /// List offset of the last change that concerns this daemon.
-    fleet_changed_at: u64,
+    /// Position in the list of the last change that concerns this daemon.
+    fleet_changed_at: StorePosition,
     list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
@@ -140,7 +141,7 @@
             rng: ChaCha8Rng::seed_from_u64(rand::random()),
             table: None,
             fleet: Fleet::new(),
-            fleet_changed_at: 0,
+            fleet_changed_at: StorePosition::START,
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -143,7 +143,7 @@
         let is_counted =
             |listed: &&ListedUpstream| self.is_engine(listed) && self.fleet.is_usable(&listed.name);
         let engines = self.fleet.all().filter(is_counted);
-        let offset = if is_primary { self.fleet.offset() } else { 0 };
+        let offset = if is_primary { self.fleet.position().offset } else { 0 };
         let layout = self.cells.layout.for_engines(engines.count(), offset);
         self.apply_layout(layout);
     }
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -11,6 +11,7 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::names::{HostName, RunId, ServiceName};
 use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
+use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellOf, RunsReply, RunsReport};
 use rand::RngExt;
@@ -72,7 +73,8 @@
             ended: update.ended.iter().map(ended_to_proto).collect(),
             over: update.released.iter().map(|(run, _)| run.to_string()).collect(),
             leaving: Vec::new(),
-            list_offset: self.list_offset(),
+            list_offset: self.list_position().offset,
+            list_era: self.list_position().era,
             configuration_version: self.version(),
             crashed: crashed.iter().map(crash_to_proto).collect(),
             completed: update.completed.iter().map(|fingerprint| fingerprint.0).collect(),
@@ -134,15 +136,17 @@
             self.note_announced_version(now, report.configuration_version, peer);
         }
         let scope = CellSet::new([cell]);
+        let position = StorePosition { era: report.list_era, offset: report.list_offset };
         let sends_list = report.wants_list && self.cells.covered.covers(&scope);
         RunsReply {
             host: self.membership.own().host.to_string(),
             uses: uses.iter().map(use_to_proto).collect(),
             leaving: Vec::new(),
-            list_offset: self.fleet.offset(),
+            list_offset: self.fleet.position().offset,
+            list_era: self.fleet.position().era,
             list_age_ms: if sends_list { self.list_age_ms(now) } else { u32::MAX },
             list: match sends_list {
-                true => self.list_json_after(report.list_offset, &scope),
+                true => self.list_json_after(position, &scope),
                 false => String::new(),
             },
             configuration_version: self.version(),
@@ -174,7 +178,8 @@
         }
         if self.gets_list_from_owners_of(cell) {
             let scope = CellSet::new([cell]);
-            self.apply_peer_list(now, &reply.list, reply.list_offset, reply.list_age_ms, &scope);
+            let position = StorePosition { era: reply.list_era, offset: reply.list_offset };
+            self.apply_peer_list(now, &reply.list, position, reply.list_age_ms, &scope);
         }
         if let Some(layout) = reply.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
             self.apply_layout(layout);
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -4,6 +4,7 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::fleet::{Change, ChangeLog, ListedUpstream, Origin};
 use magnoliawinch::names::UpstreamName;
+use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
 use serde::{Deserialize, Serialize};
@@ -20,8 +21,8 @@
 pub enum ListUpdate {
     /// Changes since the last update.
     Changes {
-        /// Offset after the last change.
-        end_offset: u64,
+        /// Position after the last change.
+        end: StorePosition,
         /// Where the changes come from.
         origin: Origin,
         /// The changes, in order.
@@ -29,8 +30,8 @@
     },
     /// The whole list.
     Snapshot {
-        /// Offset after the last change that it contains.
-        end_offset: u64,
+        /// Position after the last change that it contains.
+        end: StorePosition,
         /// Where the list comes from.
         origin: Origin,
         /// All entries.
@@ -53,14 +54,14 @@
 }
 
 impl ListMessage {
-    fn into_update(self, end_offset: u64) -> ListUpdate {
+    fn into_update(self, end: StorePosition) -> ListUpdate {
         let origin = Origin::Peer(self.expiring);
         if self.is_whole {
-            return ListUpdate::Snapshot { end_offset, origin, entries: self.put };
+            return ListUpdate::Snapshot { end, origin, entries: self.put };
         }
         let put = self.put.into_iter().map(Change::Put);
         let removed = self.removed.into_iter().map(Change::Removed);
-        ListUpdate::Changes { end_offset, origin, changes: put.chain(removed).collect() }
+        ListUpdate::Changes { end, origin, changes: put.chain(removed).collect() }
     }
 }
 
@@ -84,21 +85,22 @@
                 self.fleet.record_read(now);
                 (Vec::new(), false)
             }
-            ListUpdate::Changes { end_offset, origin, changes } => {
+            ListUpdate::Changes { end, origin, changes } => {
                 let changed = self.names_changed_by(&changes);
-                let leaving = self.fleet.apply(now, end_offset, &origin, changes);
-                (leaving, self.record_changes(end_offset, changed))
+                let leaving = self.fleet.apply(now, end, &origin, changes);
+                (leaving, self.record_changes(end, changed))
             }
-            ListUpdate::Snapshot { end_offset, origin, entries } => {
+            ListUpdate::Snapshot { end, origin, entries } => {
                 let changed = self.names_differing_from(&entries);
-                if !was_read {
-                    self.list_log = ChangeLog::new(end_offset);
+                if !was_read || end.is_rewound_since(self.fleet.position()) {
+                    // Peers get the whole list, as what they know may have been lost.
+                    self.list_log = ChangeLog::new(end);
                 }
-                if end_offset >= self.fleet.offset() {
+                if end >= self.fleet.position() {
                     self.cells.covered = self.cells.needed.clone();
                 }
-                let leaving = self.fleet.replace(now, end_offset, &origin, entries);
-                (leaving, self.record_changes(end_offset, changed))
+                let leaving = self.fleet.replace(now, end, &origin, entries);
+                (leaving, self.record_changes(end, changed))
             }
         };
         if has_changes || !was_read {
@@ -121,28 +123,28 @@
         }
         match update {
             ListUpdate::Unchanged => ListUpdate::Unchanged,
-            ListUpdate::Snapshot { end_offset, origin, entries } => {
+            ListUpdate::Snapshot { end, origin, entries } => {
                 let entries = entries.into_iter().filter(|listed| self.needs(listed)).collect();
-                ListUpdate::Snapshot { end_offset, origin, entries }
+                ListUpdate::Snapshot { end, origin, entries }
             }
-            ListUpdate::Changes { end_offset, origin, changes } => {
+            ListUpdate::Changes { end, origin, changes } => {
                 let is_needed = |change: &Change| match change {
                     Change::Put(listed) => self.needs(listed),
                     Change::Removed(_) => true,
                 };
                 let changes = changes.into_iter().filter(is_needed).collect();
-                ListUpdate::Changes { end_offset, origin, changes }
+                ListUpdate::Changes { end, origin, changes }
             }
         }
     }
 
     /// Records the entries that changed; returns whether there are any.
-    fn record_changes(&mut self, end_offset: u64, changed: Vec<UpstreamName>) -> bool {
+    fn record_changes(&mut self, end: StorePosition, changed: Vec<UpstreamName>) -> bool {
         if changed.is_empty() {
             return false;
         }
-        self.fleet_changed_at = self.fleet_changed_at.max(end_offset);
-        self.list_log.record(end_offset, changed);
+        self.fleet_changed_at = self.fleet_changed_at.max(end);
+        self.list_log.record(end, changed);
         true
     }
 
@@ -199,7 +201,8 @@
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         StateRequest {
             configuration_version: self.version(),
-            list_offset: self.list_offset(),
+            list_offset: self.list_position().offset,
+            list_era: self.list_position().era,
             wanted: self.cells.needed.cells().map(Into::into).collect(),
             loads: self.own_loads(now).into_iter().map(cell_load_to_proto).collect(),
             refused: self.quarantine.refused().map(|fingerprint| fingerprint.0).collect(),
@@ -237,8 +240,9 @@
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         StateReply {
             configuration: configuration.unwrap_or_default(),
-            list: self.list_json_after(req.list_offset, &wanted),
-            list_offset: self.fleet.offset(),
+            list: self.list_json_after(list_position(req), &wanted),
+            list_offset: self.fleet.position().offset,
+            list_era: self.fleet.position().era,
             list_age_ms: if is_covered { self.list_age_ms(now) } else { u32::MAX },
             told: req.wanted.clone(),
             layout: Some(self.cells.layout.into()),
@@ -249,19 +253,19 @@
         }
     }
 
-    /// Offset up to which this daemon's part of the list is complete; zero if incomplete.
-    pub(super) fn list_offset(&self) -> u64 {
-        if self.cells.covers_needed() { self.fleet.offset() } else { 0 }
+    /// Position up to which this daemon's part of the list is complete; the start if incomplete.
+    pub(super) fn list_position(&self) -> StorePosition {
+        if self.cells.covers_needed() { self.fleet.position() } else { StorePosition::START }
     }
 
-    fn has_changes_after(&self, offset: u64, cells: &CellSet) -> bool {
+    fn has_changes_after(&self, position: StorePosition, cells: &CellSet) -> bool {
         let is_covered = self.fleet.has_been_read() && self.cells.covered.covers(cells);
-        is_covered && offset < self.fleet_changed_at
+        is_covered && position < self.fleet_changed_at
     }
 
     /// Whether the list has changes for the sender of `req`.
     pub(super) fn has_list_for(&self, req: &StateRequest) -> bool {
-        self.has_changes_after(req.list_offset, &cell_set(&req.wanted))
+        self.has_changes_after(list_position(req), &cell_set(&req.wanted))
     }
 
     /// Whether this daemon's list is complete for all upstreams.
@@ -269,18 +273,19 @@
         self.fleet.has_been_read() && self.cells.covered.covers(&CellSet::all())
     }
 
-    /// Changes since `offset` to the upstreams of `cells`, as JSON; all of these upstreams if
-    /// `offset` is zero or the changes are no longer kept. Empty if there are none, or if this
+    /// Changes since `position` to the upstreams of `cells`, as JSON; all of these upstreams if
+    /// `position` is the start or the changes are no longer kept. Empty if there are none, or if this
     /// daemon's list is incomplete for `cells`.
-    pub(super) fn list_json_after(&self, offset: u64, cells: &CellSet) -> String {
-        if !self.has_changes_after(offset, cells) {
+    pub(super) fn list_json_after(&self, position: StorePosition, cells: &CellSet) -> String {
+        if !self.has_changes_after(position, cells) {
             return String::new();
         }
         let is_wanted = |listed: &&ListedUpstream| self.is_relevant(cells, listed);
         let now = self.shared.clock.now();
         let expiring = self.fleet.expiring().map(|(name, at)| (name.clone(), at.since(now)));
         let expiring = expiring.collect();
-        let names = (offset > 0).then(|| self.list_log.since(offset)).flatten();
+        let names =
+            (position > StorePosition::START).then(|| self.list_log.since(position)).flatten();
         let message = match names {
             Some(names) => {
                 let (put, removed): (Vec<_>, Vec<_>) =
@@ -324,7 +329,8 @@
             self.forward_refused(now, &state.refused);
         }
         let scope = cell_set(&state.told);
-        self.apply_peer_list(now, &state.list, state.list_offset, state.list_age_ms, &scope);
+        let position = StorePosition { era: state.list_era, offset: state.list_offset };
+        self.apply_peer_list(now, &state.list, position, state.list_age_ms, &scope);
     }
 
     /// Applies a peer's list of the upstreams of `scope`.
@@ -332,21 +338,21 @@
         &mut self,
         now: Time,
         list: &str,
-        offset: u64,
+        position: StorePosition,
         age_ms: u32,
         scope: &CellSet,
     ) {
         /// Age above which a peer's list is ignored: using it would be no better than having none.
         const MAX_LIST_AGE_MS: u32 = 5_000;
-        if age_ms > MAX_LIST_AGE_MS || offset < self.fleet.offset() {
+        if age_ms > MAX_LIST_AGE_MS || position < self.fleet.position() {
             return;
         }
         let read_at = now - Millis(u64::from(age_ms));
         if list.is_empty() {
             // The peer has read up to a later offset and found no change.
-            if offset >= self.fleet_changed_at && self.fleet.has_been_read() {
+            if position >= self.fleet_changed_at && self.fleet.has_been_read() {
                 let update = ListUpdate::Changes {
-                    end_offset: offset,
+                    end: position,
                     origin: Origin::Peer(Vec::new()),
                     changes: Vec::new(),
                 };
@@ -355,7 +361,7 @@
             return;
         }
         match serde_json::from_str::<ListMessage>(list) {
-            Ok(message) => self.apply_list(read_at, message.into_update(offset), scope),
+            Ok(message) => self.apply_list(read_at, message.into_update(position), scope),
             Err(e) => log::warn!("failed to parse a peer's list of upstreams: {e}"),
         }
     }
@@ -368,7 +374,7 @@
         self.fleet_view_is_stale = true;
         self.update_pool_engines();
         for name in leaving {
-            log::info!(upstream = name.as_str(), list_offset = self.fleet.offset(); "upstream leaves");
+            log::info!(upstream = name.as_str(), list_offset = self.fleet.position().offset; "upstream leaves");
             self.drain_engine(now, name);
         }
     }
@@ -378,6 +384,11 @@
     CellLoad { cell: Some(cell.into()), load }
 }
 
+/// Position up to which the sender of a request has the list.
+fn list_position(req: &StateRequest) -> StorePosition {
+    StorePosition { era: req.list_era, offset: req.list_offset }
+}
+
 /// The set of `cells`; all upstreams if empty.
 fn cell_set(cells: &[CellOf]) -> CellSet {
     match cells.is_empty() {
