A primary reader that cannot reach the store follows the standby

It followed others only once its last known read was 2 s old, and took any source that heard of attempts for good enough, among them the standby that had failed as well. In the waves at 8.1 s and 21.3 s it never heard that 19 engines left: 0 moves were ordered and 51 and 61 streams were cut.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -118,6 +118,30 @@
 /// Time after which a daemon tries its preferred source again.
 const PREFERENCE_INTERVAL: Millis = Millis(10_000);
 
+/// Rank of the primary reader.
+const PRIMARY_RANK: usize = 0;
+
+/// Rank of the reader that takes over from the primary.
+pub const STANDBY_RANK: usize = 1;
+
+/// Whether a daemon of `rank` among the readers follows others: all but a primary that reaches the
+/// store itself.
+pub fn follows_others(rank: Option<usize>, reaches_store: bool) -> bool {
+    rank != Some(PRIMARY_RANK) || !reaches_store
+}
+
+/// Whether a source has nothing new to tell a daemon of `rank` among the readers, given the ages that
+/// the source knows of the last read of the store and of the last attempt.
+///
+/// The two regular readers pass on what a deputy has read, so they look for one that reaches the
+/// store. Everyone else stays with a source that hears of living readers.
+pub fn is_outdated(rank: Option<usize>, read_age: Millis, attempt_age: Millis) -> bool {
+    match rank {
+        Some(PRIMARY_RANK | STANDBY_RANK) => read_age >= MAX_READ_AGE,
+        _ => read_age.min(attempt_age) >= MAX_ATTEMPT_AGE,
+    }
+}
+
 /// Polls sources in turn: stays with one as long as it replies and is not outdated.
 #[derive(Clone, Debug)]
 pub struct Follower {
--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -3,7 +3,9 @@
 
 use super::updates::age_ms;
 use super::{Control, Message};
-use magnoliawinch::dissemination::{POLL_REPLY_TIME, POLL_WAIT, ranked_readers, sources};
+use magnoliawinch::dissemination::{
+    POLL_REPLY_TIME, POLL_WAIT, follows_others, is_outdated, ranked_readers, sources,
+};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{StateReply, StateRequest};
 use std::net::SocketAddr;
@@ -16,9 +18,6 @@
 /// Progress of the reads of the store that is news by itself.
 const READ_PROGRESS: Millis = Millis(400);
 
-/// Age from which a source that has heard of no attempt to read the store counts as outdated.
-const MAX_SOURCE_AGE: Millis = Millis(2_000);
-
 /// A follower's poll that waits for news.
 #[derive(Debug)]
 pub(super) struct HeldPoll {
@@ -102,7 +101,7 @@
 
     /// Polls the followed daemon when the last poll has been answered.
     pub(super) fn follow_source(&mut self, now: Time) {
-        if self.reads_regularly() {
+        if !follows_others(self.reader_rank, self.shared.reaches_store()) {
             return;
         }
         let Some(source) = self.follower.next_poll(now) else {
@@ -125,13 +124,6 @@
         });
     }
 
-    /// Whether this daemon reads the store regularly and reaches it, so that it needs no source.
-    fn reads_regularly(&self) -> bool {
-        self.cells.owners.readers().is_primary(&self.membership.own().host)
-            && self.shared.configuration_read_age() < MAX_SOURCE_AGE
-            && self.has_whole_list()
-    }
-
     /// Applies the reply of the followed daemon, if there was one.
     pub(super) fn handle_followed(
         &mut self,
@@ -141,8 +133,9 @@
     ) {
         match reply {
             Some(reply) => {
-                let age = reply.configuration_age_ms.min(reply.attempt_age_ms);
-                let is_outdated = Millis(u64::from(age)) > MAX_SOURCE_AGE;
+                let read_age = Millis(u64::from(reply.configuration_age_ms));
+                let attempt_age = Millis(u64::from(reply.attempt_age_ms));
+                let is_outdated = is_outdated(self.reader_rank, read_age, attempt_age);
                 self.follower.replied(now, source, is_outdated);
                 self.apply_peer_state(now, reply);
             }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -268,11 +268,6 @@
         self.has_changes_after(list_position(req), &cell_set(&req.wanted))
     }
 
-    /// Whether this daemon's list is complete for all upstreams.
-    pub(super) fn has_whole_list(&self) -> bool {
-        self.fleet.has_been_read() && self.cells.covered.covers(&CellSet::all())
-    }
-
     /// Changes since `position` to the upstreams of `cells`, as JSON; all of these upstreams if
     /// `position` is the start or the changes are no longer kept. Empty if there are none, or if this
     /// daemon's list is incomplete for `cells`.
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -7,7 +7,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
-use magnoliawinch::dissemination::{MAX_READ_AGE, ReadStatus};
+use magnoliawinch::dissemination::{MAX_READ_AGE, ReadStatus, STANDBY_RANK};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
 use magnoliawinch::time::{Millis, Time};
@@ -51,9 +51,6 @@
 /// Allowance for getting the list from its readers if a cell's owners do not reply.
 const READER_REPLY_TIME: Millis = Millis(1_000);
 
-/// Rank of the reader that takes over from the primary one.
-const STANDBY_RANK: usize = 1;
-
 /// Age from which the standby reader reads for itself: it decides about placements as soon as the
 /// primary is silent.
 const STANDBY_MAX_READ_AGE: Millis = Millis(700);
@@ -122,9 +119,17 @@
         self.shared.view.load().table.as_ref().map_or(0, |table| table.version())
     }
 
-    /// Notes that the store's configuration was just read.
-    pub fn note_configuration_read(&self) {
-        self.shared.note_configuration_read(self.shared.clock.now());
+    /// Notes that this daemon has read the store's configuration, or failed to.
+    pub fn note_configuration_read(&self, has_succeeded: bool) {
+        self.shared.note_own_configuration_read(has_succeeded);
+        if has_succeeded {
+            self.shared.note_configuration_read(self.shared.clock.now());
+        }
+    }
+
+    /// Notes that this daemon has read the list of upstreams, or failed to.
+    pub fn note_list_read(&self, has_succeeded: bool) {
+        self.shared.note_own_list_read(has_succeeded);
     }
 
     /// Notes that this daemon tried to read the store. Has no effect unless it is a reader or a
@@ -193,6 +198,11 @@
         view.cells.readers().contains(&view.own.host)
     }
 
+    /// Whether this daemon is a reader of the store or the deputy of one.
+    pub fn is_reader_or_deputy(&self) -> bool {
+        self.shared.view.load().reader_rank.is_some()
+    }
+
     /// Whether this daemon is the reader that makes decisions and needs the freshest list.
     pub fn is_primary_reader(&self) -> bool {
         let view = self.shared.view.load();
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -18,7 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -60,6 +60,10 @@
     configuration_read_at: AtomicU64,
     /// When a reader or deputy last tried to.
     read_attempted_at: AtomicU64,
+    /// Whether this daemon's own last read of the configuration succeeded.
+    reads_configuration: AtomicBool,
+    /// The same for the list of upstreams.
+    reads_list: AtomicBool,
 }
 
 impl Shared {
@@ -91,6 +95,8 @@
             list_read_at: AtomicU64::new(0),
             configuration_read_at: AtomicU64::new(0),
             read_attempted_at: AtomicU64::new(0),
+            reads_configuration: AtomicBool::new(false),
+            reads_list: AtomicBool::new(false),
             clock,
         }
     }
@@ -181,6 +187,21 @@
         Time(self.read_attempted_at.load(Ordering::Acquire))
     }
 
+    /// Notes whether this daemon's own read of the configuration succeeded.
+    pub(crate) fn note_own_configuration_read(&self, has_succeeded: bool) {
+        self.reads_configuration.store(has_succeeded, Ordering::Release);
+    }
+
+    /// Notes whether this daemon's own read of the list of upstreams succeeded.
+    pub(crate) fn note_own_list_read(&self, has_succeeded: bool) {
+        self.reads_list.store(has_succeeded, Ordering::Release);
+    }
+
+    /// Whether this daemon's own last reads of the store succeeded.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.reads_configuration.load(Ordering::Acquire) && self.reads_list.load(Ordering::Acquire)
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.requests.in_progress()
