Regular readers that cannot read follow the daemon that does

Change: a read carries its reader and that one's rank; whoever hears of no better-ranked reader goes on; the two regular readers follow the reader of the newest read that they know. Replies to reports no longer carry the age of reads, which the forest spreads.

Ruled out: comparing only the times of reads (cause 1 again: a read that comes back looks like news).

Tests: reads_that_come_back_to_their_reader_are_not_another_daemons, the_best_ranked_of_several_readers_ goes_on; a_primary_that_the_store_refuses_hears_of_changes_in_time now has both regular readers refused and fails without the last part.

--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -130,15 +130,21 @@
     rank != Some(PRIMARY_RANK) || !reaches_store
 }
 
+/// Whether a daemon of `rank` among the readers follows the one that made the newest read: the regular
+/// readers do, as they could otherwise follow each other while neither reaches the store.
+pub fn follows_newest_reader(rank: Option<usize>) -> bool {
+    matches!(rank, Some(PRIMARY_RANK | STANDBY_RANK))
+}
+
 /// Whether a source has nothing new to tell a daemon of `rank` among the readers, given the ages that
 /// the source knows of the last read of the store and of the last attempt.
 ///
 /// The two regular readers pass on what a deputy has read, so they look for one that reaches the
 /// store. Everyone else stays with a source that hears of living readers.
 pub fn is_outdated(rank: Option<usize>, read_age: Millis, attempt_age: Millis) -> bool {
-    match rank {
-        Some(PRIMARY_RANK | STANDBY_RANK) => read_age >= MAX_READ_AGE,
-        _ => read_age.min(attempt_age) >= MAX_ATTEMPT_AGE,
+    match follows_newest_reader(rank) {
+        true => read_age >= MAX_READ_AGE,
+        false => read_age.min(attempt_age) >= MAX_ATTEMPT_AGE,
     }
 }
 
@@ -177,6 +183,13 @@
         }
     }
 
+    /// Polls `source` next, if it is one.
+    pub fn prefer(&mut self, source: SocketAddr) {
+        if let Some(index) = self.sources.iter().position(|known| *known == source) {
+            self.index = index;
+        }
+    }
+
     /// The source to poll now, if a poll is due.
     pub fn next_poll(&mut self, now: Time) -> Option<SocketAddr> {
         if let Some((source, at)) = self.pending {
@@ -232,6 +245,79 @@
     }
 }
 
+/// A daemon that reads the store. The best-ranked one goes on, others that hear of it stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Reader {
+    /// Rank among the readers; `NO_RANK` for daemons that are no reader or deputy.
+    pub rank: u32,
+    /// Hash of the name of its host.
+    pub host: u64,
+}
+
+/// Rank of a daemon that is neither a reader nor a deputy.
+pub const NO_RANK: u32 = u32::MAX;
+
+/// A read of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownRead {
+    /// When it was made.
+    pub at: Time,
+    /// Who made it.
+    pub reader: Reader,
+}
+
+/// Time for which the read of a better-ranked daemon shows that this one need not go on reading.
+const HEARD_WINDOW: Millis = Millis(1_000);
+
+/// The newest reads of the configuration, by any daemon and by those ranked before this one.
+///
+/// A daemon that reads in place of the readers hears of its own reads from those that follow it, so
+/// reads carry their reader.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownReads {
+    own: Reader,
+    newest: KnownRead,
+    by_better_at: Time,
+}
+
+impl KnownReads {
+    /// No reads, at the host with the hashed name `host`.
+    pub fn new(host: u64) -> Self {
+        let own = Reader { rank: NO_RANK, host };
+        Self { own, newest: KnownRead { at: Time(0), reader: own }, by_better_at: Time(0) }
+    }
+
+    /// Sets the rank of this daemon.
+    pub fn set_rank(&mut self, rank: Option<usize>) {
+        self.own.rank = rank.map_or(NO_RANK, |rank| rank as u32);
+    }
+
+    /// Records a read, by this daemon or as a peer reported it.
+    pub fn record(&mut self, read: KnownRead) {
+        if read.at > self.newest.at {
+            self.newest = read;
+        }
+        if read.reader.host != self.own.host && read.reader < self.own {
+            self.by_better_at = self.by_better_at.max(read.at);
+        }
+    }
+
+    /// Records a read by this daemon.
+    pub fn record_own(&mut self, now: Time) {
+        self.record(KnownRead { at: now, reader: self.own });
+    }
+
+    /// The newest read.
+    pub fn newest(&self) -> KnownRead {
+        self.newest
+    }
+
+    /// Whether a better-ranked daemon has read recently.
+    pub fn hears_better(&self, now: Time) -> bool {
+        now.since(self.by_better_at) < HEARD_WINDOW
+    }
+}
+
 /// What is known of the reads of one topic of the store, here or at the daemons followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadStatus {
@@ -262,7 +348,7 @@
 /// number: a single read reaches the others within a few hops.
 const SPREAD_PER_DOUBLING: Millis = Millis(200);
 
-/// Reads of a daemon that hears of no other's, after which it reads without pause. One alone is
+/// Reads of a daemon that hears of no better-ranked one's, after which it reads without pause. One alone is
 /// common after a start, when a daemon knows few others.
 const MAX_UNHEARD_READS: u32 = 2;
 
@@ -273,7 +359,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoreFallback {
     due_at: Option<Time>,
-    /// Consecutive successful reads of this daemon while it heard of no other's.
+    /// Consecutive successful reads of this daemon while it heard of no better-ranked one's.
     unheard_reads: u32,
 }
 
@@ -311,11 +397,11 @@
         Millis(rng.random_range(0..SPREAD_PER_DOUBLING.0 * doublings))
     }
 
-    /// Records a read. After two successful ones while this daemon heard of no other's, it reads
-    /// without pause.
-    pub fn record_read(&mut self, has_succeeded: bool, has_heard_others: bool) {
+    /// Records a read. After two successful ones while this daemon heard of no better-ranked one's, it
+    /// reads without pause.
+    pub fn record_read(&mut self, has_succeeded: bool, hears_better: bool) {
         self.due_at = None;
-        let is_unheard = has_succeeded && !has_heard_others;
+        let is_unheard = has_succeeded && !hears_better;
         self.unheard_reads = if is_unheard { self.unheard_reads + 1 } else { 0 };
     }
 }
--- a/core/tests/dissemination.rs
+++ b/core/tests/dissemination.rs
@@ -3,8 +3,9 @@
 
 use magnoliawinch::capacity::Capacity;
 use magnoliawinch::dissemination::{
-    Follower, MAX_READ_AGE, MAX_READERS, POLL_REPLY_TIME, POLL_WAIT, ReadStatus, StoreFallback,
-    follows_others, is_outdated, ranked_readers, sources,
+    Follower, KnownRead, KnownReads, MAX_READ_AGE, MAX_READERS, NO_RANK, POLL_REPLY_TIME,
+    POLL_WAIT, ReadStatus, Reader, StoreFallback, follows_newest_reader, follows_others,
+    is_outdated, ranked_readers, sources,
 };
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{FailureDomain, HostName};
@@ -206,6 +207,42 @@
     assert_ne!(fallback.wait(START, &status(0, 9_000, None), &mut rng), Millis(0));
 }
 
+fn read(at: Time, rank: u32, host: u64) -> KnownRead {
+    KnownRead { at, reader: Reader { rank, host } }
+}
+
+/// Pattern: the standby reads in place of a primary that follows it. It must not take its own reads,
+/// which come back to it, for the primary's, and must stop when the primary reads again.
+#[test]
+fn reads_that_come_back_to_their_reader_are_not_another_daemons() {
+    let mut reads = KnownReads::new(11);
+    reads.set_rank(Some(1));
+    reads.record_own(START);
+    reads.record(read(START, 1, 11));
+    assert!(!reads.hears_better(START + Millis(10)));
+    // The primary's read is older than this daemon's newest.
+    reads.record_own(START + Millis(300));
+    reads.record(read(START + Millis(200), 0, 7));
+    assert!(reads.hears_better(START + Millis(400)));
+    assert_eq!(reads.newest(), read(START + Millis(300), 1, 11));
+    assert!(!reads.hears_better(START + Millis(2_000)));
+}
+
+/// Pattern: several deputies begin to read at the same time, as both regular readers lost the store.
+/// If each stopped for the others, none would read for a second, and engines would leave unnoticed.
+#[test]
+fn the_best_ranked_of_several_readers_goes_on() {
+    let mut best = KnownReads::new(12);
+    best.set_rank(Some(2));
+    best.record(read(START, 3, 9));
+    best.record(read(START, NO_RANK, 1));
+    assert!(!best.hears_better(START));
+    let mut other = KnownReads::new(9);
+    other.set_rank(Some(3));
+    other.record(read(START, 2, 12));
+    assert!(other.hears_better(START));
+}
+
 /// How long a call to a store that refuses the daemon takes.
 const REFUSAL: Millis = Millis(150);
 
@@ -215,6 +252,7 @@
 /// A daemon of the simulated fleet: what it knows, and since when the store's newest change.
 #[derive(Debug)]
 struct Node {
+    address: SocketAddr,
     sources: Vec<SocketAddr>,
     rank: Option<usize>,
     follower: Follower,
@@ -222,6 +260,8 @@
     is_silent: bool,
     reaches_store: bool,
     read_at: Time,
+    /// Index of the daemon that made that read.
+    reader: usize,
     attempted_at: Time,
     version: u64,
     next_read_at: Time,
@@ -253,6 +293,7 @@
             let mut follower = Follower::new(START);
             follower.set_sources(sources.clone());
             Node {
+                address: members[own].peer_address,
                 sources,
                 rank: readers.iter().position(|reader| reader.host == members[own].host),
                 follower,
@@ -260,6 +301,7 @@
                 is_silent: false,
                 reaches_store: true,
                 read_at: START,
+                reader: own,
                 attempted_at: START,
                 version: 1,
                 next_read_at: START,
@@ -327,7 +369,7 @@
         }
         node.next_read_at = now + if node.reaches_store { READ_INTERVAL } else { REFUSAL };
         if node.reaches_store {
-            (node.read_at, node.version) = (now, self.store_version);
+            (node.read_at, node.reader, node.version) = (now, index, self.store_version);
         }
     }
 
@@ -349,9 +391,9 @@
         let Some((source, expires_at)) = node.poll else {
             return;
         };
-        let (read_at, attempted_at, version) = {
+        let (read_at, reader, attempted_at, version) = {
             let source = &self.nodes[source];
-            (source.read_at, source.attempted_at, source.version)
+            (source.read_at, source.reader, source.attempted_at, source.version)
         };
         let is_silent = self.nodes[source].is_silent;
         let node = &mut self.nodes[index];
@@ -369,11 +411,18 @@
             || attempted_at >= node.attempted_at + Millis(400);
         if has_news || now >= expires_at {
             let outdated = is_outdated(node.rank, now.since(read_at), now.since(attempted_at));
-            node.read_at = node.read_at.max(read_at);
+            if read_at > node.read_at {
+                (node.read_at, node.reader) = (read_at, reader);
+            }
             node.attempted_at = node.attempted_at.max(attempted_at);
             node.version = node.version.max(version);
             node.follower.replied(now, address, outdated);
             node.poll = None;
+            if follows_newest_reader(node.rank) {
+                let reader = node.reader;
+                let address = self.nodes[reader].address;
+                self.nodes[index].follower.prefer(address);
+            }
         }
     }
 
@@ -415,10 +464,11 @@
         for (index, node) in fleet.nodes.iter_mut().enumerate() {
             node.reaches_store = index % 3 != 0;
         }
+        // With the standby among those refused, the two could follow each other.
         fleet.node_of_rank(0).reaches_store = false;
-        fleet.node_of_rank(1).reaches_store = true;
+        fleet.node_of_rank(1).reaches_store = false;
         fleet.run(Millis(3_000));
-        for _ in 0..5 {
+        for _ in 0..15 {
             fleet.store_version += 1;
             let changed_at = fleet.now;
             while fleet.node_of_rank(0).version < fleet.store_version {
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -34,6 +34,7 @@
 use pools::Pools;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -121,6 +122,8 @@
     announced_versions: AnnouncedVersions,
     follower: Follower,
     reader_rank: Option<usize>,
+    /// Addresses of the readers and deputies, by the hashes of their hosts' names.
+    reader_addresses: HashMap<u64, SocketAddr>,
     held_polls: Vec<HeldPoll>,
     unreported_crashes: Vec<Crash>,
     peak_daemons: usize,
@@ -149,6 +152,7 @@
             announced_versions: AnnouncedVersions::new(),
             follower: Follower::new(now),
             reader_rank: None,
+            reader_addresses: HashMap::new(),
             held_polls: Vec::new(),
             unreported_crashes: Vec::new(),
             peak_daemons: 1,
--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -4,8 +4,10 @@
 use super::updates::age_ms;
 use super::{Control, Message};
 use magnoliawinch::dissemination::{
-    POLL_REPLY_TIME, POLL_WAIT, follows_others, is_outdated, ranked_readers, sources,
+    POLL_REPLY_TIME, POLL_WAIT, follows_newest_reader, follows_others, is_outdated, ranked_readers,
+    sources,
 };
+use magnoliawinch::rendezvous;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{StateReply, StateRequest};
 use std::net::SocketAddr;
@@ -62,7 +64,7 @@
     }
 
     fn has_news_for(&self, poll: &HeldPoll) -> bool {
-        let has_read = self.shared.last_configuration_read() >= poll.read_at + READ_PROGRESS;
+        let has_read = self.shared.last_configuration_read().at >= poll.read_at + READ_PROGRESS;
         let has_tried = self.shared.last_read_attempt() >= poll.attempted_at + READ_PROGRESS;
         self.version() > poll.req.configuration_version
             || has_read
@@ -96,6 +98,11 @@
         let own = &self.membership.own().host;
         let readers = ranked_readers(&self.membership);
         self.reader_rank = readers.iter().position(|reader| reader.host == *own);
+        let addresses = readers
+            .iter()
+            .map(|reader| (rendezvous::hash(reader.host.as_str()), reader.peer_address));
+        self.reader_addresses = addresses.collect();
+        self.shared.set_reader_rank(self.reader_rank);
         self.follower.set_sources(sources(&self.membership, &readers));
     }
 
@@ -138,6 +145,12 @@
                 let is_outdated = is_outdated(self.reader_rank, read_age, attempt_age);
                 self.follower.replied(now, source, is_outdated);
                 self.apply_peer_state(now, reply);
+                if follows_newest_reader(self.reader_rank) {
+                    let newest = self.shared.last_configuration_read().reader.host;
+                    if let Some(reader) = self.reader_addresses.get(&newest) {
+                        self.follower.prefer(*reader);
+                    }
+                }
             }
             None => self.follower.failed(now, source),
         }
@@ -147,7 +160,7 @@
 
     /// Age of the last known read of the configuration and of the last attempt, for messages.
     pub(super) fn read_ages_ms(&self, now: Time) -> (u32, u32) {
-        let read_at = self.shared.last_configuration_read();
+        let read_at = self.shared.last_configuration_read().at;
         (age_ms(now, read_at), age_ms(now, self.shared.last_read_attempt()))
     }
 }
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -5,7 +5,6 @@
     run_to_proto, use_from_proto, use_to_proto,
 };
 use super::pools::PoolKey;
-use super::updates::age_ms;
 use super::{Control, Crash, Message};
 use crate::runs::RunsUpdate;
 use magnoliawinch::cells::{Cell, CellSet};
@@ -153,7 +152,6 @@
             refused: self.all_refused(),
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
-            configuration_age_ms: age_ms(now, self.shared.last_configuration_read()),
         }
     }
 
@@ -190,10 +188,6 @@
         for fingerprint in &reply.refused {
             self.view_is_stale |= self.refused.renew(now, Fingerprint(*fingerprint));
         }
-        if reply.configuration_version <= self.version() {
-            let read_at = now - Millis(u64::from(reply.configuration_age_ms));
-            self.shared.note_configuration_read(read_at);
-        }
         if let Some(owner) = self.membership.get(&reply.host).map(|owner| owner.peer_address) {
             self.note_announced_version(now, reply.configuration_version, owner);
         }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -2,6 +2,7 @@
 
 use super::{Control, Message};
 use magnoliawinch::cells::{Cell, CellSet};
+use magnoliawinch::dissemination::{KnownRead, Reader};
 use magnoliawinch::fleet::{Change, ChangeLog, ListedUpstream, Origin};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::store_position::StorePosition;
@@ -238,6 +239,7 @@
         let newer = self.table.as_ref().filter(|table| is_newer(table.version()));
         let configuration = newer.map(|table| to_json(table.configuration()));
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
+        let reader = self.shared.last_configuration_read().reader;
         StateReply {
             configuration: configuration.unwrap_or_default(),
             list: self.list_json_after(list_position(req), &wanted),
@@ -250,6 +252,8 @@
             refused: self.all_refused(),
             configuration_age_ms,
             attempt_age_ms,
+            configuration_reader: reader.host,
+            configuration_reader_rank: reader.rank,
         }
     }
 
@@ -314,7 +318,13 @@
                 Err(e) => log::warn!("failed to parse a peer's configuration: {e}"),
             }
         }
-        self.shared.note_configuration_read(now - Millis(u64::from(state.configuration_age_ms)));
+        self.shared.note_configuration_read(KnownRead {
+            at: now - Millis(u64::from(state.configuration_age_ms)),
+            reader: Reader {
+                rank: state.configuration_reader_rank,
+                host: state.configuration_reader,
+            },
+        });
         self.shared.note_read_attempt(now - Millis(u64::from(state.attempt_age_ms)));
         if let Some(layout) = state.layout.as_ref().and_then(magnoliawinch_peer::Layout::layout) {
             self.apply_layout(layout);
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -121,15 +121,15 @@
 
     /// Notes that this daemon has read the store's configuration, or failed to.
     pub fn note_configuration_read(&self, has_succeeded: bool) {
-        self.shared.note_own_configuration_read(has_succeeded);
+        self.shared.set_reads_configuration(has_succeeded);
         if has_succeeded {
-            self.shared.note_configuration_read(self.shared.clock.now());
+            self.shared.note_own_configuration_read();
         }
     }
 
     /// Notes that this daemon has read the list of upstreams, or failed to.
     pub fn note_list_read(&self, has_succeeded: bool) {
-        self.shared.note_own_list_read(has_succeeded);
+        self.shared.set_reads_list(has_succeeded);
     }
 
     /// Notes that this daemon tried to read the store. Has no effect unless it is a reader or a
@@ -150,14 +150,9 @@
         self.shared.clock.now()
     }
 
-    /// When the store's configuration was last read, here or at the daemons followed.
-    pub fn configuration_read_at(&self) -> Time {
-        self.shared.last_configuration_read()
-    }
-
-    /// When the list of upstreams was last read, here or at the daemons followed.
-    pub fn list_read_at(&self) -> Time {
-        self.shared.last_list_read()
+    /// Whether a better-ranked daemon reads the store, so that this one need not go on.
+    pub fn hears_better_reader(&self) -> bool {
+        self.shared.hears_better_reader()
     }
 
     /// What is known of the reads of the configuration.
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -7,8 +7,10 @@
 use crate::view::View;
 use arc_swap::ArcSwap;
 use magnoliawinch::balance::Balancer;
+use magnoliawinch::dissemination::{KnownRead, KnownReads};
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
+use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
@@ -56,8 +58,7 @@
     requests: RequestCounter,
     /// When the list of upstreams was last read, as a `Time`; zero if never.
     list_read_at: AtomicU64,
-    /// When this daemon, or a peer that reported it, last read the store's configuration.
-    configuration_read_at: AtomicU64,
+    configuration_reads: Mutex<KnownReads>,
     /// When a reader or deputy last tried to.
     read_attempted_at: AtomicU64,
     /// Whether this daemon's own last read of the configuration succeeded.
@@ -80,6 +81,7 @@
             budgets: HashMap::new(),
             silent_until: HashMap::new(),
         };
+        let own_hash = rendezvous::hash(own.host.as_str());
         Self {
             settings,
             view: ArcSwap::from_pointee(View::new(own)),
@@ -93,7 +95,7 @@
             routing: Mutex::new(routing),
             requests: RequestCounter::new(),
             list_read_at: AtomicU64::new(0),
-            configuration_read_at: AtomicU64::new(0),
+            configuration_reads: Mutex::new(KnownReads::new(own_hash)),
             read_attempted_at: AtomicU64::new(0),
             reads_configuration: AtomicBool::new(false),
             reads_list: AtomicBool::new(false),
@@ -162,19 +164,38 @@
         Time(self.list_read_at.load(Ordering::Acquire))
     }
 
-    /// Notes when this daemon, or a peer that reported it, read the store's configuration.
-    pub(crate) fn note_configuration_read(&self, at: Time) {
-        self.configuration_read_at.fetch_max(at.0, Ordering::AcqRel);
+    fn configuration_reads(&self) -> MutexGuard<'_, KnownReads> {
+        self.configuration_reads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// When the store's configuration was last read.
-    pub(crate) fn last_configuration_read(&self) -> Time {
-        Time(self.configuration_read_at.load(Ordering::Acquire))
+    /// Notes a read of the store's configuration that a peer reported.
+    pub(crate) fn note_configuration_read(&self, read: KnownRead) {
+        self.configuration_reads().record(read);
+    }
+
+    /// Notes a read of the store's configuration by this daemon.
+    pub(crate) fn note_own_configuration_read(&self) {
+        self.configuration_reads().record_own(self.clock.now());
+    }
+
+    /// The last known read of the store's configuration.
+    pub(crate) fn last_configuration_read(&self) -> KnownRead {
+        self.configuration_reads().newest()
+    }
+
+    /// Sets the rank of this daemon among the readers.
+    pub(crate) fn set_reader_rank(&self, rank: Option<usize>) {
+        self.configuration_reads().set_rank(rank);
+    }
+
+    /// Whether a better-ranked daemon has recently read the store's configuration.
+    pub(crate) fn hears_better_reader(&self) -> bool {
+        self.configuration_reads().hears_better(self.clock.now())
     }
 
     /// Time since the store's configuration was last read.
     pub(crate) fn configuration_read_age(&self) -> Millis {
-        self.clock.now().since(self.last_configuration_read())
+        self.clock.now().since(self.last_configuration_read().at)
     }
 
     /// Notes when a reader or deputy tried to read the store.
@@ -188,12 +209,12 @@
     }
 
     /// Notes whether this daemon's own read of the configuration succeeded.
-    pub(crate) fn note_own_configuration_read(&self, has_succeeded: bool) {
+    pub(crate) fn set_reads_configuration(&self, has_succeeded: bool) {
         self.reads_configuration.store(has_succeeded, Ordering::Release);
     }
 
     /// Notes whether this daemon's own read of the list of upstreams succeeded.
-    pub(crate) fn note_own_list_read(&self, has_succeeded: bool) {
+    pub(crate) fn set_reads_list(&self, has_succeeded: bool) {
         self.reads_list.store(has_succeeded, Ordering::Release);
     }
 
