--- a/core/src/announced_versions.rs
+++ b/core/src/announced_versions.rs
@@ -1,7 +1,7 @@
 //! Configuration versions that peers announce, and when to request one from them.
 //!
-//! A version usually arrives from the daemon that this one follows (see [`crate::dissemination`]). If it
-//! does not, the peer that announced it is asked.
+//! A version usually arrives from the daemon that this one follows (see [`crate::dissemination`]).
+//! If it does not, the peer that announced it is asked.
 
 use crate::time::{Millis, Time};
 use std::net::SocketAddr;
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -65,8 +65,8 @@
 pub enum Origin {
     /// Read from the store by this daemon.
     Store,
-    /// Passed on by a peer, with the entries that the peer removes after the given times unless they
-    /// return. What the peer has removed is gone for good.
+    /// Passed on by a peer, with the entries that the peer removes after the given times unless
+    /// they return. What the peer has removed is gone for good.
     Peer(Vec<(UpstreamName, Millis)>),
 }
 
--- a/core/tests/store_rewind.rs
+++ b/core/tests/store_rewind.rs
@@ -1,5 +1,5 @@
-//! The list of upstreams while the store returns from copies that are some seconds old, under random
-//! interleavings of rewinds, lost and late responses, several readers and restarted daemons.
+//! The list of upstreams while the store returns from copies that are some seconds old, under
+//! random interleavings of rewinds, lost and late responses, several readers and restarted daemons.
 
 use magnoliawinch::fleet::{Change, EXPIRY_GRACE, Fleet, ListedUpstream, Origin};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -182,7 +182,8 @@
         }
     }
 
-    /// Notes that the daemon at `peer` has `version`, to be requested from it if it does not arrive.
+    /// Notes that the daemon at `peer` has `version`, to be requested from it if it does not
+    /// arrive.
     pub(super) fn note_announced_version(&mut self, now: Time, version: u64, peer: SocketAddr) {
         if version > self.version() {
             self.announced_versions.record(now, version, peer);
@@ -273,8 +274,8 @@
     }
 
     /// Changes since `position` to the upstreams of `cells`, as JSON; all of these upstreams if
-    /// `position` is the start or the changes are no longer kept. Empty if there are none, or if this
-    /// daemon's list is incomplete for `cells`.
+    /// `position` is the start or the changes are no longer kept. Empty if there are none, or if
+    /// this daemon's list is incomplete for `cells`.
     pub(super) fn list_json_after(&self, position: StorePosition, cells: &CellSet) -> String {
         if !self.has_changes_after(position, cells) {
             return String::new();
@@ -379,7 +380,8 @@
         self.fleet_view_is_stale = true;
         self.update_pool_engines();
         for name in leaving {
-            log::info!(upstream = name.as_str(), list_offset = self.fleet.position().offset; "upstream leaves");
+            let list_offset = self.fleet.position().offset;
+            log::info!(upstream = name.as_str(), list_offset; "upstream leaves");
             self.drain_engine(now, name);
         }
     }
