An upstream that the store's copy brought back is used again as soon as it may be

Found in the reading of the change: when the time passed after which such an upstream is usable, neither the view of the traffic thread nor the pools heard of it before the next change of the list.

Test: an_engine_that_the_copy_brings_back_and_that_still_runs_is_used_again.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -100,6 +100,8 @@
     /// Removed upstreams that the store's copy lists, and when they are usable if they still are
     /// listed then.
     brought_back: HashMap<UpstreamName, Time>,
+    /// Whether any of them has become usable since this was last asked.
+    has_restored: bool,
 }
 
 impl Fleet {
@@ -269,6 +271,7 @@
         for (name, _) in renewed {
             if self.upstreams.contains_key(&name) {
                 self.cancel_removal(&name);
+                self.has_restored = true;
             }
         }
         let is_due = |upstream: &Upstream| upstream.removal_at.is_some_and(|at| now >= at);
@@ -282,6 +285,11 @@
         removed
     }
 
+    /// Whether an upstream that the store's copy brought back has become usable since the last call.
+    pub fn take_restored(&mut self) -> bool {
+        std::mem::take(&mut self.has_restored)
+    }
+
     /// Records that the current incarnation of an upstream leaves, as the upstream itself or a peer
     /// reported; returns whether that was not known.
     pub fn mark_leaving(&mut self, now: Time, name: &UpstreamName) -> bool {
--- a/core/tests/store_rewind.rs
+++ b/core/tests/store_rewind.rs
@@ -412,6 +412,24 @@
     assert_eq!(world.settled(), None);
 }
 
+/// An engine whose entry had lapsed runs on, and its renewal is older than the copy: nothing is written
+/// again, so it has to become usable by the time alone.
+#[test]
+fn an_engine_that_the_copy_brings_back_and_that_still_runs_is_used_again() {
+    let mut fleet = Fleet::new();
+    let at = |era, offset| StorePosition { era, offset };
+    fleet.replace(Time(10), at(1, 5), &Origin::Store, vec![listed(0, 1, false)]);
+    let lapsed = [Change::Removed(name(0))];
+    fleet.apply(Time(200), at(1, 6), &Origin::Store, lapsed);
+    fleet.replace(Time(400), at(2, 4), &Origin::Store, vec![listed(0, 1, false)]);
+    assert_eq!(fleet.usable("guide").count(), 0);
+    fleet.tick(Time(1_000));
+    assert!(!fleet.take_restored());
+    fleet.tick(Time(6_000));
+    assert!(fleet.take_restored() && !fleet.take_restored());
+    assert_eq!(fleet.usable("guide").count(), 1);
+}
+
 #[test]
 fn a_late_response_of_an_older_era_is_dropped() {
     let mut eras = EraTracker::new();
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -295,6 +295,10 @@
         self.send_probes(now);
         let removed = self.fleet.tick(now);
         self.drain_upstreams(now, &removed);
+        if self.fleet.take_restored() {
+            self.fleet_view_is_stale = true;
+            self.update_pool_engines();
+        }
         self.tick_pools(now);
         self.tick_quarantine(now);
         self.request_announced_version(now);
