Reports to owners come at least every 1.2 s, whatever the number of daemons

Cause: the interval was 300 ms and 3 ms a daemon of the cell. A system with many hosts and few engines has one cell, so at 1,400 daemons a report came every 4.5 s, while owners drop runs after 3 s without one. Nothing changes up to 300 daemons, the largest size measured so far. The interval is now a function of core/cells.

Test: reports_come_twice_within_the_lifetime_of_a_run_however_many_daemons_there_are; 4,500 ms before.

--- a/core/src/cells.rs
+++ b/core/src/cells.rs
@@ -7,6 +7,7 @@
 
 use crate::names::{HostName, UpstreamName};
 use crate::rendezvous;
+use crate::time::Millis;
 use rand::{Rng, RngExt};
 use std::collections::BTreeSet;
 
@@ -21,6 +22,15 @@
 /// Maximum number of cells: twice what 12,000 engines need.
 const MAX_CELLS: u32 = 256;
 
+/// Interval of reports to the owners of a cell with few daemons.
+const REPORT_INTERVAL: Millis = Millis(300);
+
+/// Added to the interval for each daemon, so that an owner's load grows little with their number.
+const REPORT_INTERVAL_PER_DAEMON: Millis = Millis(3);
+
+/// Maximum interval, for cells with three hundred daemons or more: owners forget runs after 3 s.
+const MAX_REPORT_INTERVAL: Millis = Millis(1_200);
+
 /// Offset of a layout that a daemon decided only for itself.
 const PROVISIONAL_OFFSET: u64 = 1;
 
@@ -175,6 +185,12 @@
     }
 }
 
+/// Interval between two reports of a daemon when `daemons` report to the same owner.
+pub fn report_interval(daemons: usize) -> Millis {
+    let added = REPORT_INTERVAL_PER_DAEMON.0 * daemons as u64;
+    (REPORT_INTERVAL + Millis(added)).min(MAX_REPORT_INTERVAL)
+}
+
 /// Cells whose engines a daemon needs to know or knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CellSet(BTreeSet<Cell>);
--- a/core/tests/cells.rs
+++ b/core/tests/cells.rs
@@ -1,7 +1,8 @@
 //! Division of engines into cells, sets of cells, and the choice of a run's cell.
 
-use magnoliawinch::cells::{Cell, CellSet, Layout};
+use magnoliawinch::cells::{Cell, CellSet, Layout, report_interval};
 use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::time::Millis;
 use quickcheck::quickcheck;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -31,6 +32,16 @@
     }
 }
 
+/// Pattern: many hosts before few engines, all in one cell. Owners drop runs that they have not heard
+/// of for 3 s.
+#[test]
+fn reports_come_twice_within_the_lifetime_of_a_run_however_many_daemons_there_are() {
+    for daemons in [1, 9, 90, 295, 1_400] {
+        let Millis(interval) = report_interval(daemons);
+        assert!((300..1_500).contains(&interval), "{daemons} daemons: {interval} ms");
+    }
+}
+
 #[test]
 fn moderate_changes_in_engine_count_keep_the_layout() {
     let layout = Layout::default().for_engines(3_000, 5_000);
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -8,7 +8,6 @@
 mod reports;
 mod updates;
 
-pub(crate) use reports::report_interval;
 pub use updates::ListUpdate;
 
 use crate::runs::Assignment;
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -1,9 +1,8 @@
 //! Cells of engines: their owners and loads, and the upstreams that this daemon has to track.
 
 use super::Control;
-use super::reports::report_interval;
 use crate::view::{CellOwners, PoolOwners};
-use magnoliawinch::cells::{Cell, CellSet, Layout};
+use magnoliawinch::cells::{Cell, CellSet, Layout, report_interval};
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::ownership::large_owners;
 use magnoliawinch::quarantine::{Fingerprint, RefusedFingerprints};
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -1,9 +1,8 @@
 //! Engine pools: placement of new runs and moves of running ones.
 
-use super::reports::report_interval;
 use super::{Control, PlaceOutcome};
 use crate::runs::{Assignment, Endpoint, MoveOrder};
-use magnoliawinch::cells::Cell;
+use magnoliawinch::cells::{Cell, report_interval};
 use magnoliawinch::fleet::{Fleet, ListedUpstream};
 use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -7,7 +7,7 @@
 use super::pools::PoolKey;
 use super::{Control, Crash, Message};
 use crate::runs::RunsUpdate;
-use magnoliawinch::cells::{Cell, CellSet};
+use magnoliawinch::cells::{Cell, CellSet, report_interval};
 use magnoliawinch::names::{HostName, RunId, ServiceName};
 use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
 use magnoliawinch::store_position::StorePosition;
@@ -18,12 +18,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Base interval of reports to the owners.
-const REPORT_INTERVAL: Millis = Millis(300);
-
-/// Added to the interval for each daemon, so that an owner's load does not grow with their number.
-const REPORT_INTERVAL_PER_DAEMON: Millis = Millis(3);
-
 /// Random factor of each interval.
 const REPORT_JITTER: std::ops::Range<f64> = 0.8..1.1;
 
@@ -217,8 +211,3 @@
         self.cells.forwarded_refused.tick(now);
     }
 }
-
-/// Interval between two reports when `daemons` report to the same owner.
-pub(crate) fn report_interval(daemons: usize) -> Millis {
-    Millis(REPORT_INTERVAL.0 + REPORT_INTERVAL_PER_DAEMON.0 * daemons as u64)
-}
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -1,12 +1,13 @@
 //! Starts and stops a relay daemon.
 
 use crate::clock::Clock;
-use crate::control::{Control, ListUpdate, Message, report_interval};
+use crate::control::{Control, ListUpdate, Message};
 use crate::handler::RequestHandler;
 use crate::peer_server::RelayService;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
+use magnoliawinch::cells::report_interval;
 use magnoliawinch::dissemination::{MAX_READ_AGE, ReadStatus, STANDBY_RANK};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
