Log and count the verdict of each step of a move

memory copied names its verdict and whether the run may have stopped; an attempt to continue that fails has a line of its own (run did not go on), as so far only the last reason of several appeared, in stream cut. Counter move_step, by step and verdict.

--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -2,7 +2,10 @@
 
 use crate::handler::RequestHandler;
 use crate::wire::{CopyRefusal, RunCopy, Wire};
-use magnoliawinch::names::RunId;
+use hyper::StatusCode;
+
+use magnoliawinch::names::{RunId, UpstreamName};
+use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Reuse, SendError};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,6 +28,48 @@
     NoResponse(#[from] SendError),
 }
 
+impl CopyError {
+    /// Whether the engine may have acted on the request; a final copy that did stopped the run.
+    pub(crate) fn verdict(&self) -> Verdict {
+        match self {
+            Self::Refused(CopyRefusal::NoRun | CopyRefusal::Busy) => Verdict::NotRun,
+            Self::Refused(CopyRefusal::TargetUnavailable { kept: Some(_) }) => Verdict::Ran,
+            Self::Refused(_) => Verdict::MayHaveRun,
+            Self::NoResponse(e) => e.verdict(),
+        }
+    }
+}
+
+/// Why a run does not continue at an engine.
+#[derive(Debug, Error)]
+pub(crate) enum ResumeError {
+    /// The engine did not respond.
+    #[error("{0}")]
+    NoResponse(#[from] SendError),
+    /// The engine responded with an error.
+    #[error("{engine} did not resume the run: {status}")]
+    Refused {
+        engine: UpstreamName,
+        status: StatusCode,
+        /// Whether it states that it did not run the request.
+        not_run: bool,
+    },
+    /// The response is not that of the run.
+    #[error("invalid response with status {status} from {engine}: {problem}")]
+    Invalid { engine: UpstreamName, status: StatusCode, problem: &'static str },
+}
+
+impl ResumeError {
+    /// Whether the engine may have used the copy.
+    pub(crate) fn verdict(&self) -> Verdict {
+        match self {
+            Self::NoResponse(e) => e.verdict(),
+            Self::Refused { not_run: true, .. } => Verdict::NotRun,
+            Self::Refused { .. } | Self::Invalid { .. } => Verdict::MayHaveRun,
+        }
+    }
+}
+
 impl<W: Wire> RequestHandler<W> {
     /// Copies the memory of `run` from the engine at `from` to that at `to`; with `is_final` the
     /// run stops first.
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -3,12 +3,13 @@
 use super::{CopyResult, EventStream, PendingCopy, is_framed};
 use crate::call::response_problem;
 use crate::control::Message;
-use crate::relocate::CopyError;
+use crate::relocate::{CopyError, ResumeError};
 use crate::runs::{Assignment, Endpoint, MoveOrder};
 use crate::wire::{CopyRefusal, Outgoing, Resume, Wire};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::pool::MoveMethod;
-use magnoliawinch_http::Reuse;
+use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::{ClientResponse, Reuse};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -144,28 +145,14 @@
     ) -> Result<(), String> {
         let started_at = Instant::now();
         let resume = Resume { address, handle, last_event: self.events.last_id() };
-        let out = Outgoing {
-            upstream: &to.name,
-            organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
-            remaining: self.fwd.remaining_ms(),
-            backup: None,
-            resume: Some(&resume),
+        let response = match self.send_resume(&to, &resume).await {
+            Ok(response) => response,
+            Err(e) => {
+                self.log_failed_resume(&to, &e, started_at.elapsed());
+                return Err(e.to_string());
+            }
         };
-        let req = self.fwd.request(&*self.handler.wire, &out);
-        let timeout = self.fwd.remaining().min(RESUME_TIMEOUT);
-        let sent = self.handler.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
-        let response = sent.map_err(|e| e.to_string())?;
-        let info = self.handler.wire.parse_response_headers(response.headers());
-        let status = response.status();
-        if !status.is_success() || info.not_run {
-            return Err(format!("{} did not resume the run: {status}", to.name));
-        }
-        if let Some(problem) = response_problem(&self.fwd, status, &info) {
-            return Err(format!(
-                "invalid response with status {status} from {}: {problem}",
-                to.name
-            ));
-        }
+        self.count_step("resume", Verdict::Ran);
         log::info!(
             request = self.fwd.info.run.as_str(),
             from = self.engine.name.as_str(),
@@ -186,6 +173,33 @@
         Ok(())
     }
 
+    async fn send_resume(
+        &self,
+        to: &Endpoint,
+        resume: &Resume,
+    ) -> Result<ClientResponse, ResumeError> {
+        let out = Outgoing {
+            upstream: &to.name,
+            organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
+            remaining: self.fwd.remaining_ms(),
+            backup: None,
+            resume: Some(resume),
+        };
+        let req = self.fwd.request(&*self.handler.wire, &out);
+        let timeout = self.fwd.remaining().min(RESUME_TIMEOUT);
+        let sent = self.handler.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
+        let response = sent?;
+        let info = self.handler.wire.parse_response_headers(response.headers());
+        let (engine, status) = (to.name.clone(), response.status());
+        if !status.is_success() || info.not_run {
+            return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
+        }
+        match response_problem(&self.fwd, status, &info) {
+            Some(problem) => Err(ResumeError::Invalid { engine, status, problem }),
+            None => Ok(response),
+        }
+    }
+
     pub(super) async fn handle_broken_stream(&mut self, cause: &str) -> Result<(), String> {
         if self.pending_copy.as_ref().is_some_and(|pending| pending.is_final) {
             return self.await_final_copy().await;
@@ -260,14 +274,37 @@
 
     fn log_copy(&self, pending: &PendingCopy, result: &CopyResult) {
         let problem = result.as_ref().err().map(ToString::to_string);
+        let verdict = result.as_ref().map_or_else(CopyError::verdict, |_| Verdict::Ran);
+        self.count_step(if pending.is_final { "final_copy" } else { "copy" }, verdict);
         log::info!(
             request = self.fwd.info.run.as_str(),
             from = self.engine.name.as_str(),
             to = pending.to.name.as_str(),
             last = pending.is_final,
             events = self.events.count(),
+            verdict:% = verdict,
+            may_have_stopped = pending.is_final && verdict != Verdict::NotRun,
             problem = problem.as_deref().unwrap_or("");
             "memory copied"
         );
     }
+
+    fn log_failed_resume(&self, to: &Endpoint, e: &ResumeError, took: Duration) {
+        let verdict = e.verdict();
+        self.count_step("resume", verdict);
+        log::info!(
+            request = self.fwd.info.run.as_str(),
+            from = self.engine.name.as_str(),
+            to = to.name.as_str(),
+            verdict:% = verdict,
+            took_ms = took.as_millis() as u64,
+            reason = e.to_string().as_str();
+            "run did not go on"
+        );
+    }
+
+    /// Counts a step of a move by its verdict.
+    fn count_step(&self, step: &str, verdict: Verdict) {
+        self.handler.shared.metrics.count("move_step", &format!("{step}_{verdict}"));
+    }
 }
