State machine of one run's moves

core/src/handover.rs owns which engine writes a stream, the copy in progress, whether the run may have stopped for it, and the copies from which it can continue. A step that was not sent changes nothing; a copy is used up only when an engine may have used it; each pending state has a timer.

The relay does not use it yet.

--- /dev/null
+++ b/core/src/handover.rs
@@ -0,0 +1,517 @@
+//! Which engine writes a run's stream while the run moves between engines, and what to do next.
+//!
+//! A step that provably had no effect changes nothing: a stream is read as long as its source, the
+//! engine that writes it, may write it. It ends early only if its source has stopped and no copy of
+//! the run's memory is left to continue from, or its caller is expected to have left.
+
+use crate::pool::MoveMethod;
+use crate::time::{Millis, Time};
+use std::collections::VecDeque;
+use strum::{Display, IntoStaticStr};
+
+/// Time without data after which the source is checked, or left if the run may have stopped.
+pub const SILENCE: Millis = Millis(600);
+
+/// Pause after an attempt to continue the run that was not sent.
+const RETRY_PAUSE: Millis = Millis(50);
+
+/// Attempts to use the backup while the source still writes.
+const BACKUP_ATTEMPTS: u32 = 2;
+
+/// Part of the caller's patience for which the response to a final copy is awaited.
+const FINAL_COPY_PATIENCE_DIVISOR: u64 = 2;
+
+/// Shortest gap in a stream after which its caller abandons it.
+const MIN_PATIENCE: Millis = Millis(2_000);
+
+/// The gap after which a caller abandons its stream, in objectives and in longest pauses.
+const PATIENCE_OBJECTIVES: u64 = 4;
+const PATIENCE_PAUSES: u64 = 8;
+
+/// The gap in a stream after which its caller abandons it.
+pub fn caller_patience(objective: Millis, max_pause: Option<Millis>) -> Millis {
+    let pauses = max_pause.map_or(0, |pause| pause.0 * PATIENCE_PAUSES);
+    MIN_PATIENCE.max(Millis(objective.0 * PATIENCE_OBJECTIVES)).max(Millis(pauses))
+}
+
+/// Whether the source has stopped the run for a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Stop {
+    /// It has not.
+    Excluded,
+    /// It was told to, and nothing shows whether it did.
+    InDoubt,
+    /// It has.
+    Certain,
+}
+
+/// A copy of the run's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeptCopy<E> {
+    /// Made by a move, and registered at `source` under `handle`.
+    Moved {
+        /// The engine that made it.
+        source: E,
+        /// Its handle there.
+        handle: String,
+    },
+    /// Kept up to date while the run was written.
+    Backup,
+}
+
+/// An engine at which the run can continue, and the copy that it uses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumePoint<E> {
+    /// The engine.
+    pub engine: E,
+    /// The copy.
+    pub copy: KeptCopy<E>,
+}
+
+/// How a copy ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CopyOutcome {
+    /// The target has the copy; after a final one, the run has stopped.
+    Copied {
+        /// Its handle at the source.
+        handle: String,
+    },
+    /// The source was not reached.
+    NotSent,
+    /// The source did nothing: it does not have the run, or another copy is in progress.
+    Refused,
+    /// The target has no room or is unreachable.
+    NoRoom {
+        /// Handle of the memory that the source keeps of a run that it has stopped.
+        kept: Option<String>,
+    },
+    /// The source may have acted.
+    Unknown,
+}
+
+/// How an attempt to continue the run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumeOutcome {
+    /// The engine writes the stream.
+    Started,
+    /// The engine was not reached.
+    NotSent,
+    /// The engine did not run the request and cannot use the copy.
+    Refused,
+    /// The engine may have used the copy.
+    MayHaveRun,
+}
+
+/// How the response body of the source ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// With its end.
+    Whole,
+    /// With its connection, which is also how a complete body without a length ends.
+    Unframed,
+    /// Before its end.
+    Broken,
+}
+
+/// Why a stream ends before it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum CutCause {
+    /// Its engine was lost.
+    EngineLost,
+    /// It was stopped for a move and continues nowhere.
+    MoveFailed,
+    /// Its deadline has passed.
+    Timeout,
+}
+
+/// What the holder of the run has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action<E> {
+    /// Copy the run's memory from the source to `to`; a final copy stops the run first.
+    StartCopy {
+        /// Target of the copy.
+        to: E,
+        /// Whether it is final.
+        is_final: bool,
+    },
+    /// Send the request to the engine of the point. Once it has started, the body of the former
+    /// source is to be closed.
+    Resume(ResumePoint<E>),
+    /// Check whether the source is alive.
+    CheckSource,
+    /// Report that the ordered move failed.
+    ReportFailedMove {
+        /// The engine that refused the run or could not be reached.
+        refused_by: Option<E>,
+    },
+    /// End the stream as complete.
+    Complete,
+    /// End the stream early.
+    Cut(CutCause),
+}
+
+#[derive(Clone, Debug)]
+struct Copying<E> {
+    to: E,
+    is_final: bool,
+    started_at: Option<Time>,
+}
+
+/// The moves of one run.
+#[derive(Clone, Debug)]
+pub struct Handover<E> {
+    source: E,
+    /// How the body of the source ended; `None` while it is open.
+    end: Option<BodyEnd>,
+    stop: Stop,
+    copying: Option<Copying<E>>,
+    /// Where the run can continue, in the order of attempts.
+    points: Vec<ResumePoint<E>>,
+    resuming: Option<ResumePoint<E>>,
+    /// Attempts left to use the backup although the source still writes.
+    backup_attempts: u32,
+    retry_at: Time,
+    /// Whether events have arrived. Until then, the run may wait for its start.
+    has_events: bool,
+    last_data_at: Time,
+    is_checking: bool,
+    checked_at: Time,
+    /// Whether the silent source failed its check.
+    is_suspect: bool,
+    patience: Millis,
+    deadline: Time,
+    failed_moves: VecDeque<Option<E>>,
+    is_over: bool,
+}
+
+impl<E: Clone + PartialEq> Handover<E> {
+    /// A run that `source` writes and `backup` keeps a copy of. Its caller abandons the stream after
+    /// a gap of `patience`, and at `deadline`.
+    pub fn new(now: Time, source: E, backup: Option<E>, patience: Millis, deadline: Time) -> Self {
+        let backup = backup.map(|engine| ResumePoint { engine, copy: KeptCopy::Backup });
+        Self {
+            source,
+            end: None,
+            stop: Stop::Excluded,
+            copying: None,
+            points: backup.into_iter().collect(),
+            resuming: None,
+            backup_attempts: 0,
+            retry_at: now,
+            has_events: false,
+            last_data_at: now,
+            is_checking: false,
+            checked_at: now,
+            is_suspect: false,
+            patience,
+            deadline,
+            failed_moves: VecDeque::new(),
+            is_over: false,
+        }
+    }
+
+    /// The engine that writes the stream, or did last.
+    pub fn source(&self) -> &E {
+        &self.source
+    }
+
+    /// Whether the source has stopped the run for a copy.
+    pub fn stop(&self) -> Stop {
+        self.stop
+    }
+
+    /// Whether the body of the source is open.
+    pub fn is_reading(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Whether the source was told to stop, so that its body may end early.
+    pub fn may_end_early(&self) -> bool {
+        self.stop != Stop::Excluded || self.is_final_copy_pending()
+    }
+
+    /// The target of the copy in progress, and whether the copy is final.
+    pub fn copying(&self) -> Option<(&E, bool)> {
+        self.copying.as_ref().map(|copying| (&copying.to, copying.is_final))
+    }
+
+    /// The engine that keeps a usable backup.
+    pub fn backup(&self) -> Option<&E> {
+        self.backup_point().map(|point| &point.engine)
+    }
+
+    /// Number of places where the run can continue.
+    pub fn points_left(&self) -> usize {
+        self.points.len()
+    }
+
+    /// Whether an order can be handled now; until then it waits.
+    pub fn accepts_orders(&self) -> bool {
+        !self.is_over
+            && self.is_reading()
+            && self.stop != Stop::Certain
+            && self.copying.is_none()
+            && self.resuming.is_none()
+            && self.backup_attempts == 0
+    }
+
+    /// Handles an order to move the run from `from` to `to`.
+    pub fn on_order(&mut self, from: &E, to: E, method: MoveMethod) {
+        if !self.accepts_orders() || *from != self.source || to == self.source {
+            return self.failed_moves.push_back(None);
+        }
+        match method {
+            MoveMethod::Copy => self.start_copy(to, false),
+            MoveMethod::Backup if self.backup_point().is_some() => {
+                self.backup_attempts = BACKUP_ATTEMPTS;
+            }
+            MoveMethod::Backup => self.failed_moves.push_back(None),
+        }
+    }
+
+    /// Handles data from the source; `has_events` if it completed events.
+    pub fn on_data(&mut self, now: Time, has_events: bool) {
+        self.last_data_at = now;
+        self.has_events |= has_events;
+        self.is_suspect = false;
+    }
+
+    /// Handles the end of the source's body.
+    pub fn on_end(&mut self, end: BodyEnd) {
+        self.end = Some(end);
+    }
+
+    /// Handles the end of the copy in progress.
+    pub fn on_copy(&mut self, outcome: CopyOutcome) {
+        let Some(copying) = self.copying.take() else {
+            return;
+        };
+        let source = self.source.clone();
+        match outcome {
+            CopyOutcome::Copied { handle } => {
+                let copy = KeptCopy::Moved { source: source.clone(), handle };
+                self.points.retain(|point| point.copy == KeptCopy::Backup);
+                let to = copying.to;
+                self.points.insert(0, ResumePoint { engine: to.clone(), copy: copy.clone() });
+                if copying.is_final {
+                    self.stop = Stop::Certain;
+                    self.points.insert(1, ResumePoint { engine: source, copy });
+                } else {
+                    self.start_copy(to, true);
+                }
+            }
+            CopyOutcome::NotSent => self.failed_moves.push_back(Some(source)),
+            CopyOutcome::Refused => self.failed_moves.push_back(None),
+            CopyOutcome::NoRoom { kept: Some(handle) } if copying.is_final => {
+                self.stop = Stop::Certain;
+                let copy = KeptCopy::Moved { source: source.clone(), handle };
+                self.points.insert(0, ResumePoint { engine: source, copy });
+            }
+            CopyOutcome::NoRoom { .. } | CopyOutcome::Unknown if copying.is_final => {
+                self.doubt(copying.to);
+            }
+            CopyOutcome::NoRoom { .. } | CopyOutcome::Unknown => {
+                self.failed_moves.push_back(Some(copying.to));
+            }
+        }
+    }
+
+    /// Handles the end of the attempt to continue the run.
+    pub fn on_resume(&mut self, now: Time, outcome: ResumeOutcome) {
+        let Some(point) = self.resuming.take() else {
+            return;
+        };
+        let attempts_left = self.backup_attempts.saturating_sub(1);
+        let was_ordered = std::mem::take(&mut self.backup_attempts) > 0;
+        match outcome {
+            ResumeOutcome::Started => return self.restart(now, point.engine),
+            ResumeOutcome::NotSent => {
+                self.retry_at = now + RETRY_PAUSE;
+                // The next attempt is at another point, if there is one.
+                if let Some(index) = self.points.iter().position(|other| *other == point) {
+                    let point = self.points.remove(index);
+                    self.points.push(point);
+                }
+                self.backup_attempts = attempts_left;
+            }
+            ResumeOutcome::Refused => self.points.retain(|other| *other != point),
+            ResumeOutcome::MayHaveRun => self.points.retain(|other| other.copy != point.copy),
+        }
+        if was_ordered && self.backup_attempts == 0 {
+            let refused_by = (outcome == ResumeOutcome::NotSent).then_some(point.engine);
+            self.failed_moves.push_back(refused_by);
+        }
+    }
+
+    /// Handles the result of a check of the source.
+    pub fn on_check(&mut self, now: Time, is_alive: bool) {
+        self.is_checking = false;
+        // Data that arrived since the check began shows that the source is alive.
+        self.is_suspect = !is_alive && self.last_data_at <= self.checked_at;
+        self.checked_at = now;
+    }
+
+    /// The next thing to do; call it until it returns `None`, after each input and at
+    /// [`Handover::next_wakeup`].
+    pub fn next_action(&mut self, now: Time) -> Option<Action<E>> {
+        if self.is_over {
+            return None;
+        }
+        self.expire_final_copy(now);
+        if let Some(refused_by) = self.failed_moves.pop_front() {
+            return Some(Action::ReportFailedMove { refused_by });
+        }
+        if self.is_complete() {
+            self.is_over = true;
+            return Some(Action::Complete);
+        }
+        if let Some(cause) = self.cut_cause(now) {
+            self.is_over = true;
+            return Some(Action::Cut(cause));
+        }
+        if let Some(point) = self.next_point(now) {
+            self.resuming = Some(point.clone());
+            return Some(Action::Resume(point));
+        }
+        if let Some(copying) = self.copying.as_mut().filter(|copying| copying.started_at.is_none())
+        {
+            copying.started_at = Some(now);
+            let (to, is_final) = (copying.to.clone(), copying.is_final);
+            return Some(Action::StartCopy { to, is_final });
+        }
+        if self.is_check_due(now) {
+            (self.is_checking, self.checked_at) = (true, now);
+            return Some(Action::CheckSource);
+        }
+        None
+    }
+
+    /// When [`Handover::next_action`] has to be called again unless there is an input before.
+    pub fn next_wakeup(&self, now: Time) -> Time {
+        let times = [
+            self.retry_at,
+            self.last_data_at + SILENCE,
+            self.checked_at + SILENCE,
+            self.last_data_at + self.patience,
+        ];
+        let times = times.into_iter().chain(self.final_copy_expires_at());
+        times.filter(|at| *at > now).fold(self.deadline, Time::min)
+    }
+
+    fn backup_point(&self) -> Option<&ResumePoint<E>> {
+        self.points.iter().find(|point| point.copy == KeptCopy::Backup)
+    }
+
+    fn start_copy(&mut self, to: E, is_final: bool) {
+        self.copying = Some(Copying { to, is_final, started_at: None });
+    }
+
+    fn is_final_copy_pending(&self) -> bool {
+        self.copying.as_ref().is_some_and(|copying| copying.is_final)
+    }
+
+    /// When the final copy in progress is given up.
+    fn final_copy_expires_at(&self) -> Option<Time> {
+        let copying = self.copying.as_ref().filter(|copying| copying.is_final)?;
+        let limit = Millis(self.patience.0 / FINAL_COPY_PATIENCE_DIVISOR);
+        Some(copying.started_at?.max(self.last_data_at) + limit)
+    }
+
+    fn expire_final_copy(&mut self, now: Time) {
+        if self.final_copy_expires_at().is_some_and(|at| now >= at)
+            && let Some(copying) = self.copying.take()
+        {
+            self.doubt(copying.to);
+        }
+    }
+
+    /// Notes that a final copy to `to` may have stopped the run. What was copied before can then be
+    /// used at the source too.
+    fn doubt(&mut self, to: E) {
+        self.stop = self.stop.max(Stop::InDoubt);
+        let at_target = |point: &&ResumePoint<E>| {
+            point.engine == to && matches!(point.copy, KeptCopy::Moved { .. })
+        };
+        if let Some(point) = self.points.iter().find(at_target) {
+            let point = ResumePoint { engine: self.source.clone(), copy: point.copy.clone() };
+            self.points.push(point);
+        }
+        self.failed_moves.push_back(Some(to));
+    }
+
+    /// Notes that the run continues at `source`.
+    fn restart(&mut self, now: Time, source: E) {
+        self.points.retain(|point| point.copy == KeptCopy::Backup && point.engine != source);
+        self.source = source;
+        (self.end, self.stop, self.copying) = (None, Stop::Excluded, None);
+        (self.is_suspect, self.is_checking) = (false, false);
+        (self.last_data_at, self.checked_at) = (now, now);
+        self.failed_moves.clear();
+    }
+
+    fn is_complete(&self) -> bool {
+        match self.end {
+            Some(BodyEnd::Whole) => true,
+            Some(BodyEnd::Unframed) => !self.may_end_early(),
+            Some(BodyEnd::Broken) | None => false,
+        }
+    }
+
+    fn cut_cause(&self, now: Time) -> Option<CutCause> {
+        if now >= self.deadline {
+            return Some(CutCause::Timeout);
+        }
+        let has_stopped = self.end.is_some() || self.stop == Stop::Certain;
+        if !has_stopped || self.resuming.is_some() || self.is_final_copy_pending() {
+            return None;
+        }
+        let is_exhausted = self.end.is_some() && self.points.is_empty();
+        let is_abandoned = now >= self.last_data_at + self.patience;
+        let cause = match self.stop {
+            Stop::Excluded => CutCause::EngineLost,
+            Stop::InDoubt | Stop::Certain => CutCause::MoveFailed,
+        };
+        (is_exhausted || is_abandoned).then_some(cause)
+    }
+
+    /// Whether the run has to continue elsewhere.
+    fn needs_resume(&self, now: Time) -> bool {
+        if self.is_final_copy_pending() {
+            return false;
+        }
+        match self.stop {
+            _ if self.end.is_some() || self.is_suspect => true,
+            Stop::Certain => true,
+            Stop::InDoubt => now >= self.last_data_at + SILENCE,
+            Stop::Excluded => false,
+        }
+    }
+
+    fn next_point(&mut self, now: Time) -> Option<ResumePoint<E>> {
+        if self.resuming.is_some() || now < self.retry_at {
+            return None;
+        }
+        if self.needs_resume(now) {
+            let point = self.points.first().cloned()?;
+            if self.copying.take().is_some() {
+                self.failed_moves.push_back(None);
+            }
+            return Some(point);
+        }
+        self.backup_point().filter(|_| self.backup_attempts > 0).cloned()
+    }
+
+    fn is_check_due(&self, now: Time) -> bool {
+        self.is_reading()
+            && self.has_events
+            && self.stop == Stop::Excluded
+            && !self.is_final_copy_pending()
+            && !self.points.is_empty()
+            && self.resuming.is_none()
+            && !self.is_suspect
+            && !self.is_checking
+            && now >= self.last_data_at.max(self.checked_at) + SILENCE
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dissemination;
 pub mod estimate;
 pub mod fleet;
+pub mod handover;
 pub mod ini;
 pub mod ledger;
 pub mod membership;
--- /dev/null
+++ b/core/tests/handover.rs
@@ -0,0 +1,427 @@
+//! A stream is given up only when its engine has stopped and no copy is left, whatever the order of
+//! copies, attempts to continue, ends and silence.
+
+use magnoliawinch::handover::{
+    Action, BodyEnd, CopyOutcome, Handover, KeptCopy, ResumeOutcome, ResumePoint, SILENCE, Stop,
+    caller_patience,
+};
+use magnoliawinch::pool::MoveMethod;
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_schedules::{check, check_detects};
+use quickcheck::{Arbitrary, Gen};
+
+const PATIENCE: Millis = Millis(2_000);
+const DEADLINE: Time = Time(20_000);
+
+/// Bounds of the relay on a copy, an attempt to continue and a check.
+const STEP_LIMIT: Millis = Millis(2_500);
+
+/// Longest pause between attempts to continue.
+const RETRY_PAUSE: Millis = Millis(50);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Data,
+    Order(u8, bool),
+    /// The copy in progress ends.
+    Copy(u8),
+    Resume(u8),
+    Check(bool),
+    /// The body ends, unframed if set.
+    End(bool),
+    /// The connection to the source breaks.
+    Break,
+    Wait(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = u8::arbitrary(g);
+        let flag = bool::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0..=3 => Self::Data,
+            4..=5 => Self::Order(number % 4, flag),
+            6..=8 => Self::Copy(number),
+            9..=11 => Self::Resume(number),
+            12 => Self::Check(flag),
+            13 if number < 60 => Self::End(flag),
+            14 if number < 100 => Self::Break,
+            _ => Self::Wait(number),
+        }
+    }
+}
+
+/// Fault that the checks must detect, if any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Variant {
+    Correct,
+    /// An attempt that was not sent uses its copy up.
+    UsesUpUnsent,
+    /// An attempt that may have run does not use its copy up.
+    ReusesCopies,
+    /// A run that ends well counts as broken off.
+    BreaksWholeEnds,
+    /// A final copy of unknown outcome counts as without effect.
+    IgnoresDoubt,
+    /// Timers do not fire.
+    ForgetsTimers,
+    /// Failed moves are not reported.
+    KeepsFailedMoves,
+}
+
+type Point = ResumePoint<u8>;
+
+struct World {
+    variant: Variant,
+    now: Time,
+    handover: Handover<u8>,
+    /// Whether the source has really stopped the run for a copy.
+    has_stopped: bool,
+    end: Option<BodyEnd>,
+    last_data_at: Time,
+    copying: Option<(u8, bool, Time)>,
+    resuming: Option<(Point, Time)>,
+    checking: Option<Time>,
+    /// Places where the run can continue, as far as responses have shown.
+    usable: Vec<Point>,
+    has_open_order: bool,
+    /// Attempts to use the backup since it was ordered, other than those after a failed check.
+    ordered_attempts: u32,
+    has_failed_check: bool,
+    /// End of the last attempt to continue.
+    resumed_at: Option<Time>,
+    outcome: Option<Action<u8>>,
+}
+
+impl World {
+    fn new(variant: Variant) -> Self {
+        let now = Time(1_000);
+        Self {
+            variant,
+            now,
+            handover: Handover::new(now, 0, Some(1), PATIENCE, DEADLINE),
+            has_stopped: false,
+            end: None,
+            last_data_at: now,
+            copying: None,
+            resuming: None,
+            checking: None,
+            usable: vec![ResumePoint { engine: 1, copy: KeptCopy::Backup }],
+            has_open_order: false,
+            ordered_attempts: 0,
+            has_failed_check: false,
+            resumed_at: None,
+            outcome: None,
+        }
+    }
+
+    fn source(&self) -> u8 {
+        *self.handover.source()
+    }
+
+    fn moved(&self, engine: u8, handle: &str) -> Point {
+        let copy = KeptCopy::Moved { source: self.source(), handle: handle.to_owned() };
+        ResumePoint { engine, copy }
+    }
+
+    fn end(&mut self, end: BodyEnd) {
+        self.end = Some(end);
+        self.handover.on_end(match (self.variant, end) {
+            (Variant::BreaksWholeEnds, BodyEnd::Whole) => BodyEnd::Broken,
+            _ => end,
+        });
+    }
+
+    /// After a final copy that may have stopped the run, what was copied before to `to` can be used
+    /// at the source as well.
+    fn doubt(&mut self, to: u8) {
+        let is_copy = |point: &&Point| point.engine == to && point.copy != KeptCopy::Backup;
+        let copy = self.usable.iter().find(is_copy).map(|point| point.copy.clone());
+        self.usable.extend(copy.map(|copy| ResumePoint { engine: self.source(), copy }));
+    }
+
+    fn end_copy(&mut self, choice: u8) {
+        let Some((to, is_final, _)) = self.copying.take() else {
+            return;
+        };
+        let handle = format!("{to} at {}", self.now.0);
+        let outcome = match choice % 7 {
+            0 | 1 => CopyOutcome::Copied { handle: handle.clone() },
+            2 => CopyOutcome::NotSent,
+            3 => CopyOutcome::Refused,
+            4 => CopyOutcome::NoRoom { kept: None },
+            5 => CopyOutcome::NoRoom { kept: Some(handle.clone()) },
+            _ => CopyOutcome::Unknown,
+        };
+        let in_target = self.moved(to, &handle);
+        let in_source = self.moved(self.source(), &handle);
+        match &outcome {
+            CopyOutcome::Copied { .. } => {
+                self.usable.retain(|point| point.copy == KeptCopy::Backup);
+                self.usable.push(in_target);
+                self.usable.extend(is_final.then_some(in_source));
+                self.has_stopped |= is_final;
+            }
+            CopyOutcome::NoRoom { kept: Some(_) } if is_final => {
+                self.usable.push(in_source);
+                self.has_stopped = true;
+            }
+            CopyOutcome::Unknown | CopyOutcome::NoRoom { kept: None } if is_final => {
+                self.has_stopped |= choice > 127;
+                self.doubt(to);
+            }
+            _ => {}
+        }
+        let is_doubtful =
+            matches!(outcome, CopyOutcome::Unknown | CopyOutcome::NoRoom { kept: None });
+        self.handover.on_copy(match self.variant {
+            Variant::IgnoresDoubt if is_final && is_doubtful => CopyOutcome::NotSent,
+            _ => outcome,
+        });
+    }
+
+    fn end_resume(&mut self, choice: u8) {
+        let Some((point, _)) = self.resuming.take() else {
+            return;
+        };
+        self.resumed_at = Some(self.now);
+        let outcome = match choice % 6 {
+            0 => ResumeOutcome::Started,
+            1..=3 => ResumeOutcome::NotSent,
+            4 => ResumeOutcome::Refused,
+            _ => ResumeOutcome::MayHaveRun,
+        };
+        match outcome {
+            ResumeOutcome::Started => {
+                self.usable
+                    .retain(|other| other.copy == KeptCopy::Backup && other.engine != point.engine);
+                (self.has_stopped, self.end, self.copying) = (false, None, None);
+                (self.checking, self.has_open_order) = (None, false);
+                self.last_data_at = self.now;
+            }
+            ResumeOutcome::NotSent => {}
+            ResumeOutcome::Refused => self.usable.retain(|other| *other != point),
+            ResumeOutcome::MayHaveRun => self.usable.retain(|other| other.copy != point.copy),
+        }
+        let outcome = match (self.variant, outcome) {
+            (Variant::UsesUpUnsent, ResumeOutcome::NotSent) => ResumeOutcome::MayHaveRun,
+            (Variant::ReusesCopies, ResumeOutcome::MayHaveRun) => ResumeOutcome::NotSent,
+            (_, outcome) => outcome,
+        };
+        self.handover.on_resume(self.now, outcome);
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), String> {
+        match step {
+            Step::Data if self.end.is_none() && !self.has_stopped => {
+                (self.last_data_at, self.has_failed_check) = (self.now, false);
+                self.handover.on_data(self.now, true);
+            }
+            Step::Order(to, is_copy) if self.handover.accepts_orders() => {
+                self.ordered_attempts = 0;
+                self.has_open_order = true;
+                let method = if is_copy { MoveMethod::Copy } else { MoveMethod::Backup };
+                self.handover.on_order(&self.source(), to, method);
+            }
+            Step::Copy(choice) => self.end_copy(choice),
+            Step::Resume(choice) => self.end_resume(choice),
+            Step::Check(is_alive) if self.checking.take().is_some() => {
+                self.has_failed_check |= !is_alive;
+                self.handover.on_check(self.now, is_alive);
+            }
+            Step::End(is_unframed) if self.end.is_none() => {
+                // A stopped run is closed without its end.
+                self.end(match (is_unframed, self.has_stopped) {
+                    (true, _) => BodyEnd::Unframed,
+                    (false, true) => BodyEnd::Broken,
+                    (false, false) => BodyEnd::Whole,
+                });
+            }
+            Step::Break if self.end.is_none() => self.end(BodyEnd::Broken),
+            Step::Wait(ms) => return self.wait(Millis(u64::from(ms) * 4)),
+            _ => {}
+        }
+        self.act()
+    }
+
+    /// Lets time pass. Steps in progress end within their bound.
+    fn wait(&mut self, duration: Millis) -> Result<(), String> {
+        let until = self.now + duration;
+        while self.outcome.is_none() && self.now < until {
+            let wakeup = self.handover.next_wakeup(self.now);
+            if wakeup <= self.now {
+                return Err(format!("a timer of {wakeup:?} does not pass at {:?}", self.now));
+            }
+            let limits = [
+                self.copying.as_ref().map(|(.., at)| *at + STEP_LIMIT),
+                self.resuming.as_ref().map(|(_, at)| *at + STEP_LIMIT),
+                self.checking.map(|at| at + STEP_LIMIT),
+            ];
+            let limit = limits.into_iter().flatten().min().unwrap_or(until);
+            self.now = wakeup.min(limit).min(until);
+            if self.copying.as_ref().is_some_and(|(.., at)| *at + STEP_LIMIT <= self.now) {
+                self.end_copy(6);
+            }
+            if self.resuming.as_ref().is_some_and(|(_, at)| *at + STEP_LIMIT <= self.now) {
+                self.end_resume(5);
+            }
+            if self.checking.take_if(|at| *at + STEP_LIMIT <= self.now).is_some() {
+                self.has_failed_check = true;
+                self.handover.on_check(self.now, false);
+            }
+            if self.variant != Variant::ForgetsTimers {
+                self.act()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn act(&mut self) -> Result<(), String> {
+        while let Some(action) = self.handover.next_action(self.now) {
+            match action {
+                Action::StartCopy { to, is_final } => {
+                    self.copying = Some((to, is_final, self.now));
+                }
+                Action::Resume(point) => self.check_resume(point)?,
+                Action::CheckSource => self.checking = Some(self.now),
+                Action::ReportFailedMove { .. } => {
+                    self.has_open_order = self.variant == Variant::KeepsFailedMoves;
+                }
+                Action::Complete | Action::Cut(_) => return self.check_outcome(action),
+            }
+        }
+        // A final copy that takes too long is given up, a first one when the run has to continue.
+        if let Some((to, true, _)) = self.copying.take_if(|_| self.handover.copying().is_none()) {
+            self.doubt(to);
+        }
+        self.check_settled()
+    }
+
+    fn check_resume(&mut self, point: Point) -> Result<(), String> {
+        if !self.usable.contains(&point) {
+            return Err(format!("continues from a copy that is used up: {point:?}"));
+        }
+        if self.resuming.is_some() {
+            return Err("continues at two engines".to_owned());
+        }
+        self.resuming = Some((point, self.now));
+        let is_written = self.end.is_none() && self.handover.stop() == Stop::Excluded;
+        self.ordered_attempts += u32::from(is_written && !self.has_failed_check);
+        if self.ordered_attempts > 2 {
+            return Err("tries the backup again and again".to_owned());
+        }
+        Ok(())
+    }
+
+    fn check_outcome(&mut self, action: Action<u8>) -> Result<(), String> {
+        let is_whole = self.end == Some(BodyEnd::Whole);
+        let has_ended_well = self.end == Some(BodyEnd::Unframed) && !self.has_stopped;
+        let is_late = self.now >= self.last_data_at + PATIENCE;
+        match &action {
+            Action::Complete if !is_whole && !has_ended_well => {
+                return Err(format!("is complete after {:?}", self.end));
+            }
+            Action::Cut(_) if self.now >= DEADLINE => {}
+            Action::Cut(_) if is_whole => return Err("cut a run that ended well".to_owned()),
+            Action::Cut(_) if self.end.is_none() && !self.has_stopped => {
+                return Err("cut a stream that its engine writes".to_owned());
+            }
+            Action::Cut(_) if !is_late && !self.usable.is_empty() => {
+                return Err(format!("cut with copies left: {:?}", self.usable));
+            }
+            _ => {}
+        }
+        self.outcome = Some(action);
+        Ok(())
+    }
+
+    fn check_settled(&self) -> Result<(), String> {
+        if self.has_open_order && self.handover.accepts_orders() {
+            return Err("a move has ended unreported".to_owned());
+        }
+        let is_idle = self.copying.is_none() && self.resuming.is_none();
+        if self.end.is_some() && is_idle && self.now >= self.last_data_at + PATIENCE {
+            return Err("waits for nothing".to_owned());
+        }
+        if let Some((_, true, started_at)) = self.copying
+            && self.now > started_at.max(self.last_data_at) + Millis(PATIENCE.0 / 2)
+        {
+            return Err("a final copy outlasts the caller".to_owned());
+        }
+        let is_due = match self.handover.stop() {
+            Stop::Excluded => false,
+            Stop::InDoubt => self.now >= self.last_data_at + SILENCE,
+            Stop::Certain => true,
+        };
+        let has_paused = self.resumed_at.is_none_or(|at| self.now >= at + RETRY_PAUSE);
+        if is_due && has_paused && is_idle && !self.usable.is_empty() {
+            return Err("a stopped run is not continued".to_owned());
+        }
+        Ok(())
+    }
+}
+
+fn run(variant: Variant, steps: &[Step]) -> Result<(), String> {
+    let mut world = World::new(variant);
+    for step in steps {
+        if world.outcome.is_some() {
+            return Ok(());
+        }
+        world.step(*step)?;
+    }
+    world.wait(DEADLINE.since(world.now))?;
+    match world.outcome {
+        Some(_) => Ok(()),
+        None => Err("the stream has no end".to_owned()),
+    }
+}
+
+#[test]
+fn streams_are_given_up_only_when_nothing_is_left() {
+    check(|steps: &[Step]| run(Variant::Correct, steps));
+}
+
+#[test]
+fn faults_are_detected() {
+    for variant in [
+        Variant::UsesUpUnsent,
+        Variant::ReusesCopies,
+        Variant::BreaksWholeEnds,
+        Variant::IgnoresDoubt,
+        Variant::ForgetsTimers,
+        Variant::KeepsFailedMoves,
+    ] {
+        println!("{variant:?}");
+        check_detects(|steps: &[Step]| run(variant, steps));
+    }
+}
+
+#[test]
+fn callers_wait_for_the_longest_of_three_gaps() {
+    assert_eq!(caller_patience(Millis(100), None), Millis(2_000));
+    assert_eq!(caller_patience(Millis(1_800), Some(Millis(180))), Millis(7_200));
+    assert_eq!(caller_patience(Millis(100), Some(Millis(300))), Millis(2_400));
+}
+
+/// A source that cannot be reached is the one to blame, not the target, and is read on.
+#[test]
+fn a_source_that_refuses_a_copy_is_reported() {
+    for is_final in [false, true] {
+        let now = Time(1_000);
+        let mut handover = Handover::new(now, 0, None, PATIENCE, DEADLINE);
+        handover.on_order(&0, 2, MoveMethod::Copy);
+        assert_eq!(handover.next_action(now), Some(Action::StartCopy { to: 2, is_final: false }));
+        if is_final {
+            handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+            assert_eq!(
+                handover.next_action(now),
+                Some(Action::StartCopy { to: 2, is_final: true })
+            );
+        }
+        handover.on_copy(CopyOutcome::NotSent);
+        let report = Action::ReportFailedMove { refused_by: Some(0) };
+        assert_eq!(handover.next_action(now), Some(report));
+        assert_eq!(handover.next_action(now), None);
+        assert_eq!(handover.stop(), Stop::Excluded);
+    }
+}
