Streams end only when their engine has stopped and no copy is left

Cause: the relay handled each failed step of a move as if it had stopped the run.

Why it works: the relay performs what magnoliawinch::handover decides. Copies, attempts to continue and checks are tasks, and the body is read meanwhile. What was not sent has no effect. A stopped run is tried at the target, the source and the backup in turn until the caller is expected to leave.

Also mended by it: a body that broke off, whose final copy was then refused, was read again and ended as complete; a final copy that was refused left its move open at the owner.

Ruled out: a longer connect timeout (the request waits inside the gap that callers bear); reading the body in a buffer during an attempt (the events would come late, and repeats are dropped by their ids anyway).

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -257,9 +257,10 @@
             && self.backup_attempts == 0
     }
 
-    /// Handles an order to move the run from `from` to `to`.
-    pub fn on_order(&mut self, from: &E, to: E, method: MoveMethod) {
-        if !self.accepts_orders() || *from != self.source || to == self.source {
+    /// Handles an order to move the run to `to`; `is_from_source` is false for an order to move it
+    /// from an engine that it has left.
+    pub fn on_order(&mut self, is_from_source: bool, to: E, method: MoveMethod) {
+        if !self.accepts_orders() || !is_from_source || to == self.source {
             return self.failed_moves.push_back(None);
         }
         match method {
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -221,7 +221,7 @@
                 self.ordered_attempts = 0;
                 self.has_open_order = true;
                 let method = if is_copy { MoveMethod::Copy } else { MoveMethod::Backup };
-                self.handover.on_order(&self.source(), to, method);
+                self.handover.on_order(true, to, method);
             }
             Step::Copy(choice) => self.end_copy(choice),
             Step::Resume(choice) => self.end_resume(choice),
@@ -409,7 +409,7 @@
     for is_final in [false, true] {
         let now = Time(1_000);
         let mut handover = Handover::new(now, 0, None, PATIENCE, DEADLINE);
-        handover.on_order(&0, 2, MoveMethod::Copy);
+        handover.on_order(true, 2, MoveMethod::Copy);
         assert_eq!(handover.next_action(now), Some(Action::StartCopy { to: 2, is_final: false }));
         if is_final {
             handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -1,12 +1,16 @@
-//! Requests to engines: copies of a run's memory to another engine, and health checks.
+//! Requests to engines: copies of a run's memory to another engine, attempts to continue a run, and
+//! health checks.
 
+use crate::call::response_problem;
+use crate::forward::Forward;
 use crate::handler::RequestHandler;
-use crate::wire::{CopyRefusal, RunCopy, Wire};
+use crate::runs::Endpoint;
+use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
 
 use magnoliawinch::names::{RunId, UpstreamName};
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::{Reuse, SendError};
+use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -15,6 +19,12 @@
 /// takes longer is lost.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Timeout for the response headers of an engine where a run continues.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Timeout of the health check of a silent engine.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Maximum size of the response to a copy request.
 const MAX_RESPONSE_BYTES: usize = 65_536;
 
@@ -87,9 +97,37 @@
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
+    /// Sends the request of a run to the engine `to`, which continues it from a copy.
+    pub(crate) async fn resume_run(
+        &self,
+        fwd: &Forward,
+        to: &Endpoint,
+        resume: &Resume,
+    ) -> Result<ClientResponse, ResumeError> {
+        let out = Outgoing {
+            upstream: &to.name,
+            organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
+            remaining: fwd.remaining_ms(),
+            backup: None,
+            resume: Some(resume),
+        };
+        let req = fwd.request(&*self.wire, &out);
+        let timeout = fwd.remaining().min(RESUME_TIMEOUT);
+        let response = self.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await?;
+        let info = self.wire.parse_response_headers(response.headers());
+        let (engine, status) = (to.name.clone(), response.status());
+        if !status.is_success() || info.not_run {
+            return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
+        }
+        match response_problem(fwd, status, &info) {
+            Some(problem) => Err(ResumeError::Invalid { engine, status, problem }),
+            None => Ok(response),
+        }
+    }
+
     /// Whether the engine at `address` responds to a health check.
-    pub(crate) async fn is_alive(&self, address: SocketAddr, timeout: Duration) -> bool {
+    pub(crate) async fn is_alive(&self, address: SocketAddr) -> bool {
         let req = self.wire.health_check_request();
-        self.shared.upstreams.send(address, req, Reuse::Never, timeout).await.is_ok()
+        self.shared.upstreams.send(address, req, Reuse::Never, HEALTH_CHECK_TIMEOUT).await.is_ok()
     }
 }
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -233,10 +233,6 @@
 }
 
 impl RunGuard {
-    pub(crate) fn assignment(&self) -> Assignment {
-        self.active.assignment().clone()
-    }
-
     /// Sets where the run continues and ends its move.
     pub(crate) fn set_assignment(&self, assignment: Assignment) {
         *self.active.assignment() = assignment;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -5,36 +5,34 @@
 
 mod moving;
 
+use self::moving::{MoveTasks, StreamEnd, TaskResult};
 use crate::call::{Attempt, BufferedResponse, response_problem};
 use crate::control::{Crash, Message};
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
 use crate::refusal::Refusal;
-use crate::relocate::CopyError;
 use crate::runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo};
-use crate::wire::{CopyRefusal, Outgoing, RunCopy, Wire};
+use crate::wire::{Outgoing, Wire};
 use bytes::Bytes;
 use hyper::body::Frame;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, StatusCode};
+use magnoliawinch::handover::{BodyEnd, CutCause, Handover, caller_patience};
 use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
-use magnoliawinch::time::Millis;
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use magnoliawinch_runtime::InProgressGuard;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
 
 /// Engines tried for one run before its caller is refused.
 const MAX_ENGINES_TRIED: u32 = 3;
 
-/// Time without data after which a stream's engine is checked.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(600);
-
 /// The stream ended before it was complete.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the stream was cut")]
@@ -57,17 +55,6 @@
     in_progress: InProgressGuard,
 }
 
-type CopyResult = Result<RunCopy, CopyError>;
-
-/// A copy in progress that is part of a move.
-#[derive(Debug)]
-struct PendingCopy {
-    to: Endpoint,
-    /// Whether the run stops for this copy and then continues at `to`.
-    is_final: bool,
-    result: oneshot::Receiver<CopyResult>,
-}
-
 /// Times of a stream as the caller sees them, for the log.
 #[derive(Clone, Copy, Debug, Default)]
 struct StreamTimes {
@@ -84,17 +71,16 @@
     fwd: Arc<Forward>,
     run: RunGuard,
     orders: mpsc::Receiver<MoveOrder>,
-    engine: Endpoint,
     body: magnoliawinch_http::client::Body,
     /// Whether the response has a length or is chunked, so that its end is distinguishable from a
     /// lost connection.
     is_framed: bool,
     events: EventReader,
     tokens_per_event: u32,
-    pending_copy: Option<PendingCopy>,
-    /// The newest copy made by a move, and the engine that holds it.
-    latest_copy: Option<(Endpoint, RunCopy)>,
-    last_received_at: Instant,
+    handover: Handover<Endpoint>,
+    tasks: MoveTasks,
+    /// Cause of the last failure of the engine or of a step of a move.
+    last_failure: String,
     /// When the last events were sent to the caller.
     last_sent_at: Option<Instant>,
     times: StreamTimes,
@@ -107,9 +93,8 @@
 enum Step {
     Chunk(Option<Result<Bytes, hyper::Error>>),
     Order(MoveOrder),
-    Copy(CopyResult),
-    Silent,
-    Deadline,
+    Task(TaskResult),
+    Timer,
 }
 
 impl<W: Wire> RequestHandler<W> {
@@ -242,14 +227,13 @@
             fwd: Arc::clone(fwd),
             run: placed_run.run,
             orders: placed_run.orders,
-            engine: placed_run.assignment.engine,
             body: response.into_body(),
             is_framed,
             events: EventReader::new(),
             tokens_per_event: engine_config.map_or(1, |config| config.tokens_per_event),
-            pending_copy: None,
-            latest_copy: None,
-            last_received_at: Instant::now(),
+            handover: self.handover(fwd, placed_run.assignment),
+            tasks: MoveTasks::default(),
+            last_failure: String::new(),
             last_sent_at: None,
             times: StreamTimes { placed: placed_run.waited, ..StreamTimes::default() },
             moves: 0,
@@ -258,6 +242,13 @@
         });
         StreamStart::Stream { status, headers, stream }
     }
+
+    fn handover(&self, fwd: &Forward, assignment: Assignment) -> Handover<Endpoint> {
+        let now = self.shared.clock.now();
+        let patience = caller_patience(fwd.route.objective, fwd.route.max_pause);
+        let deadline = now + fwd.remaining_ms();
+        Handover::new(now, assignment.engine, assignment.backup, patience, deadline)
+    }
 }
 
 /// Retry delay for a caller whose run was not accepted by any engine.
@@ -279,44 +270,39 @@
             return None;
         }
         loop {
+            match self.advance() {
+                Some(StreamEnd::Complete) => return self.complete(),
+                Some(StreamEnd::Cut(cause)) => return self.cut_for(cause),
+                None => {}
+            }
             match self.next_step().await {
-                Step::Chunk(Some(Ok(chunk))) => {
-                    self.last_received_at = Instant::now();
-                    match self.events.push(&chunk) {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => {
+                Step::Chunk(Some(Ok(chunk))) => match self.events.push(&chunk) {
+                    Ok(events) => {
+                        self.handover.on_data(self.now(), !events.is_empty());
+                        if !events.is_empty() {
                             let tokens = self.events.count() * u64::from(self.tokens_per_event);
                             self.run.set_tokens_written(tokens as u32);
                             self.note_events_sent();
                             return Some(Ok(Frame::data(events)));
                         }
-                        Err(e) => return self.cut("events_missing", &e.to_string()),
                     }
-                }
-                Step::Chunk(Some(Err(e))) => {
-                    if let Err(cause) = self.handle_broken_stream(&e.to_string()).await {
-                        return self.cut("engine_lost", &cause);
+                    Err(e) => {
+                        self.last_failure = e.to_string();
+                        return self.cut("events_missing");
                     }
-                }
-                Step::Chunk(None) => match self.handle_end().await {
-                    Ok(true) => return self.complete(),
-                    Ok(false) => {}
-                    Err(cause) => return self.cut("engine_lost", &cause),
                 },
-                Step::Order(order) => {
-                    self.handle_order(order).await;
-                }
-                Step::Copy(result) => {
-                    if let Err(cause) = self.handle_copy_result(result).await {
-                        return self.cut("move_failed", &cause);
-                    }
+                Step::Chunk(Some(Err(e))) => self.end_body(BodyEnd::Broken, &e.to_string()),
+                Step::Chunk(None) if self.events.has_partial_event() => {
+                    self.end_body(BodyEnd::Broken, "the stream ended within an event");
                 }
-                Step::Silent => {
-                    if let Err(cause) = self.handle_silence().await {
-                        return self.cut("engine_silent", &cause);
-                    }
+                Step::Chunk(None) if self.is_framed => self.end_body(BodyEnd::Whole, ""),
+                Step::Chunk(None) => self.end_body(BodyEnd::Unframed, "the connection was closed"),
+                Step::Order(order) => {
+                    let is_from_source = order.from == self.handover.source().name;
+                    self.handover.on_order(is_from_source, order.to, order.way);
                 }
-                Step::Deadline => return self.cut("timeout", "the deadline has passed"),
+                Step::Task(result) => self.handle_result(result),
+                Step::Timer => {}
             }
         }
     }
@@ -333,22 +319,21 @@
         self.last_sent_at = Some(now);
     }
 
+    fn now(&self) -> Time {
+        self.handler.shared.clock.now()
+    }
+
     async fn next_step(&mut self) -> Step {
-        let check_at = self.last_received_at + SILENCE_BEFORE_CHECK;
-        let is_copying = self.pending_copy.is_some();
-        let copy = async {
-            match &mut self.pending_copy {
-                Some(pending_copy) => (&mut pending_copy.result).await,
-                None => std::future::pending().await,
-            }
-        };
+        let now = self.now();
+        let wakeup = sleep(self.handover.next_wakeup(now).since(now).into());
         tokio::select! {
             biased;
-            chunk = self.body.chunk() => Step::Chunk(chunk),
-            result = copy => Step::Copy(result.unwrap_or(Err(CopyRefusal::Busy.into()))),
-            Some(order) = self.orders.recv(), if !is_copying => Step::Order(order),
-            () = sleep_until(self.fwd.deadline) => Step::Deadline,
-            () = sleep_until(check_at), if self.events.count() > 0 => Step::Silent,
+            chunk = self.body.chunk(), if self.handover.is_reading() => Step::Chunk(chunk),
+            result = self.tasks.next() => Step::Task(result),
+            Some(order) = self.orders.recv(), if self.handover.accepts_orders() => {
+                Step::Order(order)
+            }
+            () = wakeup => Step::Timer,
         }
     }
 
@@ -358,20 +343,26 @@
         None
     }
 
-    fn cut(
-        &mut self,
-        outcome: &'static str,
-        cause: &str,
-    ) -> Option<Result<Frame<Bytes>, StreamCut>> {
+    fn cut_for(&mut self, cause: CutCause) -> Option<Result<Frame<Bytes>, StreamCut>> {
+        if cause == CutCause::EngineLost {
+            self.handler.note_crash(&self.fwd, &self.handover.source().name);
+        }
+        self.cut(cause.into())
+    }
+
+    fn cut(&mut self, outcome: &'static str) -> Option<Result<Frame<Bytes>, StreamCut>> {
         self.outcome = Some(outcome);
         log::warn!(
             request = self.fwd.info.run.as_str(),
-            upstream = self.engine.name.as_str(),
-            backup = self.run.assignment().backup.as_ref().map_or("", |b| b.name.as_str()),
+            upstream = self.handover.source().name.as_str(),
+            backup = self.handover.backup().map_or("", |backup| backup.name.as_str()),
             events = self.events.count(),
             elapsed_ms = self.fwd.elapsed_ms(),
+            is_reading = self.handover.is_reading(),
+            stop:% = self.handover.stop(),
+            copies = self.handover.points_left(),
             outcome,
-            reason = cause;
+            reason = self.last_failure.as_str();
             "stream cut"
         );
         Some(Err(StreamCut))
@@ -386,7 +377,7 @@
             log::info!(
                 request = self.fwd.info.run.as_str(),
                 kind = self.fwd.route.name.as_str(),
-                upstream = self.engine.name.as_str(),
+                upstream = self.handover.source().name.as_str(),
                 events = self.events.count(),
                 moves = self.moves,
                 placed_ms = self.times.placed.as_millis() as u64,
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -1,306 +1,285 @@
-//! Moves a run to another engine.
+//! Performs the steps that [`Handover`](magnoliawinch::handover::Handover) decides on.
 
-use super::{CopyResult, EventStream, PendingCopy, is_framed};
-use crate::call::response_problem;
+use super::{EventStream, is_framed};
 use crate::control::Message;
 use crate::relocate::{CopyError, ResumeError};
-use crate::runs::{Assignment, Endpoint, MoveOrder};
-use crate::wire::{CopyRefusal, Outgoing, Resume, Wire};
-use magnoliawinch::names::UpstreamName;
-use magnoliawinch::pool::MoveMethod;
+use crate::runs::{Assignment, Endpoint};
+use crate::wire::{CopyRefusal, Resume, RunCopy, Wire};
+use magnoliawinch::handover::{
+    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ResumeOutcome, ResumePoint,
+};
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::{ClientResponse, Reuse};
-use std::net::SocketAddr;
+use magnoliawinch_http::ClientResponse;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::task::{JoinError, JoinHandle};
 use tokio::time::Instant;
 
-/// Timeout for the response headers of an engine where a run continues.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
+type CopyResult = Result<RunCopy, CopyError>;
 
-/// Timeout of the health check of a silent engine.
-const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+type ResumeResult = Result<ClientResponse, ResumeError>;
 
-impl<W: Wire> EventStream<W> {
-    /// Starts an ordered move.
-    pub(super) async fn handle_order(&mut self, order: MoveOrder) {
-        if order.from != self.engine.name || order.to.name == self.engine.name {
-            return self.move_failed(None);
+/// How a stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StreamEnd {
+    Complete,
+    Cut(CutCause),
+}
+
+/// The end of a step in progress.
+pub(super) enum TaskResult {
+    Copy(Result<CopyResult, JoinError>),
+    Resume(Result<ResumeResult, JoinError>),
+    Check(Result<bool, JoinError>),
+}
+
+/// A step in progress, which is cancelled when dropped.
+#[derive(Debug)]
+struct Task<T> {
+    handle: JoinHandle<T>,
+    started_at: Instant,
+}
+
+impl<T> Task<T> {
+    fn new(handle: JoinHandle<T>) -> Self {
+        Self { handle, started_at: Instant::now() }
+    }
+}
+
+impl<T> Drop for Task<T> {
+    fn drop(&mut self) {
+        self.handle.abort();
+    }
+}
+
+/// The steps in progress.
+#[derive(Debug, Default)]
+pub(super) struct MoveTasks {
+    copy: Option<Task<CopyResult>>,
+    resume: Option<Task<ResumeResult>>,
+    /// Last attempt to continue the run.
+    resume_target: Option<Endpoint>,
+    check: Option<Task<bool>>,
+}
+
+impl MoveTasks {
+    /// Waits until a step ends; forever if there is none.
+    pub(super) async fn next(&mut self) -> TaskResult {
+        tokio::select! {
+            result = finish(&mut self.copy) => TaskResult::Copy(result),
+            result = finish(&mut self.resume) => TaskResult::Resume(result),
+            result = finish(&mut self.check) => TaskResult::Check(result),
         }
-        match order.way {
-            MoveMethod::Copy => self.start_copy(order.to, false),
-            MoveMethod::Backup => {
-                if let Err(cause) = self.continue_at_backup().await {
-                    // The backup was not complete yet. The engine still runs and can make a copy.
-                    log::info!(
-                        request = self.fwd.info.run.as_str(),
-                        to = order.to.name.as_str(),
-                        reason = cause.as_str();
-                        "backup is not usable; requesting another move"
-                    );
-                    self.move_failed(None);
+    }
+}
+
+async fn finish<T>(task: &mut Option<Task<T>>) -> Result<T, JoinError> {
+    match task {
+        Some(task) => (&mut task.handle).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl<W: Wire> EventStream<W> {
+    /// Does what is due; returns the end of the stream if it has come.
+    pub(super) fn advance(&mut self) -> Option<StreamEnd> {
+        while let Some(action) = self.handover.next_action(self.now()) {
+            match action {
+                Action::StartCopy { to, is_final } => self.start_copy(&to, is_final),
+                Action::Resume(point) => self.start_resume(point),
+                Action::CheckSource => self.start_check(),
+                Action::ReportFailedMove { refused_by } => {
+                    self.run.move_failed(refused_by.as_ref().map(|engine| &engine.name));
+                    self.handler.shared.tell(Message::ReportSoon);
                 }
+                Action::Complete => return Some(StreamEnd::Complete),
+                Action::Cut(cause) => return Some(StreamEnd::Cut(cause)),
             }
         }
+        if self.handover.copying().is_none() {
+            self.tasks.copy = None;
+        }
+        None
     }
 
-    /// Notes that the move failed and requests another engine.
-    fn move_failed(&mut self, refused_by: Option<&UpstreamName>) {
-        self.run.move_failed(refused_by);
-        self.handler.shared.tell(Message::ReportSoon);
-    }
-
-    fn start_copy(&mut self, to: Endpoint, is_final: bool) {
-        let (tx, result) = oneshot::channel();
+    fn start_copy(&mut self, to: &Endpoint, is_final: bool) {
         let handler = self.handler.clone();
-        let (run, from, address) = (self.fwd.info.run.clone(), self.engine.address, to.address);
-        self.handler.shared.traffic.spawn(async move {
-            // Fails if the stream has ended in the meantime.
-            let _ = tx.send(handler.copy_run(&run, from, address, is_final).await);
-        });
-        self.pending_copy = Some(PendingCopy { to, is_final, result });
+        let (from, to) = (self.handover.source().address, to.address);
+        let run = self.fwd.info.run.clone();
+        let copy = async move { handler.copy_run(&run, from, to, is_final).await };
+        self.tasks.copy = Some(Task::new(self.handler.shared.traffic.spawn(copy)));
     }
 
-    /// Continues a move after its copy succeeded or failed.
-    pub(super) async fn handle_copy_result(&mut self, result: CopyResult) -> Result<(), String> {
-        let Some(pending) = self.pending_copy.take() else {
-            return Ok(());
+    fn start_resume(&mut self, point: ResumePoint<Endpoint>) {
+        let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+        let (address, handle) = match point.copy {
+            KeptCopy::Moved { source, handle } => (source.address, handle),
+            KeptCopy::Backup => (point.engine.address, fwd.info.run.to_string()),
         };
-        self.log_copy(&pending, &result);
-        match result {
-            Ok(copied) if pending.is_final => {
-                let source = self.engine.clone();
-                match self.continue_at(pending.to, &copied.handle).await {
-                    Ok(()) => Ok(()),
-                    // The engine that stopped the run still has its memory.
-                    Err(_) => self.resume(source.clone(), source.address, copied.handle).await,
-                }
-            }
-            Ok(copied) => {
-                self.latest_copy = Some((pending.to.clone(), copied));
-                self.start_copy(pending.to, true);
-                Ok(())
-            }
-            Err(e) if pending.is_final => self.recover_from_failed_copy(pending, e).await,
-            // The run has not started to write, or has ended.
-            Err(CopyError::Refused(CopyRefusal::NoRun | CopyRefusal::Busy)) => {
-                self.move_failed(None);
-                Ok(())
-            }
-            Err(_) => {
-                self.move_failed(Some(&pending.to.name));
-                Ok(())
-            }
-        }
+        let resume = Resume { address, handle, last_event: self.events.last_id() };
+        let to = point.engine.clone();
+        let send = async move { handler.resume_run(&fwd, &to, &resume).await };
+        self.tasks.resume = Some(Task::new(self.handler.shared.traffic.spawn(send)));
+        self.tasks.resume_target = Some(point.engine);
     }
 
-    /// Continues a run whose final copy failed and that may have been stopped.
-    async fn recover_from_failed_copy(
-        &mut self,
-        pending: PendingCopy,
-        e: CopyError,
-    ) -> Result<(), String> {
-        match e {
-            // The run ended by itself; the rest of its stream still arrives.
-            CopyError::Refused(CopyRefusal::NoRun | CopyRefusal::Busy) => Ok(()),
-            CopyError::Refused(CopyRefusal::TargetUnavailable { kept: Some(kept) }) => {
-                // The run continues at the engine that stopped it.
-                let engine = self.engine.clone();
-                self.resume(engine.clone(), engine.address, kept).await
+    fn start_check(&mut self) {
+        let (handler, address) = (self.handler.clone(), self.handover.source().address);
+        let check = async move { handler.is_alive(address).await };
+        self.tasks.check = Some(Task::new(self.handler.shared.traffic.spawn(check)));
+    }
+
+    pub(super) fn handle_result(&mut self, result: TaskResult) {
+        match result {
+            TaskResult::Copy(result) => {
+                self.tasks.copy = None;
+                self.handle_copy_result(result);
+            }
+            TaskResult::Resume(result) => {
+                let started_at = self.tasks.resume.take().map(|task| task.started_at);
+                let took = started_at.map_or(Duration::ZERO, |at| at.elapsed());
+                if let Some(to) = self.tasks.resume_target.take() {
+                    self.handle_resume_result(to, result, took);
+                }
             }
-            e => {
-                let copied = self.latest_copy.take();
-                match copied {
-                    Some((to, copied)) if to == pending.to => {
-                        self.continue_at(to, &copied.handle).await
-                    }
-                    _ => Err(e.to_string()),
+            TaskResult::Check(result) => {
+                self.tasks.check = None;
+                let is_alive = result.unwrap_or(false);
+                if !is_alive {
+                    self.last_failure = "the silent engine failed its health check".to_owned();
                 }
+                self.handover.on_check(self.now(), is_alive);
             }
         }
     }
 
-    /// Continues the run at `to` from the copy that the current engine made there.
-    async fn continue_at(&mut self, to: Endpoint, handle: &str) -> Result<(), String> {
-        let source = self.engine.address;
-        self.resume(to, source, handle.to_owned()).await
-    }
-
-    async fn continue_at_backup(&mut self) -> Result<(), String> {
-        let Some(backup) = self.run.assignment().backup else {
-            return Err("the run has no backup".to_owned());
+    fn handle_copy_result(&mut self, result: Result<CopyResult, JoinError>) {
+        let (verdict, problem) = match &result {
+            Ok(Ok(_)) => (Verdict::Ran, String::new()),
+            Ok(Err(e)) => (e.verdict(), e.to_string()),
+            Err(e) => (Verdict::MayHaveRun, e.to_string()),
         };
-        self.run.drop_backup();
-        self.pending_copy = None;
-        let run = self.fwd.info.run.to_string();
-        self.resume(backup.clone(), backup.address, run).await
+        self.log_copy(verdict, &problem);
+        if !problem.is_empty() {
+            self.last_failure = problem;
+        }
+        self.handover.on_copy(match result {
+            Ok(Ok(copied)) => CopyOutcome::Copied { handle: copied.handle },
+            Ok(Err(CopyError::Refused(refusal))) => match refusal {
+                CopyRefusal::NoRun | CopyRefusal::Busy => CopyOutcome::Refused,
+                CopyRefusal::TargetUnavailable { kept } => CopyOutcome::NoRoom { kept },
+                CopyRefusal::Other { .. } => CopyOutcome::Unknown,
+            },
+            Ok(Err(CopyError::NoResponse(e))) if e.verdict() == Verdict::NotRun => {
+                CopyOutcome::NotSent
+            }
+            Ok(Err(CopyError::NoResponse(_))) | Err(_) => CopyOutcome::Unknown,
+        });
     }
 
-    /// Sends the request to `to` and continues from the copy `handle` of the engine at `address`.
-    async fn resume(
+    fn handle_resume_result(
         &mut self,
         to: Endpoint,
-        address: SocketAddr,
-        handle: String,
-    ) -> Result<(), String> {
-        let started_at = Instant::now();
-        let resume = Resume { address, handle, last_event: self.events.last_id() };
-        let response = match self.send_resume(&to, &resume).await {
-            Ok(response) => response,
+        result: Result<ResumeResult, JoinError>,
+        took: Duration,
+    ) {
+        let outcome = match result {
+            Ok(Ok(response)) => return self.continue_at(to, response, took),
+            Ok(Err(e)) => {
+                self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
+                match &e {
+                    ResumeError::Refused { not_run: true, .. } => ResumeOutcome::Refused,
+                    e if e.verdict() == Verdict::NotRun => ResumeOutcome::NotSent,
+                    _ => ResumeOutcome::MayHaveRun,
+                }
+            }
             Err(e) => {
-                self.log_failed_resume(&to, &e, started_at.elapsed());
-                return Err(e.to_string());
+                self.note_failed_resume(&to, Verdict::MayHaveRun, e.to_string(), took);
+                ResumeOutcome::MayHaveRun
             }
         };
+        self.handover.on_resume(self.now(), outcome);
+        if self.handover.backup().is_none() {
+            self.run.drop_backup();
+        }
+    }
+
+    /// Reads on from `response`; the body of the engine before is closed.
+    fn continue_at(&mut self, to: Endpoint, response: ClientResponse, took: Duration) {
         self.count_step("resume", Verdict::Ran);
         log::info!(
             request = self.fwd.info.run.as_str(),
-            from = self.engine.name.as_str(),
+            from = self.handover.source().name.as_str(),
             to = to.name.as_str(),
-            last_event = resume.last_event.unwrap_or(0),
-            took_ms = started_at.elapsed().as_millis() as u64,
-            pause_ms = self.last_received_at.elapsed().as_millis() as u64;
+            last_event = self.events.last_id().unwrap_or(0),
+            took_ms = took.as_millis() as u64,
+            pause_ms = self.last_sent_at.map_or(0, |at| at.elapsed().as_millis() as u64);
             "run goes on"
         );
         self.moves += 1;
         self.is_framed = is_framed(response.headers());
         self.body = response.into_body();
         self.events.discard_partial_event();
-        let backup = self.run.assignment().backup.filter(|backup| *backup != to);
-        self.engine = to;
-        self.latest_copy = None;
-        self.run.set_assignment(Assignment { engine: self.engine.clone(), backup });
-        Ok(())
+        self.handover.on_resume(self.now(), ResumeOutcome::Started);
+        (self.tasks.copy, self.tasks.check) = (None, None);
+        let backup = self.handover.backup().cloned();
+        self.run.set_assignment(Assignment { engine: to, backup });
     }
 
-    async fn send_resume(
-        &self,
-        to: &Endpoint,
-        resume: &Resume,
-    ) -> Result<ClientResponse, ResumeError> {
-        let out = Outgoing {
-            upstream: &to.name,
-            organisation: self.fwd.organisation.as_ref().map(|o| o.name.as_str()),
-            remaining: self.fwd.remaining_ms(),
-            backup: None,
-            resume: Some(resume),
-        };
-        let req = self.fwd.request(&*self.handler.wire, &out);
-        let timeout = self.fwd.remaining().min(RESUME_TIMEOUT);
-        let sent = self.handler.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
-        let response = sent?;
-        let info = self.handler.wire.parse_response_headers(response.headers());
-        let (engine, status) = (to.name.clone(), response.status());
-        if !status.is_success() || info.not_run {
-            return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
-        }
-        match response_problem(&self.fwd, status, &info) {
-            Some(problem) => Err(ResumeError::Invalid { engine, status, problem }),
-            None => Ok(response),
+    /// Handles the end of the body of the engine that writes the stream.
+    pub(super) fn end_body(&mut self, end: BodyEnd, cause: &str) {
+        if end == BodyEnd::Broken && !self.handover.may_end_early() {
+            let upstream = self.handover.source().name.clone();
+            log::info!(
+                request = self.fwd.info.run.as_str(),
+                upstream = upstream.as_str(),
+                events = self.events.count(),
+                reason = cause;
+                "stream broke off"
+            );
+            self.handler.shared.tell(Message::UpstreamUnreachable(upstream));
+            self.last_failure = cause.to_owned();
         }
+        self.handover.on_end(end);
     }
 
-    pub(super) async fn handle_broken_stream(&mut self, cause: &str) -> Result<(), String> {
-        if self.pending_copy.as_ref().is_some_and(|pending| pending.is_final) {
-            return self.await_final_copy().await;
-        }
-        log::info!(
-            request = self.fwd.info.run.as_str(),
-            upstream = self.engine.name.as_str(),
-            events = self.events.count(),
-            reason = cause;
-            "stream broke off"
-        );
-        self.handler.shared.tell(Message::UpstreamUnreachable(self.engine.name.clone()));
-        self.recover_from_engine_loss(cause).await
-    }
-
-    /// Continues the run from its latest copy, or else from its backup.
-    async fn recover_from_engine_loss(&mut self, cause: &str) -> Result<(), String> {
-        self.pending_copy = None;
-        let mut reason = cause.to_owned();
-        if let Some((to, copied)) = self.latest_copy.take() {
-            match self.continue_at(to, &copied.handle).await {
-                Ok(()) => return Ok(()),
-                Err(e) => reason = e,
-            }
-        }
-        if self.run.assignment().backup.is_some() {
-            match self.continue_at_backup().await {
-                Ok(()) => return Ok(()),
-                Err(e) => reason = e,
-            }
-        }
-        self.handler.note_crash(&self.fwd, &self.engine.name);
-        Err(reason)
-    }
-
-    /// Waits for the final copy of a run that was told to stop, and continues from it.
-    async fn await_final_copy(&mut self) -> Result<(), String> {
-        let Some(pending) = &mut self.pending_copy else {
-            return Err("no copy is in progress".to_owned());
+    fn log_copy(&self, verdict: Verdict, problem: &str) {
+        let Some((to, is_final)) = self.handover.copying() else {
+            return;
         };
-        let result = (&mut pending.result).await;
-        self.handle_copy_result(result.unwrap_or(Err(CopyRefusal::Busy.into()))).await
-    }
-
-    /// Handles the end of the response body; returns whether the stream is complete.
-    pub(super) async fn handle_end(&mut self) -> Result<bool, String> {
-        let is_final_pending = self.pending_copy.as_ref().is_some_and(|pending| pending.is_final);
-        if self.is_framed || !is_final_pending {
-            return match self.events.has_partial_event() {
-                true => self
-                    .handle_broken_stream("the stream ended within an event")
-                    .await
-                    .map(|()| false),
-                false => Ok(true),
-            };
-        }
-        let moves_before = self.moves;
-        self.await_final_copy().await?;
-        Ok(self.moves == moves_before)
-    }
-
-    /// Handles a silent stream: if there is a copy and the engine fails its health check, continues
-    /// the run elsewhere.
-    pub(super) async fn handle_silence(&mut self) -> Result<(), String> {
-        self.last_received_at = Instant::now();
-        let has_copy = self.latest_copy.is_some() || self.run.assignment().backup.is_some();
-        if !has_copy || self.handler.is_alive(self.engine.address, HEALTH_CHECK_TIMEOUT).await {
-            return Ok(());
-        }
-        self.recover_from_engine_loss("the silent engine failed its health check").await
-    }
-
-    fn log_copy(&self, pending: &PendingCopy, result: &CopyResult) {
-        let problem = result.as_ref().err().map(ToString::to_string);
-        let verdict = result.as_ref().map_or_else(CopyError::verdict, |_| Verdict::Ran);
-        self.count_step(if pending.is_final { "final_copy" } else { "copy" }, verdict);
+        self.count_step(if is_final { "final_copy" } else { "copy" }, verdict);
         log::info!(
             request = self.fwd.info.run.as_str(),
-            from = self.engine.name.as_str(),
-            to = pending.to.name.as_str(),
-            last = pending.is_final,
+            from = self.handover.source().name.as_str(),
+            to = to.name.as_str(),
+            last = is_final,
             events = self.events.count(),
             verdict:% = verdict,
-            may_have_stopped = pending.is_final && verdict != Verdict::NotRun,
-            problem = problem.as_deref().unwrap_or("");
+            may_have_stopped = is_final && verdict != Verdict::NotRun,
+            problem;
             "memory copied"
         );
     }
 
-    fn log_failed_resume(&self, to: &Endpoint, e: &ResumeError, took: Duration) {
-        let verdict = e.verdict();
+    fn note_failed_resume(
+        &mut self,
+        to: &Endpoint,
+        verdict: Verdict,
+        cause: String,
+        took: Duration,
+    ) {
         self.count_step("resume", verdict);
         log::info!(
             request = self.fwd.info.run.as_str(),
-            from = self.engine.name.as_str(),
+            from = self.handover.source().name.as_str(),
             to = to.name.as_str(),
             verdict:% = verdict,
+            is_reading = self.handover.is_reading(),
+            stop:% = self.handover.stop(),
             took_ms = took.as_millis() as u64,
-            reason = e.to_string().as_str();
+            reason = cause.as_str();
             "run did not go on"
         );
+        self.last_failure = cause;
     }
 
     /// Counts a step of a move by its verdict.
