--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -12,8 +12,9 @@
 /// Time without data after which the source is checked, or left if the run may have stopped.
 pub const SILENCE: Millis = Millis(600);
 
-/// Pause after an attempt to continue the run that was not sent.
+/// Pause after an attempt to continue the run that was not sent; it doubles with each further one.
 const RETRY_PAUSE: Millis = Millis(50);
+const MAX_RETRY_PAUSE: Millis = Millis(400);
 
 /// Attempts to use the backup while the source still writes.
 const BACKUP_ATTEMPTS: u32 = 2;
@@ -173,6 +174,8 @@
     /// Attempts left to use the backup although the source still writes.
     backup_attempts: u32,
     retry_at: Time,
+    /// Pause after the next attempt that is not sent.
+    retry_pause: Millis,
     /// Whether events have arrived. Until then, the run may wait for its start.
     has_events: bool,
     last_data_at: Time,
@@ -200,6 +203,7 @@
             resuming: None,
             backup_attempts: 0,
             retry_at: now,
+            retry_pause: RETRY_PAUSE,
             has_events: false,
             last_data_at: now,
             is_checking: false,
@@ -329,7 +333,8 @@
         match outcome {
             ResumeOutcome::Started => return self.restart(now, point.engine),
             ResumeOutcome::NotSent => {
-                self.retry_at = now + RETRY_PAUSE;
+                self.retry_at = now + self.retry_pause;
+                self.retry_pause = MAX_RETRY_PAUSE.min(self.retry_pause + self.retry_pause);
                 // The next attempt is at another point, if there is one.
                 if let Some(index) = self.points.iter().position(|other| *other == point) {
                     let point = self.points.remove(index);
@@ -448,6 +453,7 @@
         self.source = source;
         (self.end, self.stop, self.copying) = (None, Stop::Excluded, None);
         (self.is_suspect, self.is_checking) = (false, false);
+        self.retry_pause = RETRY_PAUSE;
         (self.last_data_at, self.checked_at) = (now, now);
         self.failed_moves.clear();
     }
