Log what runs on draining engines wait for, and moves that fail

A stream was lost with its engine ten seconds after its only move order, and no line said why no other order came. The primary owner of a cell now logs once a second, beside the line of the pool, how many runs on draining engines have no move in progress and what they wait for (room, a link, a pause after a refusal), and up to eight moves that ended without their run at the new engine, with the cause; further ones are only counted.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -14,7 +14,7 @@
     EndedRun, EngineUse, Event, Occupancy, Placement, PlacementDecision, PlacementRequest, Report,
     RunState,
 };
-pub use relocation::{MoveMethod, RunMove};
+pub use relocation::{DrainStatus, FailedMove, FailedMoves, MoveFailure, MoveMethod, RunMove};
 
 use crate::admission::load::Footprint;
 use crate::estimate::LengthEstimator;
@@ -113,6 +113,7 @@
     draining: HashMap<UpstreamName, Time>,
     /// Engines whose link is in use by a copy, with the time at which the copy should end.
     busy_links: HashMap<UpstreamName, Time>,
+    failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
 }
@@ -129,6 +130,7 @@
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
             busy_links: HashMap::new(),
+            failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
         }
     }
@@ -373,7 +375,9 @@
                         run.engine = state.engine.clone();
                         run.pending_move = None;
                     }
-                    run.update_move(now, state.moving_to.as_ref(), &state.refused);
+                    if let Some(failed) = run.update_move(now, state) {
+                        self.failed_moves.push(failed);
+                    }
                     run.backup = backup;
                     run.footprint = footprint;
                     run.confirmed_at = now;
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -5,11 +5,12 @@
 //! notice may be too short to copy all. A run for which no engine has room is tried again until its
 //! engine has stopped.
 
-use super::engine::{ProjectedLoad, ProjectedRun};
-use super::{MIN_TIME_LEFT, Pool, Run};
+use super::engine::{Engine, ProjectedLoad, ProjectedRun};
+use super::{MIN_TIME_LEFT, Pool, Run, RunState};
 use crate::names::{HostName, RunId, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
+use strum::Display;
 
 /// Fraction of an engine's memory that may be in use at the time of a move to it, including the
 /// moved run. The rest is for what the runs there write next: an engine that runs out of memory
@@ -55,10 +56,96 @@
     pub way: MoveMethod,
 }
 
+/// Runs on draining engines, by the state of their moves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainStatus {
+    /// Runs with a move in progress.
+    pub moving: usize,
+    /// Runs for which no engine has room.
+    pub without_room: usize,
+    /// Runs for which the engines with room, or their own, copy another run.
+    pub waiting_for_link: usize,
+    /// Runs that wait before another attempt.
+    pub paused: usize,
+    /// Runs too close to their end to be moved.
+    pub nearly_done: usize,
+    /// Runs without a backup in a pool that cannot copy runs.
+    pub immovable: usize,
+    /// Time since the first of their engines began to drain.
+    pub oldest_notice: Millis,
+}
+
+impl DrainStatus {
+    /// Number of runs without a move in progress.
+    pub fn waiting(&self) -> usize {
+        self.without_room + self.waiting_for_link + self.paused + self.nearly_done + self.immovable
+    }
+}
+
+/// Why a run on a draining engine cannot be ordered to move now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    NoRoom,
+    LinkBusy,
+    Paused,
+    NearlyDone,
+    Immovable,
+}
+
+/// Why a move ended without its run at the new engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum MoveFailure {
+    /// The new engine refused the run.
+    Refused,
+    /// Its holder reports no move: the order was lost, or the move failed without a refusal.
+    NotInProgress,
+}
+
+/// A move that ended without its run at the new engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedMove {
+    /// The run.
+    pub run: RunId,
+    /// Engine that still runs it.
+    pub from: UpstreamName,
+    /// Engine that was to continue it.
+    pub to: UpstreamName,
+    /// How its memory was to get there.
+    pub way: MoveMethod,
+    /// Why it ended.
+    pub cause: MoveFailure,
+    /// Time from the order to the report of its end.
+    pub after: Millis,
+}
+
+/// Failed moves kept until they are taken; later ones are only counted.
+const MAX_FAILED_MOVES_KEPT: usize = 8;
+
+/// Failed moves since they were last taken.
+#[derive(Clone, Debug, Default)]
+pub struct FailedMoves {
+    /// The first few.
+    pub moves: Vec<FailedMove>,
+    /// Number of others.
+    pub omitted: usize,
+}
+
+impl FailedMoves {
+    pub(super) fn push(&mut self, failed: FailedMove) {
+        match self.moves.len() < MAX_FAILED_MOVES_KEPT {
+            true => self.moves.push(failed),
+            false => self.omitted += 1,
+        }
+    }
+}
+
 /// A move that was ordered and has not ended.
 #[derive(Clone, Debug)]
 pub(super) struct PendingMove {
     pub(super) to: UpstreamName,
+    way: MoveMethod,
     at: Time,
 }
 
@@ -70,22 +157,23 @@
 }
 
 impl Run {
-    /// Applies the state of the run's move as reported by its holder.
-    pub(super) fn update_move(
-        &mut self,
-        now: Time,
-        moving_to: Option<&UpstreamName>,
-        refused: &[UpstreamName],
-    ) {
-        if !refused.is_empty() && refused != self.refusals.engines {
-            self.refusals = Refusals { engines: refused.to_vec(), at: now };
+    /// Applies the state of the run's move as its holder reports it; returns the move if it failed.
+    pub(super) fn update_move(&mut self, now: Time, state: &RunState) -> Option<FailedMove> {
+        if !state.refused.is_empty() && state.refused != self.refusals.engines {
+            self.refusals = Refusals { engines: state.refused.clone(), at: now };
         }
-        let is_done = |pending_move: &mut PendingMove| {
-            let is_refused = refused.contains(&pending_move.to);
-            let is_past_grace = now.since(pending_move.at) >= MOVE_REPORT_GRACE;
-            is_refused || (is_past_grace && moving_to.is_none())
+        let pending = self.pending_move.as_ref()?;
+        let after = now.since(pending.at);
+        let cause = if state.refused.contains(&pending.to) {
+            MoveFailure::Refused
+        } else if after >= MOVE_REPORT_GRACE && state.moving_to.is_none() {
+            MoveFailure::NotInProgress
+        } else {
+            return None;
         };
-        self.pending_move.take_if(is_done);
+        let PendingMove { to, way, .. } = self.pending_move.take()?;
+        let (run, from) = (state.run.clone(), self.engine.clone());
+        Some(FailedMove { run, from, to, way, cause, after })
     }
 
     fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
@@ -152,12 +240,80 @@
             }
         };
         let run = self.runs.get_mut(id)?;
-        run.pending_move = Some(PendingMove { to: to.clone(), at: now });
+        run.pending_move = Some(PendingMove { to: to.clone(), way, at: now });
         let holder = run.holder.clone();
         self.invalidate_loads();
         Some(RunMove { run: id.clone(), holder, from, to, way })
     }
 
+    /// The runs on draining engines, by the state of their moves; `None` if there are none.
+    pub fn drain_status(&self, now: Time) -> Option<DrainStatus> {
+        let mut status = DrainStatus::default();
+        for run in self.runs.values() {
+            let Some(since) = self.draining.get(&run.engine) else {
+                continue;
+            };
+            status.oldest_notice = status.oldest_notice.max(now.since(*since));
+            let count = match self.obstacle(now, run) {
+                _ if run.pending_move.is_some() => &mut status.moving,
+                Some(Obstacle::NearlyDone) => &mut status.nearly_done,
+                Some(Obstacle::Immovable) => &mut status.immovable,
+                Some(Obstacle::Paused) => &mut status.paused,
+                Some(Obstacle::NoRoom) => &mut status.without_room,
+                Some(Obstacle::LinkBusy) | None => &mut status.waiting_for_link,
+            };
+            *count += 1;
+        }
+        (status.moving + status.waiting() > 0).then_some(status)
+    }
+
+    /// Moves that have failed since the last call.
+    pub fn take_failed_moves(&mut self) -> FailedMoves {
+        std::mem::take(&mut self.failed_moves)
+    }
+
+    fn obstacle(&self, now: Time, run: &Run) -> Option<Obstacle> {
+        if run.remaining_ms(now) < MIN_TIME_LEFT.0 as f64 {
+            return Some(Obstacle::NearlyDone);
+        }
+        if run.backup.as_ref().is_some_and(|backup| !run.is_refused(now, backup)) {
+            return None;
+        }
+        if !self.config.can_move {
+            return Some(Obstacle::Immovable);
+        }
+        let added = ProjectedRun::new(now, run.footprint.clone());
+        let has_room = |(name, engine): &(&UpstreamName, &Engine)| {
+            engine.is_usable && self.load_after_move(now, name, engine, &added).is_some()
+        };
+        let with_room: Vec<_> =
+            self.engines.iter().filter(has_room).map(|(name, _)| name).collect();
+        if with_room.is_empty() {
+            return Some(Obstacle::NoRoom);
+        }
+        if with_room.iter().all(|name| run.is_refused(now, name)) {
+            return Some(Obstacle::Paused);
+        }
+        let is_reachable =
+            |name: &&UpstreamName| !run.is_refused(now, name) && !self.is_link_busy(now, name);
+        let has_link = !self.is_link_busy(now, &run.engine) && with_room.iter().any(is_reachable);
+        (!has_link).then_some(Obstacle::LinkBusy)
+    }
+
+    /// The load of an engine with a run moved to it, unless that fills the engine.
+    fn load_after_move(
+        &self,
+        now: Time,
+        name: &UpstreamName,
+        engine: &Engine,
+        added: &ProjectedRun,
+    ) -> Option<ProjectedLoad> {
+        let load = self.load_with(now, name, added);
+        let has_room = load.tokens <= self.engine_memory() * MAX_MOVE_FILL
+            && load.running <= f64::from(engine.slots);
+        has_room.then_some(load)
+    }
+
     /// Whether a copy from or to the engine is in progress.
     fn is_link_busy(&self, now: Time, engine: &UpstreamName) -> bool {
         self.busy_links.get(engine).is_some_and(|free_at| *free_at > now)
@@ -183,13 +339,11 @@
         let added = ProjectedRun::new(now, run.footprint.clone());
         let mut best: Option<(f64, &UpstreamName)> = None;
         for (name, engine) in candidates {
-            let ProjectedLoad { running, peak, tokens, .. } = self.load_with(now, name, &added);
-            let is_full = tokens > self.engine_memory() * MAX_MOVE_FILL;
-            if is_full || running > f64::from(engine.slots) {
+            let Some(load) = self.load_after_move(now, name, engine, &added) else {
                 continue;
-            }
+            };
             let Millis(copy) = self.move_time(now, run, name);
-            let score = self.contention_ms(peak, running) + copy as f64;
+            let score = self.contention_ms(load.peak, load.running) + copy as f64;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, name));
             }
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -1,8 +1,11 @@
 //! Placement, queueing and moves of runs in a pool of engines.
 
+#[path = "fixtures/pools.rs"]
+mod pools;
+
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{
-    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
+    HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
 };
 use magnoliawinch::pool::{
     EndedRun, Event, MoveMethod, Placement, PlacementDecision, PlacementRequest, Pool, Report,
@@ -10,87 +13,7 @@
 };
 use magnoliawinch::route_table::EngineConfig;
 use magnoliawinch::time::{Millis, Time};
-
-const MEMORY_TOKENS: u64 = 34_000;
-
-fn config() -> EngineConfig {
-    EngineConfig {
-        slots: 24,
-        memory_tokens: MEMORY_TOKENS,
-        bytes_per_token: 18_432,
-        link_bits_per_ms: 2_700_000,
-        tokens_per_event: 4,
-        can_move: true,
-        can_back_up: true,
-    }
-}
-
-fn listed(name: &str, domain: &str) -> ListedUpstream {
-    ListedUpstream {
-        name: UpstreamName::new(name),
-        born: 1,
-        service: ServiceName::new("guide"),
-        address: ([10, 0, 0, 1], 80).into(),
-        failure_domain: FailureDomain::new(domain),
-        slots: 24,
-        leaving: false,
-    }
-}
-
-fn pool(engines: &[(&str, &str)]) -> Pool {
-    let mut pool = Pool::new(ServiceName::new("guide"), config());
-    let listed: Vec<_> = engines.iter().map(|(name, domain)| listed(name, domain)).collect();
-    pool.set_engines(listed.iter().map(|listed| (listed, true)));
-    // Makes the pool expect long answers.
-    let ended = EndedRun {
-        kind: KindName::new("long"),
-        organisation: OrganisationName::new("a"),
-        written: 1_000,
-    };
-    let ended = vec![ended; 30];
-    let report = Report { ended: &ended, ..Report::default() };
-    pool.report(Time(0), &HostName::new("edge-1"), &report);
-    pool
-}
-
-fn request(run: &str, prompt_tokens: u32) -> PlacementRequest {
-    PlacementRequest {
-        run: RunId::new(run),
-        holder: HostName::new("edge-1"),
-        holder_domain: FailureDomain::new("a"),
-        kind: KindName::new("long"),
-        organisation: OrganisationName::new("a"),
-        prompt_tokens,
-        max_tokens: 2_000,
-        priority: 1,
-        first_event_deadline: Time(50_000),
-        patience_until: Time(100_000),
-        avoid: Vec::new(),
-    }
-}
-
-fn state(run: &str, placement: &Placement, prompt_tokens: u32, written: u32) -> RunState {
-    RunState {
-        run: RunId::new(run),
-        kind: KindName::new("long"),
-        organisation: OrganisationName::new("a"),
-        engine: placement.engine.clone(),
-        backup: placement.backup.clone(),
-        prompt_tokens,
-        written,
-        max_tokens: 2_000,
-        priority: 1,
-        moving_to: None,
-        refused: Vec::new(),
-    }
-}
-
-fn placed(decision: PlacementDecision) -> Placement {
-    match decision {
-        PlacementDecision::Placed(placement) => placement,
-        other => panic!("not placed: {other:?}"),
-    }
-}
+use pools::{config, draining_pool, listed, placed, pool, request, state};
 
 /// The backup engine is reclaimed, then the run's engine, while reports still name the lost backup.
 #[test]
@@ -136,18 +59,6 @@
     assert!(with_backups * 4 >= without * 3, "{with_backups} placed, {without} without backups");
 }
 
-/// A pool with `runs` of 3,000 tokens on a draining engine `e1`, and two other engines.
-fn draining_pool(runs: &[&str]) -> Pool {
-    let mut pool = pool(&[("e1", "a")]);
-    for run in runs {
-        assert_eq!(placed(pool.place(Time(0), request(run, 3_000))).backup, None);
-    }
-    let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
-    pool.set_engines(engines.iter().map(|l| (l, l.name.as_str() != "e1")));
-    pool.drain_engine(Time(10), &UpstreamName::new("e1"));
-    pool
-}
-
 /// Copies off a reclaimed engine share its link, so each begins when the one before has ended.
 #[test]
 fn copies_from_one_engine_are_sequential() {
--- /dev/null
+++ b/core/tests/relocation.rs
@@ -0,0 +1,77 @@
+//! Moves of runs off draining engines that fail, get lost or have to wait.
+
+#[path = "fixtures/pools.rs"]
+mod pools;
+
+use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::pool::{
+    DrainStatus, MoveFailure, MoveMethod, Placement, Pool, Report, RunMove, RunState,
+};
+use magnoliawinch::time::{Millis, Time};
+use pools::{draining_pool, listed, state};
+
+/// A run of `draining_pool` as its holder reports it.
+fn at_e1(run: &str) -> RunState {
+    let placement = Placement { engine: UpstreamName::new("e1"), backup: None };
+    state(run, &placement, 3_000, 20)
+}
+
+fn refused(run: &str, by: &[&UpstreamName]) -> RunState {
+    RunState { refused: by.iter().map(|name| (*name).clone()).collect(), ..at_e1(run) }
+}
+
+fn report(pool: &mut Pool, now: u64, runs: &[RunState]) {
+    let report = Report { runs, ..Report::default() };
+    pool.report(Time(now), &HostName::new("edge-1"), &report);
+}
+
+/// The only order given now.
+fn order(pool: &mut Pool, now: u64) -> RunMove {
+    let mut orders = pool.plan_moves(Time(now), None);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    orders.remove(0)
+}
+
+fn refuse_engines(pool: &mut Pool, unusable: &[&str]) {
+    let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
+    pool.set_engines(engines.iter().map(|l| (l, !unusable.contains(&l.name.as_str()))));
+}
+
+/// A stream is lost with its engine, and nothing says what its move waited for.
+#[test]
+fn the_status_says_what_runs_on_draining_engines_wait_for() {
+    let mut pool = draining_pool(&["r1", "r2"]);
+    order(&mut pool, 10);
+    let status = DrainStatus { moving: 1, waiting_for_link: 1, ..DrainStatus::default() };
+    assert_eq!(pool.drain_status(Time(10)), Some(status));
+    refuse_engines(&mut pool, &["e1", "e2", "e3"]);
+    let oldest_notice = Millis(30);
+    let status =
+        DrainStatus { moving: 1, without_room: 1, oldest_notice, ..DrainStatus::default() };
+    assert_eq!(pool.drain_status(Time(40)), Some(status));
+    pool.tick(Time(3_050));
+    assert_eq!(pool.drain_status(Time(3_050)), None);
+}
+
+/// A move fails and nothing says where or why; with many failures the log would be flooded.
+#[test]
+fn failed_moves_are_kept_with_their_cause_up_to_a_bound() {
+    let mut pool = draining_pool(&["r"]);
+    let first = order(&mut pool, 10);
+    report(&mut pool, 40, &[refused("r", &[&first.to])]);
+    let failed = pool.take_failed_moves();
+    assert_eq!((failed.moves.len(), failed.omitted), (1, 0));
+    let failed = &failed.moves[0];
+    assert_eq!((failed.cause, failed.after), (MoveFailure::Refused, Millis(30)));
+    assert_eq!((failed.way, &failed.to), (MoveMethod::Copy, &first.to));
+    let mut now = 1_000;
+    for _ in 0..20 {
+        order(&mut pool, now);
+        report(&mut pool, now + 300, &[at_e1("r")]);
+        now += 400;
+    }
+    let failed = pool.take_failed_moves();
+    assert_eq!((failed.moves.len(), failed.omitted), (8, 12));
+    assert!(failed.moves.iter().all(|failed| failed.cause == MoveFailure::NotInProgress));
+    assert!(pool.take_failed_moves().moves.is_empty());
+}
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -6,11 +6,12 @@
 use magnoliawinch::fleet::{Fleet, ListedUpstream};
 use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{
-    Event, MoveMethod, Placement, PlacementDecision, PlacementRequest, Pool, Report, RunMove,
+    Event, FailedMoves, MoveMethod, Placement, PlacementDecision, PlacementRequest, Pool, Report,
+    RunMove,
 };
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::RelocateRequest;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -172,7 +173,7 @@
         }
         self.report_if_due(now);
         self.move_runs(now);
-        self.log_occupancy(now);
+        self.log_pools(now);
     }
 
     /// Fraction of a cell's memory that is in use or requested by waiting runs; may exceed 1.
@@ -186,20 +187,29 @@
         if memory == 0 { 1.0 } else { used as f32 / memory as f32 }
     }
 
-    /// Logs the occupancy of the pools whose primary owner is this daemon.
-    fn log_occupancy(&mut self, now: Time) {
+    /// Logs the occupancy and the unfinished moves of the pools whose primary owner is this daemon.
+    fn log_pools(&mut self, now: Time) {
         if now.since(self.pools.logged_at) < LOG_INTERVAL {
             return;
         }
         self.pools.logged_at = now;
-        for (key, pool) in &self.pools.by_key {
-            if !self.is_primary_of(key.cell) {
+        let owned: HashSet<_> = self
+            .pools
+            .by_key
+            .keys()
+            .map(|key| key.cell)
+            .filter(|c| self.is_primary_of(*c))
+            .collect();
+        for (key, pool) in &mut self.pools.by_key {
+            let failed = pool.take_failed_moves();
+            if !owned.contains(&key.cell) {
                 continue;
             }
+            let (service, cell) = (key.service.as_str(), key.cell.number());
             let occupancy = pool.occupancy(now);
             log::info!(
-                service = key.service.as_str(),
-                cell = key.cell.number(),
+                service,
+                cell,
                 engines = occupancy.engines,
                 running = occupancy.running,
                 waiting = occupancy.waiting,
@@ -207,6 +217,21 @@
                 memory_tokens = occupancy.memory_tokens;
                 "pool"
             );
+            log_failed_moves(service, &failed);
+            if let Some(status) = pool.drain_status(now).filter(|status| status.waiting() > 0) {
+                log::info!(
+                    service,
+                    cell,
+                    moving = status.moving,
+                    without_room = status.without_room,
+                    waiting_for_link = status.waiting_for_link,
+                    paused = status.paused,
+                    nearly_done = status.nearly_done,
+                    immovable = status.immovable,
+                    oldest_notice_ms = status.oldest_notice.0;
+                    "runs on draining engines have no move in progress"
+                );
+            }
         }
     }
 
@@ -312,6 +337,24 @@
     }
 }
 
+fn log_failed_moves(service: &str, failed: &FailedMoves) {
+    for failed in &failed.moves {
+        log::info!(
+            service,
+            run = failed.run.as_str(),
+            from = failed.from.as_str(),
+            to = failed.to.as_str(),
+            from_backup = failed.way == MoveMethod::Backup,
+            cause:% = failed.cause,
+            after_ms = failed.after.0;
+            "ordered move failed"
+        );
+    }
+    if failed.omitted > 0 {
+        log::info!(service, count = failed.omitted; "more ordered moves failed");
+    }
+}
+
 fn endpoint(fleet: &Fleet, name: &UpstreamName) -> Option<Endpoint> {
     let listed = fleet.get(name)?;
     Some(Endpoint { name: name.clone(), address: listed.address })
