Move the runs of an engine whose notice the pool's owner missed

Callers saw streams cut when an engine left although others had room. Cause: a pool learned that an engine leaves only from the event of its notice. A daemon that became owner later (new owner, new cells, a restart, or an entry that had expired around an outage) first read the entry as leaving, which is no event, and never ordered a move. Each tick now marks engines that have runs and may not get new ones as draining, and those that have runs and are not listed after 1 s, as the list lags. Ruled out: passing the notices between owners; the list and the reports that a new owner has already tell it.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -111,6 +111,8 @@
     lengths: LengthEstimator,
     /// Engines to move runs away from, with the start of draining.
     draining: HashMap<UpstreamName, Time>,
+    /// Engines that have runs but are not listed, with the time at which that was noticed.
+    unlisted: HashMap<UpstreamName, Time>,
     /// Engines whose link is in use by a copy, with the time at which the copy should end.
     busy_links: HashMap<UpstreamName, Time>,
     failed_moves: FailedMoves,
@@ -129,6 +131,7 @@
             queue: Queue::new(),
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
+            unlisted: HashMap::new(),
             busy_links: HashMap::new(),
             failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
@@ -261,10 +264,11 @@
         self.invalidate_loads();
     }
 
-    /// Drops runs that are no longer reported, refuses queued runs whose patience has run out, and
+    /// Drops runs that are no longer reported, finds engines whose notice was missed, refuses queued runs whose patience has run out, and
     /// places those that fit now. Returns the outcomes of queued runs.
     pub fn tick(&mut self, now: Time) -> Vec<Event> {
         self.runs.retain(|_, run| now.since(run.confirmed_at) < RUN_LIFETIME);
+        self.find_draining_engines(now);
         let mut events = Vec::new();
         for request in self.queue.expire(now) {
             let wait = self.expected_wait(now, &request);
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -10,6 +10,7 @@
 use crate::names::{HostName, RunId, UpstreamName};
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use strum::Display;
 
 /// Fraction of an engine's memory that may be in use at the time of a move to it, including the
@@ -32,6 +33,10 @@
 /// How long an engine stays marked as draining.
 const DRAINED_RETENTION: Millis = Millis(10_000);
 
+/// Time by which an engine with runs must be listed; later it counts as removed. The list lags by up
+/// to a second.
+const UNLISTED_GRACE: Millis = Millis(1_000);
+
 /// How a run's memory gets to another engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MoveMethod {
@@ -192,6 +197,32 @@
         self.invalidate_loads();
     }
 
+    /// Marks engines that have runs and may not get new ones as draining: this pool may be younger
+    /// than their notices.
+    pub(super) fn find_draining_engines(&mut self, now: Time) {
+        let (engines, runs) = (&self.engines, &self.runs);
+        self.unlisted.retain(|name, _| {
+            !engines.contains_key(name) && runs.values().any(|run| run.engine == *name)
+        });
+        let mut found = HashSet::new();
+        for run in self.runs.values().filter(|run| !self.draining.contains_key(&run.engine)) {
+            let is_draining = match self.engines.get(&run.engine) {
+                Some(engine) => !engine.is_usable,
+                None if self.engines.is_empty() => false,
+                None => {
+                    let since = self.unlisted.entry(run.engine.clone()).or_insert(now);
+                    now.since(*since) >= UNLISTED_GRACE
+                }
+            };
+            if is_draining {
+                found.insert(run.engine.clone());
+            }
+        }
+        for engine in found {
+            self.drain_engine(now, &engine);
+        }
+    }
+
     /// Whether a run on a draining engine has not been ordered to move yet.
     pub fn has_runs_to_move(&self) -> bool {
         !self.draining.is_empty()
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -3,12 +3,12 @@
 #[path = "fixtures/pools.rs"]
 mod pools;
 
-use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::names::{HostName, ServiceName, UpstreamName};
 use magnoliawinch::pool::{
     DrainStatus, MoveFailure, MoveMethod, Placement, Pool, Report, RunMove, RunState,
 };
 use magnoliawinch::time::{Millis, Time};
-use pools::{draining_pool, listed, state};
+use pools::{config, draining_pool, listed, state};
 
 /// A run of `draining_pool` as its holder reports it.
 fn at_e1(run: &str) -> RunState {
@@ -32,7 +32,7 @@
     orders.remove(0)
 }
 
-fn refuse_engines(pool: &mut Pool, unusable: &[&str]) {
+fn set_unusable(pool: &mut Pool, unusable: &[&str]) {
     let engines = ["e1", "e2", "e3"].map(|name| listed(name, "a"));
     pool.set_engines(engines.iter().map(|l| (l, !unusable.contains(&l.name.as_str()))));
 }
@@ -44,7 +44,7 @@
     order(&mut pool, 10);
     let status = DrainStatus { moving: 1, waiting_for_link: 1, ..DrainStatus::default() };
     assert_eq!(pool.drain_status(Time(10)), Some(status));
-    refuse_engines(&mut pool, &["e1", "e2", "e3"]);
+    set_unusable(&mut pool, &["e1", "e2", "e3"]);
     let oldest_notice = Millis(30);
     let status =
         DrainStatus { moving: 1, without_room: 1, oldest_notice, ..DrainStatus::default() };
@@ -75,3 +75,30 @@
     assert!(failed.moves.iter().all(|failed| failed.cause == MoveFailure::NotInProgress));
     assert!(pool.take_failed_moves().moves.is_empty());
 }
+
+/// The owner changes after an engine's notice: the new one only ever saw the engine as leaving, so
+/// that nobody moved its runs.
+#[test]
+fn an_owner_that_missed_a_notice_moves_the_runs() {
+    let mut pool = Pool::new(ServiceName::new("guide"), config());
+    set_unusable(&mut pool, &["e1"]);
+    report(&mut pool, 10, &[at_e1("r")]);
+    pool.tick(Time(20));
+    assert!(pool.has_runs_to_move());
+    assert_eq!(order(&mut pool, 20).from.as_str(), "e1");
+}
+
+/// As before, but the entry is gone already. An entry may also be missing because the list lags.
+#[test]
+fn runs_on_an_engine_that_is_not_listed_are_moved_after_a_while() {
+    let mut pool = Pool::new(ServiceName::new("guide"), config());
+    let engines = ["e2", "e3"].map(|name| listed(name, "a"));
+    pool.set_engines(engines.iter().map(|l| (l, true)));
+    let ordered_at = (0..5_000).step_by(50).find(|now| {
+        report(&mut pool, *now, &[at_e1("r")]);
+        pool.tick(Time(*now));
+        !pool.plan_moves(Time(*now), None).is_empty()
+    });
+    let ordered_at = ordered_at.expect("the run is ordered to move");
+    assert!((500..=2_000).contains(&ordered_at), "{ordered_at}");
+}
