Leave runs on an engine that has started again under its id

An engine that came back within ten seconds of its notice had its new runs moved off it, at the cost of a copy and a pause each. Cause: the mark of a draining engine ended by time only. Evidence: runs_of_an_engine_that_has_returned_stay failed before. The list of usable engines now ends the mark; it is set after the engine has become unusable, so that a list that lags cannot end it early.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -179,6 +179,9 @@
             engines.insert(listed.name.clone(), Engine { is_usable, ..engine });
         }
         self.engines = engines;
+        let engines = &self.engines;
+        // An engine may start again under its name.
+        self.draining.retain(|name, _| !engines.get(name).is_some_and(|engine| engine.is_usable));
         self.invalidate_loads();
     }
 
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -3,7 +3,7 @@
 #[path = "fixtures/pools.rs"]
 mod pools;
 
-use magnoliawinch::names::{HostName, ServiceName, UpstreamName};
+use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{
     DrainStatus, MoveFailure, MoveMethod, Placement, Pool, Report, RunMove, RunState,
 };
@@ -102,3 +102,17 @@
     let ordered_at = ordered_at.expect("the run is ordered to move");
     assert!((500..=2_000).contains(&ordered_at), "{ordered_at}");
 }
+
+/// An engine starts again under its id within seconds; its new runs were moved off it.
+#[test]
+fn runs_of_an_engine_that_has_returned_stay() {
+    let mut pool = draining_pool(&["old"]);
+    let released = [RunId::new("old")];
+    let over = Report { released: &released, ..Report::default() };
+    pool.report(Time(1_000), &HostName::new("edge-1"), &over);
+    set_unusable(&mut pool, &[]);
+    report(&mut pool, 3_000, &[at_e1("new")]);
+    pool.tick(Time(3_000));
+    assert!(!pool.has_runs_to_move());
+    assert_eq!(pool.plan_moves(Time(3_000), None), []);
+}
