Move runs as long as their engine takes to stop

Runs on an engine that stopped more than ten seconds after its notice were lost with it although others had room by then. Cause: the mark of a draining engine ended ten seconds after the notice. Evidence: runs_are_moved_as_long_as_their_engine_takes_to_stop failed before. The mark now lasts while the engine has runs; a run ends three seconds after its holder's last report, which bounds it.

--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -30,7 +30,7 @@
 /// Time for a move order to reach its holder and show in a report.
 const MOVE_REPORT_GRACE: Millis = Millis(100);
 
-/// How long an engine stays marked as draining.
+/// How long an engine without runs stays marked as draining.
 const DRAINED_RETENTION: Millis = Millis(10_000);
 
 /// Time by which an engine with runs must be listed; later it counts as removed. The list lags by up
@@ -235,7 +235,11 @@
     /// Orders moves of runs off draining engines, as far as links are free and engines have room;
     /// only of the runs that `holder` holds, if given.
     pub fn plan_moves(&mut self, now: Time, holder: Option<&HostName>) -> Vec<RunMove> {
-        self.draining.retain(|_, since| now.since(*since) < DRAINED_RETENTION);
+        let runs = &self.runs;
+        self.draining.retain(|engine, since| {
+            let has_runs = || runs.values().any(|run| run.engine == *engine);
+            now.since(*since) < DRAINED_RETENTION || has_runs()
+        });
         self.busy_links.retain(|_, free_at| *free_at > now);
         if self.draining.is_empty() {
             return Vec::new();
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -116,3 +116,17 @@
     assert!(!pool.has_runs_to_move());
     assert_eq!(pool.plan_moves(Time(3_000), None), []);
 }
+
+/// Engines take at times many seconds to stop; ten seconds after its notice an engine's runs were
+/// forgotten.
+#[test]
+fn runs_are_moved_as_long_as_their_engine_takes_to_stop() {
+    let mut pool = draining_pool(&["r"]);
+    set_unusable(&mut pool, &["e1", "e2", "e3"]);
+    for now in (0..30_000).step_by(300) {
+        report(&mut pool, now, &[at_e1("r")]);
+        assert_eq!(pool.plan_moves(Time(now), None), []);
+    }
+    set_unusable(&mut pool, &["e1"]);
+    order(&mut pool, 30_000);
+}
