Order a run to move again when its move does not end

A run whose holder went on reporting a move stayed on its leaving engine until that had stopped. Cause: the owner's pending move ended only by a refusal or by a report without a move, and had no time limit. A holder reports a move for ever if its queue of orders was full, or while its caller does not read. Evidence: a_move_that_does_not_end_is_ordered_again failed before (no order in 20 s). A pending move now fails after 5 s, the timeouts of its two copies, and the holder's mark of it is no longer believed. Ruled out as causes of a move that never ends: a lost order, a holder that restarted and an unknown address of the target, since the next report past the grace of 100 ms shows no move.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -64,6 +64,8 @@
     backup: Option<UpstreamName>,
     /// The move that the holder was ordered to make, until it ends.
     pending_move: Option<PendingMove>,
+    /// Target of a move that its holder still reports after the move's time limit.
+    expired_move: Option<UpstreamName>,
     refusals: Refusals,
     footprint: Footprint,
     placed_at: Time,
@@ -337,6 +339,7 @@
             engine: placement.engine.clone(),
             backup: placement.backup.clone(),
             pending_move: None,
+            expired_move: None,
             refusals: Refusals::default(),
             footprint: Footprint {
                 prompt: f64::from(request.prompt_tokens),
@@ -396,6 +399,7 @@
                         engine: state.engine.clone(),
                         backup,
                         pending_move: None,
+                        expired_move: None,
                         refusals: Refusals::default(),
                         footprint,
                         placed_at: now,
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -30,6 +30,10 @@
 /// Time for a move order to reach its holder and show in a report.
 const MOVE_REPORT_GRACE: Millis = Millis(100);
 
+/// Time after which a move counts as failed although its holder reports it: the timeouts of its two
+/// copies.
+const MAX_MOVE_TIME: Millis = Millis(5_000);
+
 /// How long an engine without runs stays marked as draining.
 const DRAINED_RETENTION: Millis = Millis(10_000);
 
@@ -106,6 +110,8 @@
     Refused,
     /// Its holder reports no move: the order was lost, or the move failed without a refusal.
     NotInProgress,
+    /// Its holder reported it as in progress for longer than two copies may take.
+    Expired,
 }
 
 /// A move that ended without its run at the new engine.
@@ -167,12 +173,19 @@
         if !state.refused.is_empty() && state.refused != self.refusals.engines {
             self.refusals = Refusals { engines: state.refused.clone(), at: now };
         }
+        if self.expired_move != state.moving_to {
+            self.expired_move = None;
+        }
         let pending = self.pending_move.as_ref()?;
         let after = now.since(pending.at);
+        let is_in_progress = state.moving_to.is_some() && self.expired_move.is_none();
         let cause = if state.refused.contains(&pending.to) {
             MoveFailure::Refused
-        } else if after >= MOVE_REPORT_GRACE && state.moving_to.is_none() {
+        } else if after >= MOVE_REPORT_GRACE && !is_in_progress {
             MoveFailure::NotInProgress
+        } else if after >= MAX_MOVE_TIME {
+            self.expired_move.clone_from(&state.moving_to);
+            MoveFailure::Expired
         } else {
             return None;
         };
@@ -275,6 +288,7 @@
             }
         };
         let run = self.runs.get_mut(id)?;
+        run.expired_move.take_if(|expired| *expired == to);
         run.pending_move = Some(PendingMove { to: to.clone(), way, at: now });
         let holder = run.holder.clone();
         self.invalidate_loads();
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -16,6 +16,10 @@
     state(run, &placement, 3_000, 20)
 }
 
+fn moving(run: &str, to: &UpstreamName) -> RunState {
+    RunState { moving_to: Some(to.clone()), ..at_e1(run) }
+}
+
 fn refused(run: &str, by: &[&UpstreamName]) -> RunState {
     RunState { refused: by.iter().map(|name| (*name).clone()).collect(), ..at_e1(run) }
 }
@@ -130,3 +134,17 @@
     set_unusable(&mut pool, &["e1"]);
     order(&mut pool, 30_000);
 }
+
+/// A holder that gave up, or could not queue, an order went on reporting it as in progress; the run
+/// stayed on its engine until that had stopped.
+#[test]
+fn a_move_that_does_not_end_is_ordered_again() {
+    let mut pool = draining_pool(&["r"]);
+    let first = order(&mut pool, 10);
+    let again = (100..20_000).step_by(300).find(|now| {
+        report(&mut pool, *now, &[moving("r", &first.to)]);
+        !pool.plan_moves(Time(*now), None).is_empty()
+    });
+    let again = again.expect("the run is ordered to move again");
+    assert!((3_000..=7_000).contains(&again), "{again}");
+}
