Report a move only if its order was queued

A run whose queue of orders was full, or whose stream no longer took orders, was reported as moving until it ended, so that its owner ordered nothing more. Cause: send_order set the target before it tried to queue the order, and the result was ignored. The target is now set under the lock only if the order was queued; orders that are dropped, and the two cases in which an order cannot be sent at all, are logged.

--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -291,6 +291,7 @@
                 "run is ordered to move"
             );
             let Some(to) = endpoint(&self.fleet, &order.to) else {
+                log::warn!(to = order.to.as_str(); "target of a move is no longer listed");
                 continue;
             };
             let req = RelocateRequest {
@@ -305,15 +306,17 @@
                 continue;
             }
             let Some(holder) = self.membership.get(order.holder.as_str()) else {
+                log::warn!(holder = order.holder.as_str(); "holder of a run to move is not a member");
                 continue;
             };
             let (shared, address) = (Arc::clone(&self.shared), holder.peer_address);
+            let run = req.run.clone();
             self.shared.traffic.spawn(async move {
                 let call = shared.peers.call(address, MOVE_ORDER_TIMEOUT, |mut peer| async move {
                     peer.relocate(req).await
                 });
                 if let Err(e) = call.await {
-                    log::warn!("failed to deliver a move order: {e}");
+                    log::warn!(run = run.as_str(); "failed to deliver a move order: {e}");
                 }
             });
         }
@@ -333,7 +336,13 @@
         let to = Endpoint { name, address };
         let way = if req.backup { MoveMethod::Backup } else { MoveMethod::Copy };
         let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
-        self.shared.runs.send_order(&RunId::new(&req.run), order);
+        if !self.shared.runs.send_order(&RunId::new(&req.run), order) {
+            log::info!(
+                run = req.run.as_str(),
+                to = req.to.as_str();
+                "move order was dropped: the run has ended or has too many orders"
+            );
+        }
     }
 }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -218,8 +218,14 @@
     pub(crate) fn send_order(&self, run: &RunId, order: MoveOrder) -> bool {
         let active = self.lock().active.get(run).cloned();
         active.is_some_and(|active| {
-            active.moving().to = Some(order.to.name.clone());
-            active.orders.try_send(order).is_ok()
+            let to = order.to.name.clone();
+            // Locked until the target is set, so that the run cannot end the move before.
+            let mut moving = active.moving();
+            let is_sent = active.orders.try_send(order).is_ok();
+            if is_sent {
+                moving.to = Some(to);
+            }
+            is_sent
         })
     }
 }
