Bound the refusals that a holder reports of a run

Reports of a run on a leaving engine grew with each refused move until the run moved, and an engine that was tried again still counted as refusing, so that the owner took the new order for refused. Evidence: refusals_are_reported_once_until_the_engine_is_tried_again failed before. Each engine is now listed once, eight at most, and no longer once a new order to it is queued.

--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -13,6 +13,9 @@
 /// Move orders that may be queued for one run.
 const ORDER_QUEUE_LEN: usize = 4;
 
+/// Engines that refused a run of which its owner hears; it forgets each after a moment.
+const MAX_REPORTED_REFUSALS: usize = 8;
+
 /// An engine and its address, which may not be on this daemon's list of upstreams yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Endpoint {
@@ -51,7 +54,8 @@
 #[derive(Clone, Debug, Default)]
 struct MoveProgress {
     to: Option<UpstreamName>,
-    /// Engines that refused the run since it was ordered to move.
+    /// Engines that refused the run since it was ordered to move and were not tried again, latest
+    /// last.
     refused_by: Vec<UpstreamName>,
 }
 
@@ -223,6 +227,7 @@
             let mut moving = active.moving();
             let is_sent = active.orders.try_send(order).is_ok();
             if is_sent {
+                moving.refused_by.retain(|name| *name != to);
                 moving.to = Some(to);
             }
             is_sent
@@ -249,11 +254,19 @@
         *self.active.moving() = MoveProgress::default();
     }
 
-    /// Notes that the move failed; `refused_by` is the engine that refused the run.
+    /// Notes that the move failed; `refused_by` is the engine that refused the run: the target, or the
+    /// run's own.
     pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
         let mut moving = self.active.moving();
         moving.to = None;
-        moving.refused_by.extend(refused_by.cloned());
+        let Some(refused_by) = refused_by else {
+            return;
+        };
+        moving.refused_by.retain(|name| name != refused_by);
+        if moving.refused_by.len() >= MAX_REPORTED_REFUSALS {
+            moving.refused_by.remove(0);
+        }
+        moving.refused_by.push(refused_by.clone());
     }
 
     /// Notes that the copy at the backup engine is no longer usable.
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -53,3 +53,23 @@
     assert!(!runs.send_order(&run, order("e3")));
     assert_eq!(reported(&runs).moving_to, None);
 }
+
+/// The list of engines that refused a run grew with each refusal; one that was given a run again was
+/// still in it.
+#[test]
+fn refusals_are_reported_once_until_the_engine_is_tried_again() {
+    let runs = Runs::new();
+    let (guard, mut orders) = registered(&runs);
+    let run = RunId::new("r");
+    for _ in 0..3 {
+        for n in 0..20 {
+            guard.move_failed(Some(&UpstreamName::new(&format!("full-{n}"))));
+        }
+    }
+    let refused = reported(&runs).refused;
+    assert!(refused.len() <= 8, "{refused:?}");
+    assert_eq!(refused.last(), Some(&UpstreamName::new("full-19")));
+    assert!(runs.send_order(&run, order("full-19")));
+    assert!(!reported(&runs).refused.contains(&UpstreamName::new("full-19")));
+    assert!(orders.try_recv().is_ok());
+}
