A new owner leaves a move in progress alone

After a change of the owner a run that was moving got a second order, whose copy took memory at another engine and was made for nothing. Cause: the target that its holder reports was used only to end a move, not to learn of one. Evidence: a_new_owner_leaves_a_move_in_progress_alone failed before. A reported target without a known order counts as a move in progress, with the same time limit; one that differs from the order after the grace replaces it, as the holder reports the latest order that it has.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -393,7 +393,7 @@
                     run.confirmed_at = now;
                 }
                 None => {
-                    let run = Run {
+                    let mut run = Run {
                         holder: holder.clone(),
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
@@ -406,6 +406,7 @@
                         prefill_due: now,
                         confirmed_at: now,
                     };
+                    run.update_move(now, state);
                     self.runs.insert(state.run.clone(), run);
                 }
             }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -176,22 +176,34 @@
         if self.expired_move != state.moving_to {
             self.expired_move = None;
         }
-        let pending = self.pending_move.as_ref()?;
-        let after = now.since(pending.at);
-        let is_in_progress = state.moving_to.is_some() && self.expired_move.is_none();
-        let cause = if state.refused.contains(&pending.to) {
-            MoveFailure::Refused
-        } else if after >= MOVE_REPORT_GRACE && !is_in_progress {
-            MoveFailure::NotInProgress
-        } else if after >= MAX_MOVE_TIME {
+        let reported = state.moving_to.as_ref().filter(|_| self.expired_move.is_none());
+        let failure = self.pending_move.as_ref().and_then(|pending| {
+            let after = now.since(pending.at);
+            let is_in_progress = after < MOVE_REPORT_GRACE || reported == Some(&pending.to);
+            if state.refused.contains(&pending.to) {
+                Some(MoveFailure::Refused)
+            } else if !is_in_progress {
+                Some(MoveFailure::NotInProgress)
+            } else {
+                (after >= MAX_MOVE_TIME).then_some(MoveFailure::Expired)
+            }
+        });
+        let failed = failure.and_then(|cause| self.end_move(now, state, cause));
+        if failure == Some(MoveFailure::Expired) {
             self.expired_move.clone_from(&state.moving_to);
-            MoveFailure::Expired
-        } else {
-            return None;
-        };
-        let PendingMove { to, way, .. } = self.pending_move.take()?;
+        } else if self.pending_move.is_none() {
+            // Ordered by another owner.
+            let to = reported.filter(|to| **to != self.engine);
+            self.pending_move =
+                to.map(|to| PendingMove { to: to.clone(), way: MoveMethod::Copy, at: now });
+        }
+        failed
+    }
+
+    fn end_move(&mut self, now: Time, state: &RunState, cause: MoveFailure) -> Option<FailedMove> {
+        let PendingMove { to, way, at } = self.pending_move.take()?;
         let (run, from) = (state.run.clone(), self.engine.clone());
-        Some(FailedMove { run, from, to, way, cause, after })
+        Some(FailedMove { run, from, to, way, cause, after: now.since(at) })
     }
 
     fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -148,3 +148,19 @@
     let again = again.expect("the run is ordered to move again");
     assert!((3_000..=7_000).contains(&again), "{again}");
 }
+
+/// The owner changes while a run moves; the new one ordered a second move, and both copies took
+/// memory.
+#[test]
+fn a_new_owner_leaves_a_move_in_progress_alone() {
+    let mut pool = Pool::new(ServiceName::new("guide"), config());
+    set_unusable(&mut pool, &["e1"]);
+    let to = UpstreamName::new("e2");
+    report(&mut pool, 10, &[moving("r", &to)]);
+    pool.tick(Time(10));
+    assert_eq!(pool.plan_moves(Time(10), None), []);
+    report(&mut pool, 300, &[moving("r", &to)]);
+    assert_eq!(pool.plan_moves(Time(300), None), []);
+    report(&mut pool, 600, &[at_e1("r")]);
+    order(&mut pool, 600);
+}
