Tell a new refusal of a move from an old one

A run that an engine had refused once got a further order while the second one to that engine was under way, and an engine that refused it twice was tried again at once. Causes: a refusal in a report from before the order ended that order, and the time of a refusal was renewed only if the list of engines had changed. Evidence: an_old_refusal_does_not_end_a_new_move and a_repeated_refusal_counts_again failed before. Only engines that the last report did not list count as refusing now; a listed target of a move that is no longer in progress has refused again. Each refusal has its own time.

--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -163,16 +163,38 @@
 /// Engines that refused to take over a run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Refusals {
-    engines: Vec<UpstreamName>,
-    at: Time,
+    /// As the run's holder last reported them.
+    reported: Vec<UpstreamName>,
+    /// Those of the last moment, with the time at which they became known.
+    recent: Vec<(UpstreamName, Time)>,
+}
+
+impl Refusals {
+    /// Applies a holder's list; returns the engines that it did not contain before.
+    fn update(&mut self, now: Time, refused: &[UpstreamName]) -> Vec<UpstreamName> {
+        let is_new = |name: &&UpstreamName| !self.reported.contains(name);
+        let new: Vec<_> = refused.iter().filter(is_new).cloned().collect();
+        self.reported = refused.to_vec();
+        self.recent.retain(|(_, at)| now.since(*at) < REFUSAL_LIFETIME);
+        new.iter().for_each(|name| self.renew(now, name));
+        new
+    }
+
+    fn renew(&mut self, now: Time, engine: &UpstreamName) {
+        self.recent.retain(|(name, _)| name != engine);
+        self.recent.push((engine.clone(), now));
+    }
+
+    fn contains(&self, now: Time, engine: &UpstreamName) -> bool {
+        let is_recent = |at: Time| now.since(at) < REFUSAL_LIFETIME;
+        self.recent.iter().any(|(name, at)| name == engine && is_recent(*at))
+    }
 }
 
 impl Run {
     /// Applies the state of the run's move as its holder reports it; returns the move if it failed.
     pub(super) fn update_move(&mut self, now: Time, state: &RunState) -> Option<FailedMove> {
-        if !state.refused.is_empty() && state.refused != self.refusals.engines {
-            self.refusals = Refusals { engines: state.refused.clone(), at: now };
-        }
+        let new_refusals = self.refusals.update(now, &state.refused);
         if self.expired_move != state.moving_to {
             self.expired_move = None;
         }
@@ -180,7 +202,9 @@
         let failure = self.pending_move.as_ref().and_then(|pending| {
             let after = now.since(pending.at);
             let is_in_progress = after < MOVE_REPORT_GRACE || reported == Some(&pending.to);
-            if state.refused.contains(&pending.to) {
+            // An older refusal by the same engine may be in the report.
+            let is_refused = new_refusals.contains(&pending.to);
+            if is_refused || !is_in_progress && state.refused.contains(&pending.to) {
                 Some(MoveFailure::Refused)
             } else if !is_in_progress {
                 Some(MoveFailure::NotInProgress)
@@ -202,12 +226,15 @@
 
     fn end_move(&mut self, now: Time, state: &RunState, cause: MoveFailure) -> Option<FailedMove> {
         let PendingMove { to, way, at } = self.pending_move.take()?;
+        if cause == MoveFailure::Refused {
+            self.refusals.renew(now, &to);
+        }
         let (run, from) = (state.run.clone(), self.engine.clone());
         Some(FailedMove { run, from, to, way, cause, after: now.since(at) })
     }
 
     fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
-        now.since(self.refusals.at) < REFUSAL_LIFETIME && self.refusals.engines.contains(engine)
+        self.refusals.contains(now, engine)
     }
 }
 
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -164,3 +164,32 @@
     report(&mut pool, 600, &[at_e1("r")]);
     order(&mut pool, 600);
 }
+
+/// Only one engine has room, and it refused the run once. A report from before the second order
+/// ended that order, and the run got a third one while it was moving.
+#[test]
+fn an_old_refusal_does_not_end_a_new_move() {
+    let mut pool = draining_pool(&["r"]);
+    set_unusable(&mut pool, &["e1", "e3"]);
+    let first = order(&mut pool, 10);
+    report(&mut pool, 40, &[refused("r", &[&first.to])]);
+    assert_eq!(order(&mut pool, 500).to, first.to);
+    report(&mut pool, 530, &[refused("r", &[&first.to])]);
+    assert_eq!(pool.plan_moves(Time(530), None), []);
+    report(&mut pool, 700, &[moving("r", &first.to)]);
+    assert_eq!(pool.plan_moves(Time(700), None), []);
+}
+
+/// The only engine with room refuses each time: a run that it has refused again is not sent back at
+/// once.
+#[test]
+fn a_repeated_refusal_counts_again() {
+    let mut pool = draining_pool(&["r"]);
+    set_unusable(&mut pool, &["e1", "e3"]);
+    let first = order(&mut pool, 10);
+    report(&mut pool, 40, &[refused("r", &[&first.to])]);
+    order(&mut pool, 500);
+    report(&mut pool, 800, &[refused("r", &[&first.to])]);
+    assert_eq!(pool.plan_moves(Time(810), None), []);
+    order(&mut pool, 1_300);
+}
