Free the links of a copy when its move ends

Moves off a leaving engine waited behind copies that had failed at once, for the time that these would have taken. Cause: a link stayed reserved until the expected end of the copy, whatever became of it. Evidence: a_failed_copy_frees_its_links failed before. A reservation now holds only while the move of its run is in progress, and a run has one pair of links.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -24,7 +24,7 @@
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
-use relocation::{PendingMove, Refusals};
+use relocation::{LinkUse, PendingMove, Refusals};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -115,8 +115,8 @@
     draining: HashMap<UpstreamName, Time>,
     /// Engines that have runs but are not listed, with the time at which that was noticed.
     unlisted: HashMap<UpstreamName, Time>,
-    /// Engines whose link is in use by a copy, with the time at which the copy should end.
-    busy_links: HashMap<UpstreamName, Time>,
+    /// Engines whose link a copy uses, until the copy should end or its move has ended.
+    busy_links: HashMap<UpstreamName, LinkUse>,
     failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -152,6 +152,14 @@
     }
 }
 
+/// A copy's use of an engine's link.
+#[derive(Clone, Debug)]
+pub(super) struct LinkUse {
+    run: RunId,
+    /// When the copy should end.
+    free_at: Time,
+}
+
 /// A move that was ordered and has not ended.
 #[derive(Clone, Debug)]
 pub(super) struct PendingMove {
@@ -292,7 +300,7 @@
             let has_runs = || runs.values().any(|run| run.engine == *engine);
             now.since(*since) < DRAINED_RETENTION || has_runs()
         });
-        self.busy_links.retain(|_, free_at| *free_at > now);
+        self.busy_links.retain(|_, link| link.free_at > now);
         if self.draining.is_empty() {
             return Vec::new();
         }
@@ -321,8 +329,10 @@
             None => {
                 let to = self.choose_move_target(now, run)?;
                 let free_at = now + self.move_time(now, run, &to);
-                self.busy_links.insert(from.clone(), free_at);
-                self.busy_links.insert(to.clone(), free_at);
+                self.busy_links.retain(|_, link| link.run != *id);
+                for engine in [&from, &to] {
+                    self.busy_links.insert(engine.clone(), LinkUse { run: id.clone(), free_at });
+                }
                 (to, MoveMethod::Copy)
             }
         };
@@ -404,7 +414,10 @@
 
     /// Whether a copy from or to the engine is in progress.
     fn is_link_busy(&self, now: Time, engine: &UpstreamName) -> bool {
-        self.busy_links.get(engine).is_some_and(|free_at| *free_at > now)
+        self.busy_links.get(engine).is_some_and(|link| {
+            let run = self.runs.get(&link.run);
+            link.free_at > now && run.is_some_and(|run| run.pending_move.is_some())
+        })
     }
 
     pub(super) fn is_cross_domain(&self, from: &UpstreamName, to: &UpstreamName) -> bool {
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -193,3 +193,16 @@
     assert_eq!(pool.plan_moves(Time(810), None), []);
     order(&mut pool, 1_300);
 }
+
+/// A copy that fails at once kept both links for the time that it would have taken.
+#[test]
+fn a_failed_copy_frees_its_links() {
+    let mut pool = draining_pool(&["r1", "r2"]);
+    set_unusable(&mut pool, &["e1", "e3"]);
+    let first = order(&mut pool, 10);
+    let copy = config().copy_time(3_000).0;
+    let other = if first.run.as_str() == "r1" { "r2" } else { "r1" };
+    report(&mut pool, 20, &[refused(first.run.as_str(), &[&first.to]), at_e1(other)]);
+    assert!(20 < 10 + copy);
+    assert_eq!(order(&mut pool, 20).run.as_str(), other);
+}
