Pause the move of a run whose own engine refuses to copy it

A leaving engine stops taking connections seconds after its notice while its streams go on. Evidence: a_run_that_its_engine_does_not_copy_is_tried_again_and_does_not_block_others failed before. Needs holders that name the run's engine when it cannot be reached.

--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -108,6 +108,8 @@
 pub enum MoveFailure {
     /// The new engine refused the run.
     Refused,
+    /// The engine that runs it did not make the copy.
+    RefusedBySource,
     /// Its holder reports no move: the order was lost, or the move failed without a refusal.
     NotInProgress,
     /// Its holder reported it as in progress for longer than two copies may take.
@@ -168,7 +170,7 @@
     at: Time,
 }
 
-/// Engines that refused to take over a run.
+/// Engines that refused to take over a run, or to copy it from themselves.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Refusals {
     /// As the run's holder last reported them.
@@ -214,6 +216,10 @@
             let is_refused = new_refusals.contains(&pending.to);
             if is_refused || !is_in_progress && state.refused.contains(&pending.to) {
                 Some(MoveFailure::Refused)
+            } else if new_refusals.contains(&self.engine)
+                || !is_in_progress && state.refused.contains(&self.engine)
+            {
+                Some(MoveFailure::RefusedBySource)
             } else if !is_in_progress {
                 Some(MoveFailure::NotInProgress)
             } else {
@@ -234,8 +240,10 @@
 
     fn end_move(&mut self, now: Time, state: &RunState, cause: MoveFailure) -> Option<FailedMove> {
         let PendingMove { to, way, at } = self.pending_move.take()?;
-        if cause == MoveFailure::Refused {
-            self.refusals.renew(now, &to);
+        match cause {
+            MoveFailure::Refused => self.refusals.renew(now, &to),
+            MoveFailure::RefusedBySource => self.refusals.renew(now, &self.engine),
+            MoveFailure::NotInProgress | MoveFailure::Expired => {}
         }
         let (run, from) = (state.run.clone(), self.engine.clone());
         Some(FailedMove { run, from, to, way, cause, after: now.since(at) })
@@ -244,6 +252,12 @@
     fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
         self.refusals.contains(now, engine)
     }
+
+    /// Whether no copy of it is to be requested now.
+    fn is_paused(&self, now: Time) -> bool {
+        // A leaving engine that takes no new connections makes no copy at another target either.
+        self.is_refused(now, &self.engine)
+    }
 }
 
 impl Pool {
@@ -325,7 +339,8 @@
         let from = run.engine.clone();
         let (to, way) = match run.backup.clone().filter(|backup| !run.is_refused(now, backup)) {
             Some(backup) => (backup, MoveMethod::Backup),
-            None if !self.config.can_move || self.is_link_busy(now, &from) => return None,
+            None if !self.config.can_move || run.is_paused(now) => return None,
+            None if self.is_link_busy(now, &from) => return None,
             None => {
                 let to = self.choose_move_target(now, run)?;
                 let free_at = now + self.move_time(now, run, &to);
@@ -380,6 +395,9 @@
         if !self.config.can_move {
             return Some(Obstacle::Immovable);
         }
+        if run.is_paused(now) {
+            return Some(Obstacle::Paused);
+        }
         let added = ProjectedRun::new(now, run.footprint.clone());
         let has_room = |(name, engine): &(&UpstreamName, &Engine)| {
             engine.is_usable && self.load_after_move(now, name, engine, &added).is_some()
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -194,6 +194,25 @@
     order(&mut pool, 1_300);
 }
 
+/// A leaving engine takes no new connections for a while, so that no copy can start. Its run is
+/// tried again; until then it does not keep the links from other runs.
+#[test]
+fn a_run_that_its_engine_does_not_copy_is_tried_again_and_does_not_block_others() {
+    let mut pool = draining_pool(&["r1", "r2"]);
+    let first = order(&mut pool, 10);
+    let other = if first.run.as_str() == "r1" { "r2" } else { "r1" };
+    let states = [refused(first.run.as_str(), &[&first.from]), at_e1(other)];
+    report(&mut pool, 25, &states);
+    assert_eq!(order(&mut pool, 30).run.as_str(), other);
+    let states = [refused(first.run.as_str(), &[&first.from])];
+    let again = (50..5_000).step_by(50).find(|now| {
+        report(&mut pool, *now, &states);
+        !pool.plan_moves(Time(*now), None).is_empty()
+    });
+    let again = again.expect("the run is ordered to move again");
+    assert!((300..=1_000).contains(&again), "{again}");
+}
+
 /// A copy that fails at once kept both links for the time that it would have taken.
 #[test]
 fn a_failed_copy_frees_its_links() {
