Runs whose copies fail let others go first

A run that had not begun to write was ordered to move again with every report, each time before larger runs, as the smallest goes first; its engine's link was taken by copies that failed at once. Runs go in the order of failed moves, then size, and from the second failure on pause for 100 to 400 ms. The first failure has no pause: its order may only have been lost.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -24,7 +24,7 @@
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
-use relocation::{LinkUse, PendingMove, Refusals};
+use relocation::{LinkUse, PendingMove, Refusals, Retries};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -67,6 +67,7 @@
     /// Target of a move that its holder still reports after the move's time limit.
     expired_move: Option<UpstreamName>,
     refusals: Refusals,
+    retries: Retries,
     footprint: Footprint,
     placed_at: Time,
     /// Expected end of its prefill.
@@ -341,6 +342,7 @@
             pending_move: None,
             expired_move: None,
             refusals: Refusals::default(),
+            retries: Retries::default(),
             footprint: Footprint {
                 prompt: f64::from(request.prompt_tokens),
                 written: 0.0,
@@ -384,6 +386,7 @@
                     if run.engine != state.engine {
                         run.engine = state.engine.clone();
                         run.pending_move = None;
+                        run.retries = Retries::default();
                     }
                     if let Some(failed) = run.update_move(now, state) {
                         self.failed_moves.push(failed);
@@ -401,6 +404,7 @@
                         pending_move: None,
                         expired_move: None,
                         refusals: Refusals::default(),
+                        retries: Retries::default(),
                         footprint,
                         placed_at: now,
                         prefill_due: now,
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -2,7 +2,7 @@
 //!
 //! A run with a backup copy continues at the backup engine at once. The others are copied one after
 //! another over each link, smallest first: a run is worth about the same whatever its size, and the
-//! notice may be too short to copy all. A run for which no engine has room is tried again until its
+//! notice may be too short to copy all. Runs whose moves failed go after the others. A run for which no engine has room is tried again until its
 //! engine has stopped.
 
 use super::engine::{Engine, ProjectedLoad, ProjectedRun};
@@ -30,6 +30,11 @@
 /// Time for a move order to reach its holder and show in a report.
 const MOVE_REPORT_GRACE: Millis = Millis(100);
 
+/// Pause after the second move of a run that failed without a refusal; doubles with each further one.
+const RETRY_PAUSE: Millis = Millis(100);
+
+const MAX_RETRY_PAUSE: Millis = Millis(400);
+
 /// Time after which a move counts as failed although its holder reports it: the timeouts of its two
 /// copies.
 const MAX_MOVE_TIME: Millis = Millis(5_000);
@@ -154,6 +159,26 @@
     }
 }
 
+/// Moves of a run that failed without a refusal: its holder did not get the order, or the run has not
+/// begun to write.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Retries {
+    failures: u32,
+    /// When a copy may be ordered again.
+    at: Time,
+}
+
+impl Retries {
+    fn note_failure(&mut self, now: Time) {
+        self.failures += 1;
+        let pause = match self.failures {
+            1 => Millis(0),
+            n => Millis(RETRY_PAUSE.0 << (n - 2).min(16)).min(MAX_RETRY_PAUSE),
+        };
+        self.at = now + pause;
+    }
+}
+
 /// A copy's use of an engine's link.
 #[derive(Clone, Debug)]
 pub(super) struct LinkUse {
@@ -243,7 +268,8 @@
         match cause {
             MoveFailure::Refused => self.refusals.renew(now, &to),
             MoveFailure::RefusedBySource => self.refusals.renew(now, &self.engine),
-            MoveFailure::NotInProgress | MoveFailure::Expired => {}
+            MoveFailure::NotInProgress => self.retries.note_failure(now),
+            MoveFailure::Expired => {}
         }
         let (run, from) = (state.run.clone(), self.engine.clone());
         Some(FailedMove { run, from, to, way, cause, after: now.since(at) })
@@ -256,7 +282,7 @@
     /// Whether no copy of it is to be requested now.
     fn is_paused(&self, now: Time) -> bool {
         // A leaving engine that takes no new connections makes no copy at another target either.
-        self.is_refused(now, &self.engine)
+        self.is_refused(now, &self.engine) || now < self.retries.at
     }
 }
 
@@ -328,10 +354,12 @@
             .runs
             .iter()
             .filter(|(_, run)| is_in_scope(run))
-            .map(|(id, run)| (run.tokens(now), id.clone()))
+            .map(|(id, run)| (run.retries.failures, run.tokens(now), id.clone()))
             .collect();
-        to_move.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        to_move.into_iter().filter_map(|(_, id)| self.plan_move(now, &id)).collect()
+        to_move.sort_by(|a, b| {
+            a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)).then_with(|| a.2.cmp(&b.2))
+        });
+        to_move.into_iter().filter_map(|(.., id)| self.plan_move(now, &id)).collect()
     }
 
     fn plan_move(&mut self, now: Time, id: &RunId) -> Option<RunMove> {
