Copy a run at once when its backup cannot be used

In the incident a run on a leaving engine lost 0.5 s between the failed use of its backup and the order of a copy (two backup orders, then the copy). Cause: the owner waited for the first report past the grace of a new order, although the holder had already dropped the backup. Evidence: a_run_whose_backup_is_lost_is_copied_at_once failed before. A report without a move and without the backup ends the use of that backup at once; it does not count as a failed copy.

--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -236,7 +236,12 @@
         let reported = state.moving_to.as_ref().filter(|_| self.expired_move.is_none());
         let failure = self.pending_move.as_ref().and_then(|pending| {
             let after = now.since(pending.at);
-            let is_in_progress = after < MOVE_REPORT_GRACE || reported == Some(&pending.to);
+            // A backup is dropped as soon as its use fails, and no later order can use it.
+            let is_backup_lost = pending.way == MoveMethod::Backup
+                && state.moving_to.is_none()
+                && state.backup.as_ref() != Some(&pending.to);
+            let is_in_progress =
+                !is_backup_lost && (after < MOVE_REPORT_GRACE || reported == Some(&pending.to));
             // An older refusal by the same engine may be in the report.
             let is_refused = new_refusals.contains(&pending.to);
             if is_refused || !is_in_progress && state.refused.contains(&pending.to) {
@@ -268,6 +273,7 @@
         match cause {
             MoveFailure::Refused => self.refusals.renew(now, &to),
             MoveFailure::RefusedBySource => self.refusals.renew(now, &self.engine),
+            MoveFailure::NotInProgress if way == MoveMethod::Backup => {}
             MoveFailure::NotInProgress => self.retries.note_failure(now),
             MoveFailure::Expired => {}
         }
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -244,3 +244,20 @@
     let of_large = ordered.iter().filter(|run| run.as_str() == "large").count();
     assert!(of_large >= 3, "{ordered:?}");
 }
+
+/// The copy at the backup engine cannot be used; the run was ordered to be copied only with the
+/// next report.
+#[test]
+fn a_run_whose_backup_is_lost_is_copied_at_once() {
+    let mut pool = draining_pool(&["r"]);
+    let backup = UpstreamName::new("e2");
+    report(&mut pool, 15, &[RunState { backup: Some(backup.clone()), ..at_e1("r") }]);
+    assert_eq!(order(&mut pool, 20).way, MoveMethod::Backup);
+    // A report from before the order.
+    report(&mut pool, 25, &[RunState { backup: Some(backup.clone()), ..at_e1("r") }]);
+    assert_eq!(pool.plan_moves(Time(25), None), []);
+    report(&mut pool, 40, &[moving("r", &backup)]);
+    assert_eq!(pool.plan_moves(Time(40), None), []);
+    report(&mut pool, 60, &[at_e1("r")]);
+    assert_eq!(order(&mut pool, 60).way, MoveMethod::Copy);
+}
