Look for missed notices only with the whole list of a cell

A daemon that tracks more cells after a change of the division has an incomplete list until its next read, which takes seconds while the store is slow; engines missing from it would have counted as removed after 1 s, and their runs would have been copied for nothing. Found by reading; the placement of new runs has the same guard. Not covered by a test: the division is not reachable from the pool's tests.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -270,11 +270,10 @@
         self.invalidate_loads();
     }
 
-    /// Drops runs that are no longer reported, finds engines whose notice was missed, refuses queued runs whose patience has run out, and
+    /// Drops runs that are no longer reported, refuses queued runs whose patience has run out, and
     /// places those that fit now. Returns the outcomes of queued runs.
     pub fn tick(&mut self, now: Time) -> Vec<Event> {
         self.runs.retain(|_, run| now.since(run.confirmed_at) < RUN_LIFETIME);
-        self.find_draining_engines(now);
         let mut events = Vec::new();
         for request in self.queue.expire(now) {
             let wait = self.expected_wait(now, &request);
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -304,8 +304,8 @@
     }
 
     /// Marks engines that have runs and may not get new ones as draining: this pool may be younger
-    /// than their notices.
-    pub(super) fn find_draining_engines(&mut self, now: Time) {
+    /// than their notices. The pool must have all engines that are listed.
+    pub fn find_draining_engines(&mut self, now: Time) {
         let (engines, runs) = (&self.engines, &self.runs);
         self.unlisted.retain(|name, _| {
             !engines.contains_key(name) && runs.values().any(|run| run.engine == *name)
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -87,7 +87,7 @@
     let mut pool = Pool::new(ServiceName::new("guide"), config());
     set_unusable(&mut pool, &["e1"]);
     report(&mut pool, 10, &[at_e1("r")]);
-    pool.tick(Time(20));
+    pool.find_draining_engines(Time(20));
     assert!(pool.has_runs_to_move());
     assert_eq!(order(&mut pool, 20).from.as_str(), "e1");
 }
@@ -100,7 +100,7 @@
     pool.set_engines(engines.iter().map(|l| (l, true)));
     let ordered_at = (0..5_000).step_by(50).find(|now| {
         report(&mut pool, *now, &[at_e1("r")]);
-        pool.tick(Time(*now));
+        pool.find_draining_engines(Time(*now));
         !pool.plan_moves(Time(*now), None).is_empty()
     });
     let ordered_at = ordered_at.expect("the run is ordered to move");
@@ -116,7 +116,7 @@
     pool.report(Time(1_000), &HostName::new("edge-1"), &over);
     set_unusable(&mut pool, &[]);
     report(&mut pool, 3_000, &[at_e1("new")]);
-    pool.tick(Time(3_000));
+    pool.find_draining_engines(Time(3_000));
     assert!(!pool.has_runs_to_move());
     assert_eq!(pool.plan_moves(Time(3_000), None), []);
 }
@@ -157,7 +157,7 @@
     set_unusable(&mut pool, &["e1"]);
     let to = UpstreamName::new("e2");
     report(&mut pool, 10, &[moving("r", &to)]);
-    pool.tick(Time(10));
+    pool.find_draining_engines(Time(10));
     assert_eq!(pool.plan_moves(Time(10), None), []);
     report(&mut pool, 300, &[moving("r", &to)]);
     assert_eq!(pool.plan_moves(Time(300), None), []);
--- a/core/tests/relocation_fleet.rs
+++ b/core/tests/relocation_fleet.rs
@@ -184,6 +184,7 @@
             }
         }
         (0..RUNS).for_each(|n| self.advance(n));
+        self.pool.find_draining_engines(now);
         self.pool.tick(now);
         for order in self.pool.plan_moves(now, None) {
             self.check_single(&order)?;
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -150,7 +150,10 @@
     }
 
     pub(super) fn tick_pools(&mut self, now: Time) {
-        for pool in self.pools.by_key.values_mut() {
+        for (key, pool) in &mut self.pools.by_key {
+            if self.cells.covered.covers_cell(key.cell) {
+                pool.find_draining_engines(now);
+            }
             for event in pool.tick(now) {
                 let (run, outcome) = match event {
                     Event::Placed(run, placement) => (run, place_outcome(&self.fleet, &placement)),
