Look for missed notices only after a change

Each tick of every pool looked up the engine of each run. Now only after the list has changed, a run was reported for the first time or at another engine, or while an engine with runs is not listed.

--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -114,6 +114,8 @@
     lengths: LengthEstimator,
     /// Engines to move runs away from, with the start of draining.
     draining: HashMap<UpstreamName, Time>,
+    /// Whether a run may be at an engine that has not been looked at since.
+    has_unchecked_engines: bool,
     /// Engines that have runs but are not listed, with the time at which that was noticed.
     unlisted: HashMap<UpstreamName, Time>,
     /// Engines whose link a copy uses, until the copy should end or its move has ended.
@@ -134,6 +136,7 @@
             queue: Queue::new(),
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
+            has_unchecked_engines: false,
             unlisted: HashMap::new(),
             busy_links: HashMap::new(),
             failed_moves: FailedMoves::default(),
@@ -182,6 +185,7 @@
             engines.insert(listed.name.clone(), Engine { is_usable, ..engine });
         }
         self.engines = engines;
+        self.has_unchecked_engines = true;
         let engines = &self.engines;
         // An engine may start again under its name.
         self.draining.retain(|name, _| !engines.get(name).is_some_and(|engine| engine.is_usable));
@@ -383,6 +387,7 @@
                         );
                     }
                     if run.engine != state.engine {
+                        self.has_unchecked_engines = true;
                         run.engine = state.engine.clone();
                         run.pending_move = None;
                         run.retries = Retries::default();
@@ -410,6 +415,7 @@
                         confirmed_at: now,
                     };
                     run.update_move(now, state);
+                    self.has_unchecked_engines = true;
                     self.runs.insert(state.run.clone(), run);
                 }
             }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -306,6 +306,9 @@
     /// Marks engines that have runs and may not get new ones as draining: this pool may be younger
     /// than their notices. The pool must have all engines that are listed.
     pub fn find_draining_engines(&mut self, now: Time) {
+        if !self.has_unchecked_engines {
+            return;
+        }
         let (engines, runs) = (&self.engines, &self.runs);
         self.unlisted.retain(|name, _| {
             !engines.contains_key(name) && runs.values().any(|run| run.engine == *name)
@@ -324,6 +327,7 @@
                 found.insert(run.engine.clone());
             }
         }
+        self.has_unchecked_engines = !self.unlisted.is_empty();
         for engine in found {
             self.drain_engine(now, &engine);
         }
