--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -14,7 +14,7 @@
     EndedRun, EngineUse, Event, Occupancy, Placement, PlacementDecision, PlacementRequest, Report,
     RunState,
 };
-pub use relocation::{MoveMethod, RunMove};
+pub use relocation::{DrainStatus, FailedMove, FailedMoves, MoveFailure, MoveMethod, RunMove};
 
 use crate::admission::load::Footprint;
 use crate::estimate::LengthEstimator;
@@ -24,7 +24,7 @@
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
-use relocation::{PendingMove, Refusals};
+use relocation::{LinkUse, PendingMove, Refusals, Retries};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -64,7 +64,10 @@
     backup: Option<UpstreamName>,
     /// The move that the holder was ordered to make, until it ends.
     pending_move: Option<PendingMove>,
+    /// Target of a move that its holder still reports after the move's time limit.
+    expired_move: Option<UpstreamName>,
     refusals: Refusals,
+    retries: Retries,
     footprint: Footprint,
     placed_at: Time,
     /// Expected end of its prefill.
@@ -111,8 +114,13 @@
     lengths: LengthEstimator,
     /// Engines to move runs away from, with the start of draining.
     draining: HashMap<UpstreamName, Time>,
-    /// Engines whose link is in use by a copy, with the time at which the copy should end.
-    busy_links: HashMap<UpstreamName, Time>,
+    /// Whether a run may be at an engine that has not been looked at since.
+    has_unchecked_engines: bool,
+    /// Engines that have runs but are not listed, with the time at which that was noticed.
+    unlisted: HashMap<UpstreamName, Time>,
+    /// Engines whose link a copy uses, until the copy should end or its move has ended.
+    busy_links: HashMap<UpstreamName, LinkUse>,
+    failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
 }
@@ -128,7 +136,10 @@
             queue: Queue::new(),
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
+            has_unchecked_engines: false,
+            unlisted: HashMap::new(),
             busy_links: HashMap::new(),
+            failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
         }
     }
@@ -174,6 +185,10 @@
             engines.insert(listed.name.clone(), Engine { is_usable, ..engine });
         }
         self.engines = engines;
+        self.has_unchecked_engines = true;
+        let engines = &self.engines;
+        // An engine may start again under its name.
+        self.draining.retain(|name, _| !engines.get(name).is_some_and(|engine| engine.is_usable));
         self.invalidate_loads();
     }
 
@@ -328,7 +343,9 @@
             engine: placement.engine.clone(),
             backup: placement.backup.clone(),
             pending_move: None,
+            expired_move: None,
             refusals: Refusals::default(),
+            retries: Retries::default(),
             footprint: Footprint {
                 prompt: f64::from(request.prompt_tokens),
                 written: 0.0,
@@ -370,27 +387,35 @@
                         );
                     }
                     if run.engine != state.engine {
+                        self.has_unchecked_engines = true;
                         run.engine = state.engine.clone();
                         run.pending_move = None;
+                        run.retries = Retries::default();
+                    }
+                    if let Some(failed) = run.update_move(now, state) {
+                        self.failed_moves.push(failed);
                     }
-                    run.update_move(now, state.moving_to.as_ref(), &state.refused);
                     run.backup = backup;
                     run.footprint = footprint;
                     run.confirmed_at = now;
                 }
                 None => {
-                    let run = Run {
+                    let mut run = Run {
                         holder: holder.clone(),
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
                         backup,
                         pending_move: None,
+                        expired_move: None,
                         refusals: Refusals::default(),
+                        retries: Retries::default(),
                         footprint,
                         placed_at: now,
                         prefill_due: now,
                         confirmed_at: now,
                     };
+                    run.update_move(now, state);
+                    self.has_unchecked_engines = true;
                     self.runs.insert(state.run.clone(), run);
                 }
             }
