Bytes by purpose, calls in progress and failed calls between daemons

Neither the bytes that daemons send each other, nor how polls and state requests failed, showed in metrics or logs (failed polls were logged at level debug only). Counts configuration and list bytes sent and received, calls in progress, failed calls by purpose, and logs a failed call with its source, duration and version, rate-limited.

--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -118,16 +118,8 @@
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
             let timeout = (POLL_WAIT + POLL_REPLY_TIME).into();
-            let call =
-                shared.peers.call(source, timeout, |mut peer| async move { peer.state(req).await });
-            let reply = match call.await {
-                Ok(reply) => Some(Box::new(reply)),
-                Err(e) => {
-                    log::debug!("poll of a followed daemon failed: {e}");
-                    None
-                }
-            };
-            shared.tell(Message::Followed { source, reply });
+            let reply = shared.call_state("poll", source, timeout, req).await;
+            shared.tell(Message::Followed { source, reply: reply.map(Box::new) });
         });
     }
 
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -131,6 +131,11 @@
         let scope = CellSet::new([cell]);
         let position = StorePosition { era: report.list_era, offset: report.list_offset };
         let sends_list = report.wants_list && self.cells.covered.covers(&scope);
+        let list = match sends_list {
+            true => self.list_json_after(position, &scope),
+            false => String::new(),
+        };
+        self.shared.metrics.add("bytes_sent", "list", list.len());
         RunsReply {
             host: self.membership.own().host.to_string(),
             uses: uses.iter().map(use_to_proto).collect(),
@@ -138,10 +143,7 @@
             list_offset: self.fleet.position().offset,
             list_era: self.fleet.position().era,
             list_age_ms: if sends_list { self.list_age_ms(now) } else { u32::MAX },
-            list: match sends_list {
-                true => self.list_json_after(position, &scope),
-                false => String::new(),
-            },
+            list,
             configuration_version: self.version(),
             refused: self.all_refused(),
             layout: Some(self.cells.layout.into()),
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -219,12 +219,9 @@
         let req = self.state_request(self.shared.clock.now());
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
-            let call = shared
-                .peers
-                .call(address, STATE_TIMEOUT, |mut peer| async move { peer.state(req).await });
-            match call.await {
-                Ok(state) => shared.tell(Message::PeerState(Box::new(state))),
-                Err(e) => log::debug!("state request to a peer failed: {e}"),
+            let reply = shared.call_state("state", address, STATE_TIMEOUT, req).await;
+            if let Some(state) = reply {
+                shared.tell(Message::PeerState(Box::new(state)));
             }
         });
     }
@@ -241,9 +238,13 @@
         let configuration = newer.map(|table| to_json(table.configuration()));
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         let reader = self.shared.last_configuration_read().reader;
+        let configuration = configuration.unwrap_or_default();
+        let list = self.list_json_after(list_position(req), &wanted);
+        self.shared.metrics.add("bytes_sent", "configuration", configuration.len());
+        self.shared.metrics.add("bytes_sent", "list", list.len());
         StateReply {
-            configuration: configuration.unwrap_or_default(),
-            list: self.list_json_after(list_position(req), &wanted),
+            configuration,
+            list,
             list_offset: self.fleet.position().offset,
             list_era: self.fleet.position().era,
             list_age_ms: if is_covered { self.list_age_ms(now) } else { u32::MAX },
@@ -313,6 +314,7 @@
     }
 
     pub(super) fn apply_peer_state(&mut self, now: Time, state: &StateReply) {
+        self.shared.metrics.add("bytes_received", "configuration", state.configuration.len());
         if !state.configuration.is_empty() {
             match serde_json::from_str(&state.configuration) {
                 Ok(configuration) => self.apply_configuration(now, configuration),
@@ -353,6 +355,7 @@
         if age_ms > MAX_LIST_AGE_MS || position < self.fleet.position() {
             return;
         }
+        self.shared.metrics.add("bytes_received", "list", list.len());
         let read_at = now - Millis(u64::from(age_ms));
         if list.is_empty() {
             // The peer has read up to a later offset and found no change.
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -146,6 +146,16 @@
         self.shared.metrics.count("store_call", purpose);
     }
 
+    /// Counts a failed call to the store by its purpose.
+    pub fn count_failed_store_call(&self, purpose: &'static str) {
+        self.shared.metrics.count("store_call_failed", purpose);
+    }
+
+    /// Counts bytes of records received from the store by their purpose.
+    pub fn count_store_bytes(&self, purpose: &'static str, bytes: usize) {
+        self.shared.metrics.add("bytes_received_from_store", purpose, bytes);
+    }
+
     /// The time by the daemon's clock.
     pub fn now(&self) -> Time {
         self.shared.clock.now()
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -14,12 +14,13 @@
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
-use magnoliawinch_peer::{PeerChannels, RelayClient};
+use magnoliawinch_peer::{PeerChannels, PeerError, RelayClient, StateReply, StateRequest};
 use magnoliawinch_runtime::{InProgressGuard, RequestCounter, ask};
 use magnoliawinch_telemetry::{LogLimiter, Metrics};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -56,6 +57,8 @@
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
     requests: RequestCounter,
+    /// Polls and state requests without a reply.
+    state_calls: RequestCounter,
     /// When the list of upstreams was last read, as a `Time`; zero if never.
     list_read_at: AtomicU64,
     configuration_reads: Mutex<KnownReads>,
@@ -94,6 +97,7 @@
             traffic,
             routing: Mutex::new(routing),
             requests: RequestCounter::new(),
+            state_calls: RequestCounter::new(),
             list_read_at: AtomicU64::new(0),
             configuration_reads: Mutex::new(KnownReads::new(own_hash)),
             read_attempted_at: AtomicU64::new(0),
@@ -123,6 +127,52 @@
         }
     }
 
+    /// Requests the state of the daemon at `address`; logs and counts a failure by `purpose`.
+    pub(crate) async fn call_state(
+        &self,
+        purpose: &'static str,
+        address: SocketAddr,
+        timeout: Duration,
+        req: StateRequest,
+    ) -> Option<StateReply> {
+        let (version, started_at) = (req.configuration_version, self.clock.now());
+        let result = {
+            let _in_progress = self.state_calls.track();
+            self.metrics.set("state_calls", "in_progress", self.state_calls.in_progress());
+            self.peers.call(address, timeout, |mut peer| async move { peer.state(req).await }).await
+        };
+        self.metrics.set("state_calls", "in_progress", self.state_calls.in_progress());
+        match result {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                self.note_failed_call(purpose, address, started_at, version, &e);
+                None
+            }
+        }
+    }
+
+    fn note_failed_call(
+        &self,
+        purpose: &'static str,
+        address: SocketAddr,
+        started_at: Time,
+        version: u64,
+        e: &PeerError,
+    ) {
+        self.metrics.count("peer_call_failed", purpose);
+        let now = self.clock.now();
+        if self.log_limiter.admits(now) {
+            log::warn!(
+                what = purpose,
+                source:% = address,
+                took_ms = now.since(started_at).0,
+                version,
+                in_progress = self.state_calls.in_progress();
+                "call to a peer failed: {e}"
+            );
+        }
+    }
+
     /// Credits a request for `service`, which adds a fraction of a retry to its budget.
     pub(crate) fn earn_retry(&self, service: &ServiceName) {
         self.with_budget(service, |budget, now| budget.record_request(now));
--- a/telemetry/src/metrics.rs
+++ b/telemetry/src/metrics.rs
@@ -1,6 +1,6 @@
-//! Counters and latency histograms, rendered as text.
+//! Counters, gauges and latency histograms, rendered as text.
 
-use cadence::{Counted, MetricSink, StatsdClient, Timed};
+use cadence::{Counted, Gauged, MetricSink, StatsdClient, Timed};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 enum Value {
     Count(i64),
+    Gauge(i64),
     /// Durations, in milliseconds.
     Durations(Box<Histogram<u64>>),
 }
@@ -43,13 +44,17 @@
         match kind {
             "c" => match values.entry(key).or_insert(Value::Count(0)) {
                 Value::Count(count) => *count += number,
-                Value::Durations(_) => return None,
+                Value::Gauge(_) | Value::Durations(_) => return None,
+            },
+            "g" => match values.entry(key).or_insert(Value::Gauge(0)) {
+                Value::Gauge(current) => *current = number,
+                Value::Count(_) | Value::Durations(_) => return None,
             },
             _ => {
                 let histogram = Histogram::new(SIGNIFICANT_DIGITS).ok()?;
                 match values.entry(key).or_insert_with(|| Value::Durations(Box::new(histogram))) {
                     Value::Durations(times) => times.saturating_record(number.max(0) as u64),
-                    Value::Count(_) => return None,
+                    Value::Count(_) | Value::Gauge(_) => return None,
                 }
             }
         }
@@ -61,7 +66,7 @@
         let mut text = String::new();
         for (key, value) in values.iter() {
             match value {
-                Value::Count(count) => {
+                Value::Count(count) | Value::Gauge(count) => {
                     let _ = writeln!(text, "{key} {count}");
                 }
                 Value::Durations(times) => {
@@ -117,12 +122,24 @@
         self.client.count_with_tags(name, 1).with_tag_value(tag).send();
     }
 
+    /// Adds `amount` to counter `name` with `tag`.
+    pub fn add(&self, name: &str, tag: &str, amount: usize) {
+        if amount > 0 {
+            self.client.count_with_tags(name, amount as i64).with_tag_value(tag).send();
+        }
+    }
+
+    /// Sets gauge `name` with `tag`.
+    pub fn set(&self, name: &str, tag: &str, value: u64) {
+        self.client.gauge_with_tags(name, value).with_tag_value(tag).send();
+    }
+
     /// Records a duration in histogram `name` with `tag`.
     pub fn time(&self, name: &str, tag: &str, duration: Duration) {
         self.client.time_with_tags(name, duration).with_tag_value(tag).send();
     }
 
-    /// All metrics as text: one line per counter, several per histogram.
+    /// All metrics as text: one line per counter or gauge, several per histogram.
     pub fn text(&self) -> String {
         self.registry.text()
     }
