--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -234,7 +234,7 @@
 impl Node {
     /// Starts the control thread and the gRPC service for other daemons.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
-        let peers = listen("peer_address", settings.peer_address).await?;
+        let peers = listen("peer_listen_address", settings.peer_listen_address).await?;
         let clock = Clock::new();
         let own = Member {
             host: settings.host.clone(),
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -22,8 +22,10 @@
     pub ready_address: SocketAddr,
     /// Address that serves the directory of hosts.
     pub directory_address: SocketAddr,
-    /// Address that serves other daemons.
+    /// Address under which other daemons reach this one.
     pub peer_address: SocketAddr,
+    /// Address that serves other daemons; differs from `peer_address` behind a port forwarding.
+    pub peer_listen_address: SocketAddr,
     /// Address that serves metrics as text; `None` disables it.
     pub metrics_address: Option<SocketAddr>,
     /// Peer addresses of some daemons; may be outdated.
@@ -73,6 +75,7 @@
         let mut host = doc.section("host")?;
         let mut platform = doc.section("platform")?;
         let mut bounds = doc.section("bounds")?;
+        let peer_address = daemon.required("peer_address")?;
         let settings = Self {
             host: HostName::from(daemon.name("host")?),
             failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
@@ -80,7 +83,8 @@
             caller_address: daemon.required("caller_address")?,
             ready_address: daemon.required("ready_address")?,
             directory_address: daemon.required("directory_address")?,
-            peer_address: daemon.required("peer_address")?,
+            peer_address,
+            peer_listen_address: daemon.value_or("peer_listen_address", peer_address)?,
             metrics_address: daemon.optional("metrics_address")?,
             seeds: addresses(&mut daemon, "seeds")?,
             store_address: platform.required("store_address")?,
