Configurations in chunks, apart from polls

Cause: replies to polls and state requests carried the whole configuration as JSON within 950 and 1,000 ms. A link that did not carry it in time got nothing, the next source was asked for all of it again, several at once, and the small messages on the same link were late too.

Replies now name version, digest and length of the body; it is part of them up to 16 KiB only. Larger ones are fetched by a call of their own, on a connection of its own: 32 KiB a call, one call at a time, 2 s each. core/src/dissemination/transfer.rs decides, without I/O: what has arrived is kept when a source fails; a newer version waits, so that a storm of versions cannot starve a slow link; digests are checked. A source serves four followers at a time. The body is serialised and compressed once by whoever reads the store and passed on as it is (zlib, fastest level). Announcements by owners of pools are followed up after 1,000 instead of 300 ms, as a poll of a silent source takes 950 ms; the test of that limit keeps its steps with the longer time.

--- a/core/src/announced_versions.rs
+++ b/core/src/announced_versions.rs
@@ -7,8 +7,9 @@
 use std::net::SocketAddr;
 
 /// Time for an announced version to arrive before the peer is asked, and interval between such
-/// requests.
-const PEER_QUERY_DELAY: Millis = Millis(300);
+/// requests. Longer than a failed poll of the followed daemon: peers that announce are the owners of
+/// pools, which report to all, and must not be asked by all.
+const PEER_QUERY_DELAY: Millis = Millis(1_000);
 
 #[derive(Clone, Copy, Debug)]
 struct Announced {
--- a/core/src/dissemination.rs
+++ b/core/src/dissemination.rs
@@ -7,15 +7,24 @@
 //! logarithm of the fleet, and crosses into each failure domain twice. A daemon whose source is
 //! silent or outdated tries the next one: another daemon of the parent's level, then the readers
 //! and their deputies.
+//!
+//! Polls carry small news only. The body of a large configuration follows in chunks, see
+//! [`Transfer`].
 
 mod follower;
 mod store_reads;
+mod transfer;
+mod transfer_slots;
 
 pub use follower::{
     Follower, POLL_REPLY_TIME, POLL_WAIT, STANDBY_RANK, follows_newest_reader, follows_others,
     is_outdated,
 };
 pub use store_reads::{KnownRead, KnownReads, NO_RANK, ReadStatus, Reader, StoreFallback};
+pub use transfer::{
+    BodyId, CHUNK_BYTES, CHUNK_TIMEOUT, ChunkRequest, ChunkResult, MAX_BODY_BYTES, Transfer,
+};
+pub use transfer_slots::{MAX_SERVED, TransferSlots};
 
 use crate::capacity::Capacity;
 use crate::membership::{Member, MemberState, Membership};
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: owns this daemon's cluster state and its engine pools.
 
 mod cells;
+mod configurations;
 mod convert;
 mod following;
 mod members;
@@ -17,7 +18,7 @@
 use following::HeldPoll;
 use magnoliawinch::announced_versions::AnnouncedVersions;
 use magnoliawinch::cells::{Cell, CellSet};
-use magnoliawinch::dissemination::Follower;
+use magnoliawinch::dissemination::{ChunkRequest, Follower, Transfer};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
@@ -27,7 +28,8 @@
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{
-    ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
+    FetchReply, ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply,
+    StateRequest,
 };
 use magnoliawinch_runtime::ControlState;
 use pools::Pools;
@@ -94,9 +96,11 @@
     /// Another daemon's request for configuration and list of upstreams.
     State { req: StateRequest, reply: oneshot::Sender<StateReply> },
     /// A peer's reply to such a request.
-    PeerState(Box<StateReply>),
+    PeerState { source: SocketAddr, state: Box<StateReply> },
     /// The reply of the daemon that this one follows; `None` if the poll failed.
     Followed { source: SocketAddr, reply: Option<Box<StateReply>> },
+    /// The reply to a request for a chunk of a configuration; `None` if there was none.
+    Chunk { req: ChunkRequest, reply: Option<FetchReply> },
     /// This daemon is shutting down.
     Leave,
 }
@@ -120,6 +124,7 @@
     refused: RefusedFingerprints,
     announced_versions: AnnouncedVersions,
     follower: Follower,
+    transfer: Transfer,
     reader_rank: Option<usize>,
     /// Addresses of the readers and deputies, by the hashes of their hosts' names.
     reader_addresses: HashMap<u64, SocketAddr>,
@@ -150,6 +155,7 @@
             refused: RefusedFingerprints::new(),
             announced_versions: AnnouncedVersions::new(),
             follower: Follower::new(now),
+            transfer: Transfer::new(),
             reader_rank: None,
             reader_addresses: HashMap::new(),
             held_polls: Vec::new(),
@@ -180,6 +186,7 @@
         }
         log::info!(version, old_version = old.unwrap_or(0); "configuration in force");
         self.table = Some(Arc::new(RouteTable::new(configuration)));
+        self.transfer.set_in_force(version);
         // The configuration defines which services have engines.
         self.update_owners();
         if self.membership.own().state == MemberState::Joining {
@@ -281,7 +288,10 @@
             Message::State { req, reply } => {
                 self.handle_state_request(now, req, reply);
             }
-            Message::PeerState(state) => self.apply_peer_state(now, &state),
+            Message::PeerState { source, state } => {
+                self.apply_peer_state(now, source, false, &state);
+            }
+            Message::Chunk { req, reply } => self.handle_chunk(now, &req, reply.as_ref()),
             Message::Followed { source, reply } => {
                 self.handle_followed(now, source, reply.as_deref());
             }
@@ -303,6 +313,7 @@
         self.request_announced_version(now);
         self.poll_readers(now);
         self.follow_source(now);
+        self.fetch_chunk(now);
         self.answer_held_polls(now);
         self.publish_view_if_due(now);
     }
--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -66,7 +66,7 @@
     fn has_news_for(&self, poll: &HeldPoll) -> bool {
         let has_read = self.shared.last_configuration_read().at >= poll.read_at + READ_PROGRESS;
         let has_tried = self.shared.last_read_attempt() >= poll.attempted_at + READ_PROGRESS;
-        self.version() > poll.req.configuration_version
+        self.version() > poll.req.configuration_version.max(poll.req.announced_version)
             || has_read
             || has_tried
             || self.has_list_for(&poll.req)
@@ -136,7 +136,7 @@
                 let attempt_age = Millis(u64::from(reply.attempt_age_ms));
                 let is_outdated = is_outdated(self.reader_rank, read_age, attempt_age);
                 self.follower.replied(now, source, is_outdated);
-                self.apply_peer_state(now, reply);
+                self.apply_peer_state(now, source, true, reply);
                 if follows_newest_reader(self.reader_rank) {
                     let newest = self.shared.last_configuration_read().reader.host;
                     if let Some(reader) = self.reader_addresses.get(&newest) {
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -192,8 +192,8 @@
 
     /// Requests an announced version from a peer if it has not arrived in time.
     pub(super) fn request_announced_version(&mut self, now: Time) {
-        let in_force = self.version();
-        if let Some(peer) = self.announced_versions.peer_to_query(now, in_force) {
+        let known = self.version().max(self.transfer.newest_version());
+        if let Some(peer) = self.announced_versions.peer_to_query(now, known) {
             self.request_state(peer);
         }
     }
@@ -203,6 +203,7 @@
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         StateRequest {
             configuration_version: self.version(),
+            announced_version: self.transfer.newest_version(),
             list_offset: self.list_position().offset,
             list_era: self.list_position().era,
             wanted: self.cells.needed.cells().map(Into::into).collect(),
@@ -221,7 +222,7 @@
         self.shared.traffic.spawn(async move {
             let reply = shared.call_state("state", address, STATE_TIMEOUT, req).await;
             if let Some(state) = reply {
-                shared.tell(Message::PeerState(Box::new(state)));
+                shared.tell(Message::PeerState { source: address, state: Box::new(state) });
             }
         });
     }
@@ -233,14 +234,12 @@
         }
         let wanted = cell_set(&req.wanted);
         let is_covered = self.cells.covered.covers(&wanted);
-        let is_newer = |version: u64| version > req.configuration_version;
-        let newer = self.table.as_ref().filter(|table| is_newer(table.version()));
-        let configuration = newer.map(|table| to_json(table.configuration()));
+        let configuration = self.configuration_after(now, req.configuration_version);
         let (configuration_age_ms, attempt_age_ms) = self.read_ages_ms(now);
         let reader = self.shared.last_configuration_read().reader;
-        let configuration = configuration.unwrap_or_default();
         let list = self.list_json_after(list_position(req), &wanted);
-        self.shared.metrics.add("bytes_sent", "configuration", configuration.len());
+        let inline = configuration.as_ref().map_or(0, |configuration| configuration.body.len());
+        self.shared.metrics.add("bytes_sent", "configuration", inline);
         self.shared.metrics.add("bytes_sent", "list", list.len());
         StateReply {
             configuration,
@@ -313,13 +312,17 @@
         self.fleet.read_at().map_or(u32::MAX, |at| age_ms(now, at))
     }
 
-    pub(super) fn apply_peer_state(&mut self, now: Time, state: &StateReply) {
-        self.shared.metrics.add("bytes_received", "configuration", state.configuration.len());
-        if !state.configuration.is_empty() {
-            match serde_json::from_str(&state.configuration) {
-                Ok(configuration) => self.apply_configuration(now, configuration),
-                Err(e) => log::warn!("failed to parse a peer's configuration: {e}"),
-            }
+    /// Applies the state of the daemon at `source`; `is_followed` if this daemon polls it.
+    pub(super) fn apply_peer_state(
+        &mut self,
+        now: Time,
+        source: SocketAddr,
+        is_followed: bool,
+        state: &StateReply,
+    ) {
+        if let Some(configuration) = &state.configuration {
+            self.shared.metrics.add("bytes_received", "configuration", configuration.body.len());
+            self.apply_peer_configuration(now, source, is_followed, configuration);
         }
         self.shared.note_configuration_read(KnownRead {
             at: now - Millis(u64::from(state.configuration_age_ms)),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod clock;
+mod configuration_body;
 mod control;
 mod directory;
 mod events;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -156,6 +156,11 @@
         self.shared.metrics.add("bytes_received_from_store", purpose, bytes);
     }
 
+    /// Whether a newer configuration is being received from another daemon.
+    pub fn receives_configuration(&self) -> bool {
+        self.shared.receives_configuration()
+    }
+
     /// The time by the daemon's clock.
     pub fn now(&self) -> Time {
         self.shared.clock.now()
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -1,15 +1,18 @@
 //! The gRPC service for other daemons.
 
+use crate::configuration_body::Chunk;
 use crate::control::{Message, PlaceOutcome};
 use crate::shared::Shared;
+use bytes::Bytes;
 use magnoliawinch::names::{
     FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
 };
 use magnoliawinch::pool::PlacementRequest;
+use magnoliawinch::rendezvous;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
-    CellOf, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, Relay, RelocateReply,
-    RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
+    CellOf, FetchReply, FetchRequest, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, Relay,
+    RelocateReply, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
 };
 use std::sync::Arc;
 use strum::FromRepr;
@@ -26,6 +29,15 @@
     Queued = 3,
 }
 
+/// Values of `FetchReply::result` on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr)]
+#[repr(u32)]
+pub(crate) enum FetchCode {
+    Data = 0,
+    Busy = 1,
+    Unknown = 2,
+}
+
 /// Implements the gRPC service that other daemons call.
 #[derive(Debug)]
 pub(crate) struct RelayService {
@@ -93,6 +105,34 @@
         let req = req.into_inner();
         self.ask(|reply| Message::State { req, reply }).await.map(Response::new)
     }
+
+    async fn fetch(&self, req: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
+        let FetchRequest { version, digest, offset, host } = req.into_inner();
+        let (now, follower) = (self.shared.clock.now(), rendezvous::hash(&host));
+        let chunk = self.shared.bodies().chunk(now, follower, (version, digest), offset as usize);
+        Ok(Response::new(self.fetch_reply(chunk)))
+    }
+}
+
+impl RelayService {
+    fn fetch_reply(&self, chunk: Chunk) -> FetchReply {
+        let metrics = &self.shared.metrics;
+        let (result, data, retry_after) = match chunk {
+            Chunk::Data(data) => {
+                metrics.add("bytes_sent", "configuration", data.len());
+                (FetchCode::Data, data, Millis(0))
+            }
+            Chunk::Busy(wait) => {
+                metrics.count("refused_chunk", "busy");
+                (FetchCode::Busy, Bytes::new(), wait)
+            }
+            Chunk::Unknown => {
+                metrics.count("refused_chunk", "unknown");
+                (FetchCode::Unknown, Bytes::new(), Millis(0))
+            }
+        };
+        FetchReply { result: result as u32, data, retry_after_ms: retry_after.0 as u32 }
+    }
 }
 
 fn place_reply(outcome: PlaceOutcome) -> PlaceReply {
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -1,20 +1,23 @@
 //! State shared by all tasks of one daemon.
 
 use crate::clock::Clock;
+use crate::configuration_body::ServedBodies;
 use crate::control::Message;
 use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::view::View;
 use arc_swap::ArcSwap;
 use magnoliawinch::balance::Balancer;
-use magnoliawinch::dissemination::{KnownRead, KnownReads};
+use magnoliawinch::dissemination::{ChunkRequest, KnownRead, KnownReads};
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::Client;
-use magnoliawinch_peer::{PeerChannels, PeerError, RelayClient, StateReply, StateRequest};
+use magnoliawinch_peer::{
+    FetchReply, FetchRequest, PeerChannels, PeerError, RelayClient, StateReply, StateRequest,
+};
 use magnoliawinch_runtime::{InProgressGuard, RequestCounter, ask};
 use magnoliawinch_telemetry::{LogLimiter, Metrics};
 use rand::SeedableRng;
@@ -32,6 +35,10 @@
 /// the shortest requests.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after the last chunk for which a daemon waits for a transfer from a peer instead of reading
+/// the store.
+const TRANSFER_PATIENCE: Millis = Millis(1_500);
+
 /// Routing state of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct Routing {
@@ -50,6 +57,8 @@
     pub(crate) view: ArcSwap<View>,
     pub(crate) control: mpsc::Sender<Message>,
     pub(crate) peers: PeerChannels<RelayClient<Channel>>,
+    /// Channels for transfers, which must not delay other messages or fail with them.
+    pub(crate) bulk_peers: PeerChannels<RelayClient<Channel>>,
     pub(crate) upstreams: Client,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
@@ -59,6 +68,9 @@
     requests: RequestCounter,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
+    bodies: Mutex<ServedBodies>,
+    /// Until when a transfer of a configuration from a peer counts as advancing.
+    receives_until: AtomicU64,
     /// When the list of upstreams was last read, as a `Time`; zero if never.
     list_read_at: AtomicU64,
     configuration_reads: Mutex<KnownReads>,
@@ -90,6 +102,7 @@
             view: ArcSwap::from_pointee(View::new(own)),
             control,
             peers: PeerChannels::new(),
+            bulk_peers: PeerChannels::new(),
             upstreams: Client::new().with_connect_timeout(CONNECT_TIMEOUT),
             runs: Runs::new(),
             metrics: Metrics::new(),
@@ -98,6 +111,8 @@
             routing: Mutex::new(routing),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
+            bodies: Mutex::default(),
+            receives_until: AtomicU64::new(0),
             list_read_at: AtomicU64::new(0),
             configuration_reads: Mutex::new(KnownReads::new(own_hash)),
             read_attempted_at: AtomicU64::new(0),
@@ -145,7 +160,27 @@
         match result {
             Ok(reply) => Some(reply),
             Err(e) => {
-                self.note_failed_call(purpose, address, started_at, version, &e);
+                self.note_failed_call(purpose, started_at, version, 0, &e);
+                None
+            }
+        }
+    }
+
+    /// Requests a chunk; logs and counts a failure.
+    pub(crate) async fn call_fetch(
+        &self,
+        chunk: &ChunkRequest,
+        timeout: Duration,
+        req: FetchRequest,
+    ) -> Option<FetchReply> {
+        let started_at = self.clock.now();
+        let call = self
+            .bulk_peers
+            .call(chunk.source, timeout, |mut peer| async move { peer.fetch(req).await });
+        match call.await {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                self.note_failed_call("chunk", started_at, chunk.id.version, chunk.offset, &e);
                 None
             }
         }
@@ -154,9 +189,9 @@
     fn note_failed_call(
         &self,
         purpose: &'static str,
-        address: SocketAddr,
         started_at: Time,
         version: u64,
+        received: usize,
         e: &PeerError,
     ) {
         self.metrics.count("peer_call_failed", purpose);
@@ -164,9 +199,9 @@
         if self.log_limiter.admits(now) {
             log::warn!(
                 what = purpose,
-                source:% = address,
                 took_ms = now.since(started_at).0,
                 version,
+                received,
                 in_progress = self.state_calls.in_progress();
                 "call to a peer failed: {e}"
             );
@@ -214,6 +249,22 @@
         Time(self.list_read_at.load(Ordering::Acquire))
     }
 
+    /// The bodies of configurations that this daemon serves.
+    pub(crate) fn bodies(&self) -> MutexGuard<'_, ServedBodies> {
+        self.bodies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes whether a configuration is being received from a peer.
+    pub(crate) fn set_receives_configuration(&self, is_advancing: bool, now: Time) {
+        let until = if is_advancing { now + TRANSFER_PATIENCE } else { Time(0) };
+        self.receives_until.store(until.0, Ordering::Release);
+    }
+
+    /// Whether a configuration is being received from a peer, so that the store need not be read.
+    pub(crate) fn receives_configuration(&self) -> bool {
+        self.clock.now() < Time(self.receives_until.load(Ordering::Acquire))
+    }
+
     fn configuration_reads(&self) -> MutexGuard<'_, KnownReads> {
         self.configuration_reads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -10,6 +10,9 @@
 fn main() -> Result<(), Box<dyn Error>> {
     let files = protox::compile([PROTO_FILE], ["peer/proto"])?;
     std::fs::create_dir_all(OUT_DIR)?;
-    tonic_prost_build::configure().out_dir(OUT_DIR).compile_fds(files)?;
+    tonic_prost_build::configure()
+        .out_dir(OUT_DIR)
+        .bytes(".magnoliawinch.peer")
+        .compile_fds(files)?;
     Ok(())
 }
