Reads of the store are limited by progress, not by the time of the whole body

A body that a link does not carry within 500 ms could never be read, and each attempt asked for all of it again.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout as with_timeout};
+use tokio::time::{Instant, timeout as with_timeout, timeout_at};
 
 /// Default timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -30,6 +30,17 @@
 
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Limits for reading a body whose size does not allow for a time limit on the whole of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Maximum size.
+    pub max_bytes: usize,
+    /// Maximum time without any bytes.
+    pub max_gap: Duration,
+    /// Maximum time for all of it, for a server that goes on sending a few bytes at a time.
+    pub max_total: Duration,
+}
+
 /// Which idle connections a request may reuse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -75,6 +86,16 @@
         /// Time limit.
         after: Duration,
     },
+    /// The body of the response stopped arriving.
+    #[error("{address} sent {received} bytes of a body, then nothing for {after:?}")]
+    Stalled {
+        /// Server address.
+        address: SocketAddr,
+        /// Bytes of the body received.
+        received: usize,
+        /// Time limit that was exceeded.
+        after: Duration,
+    },
     /// The response has an error status or an invalid body.
     #[error("response {status} from {address}: {reason}")]
     BadResponse {
@@ -92,9 +113,10 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } | Self::NotSent { .. } => Verdict::NotRun,
-            Self::NoResponse { .. } | Self::Timeout { .. } | Self::BadResponse { .. } => {
-                Verdict::MayHaveRun
-            }
+            Self::NoResponse { .. }
+            | Self::Timeout { .. }
+            | Self::Stalled { .. }
+            | Self::BadResponse { .. } => Verdict::MayHaveRun,
         }
     }
 }
@@ -308,6 +330,38 @@
         Ok(bytes)
     }
 
+    /// Reads the whole body for as long as it goes on arriving, and returns the connection to the
+    /// pool.
+    pub async fn bytes_within(mut self, limits: BodyLimits) -> Result<Bytes, SendError> {
+        let (status, address) = (self.status(), self.address);
+        let closes_connection = self.closes_connection();
+        let bad_response = |reason: String| SendError::BadResponse { address, status, reason };
+        let deadline = Instant::now() + limits.max_total;
+        let mut received = Vec::new();
+        let body = self.response.body_mut();
+        loop {
+            let until = deadline.min(Instant::now() + limits.max_gap);
+            let frame = match timeout_at(until, body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(|e| bad_response(e.to_string()))?,
+                Ok(None) => break,
+                Err(_) => {
+                    let after = if until == deadline { limits.max_total } else { limits.max_gap };
+                    return Err(SendError::Stalled { address, received: received.len(), after });
+                }
+            };
+            if let Ok(data) = frame.into_data() {
+                if received.len() + data.len() > limits.max_bytes {
+                    return Err(bad_response(format!("more than {} bytes", limits.max_bytes)));
+                }
+                received.extend_from_slice(&data);
+            }
+        }
+        if !closes_connection {
+            self.client.keep_idle(address, self.sender);
+        }
+        Ok(received.into())
+    }
+
     /// Reads a JSON body of at most `max_bytes`; fails without a success status.
     pub async fn json<T: DeserializeOwned>(self, max_bytes: usize) -> Result<T, SendError> {
         let status = self.status();
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod lines;
 pub mod server;
 
-pub use client::{Client, ClientResponse, Reuse, SendError};
+pub use client::{BodyLimits, Client, ClientResponse, Reuse, SendError};
 pub use lines::JsonLines;
 pub use server::{
     Body, BodyAborted, ServerLimits, Shutdown, full_body, json_response, serve, serve_with_limits,
