--- a/core/src/dissemination/transfer.rs
+++ b/core/src/dissemination/transfer.rs
@@ -12,7 +12,7 @@
 pub const CHUNK_BYTES: usize = 32_768;
 
 /// Time limit for one chunk. A link of 1 Mbit/s takes 260 ms for it, and may carry other messages.
-pub const CHUNK_TIMEOUT: Millis = Millis(2_000);
+pub const CHUNK_TIMEOUT: Millis = Millis(1_200);
 
 /// Maximum size of a body as it is sent, in bytes.
 pub const MAX_BODY_BYTES: usize = 8_388_608;
@@ -181,10 +181,12 @@
         (self.body, self.pending) = (self.next.take(), None);
     }
 
-    /// Newest version for which a source is known, or that was rejected; zero if there is none.
+    /// Newest version for which a source is known that has not just failed, or that was rejected;
+    /// zero if there is none.
     pub fn newest_version(&self) -> u64 {
+        let is_sound = |source: &Source| source.failures == 0;
         let bodies = self.body.iter().chain(&self.next);
-        let with_source = bodies.filter(|body| !body.sources.is_empty());
+        let with_source = bodies.filter(|body| body.sources.iter().any(is_sound));
         let versions = with_source.map(|body| body.id.version);
         versions.chain(self.rejected.map(|id| id.version)).max().unwrap_or(0)
     }
