--- a/relay/src/configuration_body.rs
+++ b/relay/src/configuration_body.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 /// Maximum size of a decompressed body, in bytes.
-const MAX_JSON_BYTES: u64 = 33_554_432;
+const MAX_JSON_BYTES: u64 = 16_777_216;
 
 /// Buffer between the serializer and the compressor, in bytes.
 const ENCODE_BUFFER_BYTES: usize = 16_384;
