--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -146,6 +146,21 @@
         self.shared.metrics.count("store_call", purpose);
     }
 
+    /// Counts a failed call to the store by its purpose.
+    pub fn count_failed_store_call(&self, purpose: &'static str) {
+        self.shared.metrics.count("store_call_failed", purpose);
+    }
+
+    /// Counts bytes of records received from the store by their purpose.
+    pub fn count_store_bytes(&self, purpose: &'static str, bytes: usize) {
+        self.shared.metrics.add("bytes_received_from_store", purpose, bytes);
+    }
+
+    /// Whether a newer configuration is being received from another daemon.
+    pub fn receives_configuration(&self) -> bool {
+        self.shared.receives_configuration()
+    }
+
     /// The time by the daemon's clock.
     pub fn now(&self) -> Time {
         self.shared.clock.now()
@@ -224,7 +239,7 @@
 impl Node {
     /// Starts the control thread and the gRPC service for other daemons.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
-        let peers = listen("peer_address", settings.peer_address).await?;
+        let peers = listen("peer_listen_address", settings.peer_listen_address).await?;
         let clock = Clock::new();
         let own = Member {
             host: settings.host.clone(),
