Retries pile up over restarts: a failing test

A daemon that starts has its whole share again, and as long as it knows no other, the whole slack of the fleet.

--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -108,3 +108,78 @@
     assert!(!budget.try_spend(Time(9_000), 9));
     assert!(budget.try_spend(Time(21_000), 9));
 }
+
+/// A fleet whose daemons restart and find each other late, all under one clock.
+struct Fleet {
+    budgets: Vec<SharedRetryBudget>,
+    started: Vec<Time>,
+    sent: Vec<u64>,
+    spent: Vec<u64>,
+}
+
+/// Time after its start in which a daemon knows no other.
+const JOIN_DELAY: Millis = Millis(1_500);
+
+impl Fleet {
+    fn new(daemons: usize) -> Self {
+        let budgets = vec![SharedRetryBudget::new(shared_limits()); daemons];
+        Self { budgets, started: vec![Time(0); daemons], sent: Vec::new(), spent: Vec::new() }
+    }
+
+    fn restart(&mut self, now: Time, daemon: usize) {
+        self.budgets[daemon] = SharedRetryBudget::new(shared_limits());
+        self.started[daemon] = now;
+    }
+
+    /// A caller's request that is refused until the budget allows no retry, three times at most.
+    fn request(&mut self, now: Time, daemon: usize) {
+        self.sent.push(now.0);
+        self.budgets[daemon].record_request(now);
+        let has_joined = now.since(self.started[daemon]) >= JOIN_DELAY;
+        let known = if has_joined { self.budgets.len() } else { 1 };
+        for _ in 0..3 {
+            if self.budgets[daemon].try_spend(now, known) {
+                self.spent.push(now.0);
+            }
+        }
+    }
+
+    /// Checks the shared limit as the users state it: in each window, against the requests in that
+    /// window, the one before it or the one half a window before it.
+    fn assert_within_limit(&self) {
+        let SharedRetryLimits { ratio, slack, window: Millis(window) } = shared_limits();
+        let count = |times: &[u64], from: u64, until: u64| {
+            times.partition_point(|at| *at < until) - times.partition_point(|at| *at < from)
+        };
+        for from in &self.spent {
+            let starts = [*from, from.saturating_sub(window), from.saturating_sub(window / 2)];
+            let sent = starts.map(|start| count(&self.sent, start, start + window));
+            let allowed = ratio * *sent.iter().max().unwrap() as f64 + slack;
+            let spent = count(&self.spent, *from, from + window);
+            assert!(spent as f64 <= allowed, "{spent} retries from {from} ms, {allowed} allowed");
+        }
+    }
+}
+
+/// Guards against retries that pile up over restarts: a daemon that has just started knows neither
+/// what its predecessor spent nor how many others share the slack.
+#[test]
+fn the_shared_budget_holds_over_restarts() {
+    const DAEMONS: u64 = 9;
+    for (seed, herd) in (0..20).flat_map(|seed| [(seed, false), (seed, true)]) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(DAEMONS as usize);
+        let restart_interval = rng.random_range(500..4_000);
+        for ms in (0..60_000).step_by(25) {
+            let now = Time(ms);
+            if ms % (restart_interval / 25 * 25) == 0 {
+                let restarted = ms / restart_interval % DAEMONS;
+                let is_restarted = |daemon: &u64| herd || *daemon == restarted;
+                let all = (0..DAEMONS).filter(is_restarted);
+                all.for_each(|daemon| fleet.restart(now, daemon as usize));
+            }
+            fleet.request(now, rng.random_range(0..DAEMONS as usize));
+        }
+        fleet.assert_within_limit();
+    }
+}
