Credit from two bursts exceeds the retry budget: a failing test

Upstreams that begin to refuse in the second of two bursts: 361 retries, 358 allowed. The window of the budget counts requests of up to 11 s, while the shared limit takes one of three fixed windows of 10 s.

--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -115,6 +115,7 @@
     started: Vec<Time>,
     sent: Vec<u64>,
     spent: Vec<u64>,
+    retries_per_request: u32,
 }
 
 /// Time after its start in which a daemon knows no other.
@@ -122,8 +123,13 @@
 
 impl Fleet {
     fn new(daemons: usize) -> Self {
-        let budgets = vec![SharedRetryBudget::new(shared_limits()); daemons];
-        Self { budgets, started: vec![Time(0); daemons], sent: Vec::new(), spent: Vec::new() }
+        Self {
+            budgets: vec![SharedRetryBudget::new(shared_limits()); daemons],
+            started: vec![Time(0); daemons],
+            sent: Vec::new(),
+            spent: Vec::new(),
+            retries_per_request: 3,
+        }
     }
 
     fn restart(&mut self, now: Time, daemon: usize) {
@@ -131,13 +137,13 @@
         self.started[daemon] = now;
     }
 
-    /// A caller's request that is refused until the budget allows no retry, three times at most.
+    /// A caller's request that upstreams refuse `retries_per_request` times, if the budget allows.
     fn request(&mut self, now: Time, daemon: usize) {
         self.sent.push(now.0);
         self.budgets[daemon].record_request(now);
         let has_joined = now.since(self.started[daemon]) >= JOIN_DELAY;
         let known = if has_joined { self.budgets.len() } else { 1 };
-        for _ in 0..3 {
+        for _ in 0..self.retries_per_request {
             if self.budgets[daemon].try_spend(now, known) {
                 self.spent.push(now.0);
             }
@@ -183,3 +189,22 @@
         fleet.assert_within_limit();
     }
 }
+
+/// Guards against credit from two bursts that no window of the shared limit holds together.
+#[test]
+fn the_shared_budget_holds_after_two_bursts() {
+    const DAEMONS: usize = 9;
+    for ms_between in (5_000..11_000).step_by(500) {
+        let mut rng = ChaCha8Rng::seed_from_u64(ms_between);
+        let mut fleet = Fleet::new(DAEMONS);
+        for start in [30_000, 30_000 + ms_between] {
+            for ms in start..start + 1_000 {
+                // Upstreams refuse only the second burst.
+                fleet.retries_per_request = if start == 30_000 { 0 } else { 3 };
+                fleet.request(Time(ms), rng.random_range(0..DAEMONS));
+            }
+        }
+        fleet.assert_within_limit();
+        assert!(fleet.spent.len() > 150, "the budget allowed too few retries");
+    }
+}
