Retries over restarts stay within the shared budget

Cause, by a state machine of nine budgets under one clock: a daemon that started had its whole share of the slack again, although its predecessor had just spent it, and as long as it knew no other, the whole slack of the fleet (46 of 58 retries at each start): 264 retries, 138 allowed. Second: requests of two bursts were credited together (361 retries, 358 allowed). Now a daemon that started within the last window has only what its own requests add, with at most two retries in advance, repaid by the next requests; the slack is shared by the seeds at least; and the limit is checked for each window against the same three windows of requests as the users state it. Calls spend a retry only once another server is chosen (a request refused by all servers spent one for nothing). Counter retry_refused (new, shared). Counts of requests no longer grow while nothing is retried. Ruled out: the soak of processes restarted in turn beside refusing servers did not exceed the limit on the code before (79 of 101, 95 of 120, 83 of 107, 81 of 101 retries).

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -85,6 +85,9 @@
 /// of the window.
 const SHARED_SAFETY_FACTOR: f64 = 0.8;
 
+/// Retries that a daemon which has just started takes in advance of those that its requests add.
+const MAX_ADVANCE: f64 = 2.0;
+
 const WINDOW_BUCKETS: u64 = 10;
 
 /// Limits of a retry budget shared by all daemons.
@@ -100,56 +103,96 @@
 
 /// One daemon's share of a retry budget: in proportion to its own requests, plus an equal share of
 /// the slack. A daemon that loses contact to the others keeps its share.
+///
+/// The limit holds if in every window the retries stay below the ratio times the requests in that
+/// window, the previous one or the one half a window earlier, whichever has most, plus the slack.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
     limits: SharedRetryLimits,
-    requests: VecDeque<(u64, u32)>,
-    retries: VecDeque<(u64, u32)>,
+    started_at: Time,
+    requests: BucketCounts,
+    retries: BucketCounts,
 }
 
 impl SharedRetryBudget {
-    /// A budget without recorded requests or retries.
-    pub fn new(limits: SharedRetryLimits) -> Self {
-        Self { limits, requests: VecDeque::new(), retries: VecDeque::new() }
+    /// The budget of a daemon that started at `started_at`, without recorded requests or retries.
+    pub fn new(limits: SharedRetryLimits, started_at: Time) -> Self {
+        let (requests, retries) = (BucketCounts::default(), BucketCounts::default());
+        Self { limits, started_at, requests, retries }
     }
 
     fn bucket(&self, now: Time) -> u64 {
         now.0 / (self.limits.window.0 / WINDOW_BUCKETS).max(1)
     }
 
+    /// Whether the daemon started within the last window. An earlier process may have spent its
+    /// share of the slack, and the daemon may not know yet how many others share it.
+    pub fn is_new(&self, now: Time) -> bool {
+        now.since(self.started_at) < self.limits.window
+    }
+
     /// Records a caller's request, which adds to the budget.
     pub fn record_request(&mut self, now: Time) {
         let bucket = self.bucket(now);
-        increment(&mut self.requests, bucket);
+        self.requests.drop_before(bucket.saturating_sub(2 * WINDOW_BUCKETS));
+        self.requests.increment(bucket);
+    }
+
+    /// Retries allowed per window in which `requests` count.
+    fn allowed(&self, now: Time, daemons: usize, requests: u32) -> f64 {
+        let earned = SHARED_SAFETY_FACTOR * self.limits.ratio * f64::from(requests);
+        let slack = SHARED_SAFETY_FACTOR * self.limits.slack / daemons.max(1) as f64;
+        if self.is_new(now) { earned.max(slack.min(MAX_ADVANCE)) } else { earned + slack }
     }
 
     /// Takes one retry from this daemon's share; returns false if none is left. `daemons` is the
     /// number of daemons that share the slack.
     pub fn try_spend(&mut self, now: Time, daemons: usize) -> bool {
         let bucket = self.bucket(now);
-        let requests = f64::from(window_sum(&mut self.requests, bucket));
-        let retries = f64::from(window_sum(&mut self.retries, bucket));
-        let slack = self.limits.slack / daemons.max(1) as f64;
-        let allowed = SHARED_SAFETY_FACTOR * (self.limits.ratio * requests + slack);
-        let has_one = retries + 1.0 <= allowed;
+        self.retries.drop_before(bucket.saturating_sub(WINDOW_BUCKETS));
+        let mut windows = bucket.saturating_sub(WINDOW_BUCKETS)..=bucket;
+        let has_one = windows.all(|first| {
+            let retries = f64::from(self.retries.sum(first, bucket + 1));
+            retries + 1.0 <= self.allowed(now, daemons, self.max_requests(first))
+        });
         if has_one {
-            increment(&mut self.retries, bucket);
+            self.retries.increment(bucket);
         }
         has_one
     }
-}
 
-fn increment(buckets: &mut VecDeque<(u64, u32)>, bucket: u64) {
-    match buckets.back_mut() {
-        Some((last, count)) if *last == bucket => *count += 1,
-        _ => buckets.push_back((bucket, 1)),
+    /// Requests that count for the window from bucket `first`.
+    fn max_requests(&self, first: u64) -> u32 {
+        let starts =
+            [first, first.saturating_sub(WINDOW_BUCKETS / 2), first.saturating_sub(WINDOW_BUCKETS)];
+        let counts = starts.map(|start| self.requests.sum(start, start + WINDOW_BUCKETS));
+        counts.into_iter().max().unwrap_or(0)
     }
 }
 
-/// Sum over the window ending with `bucket`; drops older buckets.
-fn window_sum(buckets: &mut VecDeque<(u64, u32)>, bucket: u64) -> u32 {
-    while buckets.front().is_some_and(|(first, _)| first + WINDOW_BUCKETS < bucket) {
-        buckets.pop_front();
+/// Counts by bucket of time, in order.
+#[derive(Clone, Debug, Default)]
+struct BucketCounts {
+    counts: VecDeque<(u64, u32)>,
+}
+
+impl BucketCounts {
+    fn increment(&mut self, bucket: u64) {
+        match self.counts.back_mut() {
+            Some((last, count)) if *last == bucket => *count += 1,
+            _ => self.counts.push_back((bucket, 1)),
+        }
+    }
+
+    fn drop_before(&mut self, bucket: u64) {
+        while self.counts.front().is_some_and(|(first, _)| *first < bucket) {
+            self.counts.pop_front();
+        }
+    }
+
+    /// Sum over the buckets from `first` to before `end`.
+    fn sum(&self, first: u64, end: u64) -> u32 {
+        let in_range = self.counts.iter().filter(|(bucket, _)| (first..end).contains(bucket));
+        in_range.map(|(_, count)| count).sum()
     }
-    buckets.iter().map(|(_, count)| count).sum()
 }
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -82,10 +82,14 @@
         let mut attempts_not_run = 0;
         let mut error_response = None;
         let mut reason = String::new();
+        let mut is_retry = false;
         while fwd.remaining() > MIN_ATTEMPT_TIME {
             let Some(upstream) = self.choose_server(fwd, &tried) else {
                 break;
             };
+            if is_retry && !self.shared.spend_retry(&fwd.service) {
+                break;
+            }
             let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
             match self.attempt(fwd, &upstream, may_retry).await {
                 Attempt::Responded(response) if response.status.is_server_error() && may_retry => {
@@ -102,12 +106,10 @@
                 Attempt::Responded(response) => return Ok(response),
                 Attempt::NotRun { reached_upstream } => {
                     attempts_not_run += 1;
-                    let retry_is_free = !reached_upstream;
-                    if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN
-                        || !(retry_is_free || self.shared.spend_retry(&fwd.service))
-                    {
+                    if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN {
                         break;
                     }
+                    is_retry = reached_upstream;
                     tried.push(upstream.name);
                     continue;
                 }
@@ -120,9 +122,7 @@
                     }
                 }
             }
-            if !self.shared.spend_retry(&fwd.service) {
-                break;
-            }
+            is_retry = true;
             tried.push(upstream.name);
         }
         match error_response {
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -130,8 +130,16 @@
 
     /// Spends one retry for `service`; returns whether this daemon's share of the budget allows it.
     pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
-        let daemons = self.view.load().peak_daemons;
-        self.with_budget(service, |budget, now| budget.try_spend(now, daemons))
+        // The seeds are daemons, too, even if none has answered yet.
+        let daemons = self.view.load().peak_daemons.max(self.settings.seeds.len());
+        let (may_retry, is_new) = self.with_budget(service, |budget, now| {
+            (budget.try_spend(now, daemons), budget.is_new(now))
+        });
+        if !may_retry {
+            let budget = if is_new { "new" } else { "shared" };
+            self.metrics.count("retry_refused", budget);
+        }
+        may_retry
     }
 
     fn with_budget<T>(
@@ -145,7 +153,7 @@
         let budget = routing
             .budgets
             .entry(service.clone())
-            .or_insert_with(|| SharedRetryBudget::new(limits));
+            .or_insert_with(|| SharedRetryBudget::new(limits, self.clock.started_at()));
         f(budget, now)
     }
 
