--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -149,18 +149,24 @@
     /// number of daemons that share the slack.
     pub fn try_spend(&mut self, now: Time, daemons: usize) -> bool {
         let bucket = self.bucket(now);
-        self.retries.drop_before(bucket.saturating_sub(WINDOW_BUCKETS));
         let mut windows = bucket.saturating_sub(WINDOW_BUCKETS)..=bucket;
         let has_one = windows.all(|first| {
             let retries = f64::from(self.retries.sum(first, bucket + 1));
             retries + 1.0 <= self.allowed(now, daemons, self.max_requests(first))
         });
         if has_one {
-            self.retries.increment(bucket);
+            self.record_retry(now);
         }
         has_one
     }
 
+    /// Records a request that was sent again without being limited by this budget.
+    pub fn record_retry(&mut self, now: Time) {
+        let bucket = self.bucket(now);
+        self.retries.drop_before(bucket.saturating_sub(WINDOW_BUCKETS));
+        self.retries.increment(bucket);
+    }
+
     /// Requests that count for the window from bucket `first`.
     fn max_requests(&self, first: u64) -> u32 {
         let starts =
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -109,6 +109,14 @@
     assert!(budget.try_spend(Time(31_000), 9));
 }
 
+/// Runs that are resumed elsewhere reach an upstream again, too.
+#[test]
+fn resumed_runs_leave_less_for_retries() {
+    let mut budget = SharedRetryBudget::new(shared_limits(), Time(0));
+    (0..3).for_each(|_| budget.record_retry(Time(10_000)));
+    assert_eq!((0..100).filter(|_| budget.try_spend(Time(10_500), 9)).count(), 2);
+}
+
 #[test]
 fn a_new_daemon_has_two_retries_in_advance_of_its_own_requests() {
     let mut budget = SharedRetryBudget::new(shared_limits(), Time(50_000));
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -142,6 +142,11 @@
         may_retry
     }
 
+    /// Records that a run of `service` was continued at another upstream, or that this was refused.
+    pub(crate) fn note_resumption(&self, service: &ServiceName) {
+        self.with_budget(service, |budget, now| budget.record_retry(now));
+    }
+
     fn with_budget<T>(
         &self,
         service: &ServiceName,
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -8,6 +8,7 @@
 use crate::wire::{CopyRefusal, Outgoing, Resume, Wire};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::pool::MoveMethod;
+use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::Reuse;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -154,6 +155,9 @@
         let req = self.fwd.request(&*self.handler.wire, &out);
         let timeout = self.fwd.remaining().min(RESUME_TIMEOUT);
         let sent = self.handler.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
+        if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
+            self.handler.shared.note_resumption(&self.fwd.service);
+        }
         let response = sent.map_err(|e| e.to_string())?;
         let info = self.handler.wire.parse_response_headers(response.headers());
         let status = response.status();
