--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -113,7 +113,11 @@
         };
         let req = fwd.request(&*self.wire, &out);
         let timeout = fwd.remaining().min(RESUME_TIMEOUT);
-        let response = self.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await?;
+        let sent = self.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
+        if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
+            self.shared.note_resumption(&fwd.service);
+        }
+        let response = sent?;
         let info = self.wire.parse_response_headers(response.headers());
         let (engine, status) = (to.name.clone(), response.status());
         if !status.is_success() || info.not_run {
