Upstreams that leave or want no requests get none of this host

Callers would have seen: requests sent to an engine that had said seconds earlier that it was leaving, cut when it stopped; runs sent again and again to an engine that had asked for a pause; and, when all engines of a service had asked for one, 4.3 s in the queue of the pool and then a retry delay that had nothing to do with the engines' time.

Cause: neither `Server-Leaving` nor `Retry-After` of an upstream was read; a host learned of a leaving upstream from the platform's list alone.

Now the wire format decodes both, and `relay/src/outbound.rs` is the only module that can reach the client for upstreams. `send` consumes a `SendPermit`, which only the check of `UpstreamNotices` hands out, so that a new way to an upstream cannot forget to ask. Runs that return to an engine which has their memory ask in a way of their own; copy orders and health checks need no permit. Placement requests name the engines to avoid, also while queued. An owner that is left with none replies so at once, and the caller gets the earliest time that the engines stated, plus a random part of it. Owners send the incarnation of the engines that they assign, as the host may not have it on its list. Callers do not see the two headers, which concern this host and that upstream.

Ruled out: checking only where an engine is chosen. Placements of owners, backups and queued runs are chosen elsewhere or earlier than they are sent.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -29,7 +29,8 @@
 /// How long an unreachable upstream gets no work, unless there is no alternative.
 const UNREACHABLE_BACKOFF: Millis = Millis(1_000);
 
-/// How long evidence that an upstream leaves is kept.
+/// How long evidence that an upstream leaves is kept; its own statement is kept for at least as long
+/// as it is listed.
 const LEAVING_RETENTION: Millis = Millis(60_000);
 
 /// The list's entry for an upstream.
@@ -265,7 +266,11 @@
     /// Removes and returns upstreams whose entries expired around an outage without renewal in
     /// time.
     pub fn tick(&mut self, now: Time) -> Vec<UpstreamName> {
-        self.leaving.retain(|_, leaving| now.since(leaving.at) < LEAVING_RETENTION);
+        self.leaving.retain(|name, leaving| {
+            let listed = self.upstreams.get(name).map(|upstream| &upstream.listed);
+            let is_listed = listed.is_some_and(|listed| listed.born <= leaving.born);
+            now.since(leaving.at) < LEAVING_RETENTION || (is_listed && !leaving.was_removed)
+        });
         self.unreachable_until.retain(|_, until| now < *until);
         let renewed: Vec<_> = self.brought_back.extract_if(|_, at| now >= *at).collect();
         for (name, _) in renewed {
@@ -290,14 +295,16 @@
         std::mem::take(&mut self.has_restored)
     }
 
-    /// Records that the current incarnation of an upstream leaves, as the upstream itself or a peer
-    /// reported; returns whether that was not known.
-    pub fn mark_leaving(&mut self, now: Time, name: &UpstreamName) -> bool {
-        let Some(upstream) = self.upstreams.get(name) else {
+    /// Records that an incarnation of an upstream leaves, as the upstream itself or a peer reported;
+    /// returns whether that was not known. The upstream need not be listed yet.
+    pub fn mark_leaving(&mut self, now: Time, name: &UpstreamName, born: u64) -> bool {
+        let listed = self.upstreams.get(name).map(|upstream| &upstream.listed);
+        let is_outdated = listed.is_some_and(|listed| listed.born > born);
+        let known = self.leaving.get(name);
+        if is_outdated || known.is_some_and(|known| known.born >= born && !known.was_removed) {
             return false;
-        };
-        let born = upstream.listed.born;
-        let is_new = !upstream.listed.leaving && !self.is_leaving(name);
+        }
+        let is_new = listed.is_none_or(|listed| !listed.leaving) && !self.is_leaving(name);
         self.leaving.insert(name.clone(), Leaving { born, at: now, was_removed: false });
         is_new
     }
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -244,6 +244,10 @@
         if !self.engines.values().any(|engine| engine.is_usable) {
             return PlacementDecision::Refused(NO_ENGINE_RETRY_AFTER);
         }
+        if self.avoids_all_engines(&request) {
+            self.queue.remove(&request.run);
+            return PlacementDecision::AllAvoided;
+        }
         if now + wait > request.patience_until {
             self.queue.remove(&request.run);
             return PlacementDecision::Refused(retry_after(wait));
@@ -252,6 +256,11 @@
         PlacementDecision::Queued
     }
 
+    fn avoids_all_engines(&self, request: &PlacementRequest) -> bool {
+        let mut usable = self.engines.iter().filter(|(_, engine)| engine.is_usable);
+        usable.all(|(name, _)| request.avoid.contains(name))
+    }
+
     /// Removes a queued or just placed run.
     pub fn withdraw(&mut self, run: &RunId) {
         self.queue.remove(run);
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -34,7 +34,7 @@
     pub first_event_deadline: Time,
     /// When it is refused if still waiting.
     pub patience_until: Time,
-    /// Engines that refused it and must not be chosen.
+    /// Engines that refused it, or want no requests of its holder, and must not be chosen.
     pub avoid: Vec<UpstreamName>,
 }
 
@@ -73,6 +73,8 @@
     Queued,
     /// The run does not start; the caller may retry after this time.
     Refused(Millis),
+    /// The run does not start: the request avoids all engines that may get new runs.
+    AllAvoided,
 }
 
 /// Outcome of a queued request.
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -53,7 +53,10 @@
 
     pub(super) fn push(&mut self, now: Time, request: PlacementRequest) {
         match self.requests.iter_mut().find(|queued| queued.request.run == request.run) {
-            Some(queued) => queued.polled_at = now,
+            Some(queued) => {
+                queued.polled_at = now;
+                queued.request.avoid = request.avoid;
+            }
             None => self.requests.push(QueuedRequest { request, queued_at: now, polled_at: now }),
         }
     }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -63,8 +63,8 @@
 #[test]
 fn a_new_incarnation_under_the_old_name_is_usable() {
     let mut fleet = fleet();
-    assert!(fleet.mark_leaving(Time(50), &UpstreamName::new("e1")));
-    assert!(!fleet.mark_leaving(Time(60), &UpstreamName::new("e1")));
+    assert!(fleet.mark_leaving(Time(50), &UpstreamName::new("e1"), 1));
+    assert!(!fleet.mark_leaving(Time(60), &UpstreamName::new("e1"), 1));
     assert_eq!(usable(&fleet), ["e2"]);
     fleet.apply(Time(100), at(11), &Origin::Store, [Change::Put(listed("e1", 1, false))]);
     assert_eq!(usable(&fleet), ["e2"], "a late entry of the leaving incarnation");
@@ -72,6 +72,24 @@
     assert_eq!(usable(&fleet), ["e1", "e2"]);
 }
 
+/// Guards against work for an upstream that has stated that it is leaving: once the store, out of
+/// touch for minutes, still lists it, and once the list that names it arrives late.
+#[test]
+fn a_statement_of_leaving_outlasts_any_list_of_that_incarnation() {
+    let mut fleet = fleet();
+    fleet.mark_leaving(Time(100), &UpstreamName::new("e1"), 1);
+    fleet.tick(Time(300_000));
+    assert_eq!(usable(&fleet), ["e2"]);
+    assert!(fleet.mark_leaving(Time(300_000), &UpstreamName::new("e3"), 5));
+    let all = [("e1", 1), ("e2", 1), ("e3", 5)].map(|(name, born)| listed(name, born, false));
+    fleet.replace(Time(300_100), at(11), &Origin::Store, all.to_vec());
+    assert_eq!(usable(&fleet), ["e2"]);
+    assert!(!fleet.mark_leaving(Time(300_200), &UpstreamName::new("e2"), 0), "an older one");
+    assert_eq!(usable(&fleet), ["e2"]);
+    fleet.apply(Time(300_300), at(12), &Origin::Store, [Change::Put(listed("e3", 6, false))]);
+    assert_eq!(usable(&fleet), ["e2", "e3"]);
+}
+
 #[test]
 fn entries_that_expired_in_an_outage_stay_usable_for_a_grace_period() {
     let mut fleet = fleet();
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -226,7 +226,9 @@
                 waiting = Some(run);
                 break;
             }
-            PlacementDecision::Refused(_) => panic!("refused while it could wait"),
+            PlacementDecision::Refused(_) | PlacementDecision::AllAvoided => {
+                panic!("refused while it could wait")
+            }
         }
     }
     let waiting = waiting.expect("memory holds fewer than 20 runs of 6,000 tokens");
@@ -431,3 +433,32 @@
     let orders = pool.plan_moves(Time(40), None);
     assert!(matches!(&orders[..], [order] if order.to.as_str() != "e1"), "{orders:?}");
 }
+
+/// Guards against a run that waits for engines which want no requests of its holder, and against
+/// one that is sent there after it has waited.
+#[test]
+fn a_run_does_not_wait_for_engines_that_it_avoids() {
+    let mut pool = pool(&[("e0", "a"), ("e1", "a")]);
+    let engines = [UpstreamName::new("e0"), UpstreamName::new("e1")];
+    let avoiding = |avoid: &[UpstreamName]| PlacementRequest {
+        avoid: avoid.to_vec(),
+        ..request("waiting", 6_000)
+    };
+    let mut n = 0;
+    while let PlacementDecision::Placed(_) = pool.place(Time(0), request(&format!("r{n}"), 6_000)) {
+        n += 1;
+    }
+    assert_eq!(pool.place(Time(1), avoiding(&[])), PlacementDecision::Queued);
+    assert_eq!(pool.place(Time(2), avoiding(&engines[..1])), PlacementDecision::Queued);
+    for run in 0..=n {
+        pool.withdraw(&RunId::new(&format!("r{run}")));
+    }
+    let events = pool.tick(Time(3));
+    assert!(
+        matches!(&events[..], [.., Event::Placed(_, placement)] if placement.engine == engines[1]),
+        "{events:?}"
+    );
+    pool.withdraw(&RunId::new("waiting"));
+    assert_eq!(pool.place(Time(4), avoiding(&engines)), PlacementDecision::AllAvoided);
+    assert_eq!(pool.waiting(), 0);
+}
--- a/experiments/src/reclaim/simulation.rs
+++ b/experiments/src/reclaim/simulation.rs
@@ -212,7 +212,7 @@
         match decision {
             PlacementDecision::Placed(placement) => self.start(index, &placement),
             PlacementDecision::Refused(wait) => self.handle_refusal(index, wait),
-            PlacementDecision::Queued => {}
+            PlacementDecision::Queued | PlacementDecision::AllAvoided => {}
         }
     }
 
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -4,6 +4,7 @@
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
 use crate::refusal::Refusal;
+use crate::runs::Endpoint;
 use crate::wire::{Outgoing, ResponseInfo, Wire};
 use bytes::Bytes;
 use hyper::header::CONTENT_LENGTH;
@@ -127,7 +128,10 @@
         }
         match error_response {
             Some(response) => Ok(response),
-            None => Err(final_refusal(fwd, verdict, reason)),
+            None => {
+                let wait = self.wait_if_all_withheld(fwd).unwrap_or(OVERLOADED_RETRY_AFTER);
+                Err(final_refusal(fwd, verdict, reason, wait))
+            }
         }
     }
 
@@ -140,10 +144,12 @@
         let view = self.shared.view.load();
         let now = self.shared.clock.now();
         let own = &self.shared.settings.failure_domain;
+        let untried = view.fleet.usable(fwd.service.as_str()).filter(|l| !tried.contains(&l.name));
+        let usable: Vec<_> =
+            untried.filter(|l| self.withheld(fwd, &l.name, l.born).is_none()).collect();
         let mut routing = self.shared.routing();
         let routing = &mut *routing;
-        let usable = view.fleet.usable(fwd.service.as_str()).filter(|l| !tried.contains(&l.name));
-        let candidates = usable.map(|listed| Candidate {
+        let candidates = usable.into_iter().map(|listed| Candidate {
             name: &listed.name,
             slots: listed.slots,
             in_same_domain: listed.failure_domain == *own,
@@ -154,6 +160,10 @@
     }
 
     async fn attempt(&self, fwd: &Forward, upstream: &ListedUpstream, may_retry: bool) -> Attempt {
+        let engine = Endpoint::from(upstream);
+        let Ok(permit) = self.permit(fwd, &engine) else {
+            return Attempt::NotRun { reached_upstream: false };
+        };
         let out = Outgoing {
             upstream: &upstream.name,
             organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
@@ -174,11 +184,10 @@
         };
         let started_at = Instant::now();
         let mut outstanding = OutstandingCall::new(self, &upstream.name);
-        let attempt = match self.shared.upstreams.send(upstream.address, req, reuse, timeout).await
-        {
-            Ok(response) => {
+        let attempt = match self.send(permit, req, reuse, timeout).await {
+            Ok((response, info)) => {
                 let left = timeout.saturating_sub(started_at.elapsed());
-                self.read_response(fwd, &upstream.name, response, left).await
+                self.read_response(fwd, &engine, response, &info, left).await
             }
             Err(e) if e.verdict() == Verdict::NotRun => {
                 self.shared.tell(Message::UpstreamUnreachable(upstream.name.clone()));
@@ -204,25 +213,26 @@
     pub(crate) async fn read_response(
         &self,
         fwd: &Forward,
-        upstream: &UpstreamName,
+        upstream: &Endpoint,
         response: ClientResponse,
+        info: &ResponseInfo,
         timeout: Duration,
     ) -> Attempt {
-        let info = self.wire.parse_response_headers(response.headers());
         let status = response.status();
         if let Some(load) = info.load {
             let now = self.shared.clock.now();
-            self.shared.routing().balancer.record_load(now, upstream, load);
+            self.shared.routing().balancer.record_load(now, &upstream.name, load);
         }
         if info.not_run {
             if status == StatusCode::MISDIRECTED_REQUEST {
-                self.shared.tell(Message::UpstreamLeaving(upstream.clone()));
+                self.shared.tell(Message::UpstreamLeaving(upstream.incarnation(&fwd.service)));
             }
             return Attempt::NotRun { reached_upstream: true };
         }
-        if let Some(problem) = response_problem(fwd, status, &info) {
+        if let Some(problem) = response_problem(fwd, status, info) {
             return Attempt::MayHaveRun(format!(
-                "invalid response with status {status} from {upstream}: {problem}"
+                "invalid response with status {status} from {}: {problem}",
+                upstream.name
             ));
         }
         let mut headers = response.headers().clone();
@@ -234,6 +244,7 @@
             }
         };
         strip_hop_by_hop_headers(&mut headers);
+        self.wire.remove_statements(&mut headers);
         headers.remove(CONTENT_LENGTH);
         Attempt::Responded(BufferedResponse { status, headers, body })
     }
@@ -276,11 +287,11 @@
 }
 
 /// The refusal for a request that got no response.
-pub(crate) fn final_refusal(fwd: &Forward, verdict: Verdict, reason: String) -> Refusal {
+fn final_refusal(fwd: &Forward, verdict: Verdict, reason: String, wait: Millis) -> Refusal {
     let is_out_of_time = fwd.remaining() <= MIN_ATTEMPT_TIME;
     match (verdict, is_out_of_time) {
         (Verdict::NotRun, true) => Refusal::NotSentInTime,
-        (Verdict::NotRun, false) => Refusal::Overloaded(OVERLOADED_RETRY_AFTER),
+        (Verdict::NotRun, false) => Refusal::Overloaded(wait),
         (_, true) => Refusal::TimedOut,
         (_, false) => Refusal::Lost(reason),
     }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -26,6 +26,7 @@
 use magnoliawinch::route_table::{Configuration, RouteTable};
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstream_notices::Incarnation;
 use magnoliawinch_peer::{
     ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
 };
@@ -48,6 +49,8 @@
     Queued,
     /// This daemon does not know the pool or the engine.
     Unknown,
+    /// All engines that may get new runs are to be avoided.
+    AllAvoided,
 }
 
 /// An upstream's crash, with the fingerprint of a request in progress there.
@@ -76,7 +79,7 @@
     /// An update of the list of upstreams.
     UpstreamList(ListUpdate),
     /// An upstream responded that it is leaving or is not the one addressed.
-    UpstreamLeaving(UpstreamName),
+    UpstreamLeaving(Incarnation),
     /// Connecting to an upstream failed.
     UpstreamUnreachable(UpstreamName),
     /// An owner's order to move a run held by this daemon.
@@ -267,7 +270,7 @@
             }
             Message::Configuration(configuration) => self.apply_configuration(now, *configuration),
             Message::UpstreamList(update) => self.apply_list(now, update, &CellSet::all()),
-            Message::UpstreamLeaving(name) => self.handle_upstream_leaving(now, &name),
+            Message::UpstreamLeaving(upstream) => self.handle_upstream_leaving(now, &upstream),
             Message::UpstreamUnreachable(name) => {
                 self.fleet.mark_unreachable(now, &name);
                 self.fleet_view_is_stale = true;
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -1,8 +1,9 @@
 //! Sends and handles membership probes.
 
 use super::{Control, Message};
-use magnoliawinch::names::{HostName, UpstreamName};
+use magnoliawinch::names::HostName;
 use magnoliawinch::time::Time;
+use magnoliawinch::upstream_notices::Incarnation;
 use magnoliawinch_peer::{ProbeReply, ProbeRequest, merge_members};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -99,10 +100,10 @@
     }
 
     /// Handles an upstream's own notice that it is leaving.
-    pub(super) fn handle_upstream_leaving(&mut self, now: Time, name: &UpstreamName) {
-        if self.fleet.mark_leaving(now, name) {
+    pub(super) fn handle_upstream_leaving(&mut self, now: Time, upstream: &Incarnation) {
+        if self.fleet.mark_leaving(now, &upstream.name, upstream.born) {
             self.fleet_view_is_stale = true;
-            self.drain_upstreams(now, std::slice::from_ref(name));
+            self.drain_upstreams(now, std::slice::from_ref(&upstream.name));
         }
     }
 }
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -141,6 +141,9 @@
             PlacementDecision::Refused(wait) => {
                 let _ = reply.send(PlaceOutcome::Refused(wait));
             }
+            PlacementDecision::AllAvoided => {
+                let _ = reply.send(PlaceOutcome::AllAvoided);
+            }
             PlacementDecision::Queued => {
                 let waiter = Waiter { service, deadline: now + LONG_POLL_TIMEOUT, reply };
                 self.pools.waiters.insert(run, waiter);
@@ -270,6 +273,7 @@
             };
             let req = RelocateRequest {
                 to_address: to.address.to_string(),
+                to_born: to.born,
                 run: order.run.to_string(),
                 from: order.from.to_string(),
                 to: order.to.to_string(),
@@ -305,7 +309,7 @@
             );
             return;
         };
-        let to = Endpoint { name, address };
+        let to = Endpoint { name, address, born: req.to_born };
         let way = if req.backup { MoveMethod::Backup } else { MoveMethod::Copy };
         let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
         self.shared.runs.send_order(&RunId::new(&req.run), order);
@@ -313,8 +317,7 @@
 }
 
 fn endpoint(fleet: &Fleet, name: &UpstreamName) -> Option<Endpoint> {
-    let listed = fleet.get(name)?;
-    Some(Endpoint { name: name.clone(), address: listed.address })
+    fleet.get(name).map(Endpoint::from)
 }
 
 fn place_outcome(fleet: &Fleet, placement: &Placement) -> PlaceOutcome {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod handler;
 mod node;
+mod outbound;
 mod peer_server;
 mod placement;
 mod refusal;
--- /dev/null
+++ b/relay/src/outbound.rs
@@ -0,0 +1,270 @@
+//! Requests to upstreams, and what upstreams state about themselves in their responses.
+//!
+//! A request is sent with a [`SendPermit`], which only the check of those statements hands out.
+//! Orders and health checks need none: they are no work for an upstream.
+
+use crate::control::Message;
+use crate::forward::Forward;
+use crate::handler::RequestHandler;
+use crate::runs::Endpoint;
+use crate::shared::Shared;
+use crate::wire::{ResponseInfo, Wire};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use magnoliawinch::names::{ServiceName, UpstreamName};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
+use magnoliawinch_http::{Client, ClientResponse, Reuse, SendError};
+use rand::RngExt;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Timeout for connecting to an upstream, after which it is skipped. Well below the time limit of
+/// the shortest requests.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Retry delay for a caller if all upstreams of a service are leaving: others are listed within
+/// about a second.
+const ALL_LEAVING_RETRY_AFTER: Millis = Millis(1_000);
+
+/// Callers who are told to come back at the end of an upstream's pause arrive spread over this part
+/// of it, but at least over `MIN_RETURN_SPREAD`.
+const RETURN_SPREAD_DIVISOR: u64 = 4;
+
+const MIN_RETURN_SPREAD: Millis = Millis(300);
+
+/// The client for upstreams, and what these have stated.
+#[derive(Debug)]
+pub(crate) struct Upstreams {
+    client: Client,
+    notices: Mutex<UpstreamNotices>,
+}
+
+impl Upstreams {
+    pub(crate) fn new() -> Self {
+        let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
+        Self { client, notices: Mutex::default() }
+    }
+
+    pub(crate) fn notices(&self) -> MutexGuard<'_, UpstreamNotices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Permission to send one request to an upstream.
+#[derive(Debug)]
+#[must_use]
+pub(crate) struct SendPermit {
+    to: Endpoint,
+    service: ServiceName,
+}
+
+impl<W: Wire> RequestHandler<W> {
+    /// Permission to send a request as new work; `Err` if the upstream wants none.
+    pub(crate) fn permit(&self, fwd: &Forward, to: &Endpoint) -> Result<SendPermit, Withheld> {
+        match self.withheld(fwd, &to.name, to.born) {
+            Some(withheld) => Err(withheld),
+            None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
+        }
+    }
+
+    /// Permission to continue a run at an engine that has its memory. That is no new work for an
+    /// engine that has begun to leave since the request arrived.
+    pub(crate) fn permit_resume(
+        &self,
+        fwd: &Forward,
+        to: &Endpoint,
+    ) -> Result<SendPermit, Withheld> {
+        let now = self.shared.clock.now();
+        let arrived_at = now - Millis(fwd.elapsed_ms());
+        let withheld = self
+            .shared
+            .upstreams
+            .notices()
+            .withheld_from_resume(now, &to.name, to.born, arrived_at);
+        match withheld {
+            Some(withheld) => {
+                self.note_withheld(fwd, &to.name, withheld);
+                Err(withheld)
+            }
+            None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
+        }
+    }
+
+    /// Why an upstream gets no new work of this daemon, if it does not; counted and logged.
+    pub(crate) fn withheld(
+        &self,
+        fwd: &Forward,
+        upstream: &UpstreamName,
+        born: u64,
+    ) -> Option<Withheld> {
+        let now = self.shared.clock.now();
+        let withheld = self.shared.upstreams.notices().withheld(now, upstream, born)?;
+        self.note_withheld(fwd, upstream, withheld);
+        Some(withheld)
+    }
+
+    fn note_withheld(&self, fwd: &Forward, upstream: &UpstreamName, withheld: Withheld) {
+        let reason: &'static str = withheld.into();
+        self.shared.metrics.count("withheld", reason);
+        if !self.shared.log_limiter.admits(self.shared.clock.now()) {
+            return;
+        }
+        let left = match withheld {
+            Withheld::Leaving { .. } => Millis(0),
+            Withheld::Paused { left, .. } => left,
+        };
+        log::info!(
+            request = fwd.info.run.as_str(),
+            upstream = upstream.as_str(),
+            reason,
+            known_for_ms = withheld.age().0,
+            left_ms = left.0;
+            "request withheld from upstream"
+        );
+    }
+
+    /// Upstreams of the request's service that get no new work, except those of which a newer
+    /// incarnation is listed; counted and logged unless they are in `noted`.
+    pub(crate) fn withheld_upstreams(
+        &self,
+        fwd: &Forward,
+        noted: &[UpstreamName],
+    ) -> Vec<UpstreamName> {
+        let now = self.shared.clock.now();
+        let view = self.shared.view.load();
+        let withheld: Vec<_> = {
+            let notices = self.shared.upstreams.notices();
+            let is_newest = |name: &UpstreamName, born: u64| {
+                view.fleet.get(name).is_none_or(|listed| listed.born <= born)
+            };
+            let of_service = notices.withheld_of(now, &fwd.service);
+            let current = of_service.filter(|(name, born, _)| is_newest(name, *born));
+            current.map(|(name, _, withheld)| (name.clone(), withheld)).collect()
+        };
+        for (name, withheld) in withheld.iter().filter(|(name, _)| !noted.contains(name)) {
+            self.note_withheld(fwd, name, *withheld);
+        }
+        withheld.into_iter().map(|(name, _)| name).collect()
+    }
+
+    /// When a caller may return if all listed upstreams of the service want no requests; `None` if
+    /// some do.
+    pub(crate) fn wait_if_all_withheld(&self, fwd: &Forward) -> Option<Millis> {
+        let now = self.shared.clock.now();
+        let view = self.shared.view.load();
+        let mut usable = view.fleet.usable(fwd.service.as_str()).peekable();
+        usable.peek()?;
+        let is_withheld = {
+            let notices = self.shared.upstreams.notices();
+            usable.all(|listed| notices.withheld(now, &listed.name, listed.born).is_some())
+        };
+        is_withheld.then(|| self.wait_for_withheld(fwd))
+    }
+
+    /// When the first upstream of the service wants requests again, plus a random time, so that
+    /// callers do not return all at once.
+    pub(crate) fn wait_for_withheld(&self, fwd: &Forward) -> Millis {
+        let now = self.shared.clock.now();
+        let first = {
+            let notices = self.shared.upstreams.notices();
+            let waits =
+                notices.withheld_of(now, &fwd.service).filter_map(
+                    |(_, _, withheld)| match withheld {
+                        Withheld::Paused { left, .. } => Some(left),
+                        Withheld::Leaving { .. } => None,
+                    },
+                );
+            waits.min().unwrap_or(ALL_LEAVING_RETRY_AFTER)
+        };
+        let spread = Millis(first.0 / RETURN_SPREAD_DIVISOR).max(MIN_RETURN_SPREAD);
+        first + Millis(self.shared.routing().rng.random_range(0..=spread.0))
+    }
+
+    /// Sends a request and records what the upstream states in its response.
+    pub(crate) async fn send(
+        &self,
+        permit: SendPermit,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        timeout: Duration,
+    ) -> Result<(ClientResponse, ResponseInfo), SendError> {
+        let SendPermit { to, service } = permit;
+        let response = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await?;
+        let info = self.note_statements(&service, &to, &response);
+        Ok((response, info))
+    }
+
+    /// Sends an order about a run in progress, or a health check. Both also go to an upstream that
+    /// is leaving or wants no requests: they bring it no work, and an engine that is leaving can
+    /// only hand over its runs if it is told to.
+    pub(crate) async fn send_order(
+        &self,
+        service: &ServiceName,
+        to: &Endpoint,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<ClientResponse, SendError> {
+        let client = &self.shared.upstreams.client;
+        let response = client.send(to.address, req, Reuse::Never, timeout).await?;
+        self.note_statements(service, to, &response);
+        Ok(response)
+    }
+
+    fn note_statements(
+        &self,
+        service: &ServiceName,
+        to: &Endpoint,
+        response: &ClientResponse,
+    ) -> ResponseInfo {
+        let info = self.wire.parse_response_headers(response.headers());
+        let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = info.retry_after.filter(|_| refused);
+        if info.is_leaving || retry_after.is_some() {
+            let upstream = to.incarnation(service);
+            self.shared.note_statements(&upstream, info.is_leaving, retry_after);
+        }
+        info
+    }
+}
+
+impl Shared {
+    fn note_statements(
+        &self,
+        upstream: &Incarnation,
+        is_leaving: bool,
+        retry_after: Option<Millis>,
+    ) {
+        let now = self.clock.now();
+        if let Some(wait) = retry_after {
+            self.note_retry_after(now, upstream, wait);
+        }
+        if !is_leaving {
+            return;
+        }
+        let is_news = self.upstreams.notices().record_leaving(now, upstream);
+        if is_news {
+            self.metrics.count("upstream_statement", "leaving");
+            log::info!(upstream = upstream.name.as_str(), born = upstream.born; "upstream states that it is leaving");
+        }
+        // Repeated until it has arrived: the control thread drops messages when it is overloaded.
+        if is_news || self.view.load().fleet.is_usable(&upstream.name) {
+            self.tell(Message::UpstreamLeaving(upstream.clone()));
+        }
+    }
+
+    fn note_retry_after(&self, now: Time, upstream: &Incarnation, wait: Millis) {
+        let honoured = wait.min(self.settings.bounds.max_retry_after);
+        self.upstreams.notices().record_retry_after(now, upstream, honoured);
+        self.metrics.count("upstream_statement", "retry_after");
+        if self.log_limiter.admits(now) {
+            log::info!(
+                upstream = upstream.name.as_str(),
+                wait_ms = wait.0,
+                honoured_ms = honoured.0;
+                "upstream wants no requests for a while"
+            );
+        }
+    }
+}
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -24,6 +24,7 @@
     Refused = 1,
     Unknown = 2,
     Queued = 3,
+    AllAvoided = 4,
 }
 
 /// Implements the gRPC service that other daemons call.
@@ -102,7 +103,9 @@
             engine: assignment.engine.name.to_string(),
             engine_address: assignment.engine.address.to_string(),
             backup: assignment.backup.as_ref().map(|b| b.name.to_string()).unwrap_or_default(),
+            backup_born: assignment.backup.as_ref().map_or(0, |b| b.born),
             backup_address: assignment.backup.map(|b| b.address.to_string()).unwrap_or_default(),
+            engine_born: assignment.engine.born,
             retry_after_ms: 0,
         },
         PlaceOutcome::Refused(Millis(ms)) => PlaceReply {
@@ -116,5 +119,8 @@
         PlaceOutcome::Unknown => {
             PlaceReply { decision: PlaceCode::Unknown as u32, ..PlaceReply::default() }
         }
+        PlaceOutcome::AllAvoided => {
+            PlaceReply { decision: PlaceCode::AllAvoided as u32, ..PlaceReply::default() }
+        }
     }
 }
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -41,6 +41,10 @@
 /// Retry delay for the caller of a run whose pool or engine stayed unknown.
 const UNKNOWN_POOL_RETRY_AFTER: Millis = Millis(500);
 
+/// Retry delay for the caller of a run that all engines of the pool have refused, at least one of
+/// them without a time.
+const REFUSED_BY_ALL_RETRY_AFTER: Millis = Millis(500);
+
 impl<W: Wire> RequestHandler<W> {
     /// How long a request may still wait for an engine.
     fn remaining_wait(fwd: &Forward) -> Millis {
@@ -64,11 +68,22 @@
         // A run waits in the queue of one cell only.
         let cell = self.choose_cell();
         let mut unknown_replies = 0;
+        let mut withheld = Vec::new();
         loop {
-            match self.ask_owners(cell, fwd, avoid).await {
+            withheld = self.withheld_upstreams(fwd, &withheld);
+            let all_avoided = [avoid, withheld.as_slice()].concat();
+            match self.ask_owners(cell, fwd, &all_avoided).await {
                 PlaceOutcome::Placed(assignment) => return Ok(assignment),
                 PlaceOutcome::Refused(wait) => return Err(Refusal::Overloaded(wait)),
                 PlaceOutcome::Queued => {}
+                PlaceOutcome::AllAvoided => {
+                    let has_stated = |name: &UpstreamName| withheld.contains(name);
+                    let wait = match avoid.iter().all(has_stated) {
+                        true => self.wait_for_withheld(fwd),
+                        false => REFUSED_BY_ALL_RETRY_AFTER,
+                    };
+                    return Err(Refusal::Overloaded(wait));
+                }
                 PlaceOutcome::Unknown => {
                     unknown_replies += 1;
                     if unknown_replies >= UNKNOWN_POOL_ATTEMPTS {
@@ -200,18 +215,19 @@
 }
 
 fn place_outcome(reply: &PlaceReply) -> Option<PlaceOutcome> {
-    let endpoint = |name: &str, address: &str| {
+    let endpoint = |name: &str, address: &str, born: u64| {
         let address: SocketAddr = address.parse().ok()?;
-        Some(Endpoint { name: UpstreamName::new(name), address })
+        Some(Endpoint { name: UpstreamName::new(name), address, born })
     };
     match PlaceCode::from_repr(reply.decision)? {
         PlaceCode::Placed => {
-            let engine = endpoint(&reply.engine, &reply.engine_address)?;
-            let backup = endpoint(&reply.backup, &reply.backup_address);
+            let engine = endpoint(&reply.engine, &reply.engine_address, reply.engine_born)?;
+            let backup = endpoint(&reply.backup, &reply.backup_address, reply.backup_born);
             Some(PlaceOutcome::Placed(Assignment { engine, backup }))
         }
         PlaceCode::Refused => Some(PlaceOutcome::Refused(Millis(u64::from(reply.retry_after_ms)))),
         PlaceCode::Queued => Some(PlaceOutcome::Queued),
         PlaceCode::Unknown => Some(PlaceOutcome::Unknown),
+        PlaceCode::AllAvoided => Some(PlaceOutcome::AllAvoided),
     }
 }
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -1,9 +1,10 @@
 //! Requests to engines: copies of a run's memory to another engine, and health checks.
 
+use crate::forward::Forward;
 use crate::handler::RequestHandler;
+use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, RunCopy, Wire};
-use magnoliawinch::names::RunId;
-use magnoliawinch_http::{Reuse, SendError};
+use magnoliawinch_http::SendError;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -26,25 +27,30 @@
 }
 
 impl<W: Wire> RequestHandler<W> {
-    /// Copies the memory of `run` from the engine at `from` to that at `to`; with `is_final` the
-    /// run stops first.
+    /// Copies the memory of the run of `fwd` from the engine `from` to that at `to`; with `is_final`
+    /// the run stops first.
     pub(crate) async fn copy_run(
         &self,
-        run: &RunId,
-        from: SocketAddr,
+        fwd: &Forward,
+        from: &Endpoint,
         to: SocketAddr,
         is_final: bool,
     ) -> Result<RunCopy, CopyError> {
-        let req = self.wire.copy_request(run, to, is_final);
-        let response = self.shared.upstreams.send(from, req, Reuse::Never, COPY_TIMEOUT).await?;
+        let req = self.wire.copy_request(&fwd.info.run, to, is_final);
+        let response = self.send_order(&fwd.service, from, req, COPY_TIMEOUT).await?;
         let status = response.status();
         let body = response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
-    /// Whether the engine at `address` responds to a health check.
-    pub(crate) async fn is_alive(&self, address: SocketAddr, timeout: Duration) -> bool {
+    /// Whether the engine of a run responds to a health check.
+    pub(crate) async fn is_alive(
+        &self,
+        fwd: &Forward,
+        engine: &Endpoint,
+        timeout: Duration,
+    ) -> bool {
         let req = self.wire.health_check_request();
-        self.shared.upstreams.send(address, req, Reuse::Never, timeout).await.is_ok()
+        self.send_order(&fwd.service, engine, req, timeout).await.is_ok()
     }
 }
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -1,9 +1,11 @@
 //! The runs held by this daemon.
 
 use magnoliawinch::cells::{Cell, Layout};
+use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
 use magnoliawinch::quarantine::Fingerprint;
+use magnoliawinch::upstream_notices::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -18,6 +20,20 @@
 pub(crate) struct Endpoint {
     pub(crate) name: UpstreamName,
     pub(crate) address: SocketAddr,
+    /// When this incarnation started, in milliseconds since 1970 by its own clock.
+    pub(crate) born: u64,
+}
+
+impl Endpoint {
+    pub(crate) fn incarnation(&self, service: &ServiceName) -> Incarnation {
+        Incarnation { service: service.clone(), name: self.name.clone(), born: self.born }
+    }
+}
+
+impl From<&ListedUpstream> for Endpoint {
+    fn from(listed: &ListedUpstream) -> Self {
+        Self { name: listed.name.clone(), address: listed.address, born: listed.born }
+    }
 }
 
 /// The engines assigned to a run.
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -45,6 +45,8 @@
     pub retries: SharedRetryLimits,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
+    /// Longest time for which an upstream gets no requests because it said so in a refusal.
+    pub max_retry_after: Millis,
 }
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -58,6 +60,8 @@
 /// Limit for durations: one day.
 const MAX_SECONDS: f64 = 86_400.0;
 
+const DEFAULT_MAX_RETRY_AFTER_S: f64 = 30.0;
+
 impl Settings {
     /// Parses a settings file; the error names the section or key at fault.
     pub fn parse(text: &str) -> Result<Self, IniError> {
@@ -93,6 +97,11 @@
                     window: seconds(&mut bounds, "retry_window_s")?,
                 },
                 memory_mb: bounds.number_or("memory_mb", 256, 16..=1_048_576)?,
+                max_retry_after: seconds_or(
+                    &mut bounds,
+                    "max_retry_after_s",
+                    DEFAULT_MAX_RETRY_AFTER_S,
+                )?,
             },
         };
         daemon.finish()?;
@@ -122,7 +131,16 @@
 }
 
 fn non_negative(section: &mut SectionReader, key: &str, max: f64) -> Result<f64, IniError> {
-    let value: f64 = section.required(key)?;
+    let value = section.required(key)?;
+    check_range(section, key, value, max)
+}
+
+fn check_range(
+    section: &mut SectionReader,
+    key: &str,
+    value: f64,
+    max: f64,
+) -> Result<f64, IniError> {
     if (0.0..=max).contains(&value) {
         return Ok(value);
     }
@@ -133,3 +151,9 @@
     let value = non_negative(section, key, MAX_SECONDS)?;
     Ok(Millis((value * MILLIS_PER_SECOND) as u64))
 }
+
+fn seconds_or(section: &mut SectionReader, key: &str, default: f64) -> Result<Millis, IniError> {
+    let value = section.value_or(key, default)?;
+    let value = check_range(section, key, value, MAX_SECONDS)?;
+    Ok(Millis((value * MILLIS_PER_SECOND) as u64))
+}
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::control::Message;
+use crate::outbound::Upstreams;
 use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::view::View;
@@ -13,7 +14,6 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch_http::Client;
 use magnoliawinch_peer::{PeerChannels, RelayClient};
 use magnoliawinch_runtime::{InProgressGuard, RequestCounter, ask};
 use magnoliawinch_telemetry::{LogLimiter, Metrics};
@@ -22,15 +22,10 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 use tonic::transport::Channel;
 
-/// Timeout for connecting to an upstream, after which it is skipped. Well below the time limit of
-/// the shortest requests.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Routing state of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct Routing {
@@ -49,7 +44,7 @@
     pub(crate) view: ArcSwap<View>,
     pub(crate) control: mpsc::Sender<Message>,
     pub(crate) peers: PeerChannels<RelayClient<Channel>>,
-    pub(crate) upstreams: Client,
+    pub(crate) upstreams: Upstreams,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
@@ -87,7 +82,7 @@
             view: ArcSwap::from_pointee(View::new(own)),
             control,
             peers: PeerChannels::new(),
-            upstreams: Client::new().with_connect_timeout(CONNECT_TIMEOUT),
+            upstreams: Upstreams::new(),
             runs: Runs::new(),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(clock.now()),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
+use crate::outbound::SendPermit;
 use crate::refusal::Refusal;
 use crate::relocate::CopyError;
 use crate::runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo};
@@ -117,12 +118,20 @@
     pub(crate) async fn start_stream(&self, fwd: Arc<Forward>) -> Result<StreamStart<W>, Refusal> {
         let mut avoid = Vec::new();
         loop {
-            let assignment = self.assign_engine(&fwd, &avoid).await?;
+            let mut assignment = self.assign_engine(&fwd, &avoid).await?;
+            let Ok(permit) = self.permit(&fwd, &assignment.engine) else {
+                // Stated since the assignment, or the owner knows an older incarnation.
+                avoid.push(assignment.engine.name);
+                continue;
+            };
+            assignment
+                .backup
+                .take_if(|backup| self.withheld(&fwd, &backup.name, backup.born).is_some());
             let waited = fwd.arrived_at.elapsed();
             let in_progress = self.shared.track_request();
             let (run, orders) = self.shared.runs.register(self.run_info(&fwd), assignment.clone());
             let name = assignment.engine.name.clone();
-            match self.send_to_engine(&fwd, &assignment).await {
+            match self.send_to_engine(&fwd, permit, &assignment).await {
                 Ok(EngineResponse::Stream(response)) => {
                     let placed_run = PlacedRun { run, orders, assignment, waited, in_progress };
                     return Ok(self.event_stream(&fwd, placed_run, response));
@@ -135,7 +144,7 @@
                 }
                 Ok(EngineResponse::Other(Attempt::NotRun { .. })) => {
                     if !self.shared.spend_retry(&fwd.service) {
-                        return Err(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER));
+                        return Err(self.refused_run(&fwd));
                     }
                 }
                 Err(e) if e.verdict() == Verdict::NotRun => {
@@ -153,11 +162,17 @@
             }
             avoid.push(name);
             if avoid.len() as u32 >= MAX_ENGINES_TRIED || fwd.remaining().is_zero() {
-                return Err(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER));
+                return Err(self.refused_run(&fwd));
             }
         }
     }
 
+    /// The refusal of a run that no engine has accepted.
+    fn refused_run(&self, fwd: &Forward) -> Refusal {
+        let wait = self.wait_if_all_withheld(fwd);
+        Refusal::Overloaded(wait.unwrap_or(REFUSED_RUN_RETRY_AFTER))
+    }
+
     /// Assigns a run to an engine of the service's pool, or to a server if it has no engines.
     async fn assign_engine(
         &self,
@@ -167,12 +182,8 @@
         if fwd.is_pooled {
             return self.place(fwd, avoid).await;
         }
-        let server =
-            self.choose_server(fwd, avoid).ok_or(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER))?;
-        Ok(Assignment {
-            engine: Endpoint { name: server.name, address: server.address },
-            backup: None,
-        })
+        let server = self.choose_server(fwd, avoid).ok_or_else(|| self.refused_run(fwd))?;
+        Ok(Assignment { engine: Endpoint::from(&server), backup: None })
     }
 
     /// Notes that an engine crashed during a request, unless it is leaving or no longer listed.
@@ -200,6 +211,7 @@
     async fn send_to_engine(
         &self,
         fwd: &Forward,
+        permit: SendPermit,
         assignment: &Assignment,
     ) -> Result<EngineResponse, SendError> {
         let out = Outgoing {
@@ -211,16 +223,15 @@
         };
         let req = fwd.request(&*self.wire, &out);
         let timeout = fwd.remaining();
-        let address = assignment.engine.address;
-        let response = self.shared.upstreams.send(address, req, Reuse::Never, timeout).await?;
-        let info = self.wire.parse_response_headers(response.headers());
+        let (response, info) = self.send(permit, req, Reuse::Never, timeout).await?;
         let is_stream = response.status().is_success()
             && response_problem(fwd, response.status(), &info).is_none();
         if is_stream && !info.not_run {
             return Ok(EngineResponse::Stream(response));
         }
-        let name = &assignment.engine.name;
-        Ok(EngineResponse::Other(self.read_response(fwd, name, response, fwd.remaining()).await))
+        let engine = &assignment.engine;
+        let read = self.read_response(fwd, engine, response, &info, fwd.remaining());
+        Ok(EngineResponse::Other(read.await))
     }
 
     fn event_stream(
@@ -236,6 +247,7 @@
         let mut headers = response.headers().clone();
         let is_framed = is_framed(&headers);
         strip_hop_by_hop_headers(&mut headers);
+        self.wire.remove_statements(&mut headers);
         headers.remove(CONTENT_LENGTH);
         let stream = Box::new(EventStream {
             handler: self.clone(),
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -10,6 +10,7 @@
 use magnoliawinch::pool::MoveMethod;
 use magnoliawinch_http::Reuse;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -26,6 +27,9 @@
         if order.from != self.engine.name || order.to.name == self.engine.name {
             return self.move_failed(None);
         }
+        if self.handler.withheld(&self.fwd, &order.to.name, order.to.born).is_some() {
+            return self.move_failed(Some(&order.to.name));
+        }
         match order.way {
             MoveMethod::Copy => self.start_copy(order.to, false),
             MoveMethod::Backup => {
@@ -52,10 +56,10 @@
     fn start_copy(&mut self, to: Endpoint, is_final: bool) {
         let (tx, result) = oneshot::channel();
         let handler = self.handler.clone();
-        let (run, from, address) = (self.fwd.info.run.clone(), self.engine.address, to.address);
+        let (fwd, from, address) = (Arc::clone(&self.fwd), self.engine.clone(), to.address);
         self.handler.shared.traffic.spawn(async move {
             // Fails if the stream has ended in the meantime.
-            let _ = tx.send(handler.copy_run(&run, from, address, is_final).await);
+            let _ = tx.send(handler.copy_run(&fwd, &from, address, is_final).await);
         });
         self.pending_copy = Some(PendingCopy { to, is_final, result });
     }
@@ -76,8 +80,14 @@
                 }
             }
             Ok(copied) => {
-                self.latest_copy = Some((pending.to.clone(), copied));
-                self.start_copy(pending.to, true);
+                let PendingCopy { to, .. } = pending;
+                self.latest_copy = Some((to.clone(), copied));
+                // The target may have stated otherwise since; the run must not stop in vain.
+                if self.handler.withheld(&self.fwd, &to.name, to.born).is_some() {
+                    self.move_failed(Some(&to.name));
+                } else {
+                    self.start_copy(to, true);
+                }
                 Ok(())
             }
             Err(e) if pending.is_final => self.recover_from_failed_copy(pending, e).await,
@@ -143,6 +153,10 @@
         handle: String,
     ) -> Result<(), String> {
         let started_at = Instant::now();
+        let permit = self.handler.permit_resume(&self.fwd, &to).map_err(|withheld| {
+            let reason: &'static str = withheld.into();
+            format!("{} wants no requests: {reason}", to.name)
+        })?;
         let resume = Resume { address, handle, last_event: self.events.last_id() };
         let out = Outgoing {
             upstream: &to.name,
@@ -153,9 +167,8 @@
         };
         let req = self.fwd.request(&*self.handler.wire, &out);
         let timeout = self.fwd.remaining().min(RESUME_TIMEOUT);
-        let sent = self.handler.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
-        let response = sent.map_err(|e| e.to_string())?;
-        let info = self.handler.wire.parse_response_headers(response.headers());
+        let sent = self.handler.send(permit, req, Reuse::Never, timeout).await;
+        let (response, info) = sent.map_err(|e| e.to_string())?;
         let status = response.status();
         if !status.is_success() || info.not_run {
             return Err(format!("{} did not resume the run: {status}", to.name));
@@ -252,7 +265,7 @@
     pub(super) async fn handle_silence(&mut self) -> Result<(), String> {
         self.last_received_at = Instant::now();
         let has_copy = self.latest_copy.is_some() || self.run.assignment().backup.is_some();
-        if !has_copy || self.handler.is_alive(self.engine.address, HEALTH_CHECK_TIMEOUT).await {
+        if !has_copy || self.handler.is_alive(&self.fwd, &self.engine, HEALTH_CHECK_TIMEOUT).await {
             return Ok(());
         }
         self.recover_from_engine_loss("the silent engine failed its health check").await
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -83,6 +83,10 @@
     pub is_unencoded: bool,
     /// The upstream's load, if reported.
     pub load: Option<Load>,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// How long the upstream wants no requests of this daemon, if it has refused this one.
+    pub retry_after: Option<Millis>,
 }
 
 /// A copy of a run's memory at another engine.
@@ -130,6 +134,9 @@
     /// Parses the headers of an upstream's response.
     fn parse_response_headers(&self, headers: &HeaderMap) -> ResponseInfo;
 
+    /// Removes what an upstream states to this daemon alone from headers for a caller.
+    fn remove_statements(&self, headers: &mut HeaderMap);
+
     /// A request to the engine of `run` to copy its memory to the engine at `to`; with `is_final`
     /// the run stops first.
     fn copy_request(&self, run: &RunId, to: SocketAddr, is_final: bool) -> Request<Full<Bytes>>;
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -44,6 +44,8 @@
         ("caller_address = 10.0.0.1:8740\n", ""),
         ("memory_mb = 110", "memory_mb = 110\nspeed = 3"),
         ("[platform]", "[plattform]"),
+        ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = -1"),
+        ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
     ];
     let errors: Vec<_> = cases
         .iter()
