Daemons pass on that an upstream is leaving

Callers would have seen: requests of one host still sent to an engine that had told another host, or an owner that was no party to the response, that it was leaving, while the store was out of touch.

Cause: `leaving` in reports and their replies, and in the relay's probes, was always sent empty, and carried names without incarnations.

Evidence: a_statement_of_leaving_to_one_host_reaches_the_others fails with the sending switched off as before (requests "other-…" reached e1) and passes now, for the owner and the other host in either role.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod estimate;
 pub mod fleet;
 pub mod ini;
+pub mod leaving_news;
 pub mod ledger;
 pub mod membership;
 pub mod names;
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -3,6 +3,7 @@
 mod cells;
 mod convert;
 mod following;
+mod leaving;
 mod members;
 mod pools;
 mod reports;
@@ -19,6 +20,7 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::dissemination::Follower;
 use magnoliawinch::fleet::{ChangeLog, Fleet};
+use magnoliawinch::leaving_news::LeavingNews;
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
@@ -122,6 +124,7 @@
     quarantine: Quarantine,
     refused: RefusedFingerprints,
     announced_versions: AnnouncedVersions,
+    leaving_news: LeavingNews,
     follower: Follower,
     reader_rank: Option<usize>,
     /// Addresses of the readers and deputies, by the hashes of their hosts' names.
@@ -152,6 +155,7 @@
             quarantine: Quarantine::new(),
             refused: RefusedFingerprints::new(),
             announced_versions: AnnouncedVersions::new(),
+            leaving_news: LeavingNews::new(),
             follower: Follower::new(now),
             reader_rank: None,
             reader_addresses: HashMap::new(),
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -3,7 +3,6 @@
 use super::{Control, Message};
 use magnoliawinch::names::HostName;
 use magnoliawinch::time::Time;
-use magnoliawinch::upstream_notices::Incarnation;
 use magnoliawinch_peer::{ProbeReply, ProbeRequest, merge_members};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,13 +29,14 @@
     }
 
     fn send_probe(&mut self, address: SocketAddr, host: Option<HostName>) {
+        let now = self.shared.clock.now();
         let req = ProbeRequest {
             sender: Some(self.membership.own().into()),
             changes: self.changes(),
             // Relay daemons send the version of their configuration in this field.
             catalogue_offset: self.version(),
             table_digest: self.membership.digest(),
-            leaving: Vec::new(),
+            leaving: self.leaving_news(now),
             hosts: Vec::new(),
         };
         let shared = Arc::clone(&self.shared);
@@ -73,12 +73,13 @@
         }
         merge_members(&mut self.membership, now, &req.changes);
         self.note_peer_version(now, req.catalogue_offset, req.sender.as_ref());
+        self.apply_leaving_news(now, &req.leaving);
         let changes = self.membership.probe_reply(is_new, table_differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
             changes: changes.iter().map(Into::into).collect(),
             catalogue_offset: self.version(),
-            leaving: Vec::new(),
+            leaving: self.leaving_news(now),
             hosts: Vec::new(),
         });
     }
@@ -90,6 +91,7 @@
         }
         merge_members(&mut self.membership, now, &reply.changes);
         self.note_peer_version(now, reply.catalogue_offset, reply.sender.as_ref());
+        self.apply_leaving_news(now, &reply.leaving);
     }
 
     /// Notifies other members at once that this daemon accepts work or is leaving.
@@ -98,12 +100,4 @@
             self.send_probe(member.peer_address, Some(member.host));
         }
     }
-
-    /// Handles an upstream's own notice that it is leaving.
-    pub(super) fn handle_upstream_leaving(&mut self, now: Time, upstream: &Incarnation) {
-        if self.fleet.mark_leaving(now, &upstream.name, upstream.born) {
-            self.fleet_view_is_stale = true;
-            self.drain_upstreams(now, std::slice::from_ref(&upstream.name));
-        }
-    }
 }
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -52,20 +52,26 @@
                     pool.report(now, &own, &part.report(&part.released_ids()));
                 }
                 let crashed = if cell == home { crashed.as_slice() } else { &[] };
-                let report = self.report_message(&key, &part, crashed);
+                let report = self.report_message(now, &key, &part, crashed);
                 self.send_report(&service, cell, &report);
             }
         }
     }
 
-    fn report_message(&self, key: &PoolKey, update: &RunsUpdate, crashed: &[Crash]) -> RunsReport {
+    fn report_message(
+        &self,
+        now: Time,
+        key: &PoolKey,
+        update: &RunsUpdate,
+        crashed: &[Crash],
+    ) -> RunsReport {
         RunsReport {
             host: self.membership.own().host.to_string(),
             service: key.service.to_string(),
             runs: update.runs.iter().map(run_to_proto).collect(),
             ended: update.ended.iter().map(ended_to_proto).collect(),
             over: update.released.iter().map(|(run, _)| run.to_string()).collect(),
-            leaving: Vec::new(),
+            leaving: self.leaving_news(now),
             list_offset: self.list_position().offset,
             list_era: self.list_position().era,
             configuration_version: self.version(),
@@ -106,6 +112,7 @@
     pub(super) fn handle_report(&mut self, now: Time, report: &RunsReport) -> RunsReply {
         let holder = HostName::new(&report.host);
         self.membership.heard_from(now, &report.host);
+        self.apply_leaving_news(now, &report.leaving);
         for crash in report.crashed.iter().map(crash_from_proto) {
             self.note_crash(now, &crash);
         }
@@ -134,7 +141,7 @@
         RunsReply {
             host: self.membership.own().host.to_string(),
             uses: uses.iter().map(use_to_proto).collect(),
-            leaving: Vec::new(),
+            leaving: self.leaving_news(now),
             list_offset: self.fleet.position().offset,
             list_era: self.fleet.position().era,
             list_age_ms: if sends_list { self.list_age_ms(now) } else { u32::MAX },
@@ -162,6 +169,7 @@
         if is_home && owners.primary().is_some_and(|owner| owner.host.as_str() == reply.host) {
             self.pools.owner_replied_at = now;
         }
+        self.apply_leaving_news(now, &reply.leaving);
         let uses: Vec<_> = reply.uses.iter().map(use_from_proto).collect();
         if !self.owns(cell)
             && let Some(pool) = self.pools.by_key.get_mut(&PoolKey { service, cell })
