--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -246,7 +246,11 @@
         let is_news = self.upstreams.notices().record_leaving(now, upstream);
         if is_news {
             self.metrics.count("upstream_statement", "leaving");
-            log::info!(upstream = upstream.name.as_str(), born = upstream.born; "upstream states that it is leaving");
+            log::info!(
+                upstream = upstream.name.as_str(),
+                born = upstream.born;
+                "upstream states that it is leaving"
+            );
         }
         // Repeated until it has arrived: the control thread drops messages when it is overloaded.
         if is_news || self.view.load().fleet.is_usable(&upstream.name) {
