--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -4,6 +4,7 @@
 mod configurations;
 mod convert;
 mod following;
+mod leaving;
 mod members;
 mod pools;
 mod reports;
@@ -20,6 +21,7 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::dissemination::{ChunkRequest, Follower, Transfer};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
+use magnoliawinch::leaving_news::LeavingNews;
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
@@ -27,6 +29,7 @@
 use magnoliawinch::route_table::{Configuration, RouteTable};
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstream_notices::Incarnation;
 use magnoliawinch_peer::{
     FetchReply, ProbeReply, ProbeRequest, RelocateRequest, RunsReply, RunsReport, StateReply,
     StateRequest,
@@ -50,6 +53,8 @@
     Queued,
     /// This daemon does not know the pool or the engine.
     Unknown,
+    /// All engines that may get new runs are to be avoided.
+    AllAvoided,
 }
 
 /// An upstream's crash, with the fingerprint of a request in progress there.
@@ -78,7 +83,7 @@
     /// An update of the list of upstreams.
     UpstreamList(ListUpdate),
     /// An upstream responded that it is leaving or is not the one addressed.
-    UpstreamLeaving(UpstreamName),
+    UpstreamLeaving(Incarnation),
     /// Connecting to an upstream failed.
     UpstreamUnreachable(UpstreamName),
     /// An owner's order to move a run held by this daemon.
@@ -123,6 +128,7 @@
     quarantine: Quarantine,
     refused: RefusedFingerprints,
     announced_versions: AnnouncedVersions,
+    leaving_news: LeavingNews,
     follower: Follower,
     transfer: Transfer,
     reader_rank: Option<usize>,
@@ -154,6 +160,7 @@
             quarantine: Quarantine::new(),
             refused: RefusedFingerprints::new(),
             announced_versions: AnnouncedVersions::new(),
+            leaving_news: LeavingNews::new(),
             follower: Follower::new(now),
             transfer: Transfer::new(),
             reader_rank: None,
@@ -274,7 +281,7 @@
             }
             Message::Configuration(configuration) => self.apply_configuration(now, *configuration),
             Message::UpstreamList(update) => self.apply_list(now, update, &CellSet::all()),
-            Message::UpstreamLeaving(name) => self.handle_upstream_leaving(now, &name),
+            Message::UpstreamLeaving(upstream) => self.handle_upstream_leaving(now, &upstream),
             Message::UpstreamUnreachable(name) => {
                 self.fleet.mark_unreachable(now, &name);
                 self.fleet_view_is_stale = true;
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -142,6 +142,9 @@
             PlacementDecision::Refused(wait) => {
                 let _ = reply.send(PlaceOutcome::Refused(wait));
             }
+            PlacementDecision::AllAvoided => {
+                let _ = reply.send(PlaceOutcome::AllAvoided);
+            }
             PlacementDecision::Queued => {
                 let waiter = Waiter { service, deadline: now + LONG_POLL_TIMEOUT, reply };
                 self.pools.waiters.insert(run, waiter);
@@ -299,6 +302,7 @@
             };
             let req = RelocateRequest {
                 to_address: to.address.to_string(),
+                to_born: to.born,
                 run: order.run.to_string(),
                 from: order.from.to_string(),
                 to: order.to.to_string(),
@@ -336,7 +340,7 @@
             );
             return;
         };
-        let to = Endpoint { name, address };
+        let to = Endpoint { name, address, born: req.to_born };
         let way = if req.backup { MoveMethod::Backup } else { MoveMethod::Copy };
         let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
         if !self.shared.runs.send_order(&RunId::new(&req.run), order) {
@@ -368,8 +372,7 @@
 }
 
 fn endpoint(fleet: &Fleet, name: &UpstreamName) -> Option<Endpoint> {
-    let listed = fleet.get(name)?;
-    Some(Endpoint { name: name.clone(), address: listed.address })
+    fleet.get(name).map(Endpoint::from)
 }
 
 fn place_outcome(fleet: &Fleet, placement: &Placement) -> PlaceOutcome {
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -7,8 +7,8 @@
 use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
-
-use magnoliawinch::names::{RunId, UpstreamName};
+use magnoliawinch::names::UpstreamName;
+use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::net::SocketAddr;
@@ -64,6 +64,9 @@
         /// Whether it states that it did not run the request.
         not_run: bool,
     },
+    /// The engine wants no requests.
+    #[error("{engine} wants no requests: {withheld}")]
+    Withheld { engine: UpstreamName, withheld: Withheld },
     /// The response is not that of the run.
     #[error("invalid response with status {status} from {engine}: {problem}")]
     Invalid { engine: UpstreamName, status: StatusCode, problem: &'static str },
@@ -74,24 +77,24 @@
     pub(crate) fn verdict(&self) -> Verdict {
         match self {
             Self::NoResponse(e) => e.verdict(),
-            Self::Refused { not_run: true, .. } => Verdict::NotRun,
+            Self::Refused { not_run: true, .. } | Self::Withheld { .. } => Verdict::NotRun,
             Self::Refused { .. } | Self::Invalid { .. } => Verdict::MayHaveRun,
         }
     }
 }
 
 impl<W: Wire> RequestHandler<W> {
-    /// Copies the memory of `run` from the engine at `from` to that at `to`; with `is_final` the
-    /// run stops first.
+    /// Copies the memory of the run of `fwd` from the engine `from` to that at `to`; with `is_final`
+    /// the run stops first.
     pub(crate) async fn copy_run(
         &self,
-        run: &RunId,
-        from: SocketAddr,
+        fwd: &Forward,
+        from: &Endpoint,
         to: SocketAddr,
         is_final: bool,
     ) -> Result<RunCopy, CopyError> {
-        let req = self.wire.copy_request(run, to, is_final);
-        let response = self.shared.upstreams.send(from, req, Reuse::Never, COPY_TIMEOUT).await?;
+        let req = self.wire.copy_request(&fwd.info.run, to, is_final);
+        let response = self.send_order(&fwd.service, from, req, COPY_TIMEOUT).await?;
         let status = response.status();
         let body = response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok(self.wire.parse_copy_response(status, &body)?)
@@ -104,6 +107,9 @@
         to: &Endpoint,
         resume: &Resume,
     ) -> Result<ClientResponse, ResumeError> {
+        let permit = self
+            .permit_resume(fwd, to)
+            .map_err(|withheld| ResumeError::Withheld { engine: to.name.clone(), withheld })?;
         let out = Outgoing {
             upstream: &to.name,
             organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
@@ -113,12 +119,11 @@
         };
         let req = fwd.request(&*self.wire, &out);
         let timeout = fwd.remaining().min(RESUME_TIMEOUT);
-        let sent = self.shared.upstreams.send(to.address, req, Reuse::Never, timeout).await;
+        let sent = self.send(permit, req, Reuse::Never, timeout).await;
         if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
             self.shared.note_resumption(&fwd.service);
         }
-        let response = sent?;
-        let info = self.wire.parse_response_headers(response.headers());
+        let (response, info) = sent?;
         let (engine, status) = (to.name.clone(), response.status());
         if !status.is_success() || info.not_run {
             return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
@@ -129,9 +134,9 @@
         }
     }
 
-    /// Whether the engine at `address` responds to a health check.
-    pub(crate) async fn is_alive(&self, address: SocketAddr) -> bool {
+    /// Whether the engine of a run responds to a health check.
+    pub(crate) async fn is_alive(&self, fwd: &Forward, engine: &Endpoint) -> bool {
         let req = self.wire.health_check_request();
-        self.shared.upstreams.send(address, req, Reuse::Never, HEALTH_CHECK_TIMEOUT).await.is_ok()
+        self.send_order(&fwd.service, engine, req, HEALTH_CHECK_TIMEOUT).await.is_ok()
     }
 }
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::configuration_body::ServedBodies;
 use crate::control::Message;
+use crate::outbound::Upstreams;
 use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::view::View;
@@ -14,7 +15,6 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch_http::Client;
 use magnoliawinch_peer::{
     FetchReply, FetchRequest, PeerChannels, PeerError, RelayClient, StateReply, StateRequest,
 };
@@ -31,10 +31,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tonic::transport::Channel;
 
-/// Timeout for connecting to an upstream, after which it is skipped. Well below the time limit of
-/// the shortest requests.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Time after the last chunk for which a daemon waits for a transfer from a peer instead of reading
 /// the store.
 const TRANSFER_PATIENCE: Millis = Millis(1_500);
@@ -59,7 +55,7 @@
     pub(crate) peers: PeerChannels<RelayClient<Channel>>,
     /// Channels for transfers, which must not delay other messages or fail with them.
     pub(crate) bulk_peers: PeerChannels<RelayClient<Channel>>,
-    pub(crate) upstreams: Client,
+    pub(crate) upstreams: Upstreams,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
@@ -103,7 +99,7 @@
             control,
             peers: PeerChannels::new(),
             bulk_peers: PeerChannels::new(),
-            upstreams: Client::new().with_connect_timeout(CONNECT_TIMEOUT),
+            upstreams: Upstreams::new(),
             runs: Runs::new(),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(clock.now()),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
+use crate::outbound::SendPermit;
 use crate::refusal::Refusal;
 use crate::runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo};
 use crate::wire::{Outgoing, Wire};
@@ -102,12 +103,20 @@
     pub(crate) async fn start_stream(&self, fwd: Arc<Forward>) -> Result<StreamStart<W>, Refusal> {
         let mut avoid = Vec::new();
         loop {
-            let assignment = self.assign_engine(&fwd, &avoid).await?;
+            let mut assignment = self.assign_engine(&fwd, &avoid).await?;
+            let Ok(permit) = self.permit(&fwd, &assignment.engine) else {
+                // Stated since the assignment, or the owner knows an older incarnation.
+                avoid.push(assignment.engine.name);
+                continue;
+            };
+            assignment
+                .backup
+                .take_if(|backup| self.withheld(&fwd, &backup.name, backup.born).is_some());
             let waited = fwd.arrived_at.elapsed();
             let in_progress = self.shared.track_request();
             let (run, orders) = self.shared.runs.register(self.run_info(&fwd), assignment.clone());
             let name = assignment.engine.name.clone();
-            match self.send_to_engine(&fwd, &assignment).await {
+            match self.send_to_engine(&fwd, permit, &assignment).await {
                 Ok(EngineResponse::Stream(response)) => {
                     let placed_run = PlacedRun { run, orders, assignment, waited, in_progress };
                     return Ok(self.event_stream(&fwd, placed_run, response));
@@ -120,7 +129,7 @@
                 }
                 Ok(EngineResponse::Other(Attempt::NotRun { .. })) => {
                     if !self.shared.spend_retry(&fwd.service) {
-                        return Err(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER));
+                        return Err(self.refused_run(&fwd));
                     }
                 }
                 Err(e) if e.verdict() == Verdict::NotRun => {
@@ -138,11 +147,17 @@
             }
             avoid.push(name);
             if avoid.len() as u32 >= MAX_ENGINES_TRIED || fwd.remaining().is_zero() {
-                return Err(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER));
+                return Err(self.refused_run(&fwd));
             }
         }
     }
 
+    /// The refusal of a run that no engine has accepted.
+    fn refused_run(&self, fwd: &Forward) -> Refusal {
+        let wait = self.wait_if_all_withheld(fwd);
+        Refusal::Overloaded(wait.unwrap_or(REFUSED_RUN_RETRY_AFTER))
+    }
+
     /// Assigns a run to an engine of the service's pool, or to a server if it has no engines.
     async fn assign_engine(
         &self,
@@ -152,12 +167,8 @@
         if fwd.is_pooled {
             return self.place(fwd, avoid).await;
         }
-        let server =
-            self.choose_server(fwd, avoid).ok_or(Refusal::Overloaded(REFUSED_RUN_RETRY_AFTER))?;
-        Ok(Assignment {
-            engine: Endpoint { name: server.name, address: server.address },
-            backup: None,
-        })
+        let server = self.choose_server(fwd, avoid).ok_or_else(|| self.refused_run(fwd))?;
+        Ok(Assignment { engine: Endpoint::from(&server), backup: None })
     }
 
     /// Notes that an engine crashed during a request, unless it is leaving or no longer listed.
@@ -185,6 +196,7 @@
     async fn send_to_engine(
         &self,
         fwd: &Forward,
+        permit: SendPermit,
         assignment: &Assignment,
     ) -> Result<EngineResponse, SendError> {
         let out = Outgoing {
@@ -196,16 +208,15 @@
         };
         let req = fwd.request(&*self.wire, &out);
         let timeout = fwd.remaining();
-        let address = assignment.engine.address;
-        let response = self.shared.upstreams.send(address, req, Reuse::Never, timeout).await?;
-        let info = self.wire.parse_response_headers(response.headers());
+        let (response, info) = self.send(permit, req, Reuse::Never, timeout).await?;
         let is_stream = response.status().is_success()
             && response_problem(fwd, response.status(), &info).is_none();
         if is_stream && !info.not_run {
             return Ok(EngineResponse::Stream(response));
         }
-        let name = &assignment.engine.name;
-        Ok(EngineResponse::Other(self.read_response(fwd, name, response, fwd.remaining()).await))
+        let engine = &assignment.engine;
+        let read = self.read_response(fwd, engine, response, &info, fwd.remaining());
+        Ok(EngineResponse::Other(read.await))
     }
 
     fn event_stream(
@@ -221,6 +232,7 @@
         let mut headers = response.headers().clone();
         let is_framed = is_framed(&headers);
         strip_hop_by_hop_headers(&mut headers);
+        self.wire.remove_statements(&mut headers);
         headers.remove(CONTENT_LENGTH);
         let stream = Box::new(EventStream {
             handler: self.clone(),
@@ -297,10 +309,7 @@
                 }
                 Step::Chunk(None) if self.is_framed => self.end_body(BodyEnd::Whole, ""),
                 Step::Chunk(None) => self.end_body(BodyEnd::Unframed, "the connection was closed"),
-                Step::Order(order) => {
-                    let is_from_source = order.from == self.handover.source().name;
-                    self.handover.on_order(is_from_source, order.to, order.way);
-                }
+                Step::Order(order) => self.handle_order(order),
                 Step::Task(result) => self.handle_result(result),
                 Step::Timer => {}
             }
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -3,11 +3,12 @@
 use super::{EventStream, is_framed};
 use crate::control::Message;
 use crate::relocate::{CopyError, ResumeError};
-use crate::runs::{Assignment, Endpoint};
+use crate::runs::{Assignment, Endpoint, MoveOrder};
 use crate::wire::{CopyRefusal, Resume, RunCopy, Wire};
 use magnoliawinch::handover::{
     Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ResumeOutcome, ResumePoint,
 };
+use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::ClientResponse;
 use std::time::Duration;
@@ -88,8 +89,7 @@
                 Action::Resume(point) => self.start_resume(point),
                 Action::CheckSource => self.start_check(),
                 Action::ReportFailedMove { refused_by } => {
-                    self.run.move_failed(refused_by.as_ref().map(|engine| &engine.name));
-                    self.handler.shared.tell(Message::ReportSoon);
+                    self.report_failed_move(refused_by.as_ref());
                 }
                 Action::Complete => return Some(StreamEnd::Complete),
                 Action::Cut(cause) => return Some(StreamEnd::Cut(cause)),
@@ -101,11 +101,29 @@
         None
     }
 
+    /// Hands an ordered move on unless its target wants no requests.
+    pub(super) fn handle_order(&mut self, order: MoveOrder) {
+        if self.handler.withheld(&self.fwd, &order.to.name, order.to.born).is_some() {
+            return self.report_failed_move(Some(&order.to));
+        }
+        let is_from_source = order.from == self.handover.source().name;
+        self.handover.on_order(is_from_source, order.to, order.way);
+    }
+
+    fn report_failed_move(&self, refused_by: Option<&Endpoint>) {
+        self.run.move_failed(refused_by.map(|engine| &engine.name));
+        self.handler.shared.tell(Message::ReportSoon);
+    }
+
     fn start_copy(&mut self, to: &Endpoint, is_final: bool) {
+        // The target may have stated so since the first copy; the run must not stop in vain.
+        if is_final && self.handler.withheld(&self.fwd, &to.name, to.born).is_some() {
+            self.report_failed_move(Some(to));
+            return self.handover.on_copy(CopyOutcome::Refused);
+        }
         let handler = self.handler.clone();
-        let (from, to) = (self.handover.source().address, to.address);
-        let run = self.fwd.info.run.clone();
-        let copy = async move { handler.copy_run(&run, from, to, is_final).await };
+        let (fwd, from, to) = (self.fwd.clone(), self.handover.source().clone(), to.address);
+        let copy = async move { handler.copy_run(&fwd, &from, to, is_final).await };
         self.tasks.copy = Some(Task::new(self.handler.shared.traffic.spawn(copy)));
     }
 
@@ -123,8 +141,9 @@
     }
 
     fn start_check(&mut self) {
-        let (handler, address) = (self.handler.clone(), self.handover.source().address);
-        let check = async move { handler.is_alive(address).await };
+        let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+        let source = self.handover.source().clone();
+        let check = async move { handler.is_alive(&fwd, &source).await };
         self.tasks.check = Some(Task::new(self.handler.shared.traffic.spawn(check)));
     }
 
@@ -187,7 +206,10 @@
             Ok(Err(e)) => {
                 self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
                 match &e {
-                    ResumeError::Refused { not_run: true, .. } => ResumeOutcome::Refused,
+                    ResumeError::Refused { not_run: true, .. }
+                    | ResumeError::Withheld { withheld: Withheld::Leaving { .. }, .. } => {
+                        ResumeOutcome::Refused
+                    }
                     e if e.verdict() == Verdict::NotRun => ResumeOutcome::NotSent,
                     _ => ResumeOutcome::MayHaveRun,
                 }
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 fn endpoint(name: &str) -> Endpoint {
-    Endpoint { name: UpstreamName::new(name), address: ([10, 0, 0, 1], 80).into() }
+    Endpoint { name: UpstreamName::new(name), address: ([10, 0, 0, 1], 80).into(), born: 1 }
 }
 
 fn order(to: &str) -> MoveOrder {
