A request whose connection does not open in time has not run

A 504 promises nothing, so an order is not sent again.

Cause: the time limit of a request also covered opening its connection. With less than the connect timeout left, the limit fired first and its error says that the request may have run.

Opening a connection now has its own limit, the less of the connect timeout and the time left.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -161,24 +161,14 @@
         reuse: Reuse,
         timeout: Duration,
     ) -> Result<ClientResponse, SendError> {
-        let attempt = self.attempt(address, req, reuse);
-        match with_timeout(timeout, attempt).await {
-            Ok(result) => result,
-            Err(_) => Err(SendError::Timeout { address, after: timeout }),
-        }
-    }
-
-    async fn attempt(
-        &self,
-        address: SocketAddr,
-        req: Request<Full<Bytes>>,
-        reuse: Reuse,
-    ) -> Result<ClientResponse, SendError> {
+        let deadline = Instant::now() + timeout;
+        let timed_out = |_| SendError::Timeout { address, after: timeout };
         let mut req = req;
         if reuse != Reuse::Never {
             let min_idle = if reuse == Reuse::Settled { MIN_SETTLED_IDLE } else { Duration::ZERO };
             while let Some(mut sender) = self.take_idle(address, min_idle) {
-                match sender.try_send_request(req).await {
+                let sent = timeout_at(deadline, sender.try_send_request(req)).await;
+                match sent.map_err(timed_out)? {
                     Ok(response) => return Ok(self.response(address, response, sender)),
                     Err(mut e) => match e.take_message() {
                         Some(unsent) => req = unsent,
@@ -187,8 +177,11 @@
                 }
             }
         }
-        let mut sender = connect(address, self.connect_timeout).await?;
-        match sender.try_send_request(req).await {
+        // Apart from the time limit of the request, which has not run if no connection opens.
+        let left = deadline.saturating_duration_since(Instant::now());
+        let mut sender = connect(address, self.connect_timeout.min(left)).await?;
+        let sent = timeout_at(deadline, sender.try_send_request(req)).await;
+        match sent.map_err(timed_out)? {
             Ok(response) => Ok(self.response(address, response, sender)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent { address }),
