The time limit of a copy covers its whole response

Callers would have lost a stream with its leaving engine: the limit of a copy ended with the head of the response, and a first copy has no other, so a body that never came left the run waiting for it, deaf to further orders, until its deadline.

The comment of the limit named a notice that engines outlast.

--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -14,9 +14,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::time::timeout;
 
-/// Timeout of one copy. An engine announces 1.5 to 2.1 s in advance that it leaves; a copy that
-/// takes longer is lost.
+/// Timeout of one copy, with its whole response. A leaving engine takes connections for some seconds;
+/// a copy that hangs must leave time for another.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Timeout for the response headers of an engine where a run continues.
@@ -94,9 +95,13 @@
         is_final: bool,
     ) -> Result<RunCopy, CopyError> {
         let req = self.wire.copy_request(&fwd.info.run, to, is_final);
-        let response = self.send_order(&fwd.service, from, req, COPY_TIMEOUT).await?;
-        let status = response.status();
-        let body = response.bytes(MAX_RESPONSE_BYTES).await?;
+        let exchange = async {
+            let response = self.send_order(&fwd.service, from, req, COPY_TIMEOUT).await?;
+            let status = response.status();
+            Ok((status, response.bytes(MAX_RESPONSE_BYTES).await?))
+        };
+        let timed_out = SendError::Timeout { address: from.address, after: COPY_TIMEOUT };
+        let (status, body) = timeout(COPY_TIMEOUT, exchange).await.unwrap_or(Err(timed_out))?;
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
