A stopped run goes on at its source when the target may have used the copy

Callers lost a stream whose engine kept its memory: after a final copy, an attempt at the target whose outcome was unknown (a reset, a 5xx, a response that was not the run's) used the copy up at the source too. The code before the state machine tried the source. The platform runs a copy once and answers the second use with 503, not run, so the attempt at the source cannot run the request twice; the connection to the target is closed by then.

The model of the random test made the same mistake and is corrected: places left count by engine and copy. With that, streams_are_given_up_only_when_nothing_is_left failed before (cut with copies left); the variant that tries the same place again is still detected.

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -342,8 +342,10 @@
                 }
                 self.backup_attempts = attempts_left;
             }
-            ResumeOutcome::Refused => self.points.retain(|other| *other != point),
-            ResumeOutcome::MayHaveRun => self.points.retain(|other| other.copy != point.copy),
+            // The other engine of a copy refuses it if it has been used.
+            ResumeOutcome::Refused | ResumeOutcome::MayHaveRun => {
+                self.points.retain(|other| *other != point);
+            }
         }
         if was_ordered && self.backup_attempts == 0 {
             let refused_by = (outcome == ResumeOutcome::NotSent).then_some(point.engine);
