Time in which a caller does not read its stream does not count

A stream is driven by its caller's reads. After a pause of the caller, as on a full link, the time limits of its run were checked before anything that had arrived meanwhile was read: the stream was cut with a backup left, or a finished copy was given up. The limits now leave out the time between two reads.

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -283,6 +283,16 @@
         self.is_suspect = false;
     }
 
+    /// Leaves out a time in which the stream was not read, as its caller did not read.
+    pub fn skip(&mut self, pause: Millis) {
+        for at in [&mut self.last_data_at, &mut self.checked_at] {
+            *at = *at + pause;
+        }
+        if let Some(at) = self.copying.as_mut().and_then(|copying| copying.started_at.as_mut()) {
+            *at = *at + pause;
+        }
+    }
+
     /// Handles the end of the source's body.
     pub fn on_end(&mut self, end: BodyEnd) {
         self.end = Some(end);
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -281,6 +281,10 @@
         if self.outcome.is_some() {
             return None;
         }
+        if let Some(at) = self.last_sent_at {
+            // The caller has taken the last events only now.
+            self.handover.skip(Millis(at.elapsed().as_millis() as u64));
+        }
         loop {
             match self.advance() {
                 Some(StreamEnd::Complete) => return self.complete(),
