--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -2,8 +2,8 @@
 //!
 //! A run with a backup copy continues at the backup engine at once. The others are copied one after
 //! another over each link, smallest first: a run is worth about the same whatever its size, and the
-//! notice may be too short to copy all. Runs whose moves failed go after the others. A run for which no engine has room is tried again until its
-//! engine has stopped.
+//! notice may be too short to copy all. Runs whose moves failed go after the others. A run for which
+//! no engine has room is tried again until its engine has stopped.
 
 use super::engine::{Engine, ProjectedLoad, ProjectedRun};
 use super::{MIN_TIME_LEFT, Pool, Run, RunState};
--- a/core/tests/announced_versions.rs
+++ b/core/tests/announced_versions.rs
@@ -17,6 +17,11 @@
     assert!(versions.record(START, 8, peer(1)));
     assert!(!versions.record(START, 8, peer(2)));
     assert_eq!(versions.peer_to_query(START, 7), None, "it may still arrive");
+    assert_eq!(
+        versions.peer_to_query(START + Millis(950), 7),
+        None,
+        "a silent source's poll lasts"
+    );
     let later = START + Millis(1_100);
     assert_eq!(versions.peer_to_query(later, 7), Some(peer(2)));
     assert_eq!(versions.peer_to_query(later, 7), None, "a peer was just asked");
