Followers hear that an expired entry is back

After the store had returned from a copy, its entries of both plain servers were missing for a moment.

An entry that is known as expired now counts as changed when it is put again.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -184,6 +184,30 @@
         self.apply(now, position, origin, changes)
     }
 
+    /// Names of entries that `changes` add, modify or remove.
+    pub fn names_changed_by(&self, changes: &[Change]) -> Vec<UpstreamName> {
+        let changed = changes.iter().filter_map(|change| match change {
+            Change::Put(listed) => self.differs(listed).then(|| listed.name.clone()),
+            Change::Removed(name) => self.get(name).map(|listed| listed.name.clone()),
+        });
+        changed.collect()
+    }
+
+    /// Names of entries in which `entries` differs from the known list.
+    pub fn names_differing_from(&self, entries: &[ListedUpstream]) -> Vec<UpstreamName> {
+        let names: HashSet<_> = entries.iter().map(|listed| &listed.name).collect();
+        let removed = self.all().filter(|listed| !names.contains(&listed.name));
+        let differing = entries.iter().filter(|listed| self.differs(listed));
+        removed.chain(differing).map(|listed| listed.name.clone()).collect()
+    }
+
+    /// Whether peers have to hear of an entry: also of one that is renewed, as they may know it as
+    /// expired.
+    fn differs(&self, listed: &ListedUpstream) -> bool {
+        let known = self.upstreams.get(&listed.name);
+        known.is_none_or(|known| known.listed != *listed || known.removal_at.is_some())
+    }
+
     /// Drops the upstreams that `is_kept` rejects: this daemon no longer needs to know them.
     pub fn retain(&mut self, is_kept: impl Fn(&ListedUpstream) -> bool) {
         self.upstreams.retain(|_, upstream| is_kept(&upstream.listed));
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -166,3 +166,23 @@
     assert_eq!(log.since(at(10)), None);
     assert_eq!(log.since(at(590)).unwrap().len(), 1);
 }
+
+/// Guards against a follower that drops an upstream for good: it was told that the entry had expired,
+/// and has to hear that the same entry is back.
+#[test]
+fn an_expired_entry_that_is_back_counts_as_changed() {
+    let e1 = || listed("e1", 1, false);
+    let expired = || {
+        let mut fleet = fleet();
+        // The list could not be read for a while.
+        fleet.record_read(Time(10_000));
+        let removed = Change::Removed(UpstreamName::new("e1"));
+        fleet.apply(Time(10_100), at(11), &Origin::Store, [removed]);
+        assert_eq!(fleet.expiring().count(), 1);
+        fleet
+    };
+    let names = [UpstreamName::new("e1")];
+    assert_eq!(fleet().names_changed_by(&[Change::Put(e1())]), []);
+    assert_eq!(expired().names_changed_by(&[Change::Put(e1())]), names);
+    assert_eq!(expired().names_differing_from(&[e1(), listed("e2", 1, false)]), names);
+}
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -9,7 +9,6 @@
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
 use serde::{Deserialize, Serialize};
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,12 +86,12 @@
                 (Vec::new(), false)
             }
             ListUpdate::Changes { end, origin, changes } => {
-                let changed = self.names_changed_by(&changes);
+                let changed = self.fleet.names_changed_by(&changes);
                 let leaving = self.fleet.apply(now, end, &origin, changes);
                 (leaving, self.record_changes(end, changed))
             }
             ListUpdate::Snapshot { end, origin, entries } => {
-                let changed = self.names_differing_from(&entries);
+                let changed = self.fleet.names_differing_from(&entries);
                 if !was_read || end.is_rewound_since(self.fleet.position()) {
                     // Peers get the whole list, as what they know may have been lost.
                     self.list_log = ChangeLog::new(end);
@@ -149,27 +148,6 @@
         true
     }
 
-    /// Names of entries that `changes` add, modify or remove.
-    fn names_changed_by(&self, changes: &[Change]) -> Vec<UpstreamName> {
-        let changed = changes.iter().filter_map(|change| match change {
-            Change::Put(listed) => {
-                (self.fleet.get(&listed.name) != Some(listed)).then(|| listed.name.clone())
-            }
-            Change::Removed(name) => self.fleet.get(name).map(|listed| listed.name.clone()),
-        });
-        changed.collect()
-    }
-
-    /// Names of entries in which `entries` differs from the known list.
-    fn names_differing_from(&self, entries: &[ListedUpstream]) -> Vec<UpstreamName> {
-        let names: HashSet<_> = entries.iter().map(|listed| &listed.name).collect();
-        let is_missing = |listed: &&ListedUpstream| !names.contains(&listed.name);
-        let removed = self.fleet.all().filter(is_missing);
-        let differs = |listed: &&ListedUpstream| self.fleet.get(&listed.name) != Some(*listed);
-        let differing = entries.iter().filter(differs);
-        removed.chain(differing).map(|listed| listed.name.clone()).collect()
-    }
-
     /// Notes the configuration version that a peer has.
     pub(super) fn note_peer_version(
         &mut self,
