Find out whether upstreams ended under requests whose connections broke

An attempt that failed with a broken connection was logged alike whether its server went on or had ended, so the logs could not tell a report that was never made from one that was lost. Now the control thread opens one connection to the upstream: refused, or another incarnation listed at the address of an unreachable one, shows that it has ended. Nothing is decided by it yet.

Broken bodies have an error of their own, apart from those that are too large.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -344,6 +344,11 @@
         self.leaving.get(name).is_some_and(|leaving| leaving.born >= born || born == u64::MAX)
     }
 
+    /// Whether there is evidence that an upstream leaves or has left; it need not be listed.
+    pub fn is_known_to_leave(&self, name: &UpstreamName) -> bool {
+        self.upstreams.get(name).is_some_and(|u| u.listed.leaving) || self.is_leaving(name)
+    }
+
     /// Whether an upstream may get new work.
     pub fn is_usable(&self, name: &UpstreamName) -> bool {
         self.upstreams.get(name).is_some_and(|u| !u.listed.leaving) && !self.is_leaving(name)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod catalogue;
 pub mod cells;
+pub mod crash_detection;
 pub mod decision;
 pub mod delivery;
 pub mod directory;
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client whose errors tell whether the request may have run.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap};
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -78,6 +79,14 @@
         /// Cause of the failure.
         reason: String,
     },
+    /// The connection broke within the body of the response.
+    #[error("{address} broke off the body of its response: {reason}")]
+    BodyBroken {
+        /// Server address.
+        address: SocketAddr,
+        /// Cause of the failure.
+        reason: String,
+    },
     /// The request timed out.
     #[error("no response from {address} within {after:?}")]
     Timeout {
@@ -109,11 +118,17 @@
 }
 
 impl SendError {
+    /// Whether the connection broke after the request was sent, before the response was complete.
+    pub fn is_broken_connection(&self) -> bool {
+        matches!(self, Self::NoResponse { .. } | Self::BodyBroken { .. })
+    }
+
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } | Self::NotSent { .. } => Verdict::NotRun,
             Self::NoResponse { .. }
+            | Self::BodyBroken { .. }
             | Self::Timeout { .. }
             | Self::Stalled { .. }
             | Self::BadResponse { .. } => Verdict::MayHaveRun,
@@ -215,6 +230,12 @@
         }
     }
 
+    /// Opens a connection and closes it.
+    pub async fn probe(&self, address: SocketAddr) -> io::Result<()> {
+        let opened = with_timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?.map(drop)
+    }
+
     /// Sends `body` as JSON and reads a JSON response of at most `max_bytes`, all within `timeout`.
     pub async fn json<T: DeserializeOwned>(
         &self,
@@ -316,7 +337,11 @@
         let closes_connection = self.closes_connection();
         let bad_response = |reason: String| SendError::BadResponse { address, status, reason };
         let limited = Limited::new(self.response.into_body(), max_bytes);
-        let bytes = limited.collect().await.map_err(|e| bad_response(e.to_string()))?.to_bytes();
+        let bytes = limited.collect().await.map_err(|e| match e.is::<LengthLimitError>() {
+            true => bad_response(format!("more than {max_bytes} bytes")),
+            false => SendError::BodyBroken { address, reason: e.to_string() },
+        })?;
+        let bytes = bytes.to_bytes();
         if !closes_connection {
             self.client.keep_idle(address, self.sender);
         }
@@ -335,7 +360,11 @@
         loop {
             let until = deadline.min(Instant::now() + limits.max_gap);
             let frame = match timeout_at(until, body.frame()).await {
-                Ok(Some(frame)) => frame.map_err(|e| bad_response(e.to_string()))?,
+                Ok(Some(frame)) => {
+                    let broken =
+                        |e: hyper::Error| SendError::BodyBroken { address, reason: e.to_string() };
+                    frame.map_err(broken)?
+                }
                 Ok(None) => break,
                 Err(_) => {
                     let after = if until == deadline { limits.max_total } else { limits.max_gap };
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -196,6 +196,9 @@
             }
             Err(e) => {
                 self.note_failed_attempt(fwd, &upstream.name, &e.to_string(), Verdict::MayHaveRun);
+                if e.is_broken_connection() {
+                    drop(self.note_broken_connection(fwd, &engine));
+                }
                 Attempt::MayHaveRun(e.to_string())
             }
         };
@@ -238,7 +241,12 @@
         let mut headers = response.headers().clone();
         let body = match tokio::time::timeout(timeout, response.bytes(MAX_RESPONSE_BYTES)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(e)) => return Attempt::MayHaveRun(e.to_string()),
+            Ok(Err(e)) => {
+                if e.is_broken_connection() {
+                    drop(self.note_broken_connection(fwd, upstream));
+                }
+                return Attempt::MayHaveRun(e.to_string());
+            }
             Err(_) => {
                 return Attempt::MayHaveRun("the response was not complete in time".to_owned());
             }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -3,6 +3,7 @@
 mod cells;
 mod configurations;
 mod convert;
+mod crashes;
 mod following;
 mod leaving;
 mod members;
@@ -10,6 +11,7 @@
 mod reports;
 mod updates;
 
+pub(crate) use crashes::BrokenRequest;
 pub use updates::ListUpdate;
 
 use crate::runs::Assignment;
@@ -19,6 +21,7 @@
 use following::HeldPoll;
 use magnoliawinch::announced_versions::AnnouncedVersions;
 use magnoliawinch::cells::{Cell, CellSet};
+use magnoliawinch::crash_detection::{CrashDetector, Reachability, UpstreamProcess};
 use magnoliawinch::dissemination::{ChunkRequest, Follower, Transfer};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::leaving_news::LeavingNews;
@@ -92,6 +95,10 @@
     ReportSoon,
     /// An upstream crashed with a request in progress.
     Crashed(Crash),
+    /// The connection of a request broke before the response was complete.
+    RequestBroke(BrokenRequest),
+    /// A connection to an upstream was opened or failed.
+    ProcessChecked { upstream: UpstreamProcess, result: Reachability },
     /// A probe from another daemon.
     Probe { req: ProbeRequest, reply: oneshot::Sender<ProbeReply> },
     /// A reply to this daemon's probe.
@@ -136,6 +143,9 @@
     reader_addresses: HashMap<u64, SocketAddr>,
     held_polls: Vec<HeldPoll>,
     unreported_crashes: Vec<Crash>,
+    crash_detector: CrashDetector,
+    /// Requests that wait for the result of a check, by upstream.
+    waiting_for_checks: Vec<(UpstreamProcess, oneshot::Sender<()>)>,
     peak_daemons: usize,
     members_version: u64,
     members: Arc<Vec<Member>>,
@@ -167,6 +177,8 @@
             reader_addresses: HashMap::new(),
             held_polls: Vec::new(),
             unreported_crashes: Vec::new(),
+            crash_detector: CrashDetector::new(),
+            waiting_for_checks: Vec::new(),
             peak_daemons: 1,
             members_version: u64::MAX,
             members: Arc::default(),
@@ -289,6 +301,10 @@
             Message::Relocate(req) => self.deliver_move_order(&req),
             Message::ReportSoon => self.pools.report_soon(),
             Message::Crashed(crash) => self.unreported_crashes.push(crash),
+            Message::RequestBroke(broken) => self.handle_broken_request(now, broken),
+            Message::ProcessChecked { upstream, result } => {
+                self.handle_process_checked(now, &upstream, result);
+            }
             Message::Probe { req, reply } => self.handle_probe(now, &req, reply),
             Message::ProbeReply(reply) => self.handle_probe_reply(now, &reply),
             Message::Seeds(seeds) => self.probe_seeds(&seeds),
@@ -316,6 +332,7 @@
             self.update_pool_engines();
         }
         self.tick_pools(now);
+        self.tick_crash_detector(now);
         self.tick_quarantine(now);
         self.request_announced_version(now);
         self.poll_readers(now);
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -112,6 +112,7 @@
         }
         self.drain_upstreams(now, &leaving);
         if has_changes || !was_read {
+            self.find_replaced();
             self.update_layout();
         }
     }
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -3,7 +3,7 @@
 //! A request is sent with a [`SendPermit`], which only the check of those statements hands out.
 //! Orders and health checks need none: they are no work for an upstream.
 
-use crate::control::Message;
+use crate::control::{BrokenRequest, Message};
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
 use crate::runs::Endpoint;
@@ -17,8 +17,12 @@
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
 use magnoliawinch_http::{Client, ClientResponse, Reuse, SendError};
 use rand::RngExt;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::oneshot;
 
 /// Timeout for connecting to an upstream, after which it is skipped. Well below the time limit of
 /// the shortest requests.
@@ -47,6 +51,11 @@
         Self { client, notices: Mutex::default() }
     }
 
+    /// Opens a connection to an upstream and closes it.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> io::Result<()> {
+        self.client.probe(address).await
+    }
+
     pub(crate) fn notices(&self) -> MutexGuard<'_, UpstreamNotices> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -212,6 +221,27 @@
         Ok(response)
     }
 
+    /// Has it examined whether an upstream ended when the connection of a request to it broke; the
+    /// returned future is ready once that is known.
+    pub(crate) fn note_broken_connection(
+        &self,
+        fwd: &Forward,
+        to: &Endpoint,
+    ) -> impl Future<Output = ()> + use<W> {
+        let (reply, examined) = oneshot::channel();
+        let broken =
+            BrokenRequest { fingerprint: fwd.fingerprint(), upstream: to.process(), reply };
+        let message = Message::RequestBroke(broken);
+        if let Err(TrySendError::Full(message)) = self.shared.control.try_send(message) {
+            let control = self.shared.control.clone();
+            self.shared.traffic.spawn(async move { control.send(message).await });
+        }
+        async move {
+            // The sender is dropped without a message if there is nothing to wait for.
+            let _ = examined.await;
+        }
+    }
+
     fn note_statements(
         &self,
         service: &ServiceName,
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -1,6 +1,7 @@
 //! The runs held by this daemon.
 
 use magnoliawinch::cells::{Cell, Layout};
+use magnoliawinch::crash_detection::UpstreamProcess;
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
@@ -31,6 +32,10 @@
     pub(crate) fn incarnation(&self, service: &ServiceName) -> Incarnation {
         Incarnation { service: service.clone(), name: self.name.clone(), born: self.born }
     }
+
+    pub(crate) fn process(&self) -> UpstreamProcess {
+        UpstreamProcess { name: self.name.clone(), born: self.born, address: self.address }
+    }
 }
 
 impl From<&ListedUpstream> for Endpoint {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -138,6 +138,9 @@
                 }
                 Err(e) => {
                     self.note_failed_attempt(&fwd, &name, &e.to_string(), Verdict::MayHaveRun);
+                    if e.is_broken_connection() {
+                        drop(self.note_broken_connection(&fwd, &assignment.engine));
+                    }
                     self.note_crash(&fwd, &name);
                     return Err(match fwd.remaining().is_zero() {
                         true => Refusal::TimedOut,
