--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -329,6 +329,12 @@
         candidates.choose(rng).map(|member| (*member).clone())
     }
 
+    /// At most `count` random members that have not failed.
+    pub fn random_members<R: Rng>(&self, count: usize, rng: &mut R) -> Vec<Member> {
+        let running: Vec<_> = self.others().filter(|m| m.state != MemberState::Failed).collect();
+        running.sample(rng, count).map(|member| (*member).clone()).collect()
+    }
+
     fn drop_departed(&mut self, now: Time) {
         let is_kept = |_: &HostName, record: &mut Record| {
             record.member.state <= MemberState::Alive
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -1,26 +1,49 @@
-//! Quarantine of requests that may have crashed upstreams.
+//! Quarantine of requests under which upstreams end.
 //!
-//! When an upstream crashes, every request in progress on it becomes a suspect. A suspect runs
-//! again only while no other suspect runs on the same upstream, so that a second crash identifies
-//! one of them. A fingerprint is refused for a while after its second crash.
+//! Each daemon keeps the known ends of upstreams under requests, by the fingerprint of the request,
+//! and passes on what it learns. A fingerprint under which two upstreams have ended is refused for a
+//! while, and for longer after a third. As many other requests may be in progress on an upstream
+//! that ends, a run that completes clears its fingerprint: a request that ends every upstream that
+//! runs it never completes.
 
 use crate::names::UpstreamName;
 use crate::rendezvous;
 use crate::time::{Millis, Time};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
-/// Crashes after which a fingerprint is refused.
-pub const MAX_CRASHES: u32 = 2;
+/// Ends of upstreams after which a fingerprint is refused.
+pub const MAX_CRASHES: usize = 2;
 
-/// Time for which a fingerprint is refused after its last crash.
+/// Time for which a fingerprint is refused after that many ends. A request that ran beside another
+/// that ended both may be among them, so it gets another chance.
+pub const FIRST_REFUSAL_DURATION: Millis = Millis(60_000);
+
+/// Time for which a fingerprint is refused after further ends.
 pub const REFUSAL_DURATION: Millis = Millis(600_000);
 
-/// Time after a crash for which a fingerprint that does not run again stays a suspect.
-const SUSPECT_DURATION: Millis = Millis(600_000);
+/// Time for which an end counts.
+const CRASH_RETENTION: Millis = REFUSAL_DURATION;
+
+/// Time after a completed run for which ends of upstreams under equal requests are put down to
+/// other causes.
+pub const EXONERATION: Millis = Millis(60_000);
 
-/// Time for all reports of one crash to arrive; a suspended daemon may report late.
+/// Ends kept for a fingerprint; further ones replace the oldest.
+const MAX_KEPT_CRASHES: usize = 4;
+
+/// Reports of one end arrive within this time; tells two ends apart if incarnations are unknown.
 const CRASH_REPORT_WINDOW: Millis = Millis(5_000);
 
+/// Fingerprints with a history; beyond that, the one with the fewest and oldest ends is dropped.
+const MAX_HISTORIES: usize = 1_024;
+
+/// How long a fact is passed on after it was learned: some intervals of probes. Facts about refused
+/// fingerprints are passed on for as long as these are refused.
+const PASSED_ON_FOR: Millis = Millis(3_000);
+
+/// Facts in one message.
+const MAX_FACTS: usize = 64;
+
 /// Hash that identifies equal requests of one organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
@@ -37,24 +60,110 @@
 pub enum QuarantineStatus {
     /// Runs without restriction.
     Normal,
-    /// Runs only on an upstream without other suspects.
+    /// An upstream has ended under an equal request.
     Suspect,
     /// Does not run for the given time.
     Refused(Millis),
 }
 
+/// The end of an upstream while a request was in progress on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// The upstream that ended.
+    pub upstream: UpstreamName,
+    /// When that incarnation started, in milliseconds since 1970 by its own clock, or
+    /// `UNKNOWN_INCARNATION`.
+    pub born: u64,
+}
+
+/// Start of an upstream for which it is unknown.
+pub const UNKNOWN_INCARNATION: u64 = 0;
+
+/// What daemons tell each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fact {
+    /// An upstream ended under a request at this time.
+    Crashed(Crash, Time),
+    /// A run with this fingerprint completed at this time.
+    Completed(Fingerprint, Time),
+}
+
+impl Fact {
+    /// The fingerprint that it is about.
+    pub fn fingerprint(&self) -> Fingerprint {
+        match self {
+            Self::Crashed(crash, _) => crash.fingerprint,
+            Self::Completed(fingerprint, _) => *fingerprint,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
-struct CrashHistory {
-    crashes: u32,
-    last_crash: Time,
-    /// Upstream of the last crash, if known.
-    upstream: Option<UpstreamName>,
+struct KnownCrash {
+    upstream: UpstreamName,
+    born: u64,
+    at: Time,
+}
+
+impl KnownCrash {
+    fn is_same(&self, at: Time, crash: &Crash) -> bool {
+        let is_same_incarnation = match crash.born {
+            UNKNOWN_INCARNATION => at.since(self.at).max(self.at.since(at)) < CRASH_REPORT_WINDOW,
+            born => self.born == born,
+        };
+        self.upstream == crash.upstream && is_same_incarnation
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct History {
+    /// In the order in which they were learned.
+    crashes: Vec<KnownCrash>,
+    completed_at: Option<Time>,
+    /// When the last of the above was learned.
+    learned_at: Time,
+}
+
+impl History {
+    fn counted(&self, now: Time) -> impl Iterator<Item = &KnownCrash> {
+        let exonerated_until = self.completed_at.map(|at| at + EXONERATION);
+        self.crashes.iter().filter(move |crash| {
+            let is_exonerated = exonerated_until.is_some_and(|until| crash.at <= until);
+            !is_exonerated && now.since(crash.at) < CRASH_RETENTION
+        })
+    }
+
+    /// Number of ends that count, and the time of the last one.
+    fn crashes(&self, now: Time) -> (usize, Option<Time>) {
+        (self.counted(now).count(), self.counted(now).map(|crash| crash.at).max())
+    }
+
+    fn status(&self, now: Time) -> QuarantineStatus {
+        let (count, Some(last)) = self.crashes(now) else {
+            return QuarantineStatus::Normal;
+        };
+        let duration = match count {
+            ..MAX_CRASHES => return QuarantineStatus::Suspect,
+            MAX_CRASHES => FIRST_REFUSAL_DURATION,
+            _ => REFUSAL_DURATION,
+        };
+        match duration - now.since(last) {
+            Millis(0) => QuarantineStatus::Suspect,
+            left => QuarantineStatus::Refused(left),
+        }
+    }
+
+    fn is_outdated(&self, now: Time) -> bool {
+        now.since(self.learned_at) >= EXONERATION && self.crashes(now).0 == 0
+    }
 }
 
-/// Crash histories of the fingerprints that this daemon owns.
+/// Known ends of upstreams, by the fingerprints of the requests that were in progress.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    histories: HashMap<Fingerprint, CrashHistory>,
+    histories: HashMap<Fingerprint, History>,
 }
 
 impl Quarantine {
@@ -63,123 +172,155 @@
         Self::default()
     }
 
-    /// Number of fingerprints with a crash history.
+    /// Number of fingerprints with a history.
     pub fn len(&self) -> usize {
         self.histories.len()
     }
 
-    /// Whether there is no crash history.
+    /// Whether there is no history.
     pub fn is_empty(&self) -> bool {
         self.histories.is_empty()
     }
 
-    /// Records that a request with this fingerprint was in progress on an upstream that crashed.
-    pub fn crashed(&mut self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
-        self.record(now, fingerprint, None)
+    /// Records an end at `at`; returns whether it is news.
+    pub fn record_crash(&mut self, now: Time, at: Time, crash: &Crash) -> bool {
+        if !self.histories.contains_key(&crash.fingerprint) {
+            self.make_room(now);
+        }
+        let history = self.histories.entry(crash.fingerprint).or_default();
+        if history.crashes.iter().any(|known| known.is_same(at, crash)) {
+            return false;
+        }
+        if history.crashes.len() >= MAX_KEPT_CRASHES {
+            let oldest = (0..history.crashes.len()).min_by_key(|n| history.crashes[*n].at);
+            if oldest.is_some_and(|n| history.crashes[n].at >= at) {
+                return false;
+            }
+            oldest.map(|n| history.crashes.remove(n));
+        }
+        let known = KnownCrash { upstream: crash.upstream.clone(), born: crash.born, at };
+        history.crashes.push(known);
+        history.learned_at = now;
+        true
     }
 
-    /// Like [`crashed`](Self::crashed) for a known upstream: equal requests in progress there count
-    /// as one crash.
-    pub fn crashed_on(
-        &mut self,
-        now: Time,
-        fingerprint: Fingerprint,
-        upstream: &UpstreamName,
-    ) -> QuarantineStatus {
-        let is_known = self.histories.get(&fingerprint).is_some_and(|history| {
-            history.upstream.as_ref() == Some(upstream)
-                && now.since(history.last_crash) < CRASH_REPORT_WINDOW
-        });
-        match is_known {
-            true => self.status(now, fingerprint),
-            false => self.record(now, fingerprint, Some(upstream.clone())),
+    /// Records that a run completed at `at`, which clears earlier ends and those soon after; returns
+    /// whether it is news.
+    pub fn record_completion(&mut self, now: Time, at: Time, fingerprint: Fingerprint) -> bool {
+        let Some(history) = self.histories.get_mut(&fingerprint) else {
+            return false;
+        };
+        let counted_before = history.crashes(now).0;
+        let before = history.completed_at;
+        history.completed_at = before.max(Some(at));
+        let is_news = history.crashes(now).0 < counted_before;
+        if is_news {
+            history.learned_at = now;
         }
+        is_news
     }
 
-    fn record(
-        &mut self,
-        now: Time,
-        fingerprint: Fingerprint,
-        upstream: Option<UpstreamName>,
-    ) -> QuarantineStatus {
-        let new = CrashHistory { crashes: 0, last_crash: now, upstream: None };
-        let history = self.histories.entry(fingerprint).or_insert(new);
-        *history = CrashHistory { crashes: history.crashes + 1, last_crash: now, upstream };
-        self.status(now, fingerprint)
+    fn make_room(&mut self, now: Time) {
+        if self.histories.len() < MAX_HISTORIES {
+            return;
+        }
+        let least = self.histories.iter().min_by_key(|(_, history)| history.crashes(now));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.histories.remove(&fingerprint);
+        }
     }
 
-    /// Clears the history: a request that ran to completion did not cause the crash.
-    pub fn completed(&mut self, fingerprint: Fingerprint) {
-        self.histories.remove(&fingerprint);
+    /// Status of requests with this fingerprint.
+    pub fn status(&self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
+        let history = self.histories.get(&fingerprint);
+        history.map_or(QuarantineStatus::Normal, |history| history.status(now))
     }
 
-    /// Status of requests with this fingerprint; drops an expired history.
-    pub fn status(&mut self, now: Time, fingerprint: Fingerprint) -> QuarantineStatus {
-        let Some(history) = self.histories.get(&fingerprint) else {
-            return QuarantineStatus::Normal;
-        };
-        let age = now.since(history.last_crash);
-        let is_over = match history.crashes >= MAX_CRASHES {
-            true => age >= REFUSAL_DURATION,
-            false => age >= SUSPECT_DURATION,
-        };
-        if is_over {
-            self.histories.remove(&fingerprint);
-            return QuarantineStatus::Normal;
-        }
-        match history.crashes >= MAX_CRASHES {
-            true => QuarantineStatus::Refused(Millis(REFUSAL_DURATION.0 - age.0)),
-            false => QuarantineStatus::Suspect,
-        }
+    /// Fingerprints of which an end counts, each with its status.
+    pub fn suspects(&self, now: Time) -> impl Iterator<Item = (Fingerprint, QuarantineStatus)> {
+        let all = self.histories.iter();
+        let all = all.map(move |(fingerprint, history)| (*fingerprint, history.status(now)));
+        all.filter(|(_, status)| *status != QuarantineStatus::Normal)
     }
 
-    /// Refused fingerprints.
-    pub fn refused(&self) -> impl Iterator<Item = Fingerprint> {
-        let is_refused = |history: &CrashHistory| history.crashes >= MAX_CRASHES;
-        self.histories
+    /// Facts to pass on: those about refused fingerprints, then what was learned lately, newest
+    /// first.
+    pub fn news(&self, now: Time) -> Vec<Fact> {
+        let is_refused =
+            |history: &History| matches!(history.status(now), QuarantineStatus::Refused(_));
+        let is_recent = |history: &History| now.since(history.learned_at) < PASSED_ON_FOR;
+        let mut passed_on: Vec<_> = self
+            .histories
             .iter()
-            .filter(move |(_, history)| is_refused(history))
-            .map(|(fingerprint, _)| *fingerprint)
+            .filter(|(_, history)| is_refused(history) || is_recent(history))
+            .collect();
+        passed_on.sort_by_key(|(fingerprint, history)| {
+            let age = now.since(history.learned_at);
+            (!is_refused(history), age, **fingerprint)
+        });
+        let facts = passed_on.into_iter().flat_map(|(fingerprint, history)| {
+            let crashes = history.crashes.iter().map(|crash| {
+                let (upstream, born) = (crash.upstream.clone(), crash.born);
+                Fact::Crashed(Crash { fingerprint: *fingerprint, upstream, born }, crash.at)
+            });
+            let completed = history.completed_at.map(|at| Fact::Completed(*fingerprint, at));
+            crashes.chain(completed)
+        });
+        facts.take(MAX_FACTS).collect()
     }
 
-    /// Drops expired crash histories.
+    /// Records what a peer has passed on; returns whether anything is news.
+    pub fn apply(&mut self, now: Time, facts: impl IntoIterator<Item = Fact>) -> bool {
+        let mut is_news = false;
+        for fact in facts {
+            is_news |= match fact {
+                Fact::Crashed(crash, at) => self.record_crash(now, at, &crash),
+                Fact::Completed(fingerprint, at) => self.record_completion(now, at, fingerprint),
+            };
+        }
+        is_news
+    }
+
+    /// Drops outdated histories.
     pub fn tick(&mut self, now: Time) {
-        self.histories.retain(|_, history| {
-            now.since(history.last_crash) < REFUSAL_DURATION.max(SUSPECT_DURATION)
-        });
+        self.histories.retain(|_, history| !history.is_outdated(now));
     }
 }
 
-/// Time for which a fingerprint stays refused without its owner's notice; well above the time in
-/// which another daemon takes over from a lost owner.
-pub const REFUSAL_NOTICE_LIFETIME: Millis = Millis(10_000);
+/// Completed runs that are remembered. A daemon at the target size completes 50 a second, so these
+/// last for the whole time of exoneration.
+const MAX_COMPLETIONS: usize = 4_096;
 
-/// Fingerprints refused on notice from their owners.
+/// When runs of this daemon last completed, by fingerprint.
 #[derive(Clone, Debug, Default)]
-pub struct RefusedFingerprints {
-    renewed_at: HashMap<Fingerprint, Time>,
+pub struct Completions {
+    last: HashMap<Fingerprint, Time>,
+    /// In the order of the first completions since the fingerprint was last forgotten.
+    order: VecDeque<Fingerprint>,
 }
 
-impl RefusedFingerprints {
-    /// Creates an empty set.
+impl Completions {
+    /// Creates an empty record.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Adds or renews a fingerprint on its owner's notice; returns whether it is new.
-    pub fn renew(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
-        self.renewed_at.insert(fingerprint, now).is_none()
-    }
-
-    /// Drops fingerprints without a recent notice; returns whether any was dropped.
-    pub fn tick(&mut self, now: Time) -> bool {
-        let before = self.renewed_at.len();
-        self.renewed_at.retain(|_, at| now.since(*at) < REFUSAL_NOTICE_LIFETIME);
-        self.renewed_at.len() < before
+    /// Records that a run completed.
+    pub fn record(&mut self, now: Time, fingerprint: Fingerprint) {
+        if self.last.insert(fingerprint, now).is_some() {
+            return;
+        }
+        self.order.push_back(fingerprint);
+        while self.order.len() > MAX_COMPLETIONS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.last.remove(&oldest);
+            }
+        }
     }
 
-    /// The refused fingerprints.
-    pub fn iter(&self) -> impl Iterator<Item = Fingerprint> {
-        self.renewed_at.keys().copied()
+    /// When a run last completed; `None` if none has for the time of exoneration.
+    pub fn last(&self, now: Time, fingerprint: Fingerprint) -> Option<Time> {
+        let at = self.last.get(&fingerprint).copied()?;
+        (now.since(at) < EXONERATION).then_some(at)
     }
 }
--- a/core/tests/crash_detection.rs
+++ b/core/tests/crash_detection.rs
@@ -32,7 +32,7 @@
         detector.connection_broke(Time(0), &s1, FIRST);
         assert!(detector.checked(Time(2), &s1, result).is_empty());
         assert!(detector.tick(Time(10)).is_empty(), "not at once");
-        assert_eq!(detector.tick(Time(100)), [s1.clone()]);
+        assert_eq!(detector.tick(Time(100)), std::slice::from_ref(&s1));
         assert!(detector.checked(Time(102), &s1, result).is_empty());
         assert!(detector.tick(Time(1_000)).is_empty(), "checked twice");
         assert!(detector.listed(&s1.name, s1.born, s1.address).is_empty(), "the same incarnation");
@@ -47,7 +47,7 @@
     let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
     detector.connection_broke(Time(0), &s1, FIRST);
     detector.checked(Time(2), &s1, Reachability::Accepted);
-    assert_eq!(detector.tick(Time(100)), [s1.clone()]);
+    assert_eq!(detector.tick(Time(100)), std::slice::from_ref(&s1));
     assert_eq!(detector.checked(Time(102), &s1, Reachability::Refused), [FIRST]);
 }
 
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -25,7 +25,7 @@
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::ownership::Owners;
 use magnoliawinch::placement::ModelStatus;
-use magnoliawinch::quarantine::{Fingerprint, Quarantine, QuarantineStatus};
+use magnoliawinch::quarantine::{Crash, Fingerprint, Quarantine, QuarantineStatus};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_hosts::HostList;
 use magnoliawinch_log::Page;
@@ -90,7 +90,7 @@
     /// Asks whether and how requests with this fingerprint may run.
     Quarantine { fingerprint: Fingerprint, reply: oneshot::Sender<QuarantineStatus> },
     /// An upstream crashed with a request of this fingerprint in progress.
-    Crashed { fingerprint: Fingerprint, reply: oneshot::Sender<QuarantineStatus> },
+    Crashed { crash: Crash, reply: oneshot::Sender<QuarantineStatus> },
     /// A request with a suspect fingerprint ran to completion.
     SuspectCompleted(Fingerprint),
     /// This daemon is shutting down.
@@ -289,10 +289,13 @@
             Message::Quarantine { fingerprint, reply } => {
                 let _ = reply.send(self.quarantine.status(now, fingerprint));
             }
-            Message::Crashed { fingerprint, reply } => {
-                let _ = reply.send(self.quarantine.crashed(now, fingerprint));
+            Message::Crashed { crash, reply } => {
+                self.quarantine.record_crash(now, now, &crash);
+                let _ = reply.send(self.quarantine.status(now, crash.fingerprint));
+            }
+            Message::SuspectCompleted(fingerprint) => {
+                self.quarantine.record_completion(now, now, fingerprint);
             }
-            Message::SuspectCompleted(fingerprint) => self.quarantine.completed(fingerprint),
             Message::Leave => self.leave(),
             Message::Status(reply) => {
                 let _ = reply.send(self.status(now));
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -126,6 +126,8 @@
             table_digest: self.members.membership.digest(),
             leaving: self.members.leaving_notices(),
             hosts: self.members.host_notices(),
+            // Owners of fingerprints are asked for each request.
+            quarantine: None,
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -168,6 +170,7 @@
             catalogue_offset: self.configuration.last_offset().0,
             leaving: self.members.leaving_notices(),
             hosts: self.members.host_notices(),
+            quarantine: None,
         });
     }
 
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -5,7 +5,7 @@
 use magnoliawinch::catalogue::Offset;
 use magnoliawinch::ledger::{Claim, ClaimDecision, Claimant, Outcome};
 use magnoliawinch::names::{HostName, KindName, OrganisationName, ServiceName, UpstreamName};
-use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
+use magnoliawinch::quarantine::{Crash, Fingerprint, QuarantineStatus, UNKNOWN_INCARNATION};
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
     AdmitReply, AdmitRequest, ClaimReply, ClaimRequest, FollowReply, FollowRequest, InForceReply,
@@ -202,7 +202,9 @@
                 self.ask(|reply| Message::Quarantine { fingerprint, reply }).await?
             }
             Some(SuspectReport::Crashed) => {
-                self.ask(|reply| Message::Crashed { fingerprint, reply }).await?
+                let upstream = UpstreamName::new(&req.upstream);
+                let crash = Crash { fingerprint, upstream, born: UNKNOWN_INCARNATION };
+                self.ask(|reply| Message::Crashed { crash, reply }).await?
             }
             Some(SuspectReport::Completed) => {
                 let message = Message::SuspectCompleted(fingerprint);
--- a/daemon/src/traffic/attempt.rs
+++ b/daemon/src/traffic/attempt.rs
@@ -3,8 +3,7 @@
 use super::admission::{AdmissionCriteria, DEFAULT_RETRY_AFTER, acquire_admission};
 use super::job::Job;
 use super::run::{Output, Run, RunFailure, start};
-use super::suspects::report_suspect;
-use crate::peer_server::SuspectReport;
+use super::suspects::{Notice, report_suspect};
 use crate::shared::Shared;
 use magnoliawinch::decision::Decision;
 use magnoliawinch::names::{FailureDomain, UpstreamName};
@@ -52,14 +51,15 @@
     /// Reports that the job completed, so that it is no longer a suspect.
     pub(super) async fn report_completed(&self, shared: &Arc<Shared>, job: &Job) {
         if self.quarantine == QuarantineStatus::Suspect {
-            report_suspect(shared, job.fingerprint, SuspectReport::Completed).await;
+            report_suspect(shared, job.fingerprint, Notice::Completed).await;
         }
     }
 
     /// Reports a crash if the engine crashed while it ran the job.
     pub(super) async fn report_crash(&self, shared: &Arc<Shared>, job: &Job, failure: &RunFailure) {
         if failure.engine_crashed {
-            report_suspect(shared, job.fingerprint, SuspectReport::Crashed).await;
+            let crashed = Notice::Crashed(&self.run.id.upstream);
+            report_suspect(shared, job.fingerprint, crashed).await;
         }
     }
 
@@ -72,7 +72,7 @@
     ) -> Result<Self, ErrorBody> {
         let (mut count, mut verdict, mut avoid) = (attempts, verdict, avoid);
         loop {
-            let quarantine = report_suspect(shared, job.fingerprint, SuspectReport::Ask).await;
+            let quarantine = report_suspect(shared, job.fingerprint, Notice::Ask).await;
             if let QuarantineStatus::Refused(remaining) = quarantine {
                 let error =
                     ErrorBody::new(Code::Quarantined, "the request crashed upstreams before");
@@ -112,7 +112,7 @@
     failure: RunFailure,
 ) -> Result<(), ErrorBody> {
     if failure.engine_crashed && failure.verdict != Verdict::NotRun {
-        report_suspect(shared, job.fingerprint, SuspectReport::Crashed).await;
+        report_suspect(shared, job.fingerprint, Notice::Crashed(upstream)).await;
     }
     let idempotent = job.access.kind.idempotent;
     let delay = shared.next_attempt(count, verdict, idempotent, job.deadline);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -15,7 +15,7 @@
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::{ClientResponse, Reuse};
+use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::time::{Duration, Instant};
 
 /// Largest response body that is accepted, in bytes; typical ones are a few kilobytes.
@@ -49,7 +49,23 @@
     /// The request did not run.
     NotRun { reached_upstream: bool },
     /// The request may have run, and there is no usable response.
-    MayHaveRun(String),
+    MayHaveRun {
+        cause: String,
+        /// Whether the connection broke before the response was complete.
+        is_broken: bool,
+    },
+}
+
+impl Attempt {
+    fn invalid(cause: String) -> Self {
+        Self::MayHaveRun { cause, is_broken: false }
+    }
+}
+
+impl From<SendError> for Attempt {
+    fn from(e: SendError) -> Self {
+        Self::MayHaveRun { cause: e.to_string(), is_broken: e.is_broken_connection() }
+    }
 }
 
 /// Counts a call as outstanding at a server until dropped.
@@ -114,7 +130,7 @@
                     tried.push(upstream.name);
                     continue;
                 }
-                Attempt::MayHaveRun(cause) => {
+                Attempt::MayHaveRun { cause, .. } => {
                     verdict = verdict.combine(Verdict::MayHaveRun);
                     reason = cause;
                     runs += 1;
@@ -196,10 +212,7 @@
             }
             Err(e) => {
                 self.note_failed_attempt(fwd, &upstream.name, &e.to_string(), Verdict::MayHaveRun);
-                if e.is_broken_connection() {
-                    drop(self.note_broken_connection(fwd, &engine));
-                }
-                Attempt::MayHaveRun(e.to_string())
+                Attempt::from(e)
             }
         };
         let took = Millis(started_at.elapsed().as_millis() as u64);
@@ -233,7 +246,7 @@
             return Attempt::NotRun { reached_upstream: true };
         }
         if let Some(problem) = response_problem(fwd, status, info) {
-            return Attempt::MayHaveRun(format!(
+            return Attempt::invalid(format!(
                 "invalid response with status {status} from {}: {problem}",
                 upstream.name
             ));
@@ -241,15 +254,8 @@
         let mut headers = response.headers().clone();
         let body = match tokio::time::timeout(timeout, response.bytes(MAX_RESPONSE_BYTES)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(e)) => {
-                if e.is_broken_connection() {
-                    drop(self.note_broken_connection(fwd, upstream));
-                }
-                return Attempt::MayHaveRun(e.to_string());
-            }
-            Err(_) => {
-                return Attempt::MayHaveRun("the response was not complete in time".to_owned());
-            }
+            Ok(Err(e)) => return Attempt::from(e),
+            Err(_) => return Attempt::invalid("the response was not complete in time".to_owned()),
         };
         strip_hop_by_hop_headers(&mut headers);
         self.wire.remove_statements(&mut headers);
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -28,7 +28,7 @@
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
-use magnoliawinch::quarantine::{Fingerprint, Quarantine, RefusedFingerprints};
+use magnoliawinch::quarantine::{Fingerprint, Quarantine};
 use magnoliawinch::route_table::{Configuration, RouteTable};
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
@@ -60,13 +60,6 @@
     AllAvoided,
 }
 
-/// An upstream's crash, with the fingerprint of a request in progress there.
-#[derive(Clone, Debug)]
-pub(crate) struct Crash {
-    pub(crate) fingerprint: Fingerprint,
-    pub(crate) upstream: UpstreamName,
-}
-
 /// Messages to the control thread.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -93,8 +86,8 @@
     Relocate(RelocateRequest),
     /// Sends reports to the owners on the next tick.
     ReportSoon,
-    /// An upstream crashed with a request in progress.
-    Crashed(Crash),
+    /// A request under which an upstream has ended completed now.
+    SuspectCompleted(Fingerprint),
     /// The connection of a request broke before the response was complete.
     RequestBroke(BrokenRequest),
     /// A connection to an upstream was opened or failed.
@@ -133,7 +126,9 @@
     list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
-    refused: RefusedFingerprints,
+    /// When other daemons were last told of news of the quarantine.
+    quarantine_told_at: Time,
+    has_quarantine_news: bool,
     announced_versions: AnnouncedVersions,
     leaving_news: LeavingNews,
     follower: Follower,
@@ -142,7 +137,6 @@
     /// Addresses of the readers and deputies, by the hashes of their hosts' names.
     reader_addresses: HashMap<u64, SocketAddr>,
     held_polls: Vec<HeldPoll>,
-    unreported_crashes: Vec<Crash>,
     crash_detector: CrashDetector,
     /// Requests that wait for the result of a check, by upstream.
     waiting_for_checks: Vec<(UpstreamProcess, oneshot::Sender<()>)>,
@@ -152,6 +146,8 @@
     cells: Cells,
     fleet_view: Arc<Fleet>,
     fleet_view_is_stale: bool,
+    /// The quarantine as published in the view.
+    quarantine_view: Arc<HashMap<Fingerprint, Time>>,
     view_is_stale: bool,
     view_published_at: Time,
 }
@@ -168,7 +164,8 @@
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
-            refused: RefusedFingerprints::new(),
+            quarantine_told_at: Time(0),
+            has_quarantine_news: false,
             announced_versions: AnnouncedVersions::new(),
             leaving_news: LeavingNews::new(),
             follower: Follower::new(now),
@@ -176,7 +173,6 @@
             reader_rank: None,
             reader_addresses: HashMap::new(),
             held_polls: Vec::new(),
-            unreported_crashes: Vec::new(),
             crash_detector: CrashDetector::new(),
             waiting_for_checks: Vec::new(),
             peak_daemons: 1,
@@ -185,6 +181,7 @@
             cells: Cells::new(),
             fleet_view: Arc::default(),
             fleet_view_is_stale: true,
+            quarantine_view: Arc::default(),
             view_is_stale: true,
             view_published_at: Time(0),
             shared,
@@ -244,7 +241,7 @@
             peak_daemons: self.peak_daemons,
             table: self.table.clone(),
             fleet: Arc::clone(&self.fleet_view),
-            refused: Arc::new(self.refused.iter().collect()),
+            quarantine: Arc::clone(&self.quarantine_view),
         }));
     }
 
@@ -300,7 +297,9 @@
             }
             Message::Relocate(req) => self.deliver_move_order(&req),
             Message::ReportSoon => self.pools.report_soon(),
-            Message::Crashed(crash) => self.unreported_crashes.push(crash),
+            Message::SuspectCompleted(fingerprint) => {
+                self.handle_suspect_completed(now, fingerprint);
+            }
             Message::RequestBroke(broken) => self.handle_broken_request(now, broken),
             Message::ProcessChecked { upstream, result } => {
                 self.handle_process_checked(now, &upstream, result);
--- a/relay/src/control/cells.rs
+++ b/relay/src/control/cells.rs
@@ -5,7 +5,6 @@
 use magnoliawinch::cells::{Cell, CellSet, Layout, report_interval};
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::ownership::large_owners;
-use magnoliawinch::quarantine::{Fingerprint, RefusedFingerprints};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf};
 use std::collections::HashSet;
@@ -32,8 +31,6 @@
     pub(super) covered: CellSet,
     /// Fraction of memory in use or requested by waiting runs, by cell number; may exceed 1.
     pub(super) loads: Vec<f32>,
-    /// Fingerprints refused by owners of other cells, to be forwarded to peers.
-    pub(super) forwarded_refused: RefusedFingerprints,
     readers_polled_at: Time,
 }
 
@@ -45,7 +42,6 @@
             needed: CellSet::all(),
             covered: CellSet::new([]),
             loads: Vec::new(),
-            forwarded_refused: RefusedFingerprints::new(),
             readers_polled_at: Time(0),
         }
     }
@@ -244,18 +240,4 @@
         }
         self.cells.loads.clone()
     }
-
-    /// Known fingerprints refused by the owner of any cell.
-    pub(super) fn all_refused(&self) -> Vec<u64> {
-        let own = self.quarantine.refused();
-        own.chain(self.cells.forwarded_refused.iter()).map(|fingerprint| fingerprint.0).collect()
-    }
-
-    /// Refuses fingerprints that other owners refuse, and forwards them to peers.
-    pub(super) fn forward_refused(&mut self, now: Time, refused: &[u64]) {
-        for fingerprint in refused {
-            self.cells.forwarded_refused.renew(now, Fingerprint(*fingerprint));
-            self.view_is_stale |= self.refused.renew(now, Fingerprint(*fingerprint));
-        }
-    }
 }
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -1,9 +1,11 @@
 //! Conversions between protobuf messages and the types of the pools.
 
-use super::Crash;
+use super::updates::age_ms;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, UpstreamName};
 use magnoliawinch::pool::{EndedRun, EngineUse, RunState};
-use magnoliawinch::quarantine::Fingerprint;
+use magnoliawinch::quarantine::{Crash, Fact, Fingerprint};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_peer::{CompletedRun, QuarantineNews};
 
 pub(super) fn run_to_proto(state: &RunState) -> magnoliawinch_peer::RunState {
     magnoliawinch_peer::RunState {
@@ -70,14 +72,33 @@
     }
 }
 
-pub(super) fn crash_to_proto(crash: &Crash) -> magnoliawinch_peer::Crash {
-    magnoliawinch_peer::Crash {
-        fingerprint: crash.fingerprint.0,
-        upstream: crash.upstream.to_string(),
+pub(super) fn facts_to_proto(now: Time, facts: &[Fact]) -> QuarantineNews {
+    let mut news = QuarantineNews::default();
+    for fact in facts {
+        match fact {
+            Fact::Crashed(crash, at) => news.crashes.push(magnoliawinch_peer::Crash {
+                fingerprint: crash.fingerprint.0,
+                upstream: crash.upstream.to_string(),
+                born: crash.born,
+                age_ms: age_ms(now, *at),
+            }),
+            Fact::Completed(fingerprint, at) => news
+                .completed
+                .push(CompletedRun { fingerprint: fingerprint.0, age_ms: age_ms(now, *at) }),
+        }
     }
+    news
 }
 
-pub(super) fn crash_from_proto(message: &magnoliawinch_peer::Crash) -> Crash {
-    let upstream = UpstreamName::new(&message.upstream);
-    Crash { fingerprint: Fingerprint(message.fingerprint), upstream }
+pub(super) fn facts_from_proto(now: Time, news: &QuarantineNews) -> Vec<Fact> {
+    let at = |age_ms: u32| now - Millis(u64::from(age_ms));
+    let crashes = news.crashes.iter().map(|crash| {
+        let upstream = UpstreamName::new(&crash.upstream);
+        let fingerprint = Fingerprint(crash.fingerprint);
+        Fact::Crashed(Crash { fingerprint, upstream, born: crash.born }, at(crash.age_ms))
+    });
+    let completed = news.completed.iter();
+    let completed =
+        completed.map(|run| Fact::Completed(Fingerprint(run.fingerprint), at(run.age_ms)));
+    crashes.chain(completed).collect()
 }
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -1,13 +1,22 @@
-//! Ends of upstreams under requests.
+//! Ends of upstreams under requests, and the quarantine of such requests.
 
+use super::convert::{facts_from_proto, facts_to_proto};
 use super::{Control, Message};
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
-use magnoliawinch::quarantine::Fingerprint;
-use magnoliawinch::time::Time;
+use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
+use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_peer::QuarantineNews;
+use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
+/// Daemons told at once of news of the quarantine; each tells as many others.
+const NEWS_FANOUT: usize = 4;
+
+/// Minimum time between two such rounds of one daemon, as many hosts report one end.
+const NEWS_INTERVAL: Millis = Millis(50);
+
 /// A request whose connection to an upstream broke before the response was complete.
 #[derive(Debug)]
 pub(crate) struct BrokenRequest {
@@ -25,7 +34,7 @@
             return;
         }
         match self.crash_detector.connection_broke(now, &upstream, fingerprint) {
-            Suspicion::Ended => self.note_ended(&upstream, &[fingerprint], "ended_before"),
+            Suspicion::Ended => self.note_ended(now, &upstream, &[fingerprint], "ended_before"),
             Suspicion::CheckDue => {
                 self.waiting_for_checks.push((upstream.clone(), reply));
                 self.check_process(upstream);
@@ -54,13 +63,13 @@
         result: Reachability,
     ) {
         let ended = self.crash_detector.checked(now, upstream, result);
-        self.note_ended(upstream, &ended, "refused");
+        self.note_ended(now, upstream, &ended, "refused");
         // Dropping the senders tells the requests that wait for the result.
         self.waiting_for_checks.retain(|(waited_for, _)| waited_for != upstream);
     }
 
     /// Finds upstreams that must have ended, as others are listed at their addresses.
-    pub(super) fn find_replaced(&mut self) {
+    pub(super) fn find_replaced(&mut self, now: Time) {
         if self.crash_detector.is_empty() {
             return;
         }
@@ -69,7 +78,7 @@
             .flat_map(|new| self.crash_detector.listed(&new.name, new.born, new.address))
             .collect();
         for (upstream, requests) in replaced {
-            self.note_ended(&upstream, &requests, "replaced");
+            self.note_ended(now, &upstream, &requests, "replaced");
         }
     }
 
@@ -81,12 +90,13 @@
     }
 
     fn note_ended(
-        &self,
+        &mut self,
+        now: Time,
         upstream: &UpstreamProcess,
         requests: &[Fingerprint],
         evidence: &'static str,
     ) {
-        for fingerprint in requests {
+        for fingerprint in requests.iter().copied() {
             self.shared.metrics.count("ended_under_request", evidence);
             log::warn!(
                 upstream = upstream.name.as_str(),
@@ -95,7 +105,108 @@
                 evidence;
                 "upstream ended under a request"
             );
+            let crash = Crash { fingerprint, upstream: upstream.name.clone(), born: upstream.born };
+            self.learn_facts(now, [Fact::Crashed(crash, now)], "own");
+        }
+    }
+
+    /// Handles the end of a run with a fingerprint under which upstreams have ended.
+    pub(super) fn handle_suspect_completed(&mut self, now: Time, fingerprint: Fingerprint) {
+        self.learn_facts(now, [Fact::Completed(fingerprint, now)], "own");
+    }
+
+    /// Handles what a peer has passed on.
+    pub(super) fn apply_quarantine_news(&mut self, now: Time, news: Option<&QuarantineNews>) {
+        if let Some(news) = news {
+            self.learn_facts(now, facts_from_proto(now, news), "peer");
+        }
+    }
+
+    /// Adds facts to the quarantine; puts them in force at once and passes on those that are news.
+    fn learn_facts(
+        &mut self,
+        now: Time,
+        facts: impl IntoIterator<Item = Fact>,
+        source: &'static str,
+    ) {
+        let mut is_news = false;
+        for fact in facts {
+            let fingerprint = fact.fingerprint();
+            if !self.quarantine.apply(now, [fact]) {
+                continue;
+            }
+            is_news = true;
+            self.shared.metrics.count("quarantine_news", source);
+            // A request that this daemon has seen complete is not the cause.
+            let completed_at = self.shared.completions().last(now, fingerprint);
+            if let Some(at) = completed_at {
+                self.quarantine.record_completion(now, at, fingerprint);
+            }
+            self.log_status(now, fingerprint, source);
+        }
+        if is_news {
+            self.has_quarantine_news = true;
+            if self.update_quarantine_view(now) {
+                self.publish_view(now);
+            }
+            self.tell_quarantine_news(now);
+        }
+    }
+
+    fn log_status(&self, now: Time, fingerprint: Fingerprint, source: &'static str) {
+        let refused_for = match self.quarantine.status(now, fingerprint) {
+            QuarantineStatus::Refused(left) => left,
+            QuarantineStatus::Normal | QuarantineStatus::Suspect => return,
+        };
+        log::warn!(
+            fingerprint = fingerprint.0,
+            refused_for_ms = refused_for.0,
+            source;
+            "requests under which upstreams end are refused"
+        );
+    }
+
+    /// Updates the part of the view; returns whether it has changed.
+    fn update_quarantine_view(&mut self, now: Time) -> bool {
+        let until = |status: QuarantineStatus| match status {
+            QuarantineStatus::Refused(left) => now + left,
+            QuarantineStatus::Normal | QuarantineStatus::Suspect => Time(0),
+        };
+        let suspects = self.quarantine.suspects(now);
+        let suspects: HashMap<_, _> =
+            suspects.map(|(fingerprint, status)| (fingerprint, until(status))).collect();
+        let has_changed = suspects != *self.quarantine_view;
+        if has_changed {
+            self.quarantine_view = Arc::new(suspects);
+        }
+        has_changed
+    }
+
+    /// Tells random daemons of news, unless others were told a moment ago.
+    fn tell_quarantine_news(&mut self, now: Time) {
+        if !self.has_quarantine_news || now.since(self.quarantine_told_at) < NEWS_INTERVAL {
+            return;
+        }
+        self.has_quarantine_news = false;
+        self.quarantine_told_at = now;
+        for target in self.membership.random_members(NEWS_FANOUT, &mut self.rng) {
+            self.send_probe(target.peer_address, Some(target.host));
+        }
+    }
+
+    /// What this daemon passes on, for messages.
+    pub(super) fn quarantine_news(&self, now: Time) -> Option<QuarantineNews> {
+        let facts = self.quarantine.news(now);
+        (!facts.is_empty()).then(|| facts_to_proto(now, &facts))
+    }
+
+    pub(super) fn tick_quarantine(&mut self, now: Time) {
+        if self.quarantine.is_empty() && self.quarantine_view.is_empty() {
+            return;
         }
+        self.quarantine.tick(now);
+        self.view_is_stale |= self.update_quarantine_view(now);
+        self.tell_quarantine_news(now);
     }
 }
 
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    fn send_probe(&mut self, address: SocketAddr, host: Option<HostName>) {
+    pub(super) fn send_probe(&mut self, address: SocketAddr, host: Option<HostName>) {
         let now = self.shared.clock.now();
         let req = ProbeRequest {
             sender: Some(self.membership.own().into()),
@@ -38,6 +38,7 @@
             table_digest: self.membership.digest(),
             leaving: self.leaving_news(now),
             hosts: Vec::new(),
+            quarantine: self.quarantine_news(now),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -74,6 +75,7 @@
         merge_members(&mut self.membership, now, &req.changes);
         self.note_peer_version(now, req.catalogue_offset, req.sender.as_ref());
         self.apply_leaving_news(now, &req.leaving);
+        self.apply_quarantine_news(now, req.quarantine.as_ref());
         let changes = self.membership.probe_reply(is_new, table_differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
@@ -81,6 +83,7 @@
             catalogue_offset: self.version(),
             leaving: self.leaving_news(now),
             hosts: Vec::new(),
+            quarantine: self.quarantine_news(now),
         });
     }
 
@@ -92,6 +95,7 @@
         merge_members(&mut self.membership, now, &reply.changes);
         self.note_peer_version(now, reply.catalogue_offset, reply.sender.as_ref());
         self.apply_leaving_news(now, &reply.leaving);
+        self.apply_quarantine_news(now, reply.quarantine.as_ref());
     }
 
     /// Notifies other members at once that this daemon accepts work or is leaving.
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -1,15 +1,13 @@
 //! Reports of runs to the owners of their cells, and the owners' replies.
 
 use super::convert::{
-    crash_from_proto, crash_to_proto, ended_from_proto, ended_to_proto, run_from_proto,
-    run_to_proto, use_from_proto, use_to_proto,
+    ended_from_proto, ended_to_proto, run_from_proto, run_to_proto, use_from_proto, use_to_proto,
 };
 use super::pools::PoolKey;
-use super::{Control, Crash, Message};
+use super::{Control, Message};
 use crate::runs::RunsUpdate;
 use magnoliawinch::cells::{Cell, CellSet, report_interval};
 use magnoliawinch::names::{HostName, RunId, ServiceName};
-use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellOf, RunsReply, RunsReport};
@@ -36,35 +34,23 @@
         self.pools.report_due_at = now + Millis((interval as f64 * jitter) as u64);
         self.pools.report_soon = false;
         let own = self.membership.own().host.clone();
-        let crashed: Vec<_> = self.unreported_crashes.drain(..).collect();
-        for crash in &crashed {
-            self.note_crash(now, crash);
-        }
         let home = self.cells.owners.home();
         let services: HashSet<_> =
             self.pools.by_key.keys().map(|key| key.service.clone()).collect();
         for service in services {
             let update = self.shared.runs.take_update(&service);
-            self.note_completed(&update);
             for (cell, part) in update.by_cell(self.cells.layout, home) {
                 let key = PoolKey { service: service.clone(), cell };
                 if let Some(pool) = self.pools.by_key.get_mut(&key) {
                     pool.report(now, &own, &part.report(&part.released_ids()));
                 }
-                let crashed = if cell == home { crashed.as_slice() } else { &[] };
-                let report = self.report_message(now, &key, &part, crashed);
+                let report = self.report_message(now, &key, &part);
                 self.send_report(&service, cell, &report);
             }
         }
     }
 
-    fn report_message(
-        &self,
-        now: Time,
-        key: &PoolKey,
-        update: &RunsUpdate,
-        crashed: &[Crash],
-    ) -> RunsReport {
+    fn report_message(&self, now: Time, key: &PoolKey, update: &RunsUpdate) -> RunsReport {
         RunsReport {
             host: self.membership.own().host.to_string(),
             service: key.service.to_string(),
@@ -75,8 +61,6 @@
             list_offset: self.list_position().offset,
             list_era: self.list_position().era,
             configuration_version: self.version(),
-            crashed: crashed.iter().map(crash_to_proto).collect(),
-            completed: update.completed.iter().map(|fingerprint| fingerprint.0).collect(),
             cell: Some(key.cell.into()),
             wants_list: self.gets_list_from_owners_of(key.cell),
         }
@@ -113,17 +97,11 @@
         let holder = HostName::new(&report.host);
         self.membership.heard_from(now, &report.host);
         self.apply_leaving_news(now, &report.leaving);
-        for crash in report.crashed.iter().map(crash_from_proto) {
-            self.note_crash(now, &crash);
-        }
-        let completed = report.completed.iter().copied().map(Fingerprint).collect();
         let update = RunsUpdate {
             runs: report.runs.iter().map(run_from_proto).collect(),
             ended: report.ended.iter().map(ended_from_proto).collect(),
-            completed,
             released: Vec::new(),
         };
-        self.note_completed(&update);
         let cell = report.cell.as_ref().and_then(CellOf::cell).unwrap_or(Cell::ALL);
         let released: Vec<_> = report.over.iter().map(|run| RunId::new(run)).collect();
         let mut uses = Vec::new();
@@ -152,7 +130,6 @@
             list_age_ms: if sends_list { self.list_age_ms(now) } else { u32::MAX },
             list,
             configuration_version: self.version(),
-            refused: self.all_refused(),
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
         }
@@ -189,35 +166,8 @@
         if !self.is_reader() && is_home {
             self.replace_cell_loads(&reply.cell_loads);
         }
-        for fingerprint in &reply.refused {
-            self.view_is_stale |= self.refused.renew(now, Fingerprint(*fingerprint));
-        }
         if let Some(owner) = self.membership.get(&reply.host).map(|owner| owner.peer_address) {
             self.note_announced_version(now, reply.configuration_version, owner);
         }
     }
-
-    fn note_completed(&mut self, update: &RunsUpdate) {
-        for fingerprint in &update.completed {
-            self.quarantine.completed(*fingerprint);
-        }
-    }
-
-    fn note_crash(&mut self, now: Time, crash: &Crash) {
-        let Crash { fingerprint, upstream } = crash;
-        let status = self.quarantine.crashed_on(now, *fingerprint, upstream);
-        if let QuarantineStatus::Refused(_) = status {
-            log::warn!(fingerprint = fingerprint.0; "requests that crash upstreams are refused");
-            self.view_is_stale |= self.refused.renew(now, *fingerprint);
-        }
-    }
-
-    pub(super) fn tick_quarantine(&mut self, now: Time) {
-        self.quarantine.tick(now);
-        for fingerprint in self.quarantine.refused() {
-            self.view_is_stale |= self.refused.renew(now, fingerprint);
-        }
-        self.view_is_stale |= self.refused.tick(now);
-        self.cells.forwarded_refused.tick(now);
-    }
 }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -112,7 +112,7 @@
         }
         self.drain_upstreams(now, &leaving);
         if has_changes || !was_read {
-            self.find_replaced();
+            self.find_replaced(now);
             self.update_layout();
         }
     }
@@ -187,7 +187,6 @@
             list_era: self.list_position().era,
             wanted: self.cells.needed.cells().map(Into::into).collect(),
             loads: self.own_loads(now).into_iter().map(cell_load_to_proto).collect(),
-            refused: self.quarantine.refused().map(|fingerprint| fingerprint.0).collect(),
             wait_ms: 0,
             configuration_age_ms,
             attempt_age_ms,
@@ -209,7 +208,6 @@
     pub(super) fn state_reply(&mut self, now: Time, req: &StateRequest) -> StateReply {
         if self.is_reader() {
             self.update_cell_loads(&req.loads);
-            self.forward_refused(now, &req.refused);
         }
         let wanted = cell_set(&req.wanted);
         let is_covered = self.cells.covered.covers(&wanted);
@@ -229,7 +227,6 @@
             told: req.wanted.clone(),
             layout: Some(self.cells.layout.into()),
             cell_loads: self.all_loads(now),
-            refused: self.all_refused(),
             configuration_age_ms,
             attempt_age_ms,
             configuration_reader: reader.host,
@@ -316,7 +313,6 @@
         }
         if !self.cells.layout.is_undivided() && !self.is_reader() {
             self.replace_cell_loads(&state.cell_loads);
-            self.forward_refused(now, &state.refused);
         }
         let scope = cell_set(&state.told);
         let position = StorePosition { era: state.list_era, offset: state.list_offset };
--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -65,6 +65,8 @@
     pub(crate) arrived_at: Instant,
     /// When the complete response is due.
     pub(crate) deadline: Instant,
+    /// What equal requests of one organisation share.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl Forward {
@@ -92,13 +94,6 @@
         own.unwrap_or(self.route.priority)
     }
 
-    /// Fingerprint that equal requests of one organisation share.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let digest = rendezvous::hash_bytes(&self.body).to_string();
-        let path = self.uri.path();
-        Fingerprint::new(self.organisation_name(), &self.route.host, path, &digest)
-    }
-
     /// Builds the request for an upstream.
     pub(crate) fn request<W: Wire>(&self, wire: &W, out: &Outgoing<'_>) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
@@ -109,6 +104,18 @@
     }
 }
 
+/// Fingerprint that equal requests of one organisation share.
+pub(crate) fn fingerprint(
+    organisation: Option<&Organisation>,
+    route: &Route,
+    uri: &Uri,
+    body: &[u8],
+) -> Fingerprint {
+    let digest = rendezvous::hash_bytes(body).to_string();
+    let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
+    Fingerprint::new(organisation, &route.host, uri.path(), &digest)
+}
+
 /// Method, URI without scheme and host, and headers to forward.
 pub(crate) fn forwarded_parts(parts: Parts) -> (Method, Uri, HeaderMap) {
     let mut headers = parts.headers;
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -2,11 +2,10 @@
 
 use crate::call::BufferedResponse;
 use crate::directory::{AddressList, address_list};
-use crate::forward::{Forward, forwarded_parts, header_bytes, read_body};
+use crate::forward::{Forward, fingerprint, forwarded_parts, header_bytes, read_body};
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::stream::{EventStream, StreamCut, StreamStart};
-use crate::view::View;
 use crate::wire::{RequestInfo, Wire};
 use bytes::Bytes;
 use futures_util::Stream;
@@ -16,7 +15,6 @@
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use magnoliawinch::names::FailureDomain;
-use magnoliawinch::quarantine::REFUSAL_DURATION;
 use magnoliawinch::route_table::{CallerLimits, Delivery, Organisation, Route, RouteTable};
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,6 +155,7 @@
         let is_pooled = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
         let (method, uri, headers) = forwarded_parts(parts);
         let route = Arc::clone(route);
+        let fingerprint = fingerprint(organisation.as_deref(), &route, &uri, &body);
         let fwd = Forward {
             method,
             uri,
@@ -169,8 +168,11 @@
             organisation,
             arrived_at,
             deadline,
+            fingerprint,
         };
-        self.check_quarantine(&view, &fwd)?;
+        if let Some(left) = self.refused_for(&fwd) {
+            return Err(Refusal::Quarantined(left));
+        }
         self.shared.earn_retry(&fwd.service);
         if fwd.route.delivery == Delivery::Stream {
             return self.respond_with_stream(fwd).await;
@@ -190,11 +192,6 @@
         }
     }
 
-    fn check_quarantine(&self, view: &View, fwd: &Forward) -> Result<(), Refusal> {
-        let is_refused = !view.refused.is_empty() && view.refused.contains(&fwd.fingerprint());
-        if is_refused { Err(Refusal::Quarantined(REFUSAL_DURATION)) } else { Ok(()) }
-    }
-
     fn note_refusal(&self, run: &str, kind: &str, arrived_at: Instant, refusal: &Refusal) {
         let name: &'static str = refusal.into();
         self.shared.metrics.count("refused", name);
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// How long a request is refused because upstreams have ended under equal ones; `None` if it may
+    /// run.
+    pub(crate) fn refused_for(&self, fwd: &Forward) -> Option<Millis> {
+        self.shared.view.load().refused_for(self.shared.clock.now(), fwd.fingerprint)
+    }
+
     /// Why an upstream gets no new work of this daemon, if it does not; counted and logged.
     pub(crate) fn withheld(
         &self,
@@ -229,8 +235,7 @@
         to: &Endpoint,
     ) -> impl Future<Output = ()> + use<W> {
         let (reply, examined) = oneshot::channel();
-        let broken =
-            BrokenRequest { fingerprint: fwd.fingerprint(), upstream: to.process(), reply };
+        let broken = BrokenRequest { fingerprint: fwd.fingerprint, upstream: to.process(), reply };
         let message = Message::RequestBroke(broken);
         if let Err(TrySendError::Full(message)) = self.shared.control.try_send(message) {
             let control = self.shared.control.clone();
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -5,7 +5,6 @@
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
-use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::upstream_notices::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -92,7 +91,6 @@
     pub(crate) priority: u8,
     /// Whether it runs in a pool of engines, whose owner receives reports of it.
     pub(crate) is_pooled: bool,
-    pub(crate) fingerprint: Fingerprint,
 }
 
 #[derive(Debug)]
@@ -142,7 +140,6 @@
 #[derive(Debug, Default)]
 struct Unreported {
     ended: Vec<EndedRun>,
-    completed: Vec<Fingerprint>,
     /// Runs no longer held, each with its last engine.
     released: Vec<(RunId, UpstreamName)>,
 }
@@ -152,8 +149,6 @@
 pub(crate) struct RunsUpdate {
     pub(crate) runs: Vec<RunState>,
     pub(crate) ended: Vec<EndedRun>,
-    /// Fingerprints of runs that ended normally.
-    pub(crate) completed: Vec<Fingerprint>,
     /// Runs no longer held, each with its last engine.
     pub(crate) released: Vec<(RunId, UpstreamName)>,
 }
@@ -178,9 +173,7 @@
         for (run, engine) in self.released {
             parts.entry(layout.cell_of(&engine)).or_default().released.push((run, engine));
         }
-        let at_home = parts.entry(home).or_default();
-        at_home.ended = self.ended;
-        at_home.completed = self.completed;
+        parts.entry(home).or_default().ended = self.ended;
         parts
     }
 }
@@ -231,12 +224,7 @@
     pub(crate) fn take_update(&self, service: &ServiceName) -> RunsUpdate {
         let runs = self.states(service);
         let unreported = self.lock().unreported.remove(service).unwrap_or_default();
-        RunsUpdate {
-            runs,
-            ended: unreported.ended,
-            completed: unreported.completed,
-            released: unreported.released,
-        }
+        RunsUpdate { runs, ended: unreported.ended, released: unreported.released }
     }
 
     /// Sends an order to a run; returns whether the run is held here and its queue has room.
@@ -312,7 +300,6 @@
         let unreported = inner.unreported.entry(info.service.clone()).or_default();
         unreported.released.push((info.run.clone(), self.active.assignment().engine.name.clone()));
         if self.completed {
-            unreported.completed.push(info.fingerprint);
             unreported.ended.push(EndedRun {
                 kind: info.kind.clone(),
                 organisation: info.organisation.clone(),
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -12,6 +12,7 @@
 use magnoliawinch::dissemination::{ChunkRequest, KnownRead, KnownReads};
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
+use magnoliawinch::quarantine::{Completions, Fingerprint};
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
@@ -61,6 +62,7 @@
     pub(crate) log_limiter: LogLimiter,
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
+    completions: Mutex<Completions>,
     requests: RequestCounter,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
@@ -105,6 +107,7 @@
             log_limiter: LogLimiter::new(clock.now()),
             traffic,
             routing: Mutex::new(routing),
+            completions: Mutex::default(),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
             bodies: Mutex::default(),
@@ -122,6 +125,19 @@
         self.routing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When runs last completed.
+    pub(crate) fn completions(&self) -> MutexGuard<'_, Completions> {
+        self.completions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a run completed, so that its fingerprint is no suspect.
+    pub(crate) fn note_completed(&self, fingerprint: Fingerprint) {
+        self.completions().record(self.clock.now(), fingerprint);
+        if self.view.load().quarantine.contains_key(&fingerprint) {
+            self.tell(Message::SuspectCompleted(fingerprint));
+        }
+    }
+
     /// Sends a message to the control thread and waits for the reply; `None` if the thread
     /// has ended.
     pub(crate) async fn ask<T>(
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -7,7 +7,7 @@
 
 use self::moving::{MoveTasks, StreamEnd, TaskResult};
 use crate::call::{Attempt, BufferedResponse, response_problem};
-use crate::control::{Crash, Message};
+use crate::control::Message;
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
@@ -103,6 +103,9 @@
     pub(crate) async fn start_stream(&self, fwd: Arc<Forward>) -> Result<StreamStart<W>, Refusal> {
         let mut avoid = Vec::new();
         loop {
+            if let Some(left) = self.refused_for(&fwd) {
+                return Err(Refusal::Quarantined(left));
+            }
             let mut assignment = self.assign_engine(&fwd, &avoid).await?;
             let Ok(permit) = self.permit(&fwd, &assignment.engine) else {
                 // Stated since the assignment, or the owner knows an older incarnation.
@@ -122,9 +125,13 @@
                     return Ok(self.event_stream(&fwd, placed_run, response));
                 }
                 Ok(EngineResponse::Other(Attempt::Responded(response))) => {
+                    self.shared.note_completed(fwd.fingerprint);
                     return Ok(StreamStart::Buffered(response));
                 }
-                Ok(EngineResponse::Other(Attempt::MayHaveRun(cause))) => {
+                Ok(EngineResponse::Other(Attempt::MayHaveRun { cause, is_broken })) => {
+                    if is_broken {
+                        drop(self.note_broken_connection(&fwd, &assignment.engine));
+                    }
                     return Err(Refusal::Lost(cause));
                 }
                 Ok(EngineResponse::Other(Attempt::NotRun { .. })) => {
@@ -141,7 +148,6 @@
                     if e.is_broken_connection() {
                         drop(self.note_broken_connection(&fwd, &assignment.engine));
                     }
-                    self.note_crash(&fwd, &name);
                     return Err(match fwd.remaining().is_zero() {
                         true => Refusal::TimedOut,
                         false => Refusal::Lost(e.to_string()),
@@ -174,14 +180,6 @@
         Ok(Assignment { engine: Endpoint::from(&server), backup: None })
     }
 
-    /// Notes that an engine crashed during a request, unless it is leaving or no longer listed.
-    fn note_crash(&self, fwd: &Forward, engine: &UpstreamName) {
-        if self.shared.view.load().fleet.is_usable(engine) {
-            let crash = Crash { fingerprint: fwd.fingerprint(), upstream: engine.clone() };
-            self.shared.tell(Message::Crashed(crash));
-        }
-    }
-
     fn run_info(&self, fwd: &Forward) -> RunInfo {
         RunInfo {
             run: fwd.info.run.clone(),
@@ -192,7 +190,6 @@
             max_tokens: fwd.info.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: fwd.priority(),
             is_pooled: fwd.is_pooled,
-            fingerprint: fwd.fingerprint(),
         }
     }
 
@@ -356,12 +353,13 @@
     fn complete(&mut self) -> Option<Result<Frame<Bytes>, StreamCut>> {
         self.outcome = Some("complete");
         self.run.mark_completed();
+        self.handler.shared.note_completed(self.fwd.fingerprint);
         None
     }
 
     fn cut_for(&mut self, cause: CutCause) -> Option<Result<Frame<Bytes>, StreamCut>> {
         if cause == CutCause::EngineLost {
-            self.handler.note_crash(&self.fwd, &self.handover.source().name);
+            drop(self.handler.note_broken_connection(&self.fwd, self.handover.source()));
         }
         self.cut(cause.into())
     }
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -6,7 +6,8 @@
 use magnoliawinch::names::HostName;
 use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::route_table::RouteTable;
-use std::collections::HashSet;
+use magnoliawinch::time::{Millis, Time};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Owners of a cell's pools: the primary decides, the standby gets the same reports.
@@ -105,8 +106,8 @@
     pub(crate) fleet: Arc<Fleet>,
     /// Whether `fleet` has all upstreams, not only those of this daemon's cells.
     pub(crate) knows_whole_list: bool,
-    /// Fingerprints of refused requests.
-    pub(crate) refused: Arc<HashSet<Fingerprint>>,
+    /// Fingerprints of requests under which upstreams have ended, and until when these are refused.
+    pub(crate) quarantine: Arc<HashMap<Fingerprint, Time>>,
 }
 
 impl View {
@@ -120,7 +121,7 @@
             table: None,
             fleet: Arc::default(),
             knows_whole_list: false,
-            refused: Arc::default(),
+            quarantine: Arc::default(),
             own,
         }
     }
@@ -133,4 +134,10 @@
     pub(crate) fn is_leaving(&self) -> bool {
         self.own.state == MemberState::Leaving
     }
+
+    /// How long requests with this fingerprint are refused; `None` if they may run.
+    pub(crate) fn refused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Millis> {
+        let until = *self.quarantine.get(&fingerprint)?;
+        (now < until).then(|| until.since(now))
+    }
 }
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -6,7 +6,6 @@
 
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{MoveMethod, RunState};
-use magnoliawinch::quarantine::Fingerprint;
 use runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo, Runs};
 use tokio::sync::mpsc;
 
@@ -29,7 +28,6 @@
         max_tokens: 100,
         priority: 1,
         is_pooled: true,
-        fingerprint: Fingerprint(1),
     };
     runs.register(info, Assignment { engine: endpoint("e1"), backup: None })
 }
