Calls under which servers end feed the quarantine

Change: a call whose connection broke has its server examined, and its end noted; a retry waits for that for up to 30 ms and is not sent if the request is refused by then. A call that was answered clears its fingerprint.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -28,6 +28,10 @@
 /// Remaining time below which no attempt is started.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(8);
 
+/// Time for which a retry waits to learn whether the server before has ended under the request: some
+/// round trips to a server and to the control thread.
+const CRASH_CHECK_PATIENCE: Duration = Duration::from_millis(30);
+
 /// Retry delay for a caller whose request no server accepted.
 const OVERLOADED_RETRY_AFTER: Millis = Millis(150);
 
@@ -100,7 +104,13 @@
         let mut error_response = None;
         let mut reason = String::new();
         let mut is_retry = false;
+        let mut refused_for = None;
         while fwd.remaining() > MIN_ATTEMPT_TIME {
+            // Another upstream may have ended under an equal request since the last attempt.
+            refused_for = self.refused_for(fwd);
+            if refused_for.is_some() {
+                break;
+            }
             let Some(upstream) = self.choose_server(fwd, &tried) else {
                 break;
             };
@@ -145,6 +155,9 @@
         match error_response {
             Some(response) => Ok(response),
             None => {
+                if let Some(left) = refused_for.filter(|_| verdict == Verdict::NotRun) {
+                    return Err(Refusal::Quarantined(left));
+                }
                 let wait = self.wait_if_all_withheld(fwd).unwrap_or(OVERLOADED_RETRY_AFTER);
                 Err(final_refusal(fwd, verdict, reason, wait))
             }
@@ -215,6 +228,17 @@
                 Attempt::from(e)
             }
         };
+        match &attempt {
+            Attempt::Responded(_) => self.shared.note_completed(fwd.fingerprint),
+            Attempt::MayHaveRun { is_broken: true, .. } => {
+                let examined = self.note_broken_connection(fwd, &engine);
+                if may_retry {
+                    // The next server must not end as well if that shows that it would.
+                    let _ = tokio::time::timeout(CRASH_CHECK_PATIENCE, examined).await;
+                }
+            }
+            Attempt::NotRun { .. } | Attempt::MayHaveRun { .. } => {}
+        }
         let took = Millis(started_at.elapsed().as_millis() as u64);
         outstanding.outcome = Some(match &attempt {
             Attempt::Responded(response) if !response.status.is_server_error() => {
