Requests that differ in method or query have fingerprints of their own

Cause: the fingerprint had the path without method and query, so two ends under one query refused everything that an organisation looks up under the path, for ten minutes. Test: requests_with_another_query_or_method_are_not_refused got 503 before.

--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -108,12 +108,13 @@
 pub(crate) fn fingerprint(
     organisation: Option<&Organisation>,
     route: &Route,
+    method: &Method,
     uri: &Uri,
     body: &[u8],
 ) -> Fingerprint {
     let digest = rendezvous::hash_bytes(body).to_string();
     let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
-    Fingerprint::new(organisation, &route.host, uri.path(), &digest)
+    Fingerprint::new(organisation, &route.host, &format!("{method} {uri}"), &digest)
 }
 
 /// Method, URI without scheme and host, and headers to forward.
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -155,7 +155,7 @@
         let is_pooled = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
         let (method, uri, headers) = forwarded_parts(parts);
         let route = Arc::clone(route);
-        let fingerprint = fingerprint(organisation.as_deref(), &route, &uri, &body);
+        let fingerprint = fingerprint(organisation.as_deref(), &route, &method, &uri, &body);
         let fwd = Forward {
             method,
             uri,
