Every way to an upstream asks the quarantine

Cause: the quarantine was asked once, when a request arrived. A run whose engine ended went on from its copy at another engine although equal requests were refused by then, and an end of that engine was not noted. Now the permit that each send needs comes from a check that asks, for new work and for runs that go on.

--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -1,6 +1,7 @@
 //! Requests to upstreams, and what upstreams state about themselves in their responses.
 //!
-//! A request is sent with a [`SendPermit`], which only the check of those statements hands out.
+//! A request is sent with a [`SendPermit`], which only the check of those statements and of the
+//! quarantine hands out.
 //! Orders and health checks need none: they are no work for an upstream.
 
 use crate::control::{BrokenRequest, Message};
@@ -61,6 +62,15 @@
     }
 }
 
+/// Why a request may not be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotPermitted {
+    /// The upstream wants none.
+    Withheld(Withheld),
+    /// Upstreams have ended under equal requests, which are refused for this time.
+    Quarantined(Millis),
+}
+
 /// Permission to send one request to an upstream.
 #[derive(Debug)]
 #[must_use]
@@ -70,10 +80,13 @@
 }
 
 impl<W: Wire> RequestHandler<W> {
-    /// Permission to send a request as new work; `Err` if the upstream wants none.
-    pub(crate) fn permit(&self, fwd: &Forward, to: &Endpoint) -> Result<SendPermit, Withheld> {
+    /// Permission to send a request as new work.
+    pub(crate) fn permit(&self, fwd: &Forward, to: &Endpoint) -> Result<SendPermit, NotPermitted> {
+        if let Some(left) = self.refused_for(fwd) {
+            return Err(NotPermitted::Quarantined(left));
+        }
         match self.withheld(fwd, &to.name, to.born) {
-            Some(withheld) => Err(withheld),
+            Some(withheld) => Err(NotPermitted::Withheld(withheld)),
             None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
         }
     }
@@ -84,7 +97,10 @@
         &self,
         fwd: &Forward,
         to: &Endpoint,
-    ) -> Result<SendPermit, Withheld> {
+    ) -> Result<SendPermit, NotPermitted> {
+        if let Some(left) = self.refused_for(fwd) {
+            return Err(NotPermitted::Quarantined(left));
+        }
         let now = self.shared.clock.now();
         let arrived_at = now - Millis(fwd.elapsed_ms());
         let withheld = self
@@ -95,7 +111,7 @@
         match withheld {
             Some(withheld) => {
                 self.note_withheld(fwd, &to.name, withheld);
-                Err(withheld)
+                Err(NotPermitted::Withheld(withheld))
             }
             None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
         }
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -4,10 +4,12 @@
 use crate::call::response_problem;
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
+use crate::outbound::NotPermitted;
 use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
 use magnoliawinch::names::UpstreamName;
+use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
@@ -68,6 +70,9 @@
     /// The engine wants no requests.
     #[error("{engine} wants no requests: {withheld}")]
     Withheld { engine: UpstreamName, withheld: Withheld },
+    /// Upstreams have ended under equal requests.
+    #[error("equal requests are refused for {0}")]
+    Quarantined(Millis),
     /// The response is not that of the run.
     #[error("invalid response with status {status} from {engine}: {problem}")]
     Invalid { engine: UpstreamName, status: StatusCode, problem: &'static str },
@@ -78,7 +83,9 @@
     pub(crate) fn verdict(&self) -> Verdict {
         match self {
             Self::NoResponse(e) => e.verdict(),
-            Self::Refused { not_run: true, .. } | Self::Withheld { .. } => Verdict::NotRun,
+            Self::Refused { not_run: true, .. } | Self::Withheld { .. } | Self::Quarantined(_) => {
+                Verdict::NotRun
+            }
             Self::Refused { .. } | Self::Invalid { .. } => Verdict::MayHaveRun,
         }
     }
@@ -112,9 +119,12 @@
         to: &Endpoint,
         resume: &Resume,
     ) -> Result<ClientResponse, ResumeError> {
-        let permit = self
-            .permit_resume(fwd, to)
-            .map_err(|withheld| ResumeError::Withheld { engine: to.name.clone(), withheld })?;
+        let permit = self.permit_resume(fwd, to).map_err(|reason| match reason {
+            NotPermitted::Withheld(withheld) => {
+                ResumeError::Withheld { engine: to.name.clone(), withheld }
+            }
+            NotPermitted::Quarantined(left) => ResumeError::Quarantined(left),
+        })?;
         let out = Outgoing {
             upstream: &to.name,
             organisation: fwd.organisation.as_ref().map(|o| o.name.as_str()),
@@ -128,6 +138,9 @@
         if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
             self.shared.note_resumption(&fwd.service);
         }
+        if sent.as_ref().is_err_and(SendError::is_broken_connection) {
+            drop(self.note_broken_connection(fwd, to));
+        }
         let (response, info) = sent?;
         let (engine, status) = (to.name.clone(), response.status());
         if !status.is_success() || info.not_run {
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -207,6 +207,7 @@
                 self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
                 match &e {
                     ResumeError::Refused { not_run: true, .. }
+                    | ResumeError::Quarantined(_)
                     | ResumeError::Withheld { withheld: Withheld::Leaving { .. }, .. } => {
                         ResumeOutcome::Refused
                     }
