--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -272,6 +272,9 @@
         let info = self.wire.parse_response_headers(response.headers());
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = info.retry_after.filter(|_| refused);
+        if let Some(per_second) = info.limit_per_second {
+            self.shared.note_limit(to, per_second);
+        }
         if info.is_leaving || retry_after.is_some() {
             let upstream = to.incarnation(service);
             self.shared.note_statements(&upstream, info.is_leaving, retry_after);
@@ -309,6 +312,18 @@
         }
     }
 
+    fn note_limit(&self, upstream: &Endpoint, per_second: f64) {
+        self.metrics.count("upstream_statement", "limit");
+        if self.log_limiter.admits(self.clock.now()) {
+            log::info!(
+                upstream = upstream.name.as_str(),
+                born = upstream.born,
+                per_second;
+                "upstream names a limit"
+            );
+        }
+    }
+
     fn note_retry_after(&self, now: Time, upstream: &Incarnation, wait: Millis) {
         let honoured = wait.min(self.settings.bounds.max_retry_after);
         self.upstreams.notices().record_retry_after(now, upstream, honoured);
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -71,7 +71,7 @@
 }
 
 /// The headers of an upstream's response that the relay uses.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the attempt that it responds to.
     pub run: Option<RunId>,
@@ -87,6 +87,8 @@
     pub is_leaving: bool,
     /// How long the upstream wants no requests of this daemon, if it has refused this one.
     pub retry_after: Option<Millis>,
+    /// Requests a second that the upstream takes from all daemons together, if it names a limit.
+    pub limit_per_second: Option<f64>,
 }
 
 /// A copy of a run's memory at another engine.
