Hosts keep together to the limits that upstreams name

Change: the limit is one more statement of an upstream, which the permit for each send asks: first sends, retries, placed runs and runs that go on. A few hosts, 2 and 0.4 for each request a second, chosen by rendezvous hashing of the upstream's name, share 0.65 of it, each at a steady pace; the others treat it as withheld, so that calls go to other servers, runs to other engines, and callers are refused at once with a time to come back if there are none. Statements spread with the probes, at once if they say something else, and the latest holds, so that the hosts that send nothing hear that a limit is over. A response to a request sent before the limit was named does not end it. Nothing is sent within 3 s of a start.

Weighed: a share for each host (adds up to 58 requests at once at 58 hosts, 1,400 at 1,400, where 13 are allowed); grants from an owner (the owner is asked by every host for each request, which grows with the fleet, and two owners at a partition give twice). In 4 s senders may send 0.4 L + 2.5 + 2.6 L of the 6 L + 5 allowed for a limit of L, so two groups of hosts that do not see each other keep to it together.

Not paced: orders to copy runs, and health checks.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod settings;
 pub mod store_position;
 pub mod time;
+pub mod upstream_limits;
 pub mod upstream_notices;
 pub mod upstreams;
 pub mod verdict;
--- a/core/src/upstream_notices.rs
+++ b/core/src/upstream_notices.rs
@@ -1,12 +1,13 @@
-//! What upstreams have stated to this daemon about themselves: that they are leaving, or that they
-//! want no requests for a while.
+//! What upstreams have stated to this daemon about themselves: that they are leaving, that they want
+//! no requests for a while, or how many they take from all daemons together.
 //!
 //! Each statement holds for one incarnation of an upstream. A response that arrives late from an
 //! older incarnation changes nothing for a newer one. Nothing here depends on the addresses of
 //! upstreams, which other services use again.
 
-use crate::names::{ServiceName, UpstreamName};
+use crate::names::{HostName, ServiceName, UpstreamName};
 use crate::time::{Millis, Time};
+use crate::upstream_limits::{Hosts, UpstreamLimit};
 use std::collections::HashMap;
 use strum::{Display, IntoStaticStr};
 
@@ -46,13 +47,28 @@
         /// Time until it wants requests again.
         left: Millis,
     },
+    /// It takes a limited number of requests from all daemons together.
+    Limited {
+        /// Time since this was learned.
+        age: Millis,
+        /// Time until this daemon may send one, or a caller may try another daemon.
+        left: Millis,
+    },
 }
 
 impl Withheld {
     /// Time since the reason was learned.
     pub fn age(&self) -> Millis {
         match self {
-            Self::Leaving { age } | Self::Paused { age, .. } => *age,
+            Self::Leaving { age } | Self::Paused { age, .. } | Self::Limited { age, .. } => *age,
+        }
+    }
+
+    /// Time until requests may be sent again; `None` if never.
+    pub fn left(&self) -> Option<Millis> {
+        match self {
+            Self::Leaving { .. } => None,
+            Self::Paused { left, .. } | Self::Limited { left, .. } => Some(*left),
         }
     }
 }
@@ -70,16 +86,18 @@
     born: u64,
     leaving_since: Option<Time>,
     pause: Option<Pause>,
+    limit: Option<UpstreamLimit>,
 }
 
 impl Statements {
     fn new(service: ServiceName, born: u64) -> Self {
-        Self { service, born, leaving_since: None, pause: None }
+        Self { service, born, leaving_since: None, pause: None, limit: None }
     }
 
     fn learned_at(&self) -> Time {
         let pause = self.pause.map(|pause| pause.learned_at);
-        self.leaving_since.max(pause).unwrap_or_default()
+        let limit = self.limit.as_ref().map(UpstreamLimit::learned_at);
+        self.leaving_since.max(pause).max(limit).unwrap_or_default()
     }
 
     fn leaving_at(&self, now: Time) -> Option<Time> {
@@ -87,23 +105,47 @@
     }
 
     fn is_current(&self, now: Time) -> bool {
-        self.leaving_at(now).is_some() || self.pause.is_some_and(|pause| now < pause.until)
+        self.leaving_at(now).is_some()
+            || self.pause.is_some_and(|pause| now < pause.until)
+            || self.limit.as_ref().is_some_and(|limit| limit.is_current(now))
     }
 
-    fn withheld(&self, now: Time) -> Option<Withheld> {
+    fn withheld(&self, now: Time, hosts: &Hosts) -> Option<Withheld> {
         if let Some(at) = self.leaving_at(now) {
             return Some(Withheld::Leaving { age: now.since(at) });
         }
-        let pause = self.pause.filter(|pause| now < pause.until)?;
-        let age = now.since(pause.learned_at);
-        Some(Withheld::Paused { age, left: pause.until.since(now) })
+        if let Some(pause) = self.pause.filter(|pause| now < pause.until) {
+            let age = now.since(pause.learned_at);
+            return Some(Withheld::Paused { age, left: pause.until.since(now) });
+        }
+        self.over_limit(now, hosts)
+    }
+
+    fn over_limit(&self, now: Time, hosts: &Hosts) -> Option<Withheld> {
+        let limit = self.limit.as_ref()?;
+        let left = limit.wait(now, hosts)?;
+        Some(Withheld::Limited { age: now.since(limit.learned_at()), left })
     }
 }
 
+/// What an upstream says about its limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitStatement {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// When that incarnation started, in milliseconds since 1970 by its own clock.
+    pub born: u64,
+    /// Requests a second; `None` if it names no limit any more.
+    pub per_second: Option<f64>,
+    /// When it was last known to say so.
+    pub at: Time,
+}
+
 /// One daemon's knowledge of what upstreams have stated.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamNotices {
     by_name: HashMap<UpstreamName, Statements>,
+    hosts: Hosts,
 }
 
 impl UpstreamNotices {
@@ -112,6 +154,21 @@
         Self::default()
     }
 
+    /// Sets the hosts among which limits are shared.
+    pub fn with_hosts(self, hosts: Hosts) -> Self {
+        Self { hosts, ..self }
+    }
+
+    /// Replaces the running hosts, which include this one unless it is about to stop.
+    pub fn set_running_hosts(&mut self, now: Time, all: Vec<HostName>) {
+        self.hosts.set_running(all);
+        for known in self.by_name.values_mut() {
+            if let Some(limit) = &mut known.limit {
+                limit.update(now, &self.hosts);
+            }
+        }
+    }
+
     /// Number of upstreams remembered.
     pub fn len(&self) -> usize {
         self.by_name.len()
@@ -146,6 +203,72 @@
         });
     }
 
+    /// Records that an upstream named a limit, in requests a second, or none, at `stated_at`; returns
+    /// whether that is news.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        stated_at: Time,
+        upstream: &Incarnation,
+        per_second: Option<f64>,
+    ) -> bool {
+        let is_known = self.by_name.get(&upstream.name).is_some_and(|known| known.limit.is_some());
+        if per_second.is_none() && !is_known {
+            return false;
+        }
+        let hosts = std::mem::take(&mut self.hosts);
+        let is_news = self.entry(now, upstream).is_some_and(|known| match &mut known.limit {
+            Some(limit) => limit.state(now, stated_at, per_second, &hosts),
+            None => {
+                let new = |per_second| {
+                    UpstreamLimit::new(now, stated_at, &upstream.name, per_second, &hosts)
+                };
+                known.limit = per_second.map(new);
+                known.limit.is_some()
+            }
+        });
+        self.hosts = hosts;
+        is_news
+    }
+
+    /// Whether an upstream was known at `sent_at` to name a limit.
+    pub fn names_limit_since(&self, name: &UpstreamName, sent_at: Time) -> bool {
+        let limit = self.by_name.get(name).and_then(|known| known.limit.as_ref());
+        limit.is_some_and(|limit| matches!(limit.statement(), (Some(_), at) if at <= sent_at))
+    }
+
+    /// Statements about limits that are recent enough to be passed on, newest first, at most `max`.
+    pub fn limit_statements(&self, now: Time, max: usize) -> Vec<LimitStatement> {
+        let known = self.by_name.iter();
+        let with_limit =
+            known.filter_map(|(name, known)| Some((name, known, known.limit.as_ref()?)));
+        let current = with_limit.filter(|(_, _, limit)| limit.is_current(now));
+        let statements = current.map(|(name, known, limit)| {
+            let (per_second, at) = limit.statement();
+            LimitStatement { upstream: name.clone(), born: known.born, per_second, at }
+        });
+        let mut statements: Vec<_> = statements.collect();
+        statements.sort_by(|a, b| b.at.cmp(&a.at).then_with(|| a.upstream.cmp(&b.upstream)));
+        statements.truncate(max);
+        statements
+    }
+
+    /// Takes one request from what may be sent to an upstream as new work; `Err` if none may.
+    pub fn take(&mut self, now: Time, name: &UpstreamName, born: u64) -> Result<(), Withheld> {
+        if let Some(withheld) = self.withheld(now, name, born) {
+            return Err(withheld);
+        }
+        self.note_sent(now, name, born);
+        Ok(())
+    }
+
+    fn note_sent(&mut self, now: Time, name: &UpstreamName, born: u64) {
+        let known = self.by_name.get_mut(name).filter(|known| known.born >= born);
+        if let Some(limit) = known.and_then(|known| known.limit.as_mut()) {
+            limit.sent(now);
+        }
+    }
+
     /// The statements of this incarnation; `None` if a newer one is known.
     fn entry(&mut self, now: Time, upstream: &Incarnation) -> Option<&mut Statements> {
         let known = self.by_name.get(&upstream.name);
@@ -178,7 +301,7 @@
 
     /// Why an upstream gets no new work; `None` if it may.
     pub fn withheld(&self, now: Time, name: &UpstreamName, born: u64) -> Option<Withheld> {
-        self.of(now, name, born)?.withheld(now)
+        self.of(now, name, born)?.withheld(now, &self.hosts)
     }
 
     /// The current statements of an incarnation.
@@ -188,8 +311,8 @@
         (known.born >= born && known.is_current(now)).then_some(known)
     }
 
-    /// Why a run that began at `run_began_at` cannot continue at an upstream that has its memory;
-    /// `None` if it may. A run that began before the upstream stated that it is leaving is not new
+    /// Takes one request to continue a run that began at `run_began_at` at an upstream that has its
+    /// memory; returns why it may not be sent, if it may not. A run that began before the upstream stated that it is leaving is not new
     /// work. While the upstream wants no requests, only two may be sent, and each call that returns
     /// `None` counts as one.
     pub fn withheld_from_resume(
@@ -199,18 +322,22 @@
         born: u64,
         run_began_at: Time,
     ) -> Option<Withheld> {
-        let withheld = self.withheld(now, name, born)?;
-        let known = self.by_name.get_mut(name)?;
-        if known.leaving_at(now).is_some_and(|at| run_began_at > at) {
-            return Some(withheld);
+        let known = self.by_name.get_mut(name).filter(|known| known.born >= born)?;
+        if let Some(at) = known.leaving_at(now).filter(|at| run_began_at > *at) {
+            return Some(Withheld::Leaving { age: now.since(at) });
+        }
+        if let Some(limited) = known.over_limit(now, &self.hosts) {
+            return Some(limited);
         }
-        let pause = known.pause.as_mut().filter(|pause| now < pause.until)?;
-        if pause.resumes < MAX_RESUMES_WHILE_PAUSED {
+        if let Some(pause) = known.pause.as_mut().filter(|pause| now < pause.until) {
+            if pause.resumes >= MAX_RESUMES_WHILE_PAUSED {
+                let age = now.since(pause.learned_at);
+                return Some(Withheld::Paused { age, left: pause.until.since(now) });
+            }
             pause.resumes += 1;
-            return None;
         }
-        let age = now.since(pause.learned_at);
-        Some(Withheld::Paused { age, left: pause.until.since(now) })
+        self.note_sent(now, name, born);
+        None
     }
 
     /// Incarnations of a service's upstreams that get no new work, and why.
@@ -221,6 +348,8 @@
     ) -> impl Iterator<Item = (&'a UpstreamName, u64, Withheld)> {
         let of_service = self.by_name.iter().filter(move |(_, known)| known.service == *service);
         let current = of_service.filter(move |(_, known)| known.is_current(now));
-        current.filter_map(move |(name, known)| Some((name, known.born, known.withheld(now)?)))
+        current.filter_map(move |(name, known)| {
+            Some((name, known.born, known.withheld(now, &self.hosts)?))
+        })
     }
 }
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -128,6 +128,7 @@
             hosts: self.members.host_notices(),
             // Owners of fingerprints are asked for each request.
             quarantine: None,
+            limits: Vec::new(),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -171,6 +172,7 @@
             leaving: self.members.leaving_notices(),
             hosts: self.members.host_notices(),
             quarantine: None,
+            limits: Vec::new(),
         });
     }
 
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -6,7 +6,9 @@
 mod crashes;
 mod following;
 mod leaving;
+mod limits;
 mod members;
+mod news;
 mod pools;
 mod reports;
 mod updates;
@@ -38,6 +40,7 @@
     StateRequest,
 };
 use magnoliawinch_runtime::ControlState;
+use news::UrgentNews;
 use pools::Pools;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -86,6 +89,8 @@
     Relocate(RelocateRequest),
     /// Sends reports to the owners on the next tick.
     ReportSoon,
+    /// An upstream names another limit, or none any more.
+    LimitNews,
     /// A request under which an upstream has ended completed now.
     SuspectCompleted(Fingerprint),
     /// The connection of a request broke before the response was complete.
@@ -126,9 +131,7 @@
     list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
-    /// When other daemons were last told of news of the quarantine.
-    quarantine_told_at: Time,
-    has_quarantine_news: bool,
+    urgent_news: UrgentNews,
     announced_versions: AnnouncedVersions,
     leaving_news: LeavingNews,
     follower: Follower,
@@ -164,8 +167,7 @@
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
-            quarantine_told_at: Time(0),
-            has_quarantine_news: false,
+            urgent_news: UrgentNews::default(),
             announced_versions: AnnouncedVersions::new(),
             leaving_news: LeavingNews::new(),
             follower: Follower::new(now),
@@ -256,6 +258,7 @@
             Arc::new(own.chain(self.membership.others()).filter(has_not_failed).cloned().collect());
         self.update_owners();
         self.update_sources();
+        self.update_sharing_hosts();
         self.peak_daemons = self.peak_daemons.max(self.members.len());
         log::info!(
             members = self.members.len(),
@@ -297,6 +300,7 @@
             }
             Message::Relocate(req) => self.deliver_move_order(&req),
             Message::ReportSoon => self.pools.report_soon(),
+            Message::LimitNews => self.tell_news(now),
             Message::SuspectCompleted(fingerprint) => {
                 self.handle_suspect_completed(now, fingerprint);
             }
@@ -333,6 +337,7 @@
         self.tick_pools(now);
         self.tick_crash_detector(now);
         self.tick_quarantine(now);
+        self.tell_due_news(now);
         self.request_announced_version(now);
         self.poll_readers(now);
         self.follow_source(now);
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -4,19 +4,13 @@
 use super::{Control, Message};
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
-use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::time::Time;
 use magnoliawinch_peer::QuarantineNews;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-/// Daemons told at once of news of the quarantine; each tells as many others.
-const NEWS_FANOUT: usize = 4;
-
-/// Minimum time between two such rounds of one daemon, as many hosts report one end.
-const NEWS_INTERVAL: Millis = Millis(50);
-
 /// A request whose connection to an upstream broke before the response was complete.
 #[derive(Debug)]
 pub(crate) struct BrokenRequest {
@@ -145,11 +139,10 @@
             self.log_status(now, fingerprint, source);
         }
         if is_news {
-            self.has_quarantine_news = true;
             if self.update_quarantine_view(now) {
                 self.publish_view(now);
             }
-            self.tell_quarantine_news(now);
+            self.tell_news(now);
         }
     }
 
@@ -182,18 +175,6 @@
         has_changed
     }
 
-    /// Tells random daemons of news, unless others were told a moment ago.
-    fn tell_quarantine_news(&mut self, now: Time) {
-        if !self.has_quarantine_news || now.since(self.quarantine_told_at) < NEWS_INTERVAL {
-            return;
-        }
-        self.has_quarantine_news = false;
-        self.quarantine_told_at = now;
-        for target in self.membership.random_members(NEWS_FANOUT, &mut self.rng) {
-            self.send_probe(target.peer_address, Some(target.host));
-        }
-    }
-
     /// What this daemon passes on, for messages.
     pub(super) fn quarantine_news(&self, now: Time) -> Option<QuarantineNews> {
         let facts = self.quarantine.news(now);
@@ -206,7 +187,6 @@
         }
         self.quarantine.tick(now);
         self.view_is_stale |= self.update_quarantine_view(now);
-        self.tell_quarantine_news(now);
     }
 }
 
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -39,6 +39,7 @@
             leaving: self.leaving_news(now),
             hosts: Vec::new(),
             quarantine: self.quarantine_news(now),
+            limits: self.limit_statements(now),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -76,6 +77,7 @@
         self.note_peer_version(now, req.catalogue_offset, req.sender.as_ref());
         self.apply_leaving_news(now, &req.leaving);
         self.apply_quarantine_news(now, req.quarantine.as_ref());
+        self.apply_limit_statements(now, &req.limits);
         let changes = self.membership.probe_reply(is_new, table_differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
@@ -84,6 +86,7 @@
             leaving: self.leaving_news(now),
             hosts: Vec::new(),
             quarantine: self.quarantine_news(now),
+            limits: self.limit_statements(now),
         });
     }
 
@@ -96,6 +99,7 @@
         self.note_peer_version(now, reply.catalogue_offset, reply.sender.as_ref());
         self.apply_leaving_news(now, &reply.leaving);
         self.apply_quarantine_news(now, reply.quarantine.as_ref());
+        self.apply_limit_statements(now, &reply.limits);
     }
 
     /// Notifies other members at once that this daemon accepts work or is leaving.
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, StatusCode};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
 use magnoliawinch_http::{Client, ClientResponse, Reuse, SendError};
 use rand::RngExt;
@@ -39,6 +40,9 @@
 
 const MIN_RETURN_SPREAD: Millis = Millis(300);
 
+/// Shortest wait of a caller whose request is more than the upstreams take from all hosts.
+const MIN_LIMITED_WAIT: Millis = Millis(300);
+
 /// The client for upstreams, and what these have stated.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
@@ -47,9 +51,10 @@
 }
 
 impl Upstreams {
-    pub(crate) fn new() -> Self {
+    /// The client of a daemon that shares limits of upstreams with other `hosts`.
+    pub(crate) fn new(hosts: Hosts) -> Self {
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
-        Self { client, notices: Mutex::default() }
+        Self { client, notices: Mutex::new(UpstreamNotices::new().with_hosts(hosts)) }
     }
 
     /// Opens a connection to an upstream and closes it.
@@ -85,9 +90,14 @@
         if let Some(left) = self.refused_for(fwd) {
             return Err(NotPermitted::Quarantined(left));
         }
-        match self.withheld(fwd, &to.name, to.born) {
-            Some(withheld) => Err(NotPermitted::Withheld(withheld)),
-            None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
+        let now = self.shared.clock.now();
+        let taken = self.shared.upstreams.notices().take(now, &to.name, to.born);
+        match taken {
+            Err(withheld) => {
+                self.note_withheld(fwd, &to.name, withheld);
+                Err(NotPermitted::Withheld(withheld))
+            }
+            Ok(()) => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
         }
     }
 
@@ -142,10 +152,7 @@
         if !self.shared.log_limiter.admits(self.shared.clock.now()) {
             return;
         }
-        let left = match withheld {
-            Withheld::Leaving { .. } => Millis(0),
-            Withheld::Paused { left, .. } => left,
-        };
+        let left = withheld.left().unwrap_or_default();
         log::info!(
             request = fwd.info.run.as_str(),
             upstream = upstream.as_str(),
@@ -200,13 +207,12 @@
         let now = self.shared.clock.now();
         let first = {
             let notices = self.shared.upstreams.notices();
-            let waits =
-                notices.withheld_of(now, &fwd.service).filter_map(
-                    |(_, _, withheld)| match withheld {
-                        Withheld::Paused { left, .. } => Some(left),
-                        Withheld::Leaving { .. } => None,
-                    },
-                );
+            let withheld = notices.withheld_of(now, &fwd.service);
+            let waits = withheld.filter_map(|(_, _, withheld)| match withheld {
+                // Other callers wait for the same request that may be sent next.
+                Withheld::Limited { left, .. } => Some(left.max(MIN_LIMITED_WAIT)),
+                withheld => withheld.left(),
+            });
             waits.min().unwrap_or(ALL_LEAVING_RETRY_AFTER)
         };
         let spread = Millis(first.0 / RETURN_SPREAD_DIVISOR).max(MIN_RETURN_SPREAD);
@@ -222,8 +228,9 @@
         timeout: Duration,
     ) -> Result<(ClientResponse, ResponseInfo), SendError> {
         let SendPermit { to, service } = permit;
+        let sent_at = self.shared.clock.now();
         let response = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await?;
-        let info = self.note_statements(&service, &to, &response);
+        let info = self.note_statements(&service, &to, sent_at, &response);
         Ok((response, info))
     }
 
@@ -238,8 +245,9 @@
         timeout: Duration,
     ) -> Result<ClientResponse, SendError> {
         let client = &self.shared.upstreams.client;
+        let sent_at = self.shared.clock.now();
         let response = client.send(to.address, req, Reuse::Never, timeout).await?;
-        self.note_statements(service, to, &response);
+        self.note_statements(service, to, sent_at, &response);
         Ok(response)
     }
 
@@ -267,13 +275,15 @@
         &self,
         service: &ServiceName,
         to: &Endpoint,
+        sent_at: Time,
         response: &ClientResponse,
     ) -> ResponseInfo {
         let info = self.wire.parse_response_headers(response.headers());
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = info.retry_after.filter(|_| refused);
-        if let Some(per_second) = info.limit_per_second {
-            self.shared.note_limit(to, per_second);
+        // Another upstream may have responded.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.shared.note_limit(&to.incarnation(service), sent_at, info.limit_per_second);
         }
         if info.is_leaving || retry_after.is_some() {
             let upstream = to.incarnation(service);
@@ -312,15 +322,20 @@
         }
     }
 
-    fn note_limit(&self, upstream: &Endpoint, per_second: f64) {
-        self.metrics.count("upstream_statement", "limit");
-        if self.log_limiter.admits(self.clock.now()) {
-            log::info!(
-                upstream = upstream.name.as_str(),
-                born = upstream.born,
-                per_second;
-                "upstream names a limit"
-            );
+    /// Notes the limit that an upstream names in the response to a request sent at `sent_at`.
+    fn note_limit(&self, upstream: &Incarnation, sent_at: Time, per_second: Option<f64>) {
+        let now = self.clock.now();
+        let is_news = {
+            let mut notices = self.upstreams.notices();
+            // A response that has crossed one with a limit does not end that.
+            let is_known =
+                per_second.is_some() || notices.names_limit_since(&upstream.name, sent_at);
+            is_known && notices.record_limit(now, now, upstream, per_second)
+        };
+        if is_news {
+            self.metrics.count("upstream_statement", "limit");
+            log_limit(upstream, per_second, "own");
+            self.tell(Message::LimitNews);
         }
     }
 
@@ -338,3 +353,15 @@
         }
     }
 }
+
+/// Logs that an upstream names another limit, or none any more.
+pub(crate) fn log_limit(upstream: &Incarnation, per_second: Option<f64>, source: &'static str) {
+    log::info!(
+        upstream = upstream.name.as_str(),
+        born = upstream.born,
+        has_limit = per_second.is_some(),
+        per_second = per_second.unwrap_or_default(),
+        source;
+        "limit of upstream"
+    );
+}
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -16,6 +16,7 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch_peer::{
     FetchReply, FetchRequest, PeerChannels, PeerError, RelayClient, StateReply, StateRequest,
 };
@@ -95,13 +96,14 @@
             silent_until: HashMap::new(),
         };
         let own_hash = rendezvous::hash(own.host.as_str());
+        let sharing_hosts = Hosts::new(clock.now(), own.host.clone());
         Self {
             settings,
             view: ArcSwap::from_pointee(View::new(own)),
             control,
             peers: PeerChannels::new(),
             bulk_peers: PeerChannels::new(),
-            upstreams: Upstreams::new(),
+            upstreams: Upstreams::new(sharing_hosts),
             runs: Runs::new(),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(clock.now()),
