Responses being read share a budget of memory

Cause: each buffered body could take 16 MiB, each partial event 1 MiB, and the buffer of each connection 408 KiB; nothing limited all of them together. A host of 88 to 110 MB is filled by the endless bodies of seven requests.

Change: bodies over 64 KiB and partial events over 64 KiB take a share of response_buffer_mb, a new setting whose default is a quarter of memory_mb, and hold it until the last byte of them is dropped; a body that gets none is an error that says so, and its connection is closed. A body whose stated length is too large is refused at once. Read buffers, and with them heads and interim responses, are limited to 64 KiB. Reading a body is one function now, with or without limits in time.

Small answers are served meanwhile. Peers are read by tonic, whose messages are limited to 4 MB each.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,8 +1,9 @@
 //! HTTP client whose errors tell whether the request may have run.
 
+use crate::body_budget::{BodyBudget, BufferedBody};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
@@ -31,6 +32,9 @@
 
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Read buffer of a connection, which also limits the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 65_536;
+
 /// Limits for reading a body whose size does not allow for a time limit on the whole of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyLimits {
@@ -149,6 +153,7 @@
 pub struct Client {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connect_timeout: Duration,
+    budget: BodyBudget,
 }
 
 impl Default for Client {
@@ -160,7 +165,11 @@
 impl Client {
     /// Creates a client without open connections.
     pub fn new() -> Self {
-        Self { idle: Arc::default(), connect_timeout: CONNECT_TIMEOUT }
+        Self {
+            idle: Arc::default(),
+            connect_timeout: CONNECT_TIMEOUT,
+            budget: BodyBudget::default(),
+        }
     }
 
     /// Sets the connect timeout.
@@ -168,6 +177,16 @@
         Self { connect_timeout: timeout, ..self }
     }
 
+    /// Sets the memory that the bodies being read share.
+    pub fn with_body_budget(self, budget: BodyBudget) -> Self {
+        Self { budget, ..self }
+    }
+
+    /// The memory that the bodies being read share.
+    pub fn body_budget(&self) -> &BodyBudget {
+        &self.budget
+    }
+
     /// Sends a request and waits up to `timeout` for the head of the response.
     pub async fn send(
         &self,
@@ -280,8 +299,11 @@
         Err(_) => return Err(connect_error(format!("no response within {timeout:?}"))),
     };
     stream.set_nodelay(true).map_err(|e| connect_error(e.to_string()))?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| connect_error(e.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| connect_error(e.to_string()))?;
     tokio::spawn(connection);
     Ok(sender)
 }
@@ -332,20 +354,8 @@
 
     /// Reads the whole body of at most `max_bytes` and returns the connection to the pool.
     pub async fn bytes(self, max_bytes: usize) -> Result<Bytes, SendError> {
-        let status = self.status();
-        let address = self.address;
-        let closes_connection = self.closes_connection();
-        let bad_response = |reason: String| SendError::BadResponse { address, status, reason };
-        let limited = Limited::new(self.response.into_body(), max_bytes);
-        let bytes = limited.collect().await.map_err(|e| match e.is::<LengthLimitError>() {
-            true => bad_response(format!("more than {max_bytes} bytes")),
-            false => SendError::BodyBroken { address, reason: e.to_string() },
-        })?;
-        let bytes = bytes.to_bytes();
-        if !closes_connection {
-            self.client.keep_idle(address, self.sender);
-        }
-        Ok(bytes)
+        let unlimited = Duration::MAX;
+        self.bytes_within(BodyLimits { max_bytes, max_gap: unlimited, max_total: unlimited }).await
     }
 
     /// Reads the whole body for as long as it goes on arriving, and returns the connection to the
@@ -354,34 +364,39 @@
         let (status, address) = (self.status(), self.address);
         let closes_connection = self.closes_connection();
         let bad_response = |reason: String| SendError::BadResponse { address, status, reason };
-        let deadline = Instant::now() + limits.max_total;
-        let mut received = Vec::new();
+        let too_large = || bad_response(format!("more than {} bytes", limits.max_bytes));
+        let mut received = BufferedBody::new(self.client.budget.share());
         let body = self.response.body_mut();
+        if body.size_hint().lower() > limits.max_bytes as u64 {
+            return Err(too_large());
+        }
+        let started_at = Instant::now();
         loop {
-            let until = deadline.min(Instant::now() + limits.max_gap);
-            let frame = match timeout_at(until, body.frame()).await {
-                Ok(Some(frame)) => {
-                    let broken =
-                        |e: hyper::Error| SendError::BodyBroken { address, reason: e.to_string() };
-                    frame.map_err(broken)?
+            let left = limits.max_total.saturating_sub(started_at.elapsed());
+            let frame = match with_timeout(left.min(limits.max_gap), body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => {
+                    return Err(SendError::BodyBroken { address, reason: e.to_string() });
                 }
                 Ok(None) => break,
                 Err(_) => {
-                    let after = if until == deadline { limits.max_total } else { limits.max_gap };
+                    let is_over = left < limits.max_gap;
+                    let after = if is_over { limits.max_total } else { limits.max_gap };
                     return Err(SendError::Stalled { address, received: received.len(), after });
                 }
             };
             if let Ok(data) = frame.into_data() {
                 if received.len() + data.len() > limits.max_bytes {
-                    return Err(bad_response(format!("more than {} bytes", limits.max_bytes)));
+                    return Err(too_large());
                 }
-                received.extend_from_slice(&data);
+                let pushed = received.push(&data, limits.max_bytes);
+                pushed.map_err(|e| bad_response(e.to_string()))?;
             }
         }
         if !closes_connection {
             self.client.keep_idle(address, self.sender);
         }
-        Ok(received.into())
+        Ok(received.freeze())
     }
 
     /// Reads a JSON body of at most `max_bytes`; fails without a success status.
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 for all packages: a client whose errors tell whether a request may have run, and a
 //! server with limits.
 
+pub mod body_budget;
 pub mod client;
 pub mod lines;
 pub mod server;
 
+pub use body_budget::{BodyBudget, BudgetExceeded, BudgetShare};
 pub use client::{BodyLimits, Client, ClientResponse, Reuse, SendError};
 pub use lines::JsonLines;
 pub use server::{
--- a/relay/src/events.rs
+++ b/relay/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits a stream of server-sent events and checks that each event arrives once and in order.
 
 use bytes::{Buf, Bytes, BytesMut};
+use magnoliawinch_http::{BodyBudget, BudgetExceeded, BudgetShare};
 use memchr::memmem;
 use thiserror::Error;
 
@@ -21,20 +22,25 @@
     /// An event is larger than accepted.
     #[error("an event is larger than {MAX_EVENT_BYTES} bytes")]
     TooLarge,
+    /// Events and other responses take all memory that they may.
+    #[error("{0}")]
+    NoMemory(#[from] BudgetExceeded),
 }
 
 /// Reads the events of one run, which may arrive from several engines in turn.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub struct EventReader {
     buf: BytesMut,
+    /// Memory for a partial event.
+    share: BudgetShare,
     last_id: Option<u64>,
     count: u64,
 }
 
 impl EventReader {
     /// Creates a reader that expects the first event of a run.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(budget: &BodyBudget) -> Self {
+        Self { buf: BytesMut::new(), share: budget.share(), last_id: None, count: 0 }
     }
 
     /// Id of the last event; `None` if no event with an id has arrived.
@@ -76,6 +82,7 @@
         if self.buf.remaining() > MAX_EVENT_BYTES {
             return Err(EventError::TooLarge);
         }
+        self.share.cover(self.buf.remaining())?;
         Ok(out.freeze())
     }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use control::ListUpdate;
 pub use directory::AddressList;
-pub use events::EventReader;
+pub use events::{EventError, EventReader};
 pub use handler::RequestHandler;
 pub use node::{ControlHandle, Node, StartError, listen};
 pub use refusal::Refusal;
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -17,7 +17,7 @@
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
-use magnoliawinch_http::{Client, ClientResponse, Reuse, SendError};
+use magnoliawinch_http::{BodyBudget, Client, ClientResponse, Reuse, SendError};
 use rand::RngExt;
 use std::io;
 use std::net::SocketAddr;
@@ -52,11 +52,17 @@
 
 impl Upstreams {
     /// The client of a daemon that shares limits of upstreams with other `hosts`.
-    pub(crate) fn new(hosts: Hosts) -> Self {
+    pub(crate) fn new(hosts: Hosts, body_budget: BodyBudget) -> Self {
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
+        let client = client.with_body_budget(body_budget);
         Self { client, notices: Mutex::new(UpstreamNotices::new().with_hosts(hosts)) }
     }
 
+    /// The memory that responses being read share.
+    pub(crate) fn body_budget(&self) -> &BodyBudget {
+        self.client.body_budget()
+    }
+
     /// Opens a connection to an upstream and closes it.
     pub(crate) async fn probe(&self, address: SocketAddr) -> io::Result<()> {
         self.client.probe(address).await
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -6,6 +6,7 @@
 use magnoliawinch::retry::SharedRetryLimits;
 use magnoliawinch::time::Millis;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 /// Settings of a relay daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,12 +48,29 @@
     pub retries: SharedRetryLimits,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
+    /// Memory for all responses of upstreams that are being read, in megabytes.
+    pub response_buffer_mb: u64,
     /// Longest time for which an upstream gets no requests because it said so in a refusal.
     pub max_retry_after: Millis,
 }
 
+impl Bounds {
+    /// Memory for all responses of upstreams that are being read, in bytes.
+    pub fn response_buffer_bytes(&self) -> usize {
+        usize::try_from(self.response_buffer_mb * BYTES_PER_MB).unwrap_or(usize::MAX)
+    }
+}
+
+const BYTES_PER_MB: u64 = 1_000_000;
+
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+/// Part of the memory limit that responses being read take by default.
+const RESPONSE_BUFFER_DIVISOR: u64 = 4;
+
+/// Limits of the memory limit, in megabytes.
+const MEMORY_MB: RangeInclusive<u64> = 16..=1_048_576;
+
 /// Limit for the number of cores and for their speed relative to a reference core.
 const MAX_CORES: f64 = 1_024.0;
 
@@ -80,6 +98,8 @@
         let mut platform = doc.section("platform")?;
         let mut bounds = doc.section("bounds")?;
         let peer_address = daemon.required("peer_address")?;
+        let memory_mb = bounds.number_or("memory_mb", 256, MEMORY_MB)?;
+        let response_buffer_mb = memory_mb / RESPONSE_BUFFER_DIVISOR;
         let settings = Self {
             host: HostName::from(daemon.name("host")?),
             failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
@@ -100,7 +120,12 @@
                     slack: non_negative(&mut bounds, "retry_slack", 1e9)?,
                     window: seconds(&mut bounds, "retry_window_s")?,
                 },
-                memory_mb: bounds.number_or("memory_mb", 256, 16..=1_048_576)?,
+                memory_mb,
+                response_buffer_mb: bounds.number_or(
+                    "response_buffer_mb",
+                    response_buffer_mb,
+                    1..=memory_mb,
+                )?,
                 max_retry_after: seconds_or(
                     &mut bounds,
                     "max_retry_after_s",
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -17,6 +17,7 @@
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
+use magnoliawinch_http::BodyBudget;
 use magnoliawinch_peer::{
     FetchReply, FetchRequest, PeerChannels, PeerError, RelayClient, StateReply, StateRequest,
 };
@@ -96,6 +97,7 @@
             silent_until: HashMap::new(),
         };
         let own_hash = rendezvous::hash(own.host.as_str());
+        let body_budget = BodyBudget::new(settings.bounds.response_buffer_bytes());
         let sharing_hosts = Hosts::new(clock.now(), own.host.clone());
         Self {
             settings,
@@ -103,7 +105,7 @@
             control,
             peers: PeerChannels::new(),
             bulk_peers: PeerChannels::new(),
-            upstreams: Upstreams::new(sharing_hosts),
+            upstreams: Upstreams::new(sharing_hosts, body_budget),
             runs: Runs::new(),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(clock.now()),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -241,7 +241,7 @@
             orders: placed_run.orders,
             body: response.into_body(),
             is_framed,
-            events: EventReader::new(),
+            events: EventReader::new(self.shared.upstreams.body_budget()),
             tokens_per_event: engine_config.map_or(1, |config| config.tokens_per_event),
             handover: self.handover(fwd, placed_run.assignment),
             tasks: MoveTasks::default(),
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -46,6 +46,8 @@
         ("[platform]", "[plattform]"),
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = -1"),
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
+        ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 0"),
+        ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
     ];
     let errors: Vec<_> = cases
         .iter()
