magnoliawinchd: calls ask the quarantine and feed it

The same cause as in the relay: calls to plain services neither asked the owner of their fingerprint nor told it that an upstream had ended under them, so a call that ends every upstream was sent on to all of them. Now each attempt of a call asks, as generations do, and an upstream that refuses connections after one broke is reported with its name.

Open: generations still take a silent engine for one that has ended.

--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -2,6 +2,7 @@
 
 use super::auth::{self, KindAccess};
 use super::read_body;
+use super::suspects::{Notice, report_suspect};
 use crate::control::Message;
 use crate::ledger;
 use crate::shared::Shared;
@@ -12,6 +13,7 @@
 use magnoliawinch::decision::Decision;
 use magnoliawinch::ledger::{Claim, ClaimDecision, Claimant, Outcome};
 use magnoliawinch::names::{FailureDomain, UpstreamName};
+use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
 use magnoliawinch::routing::RoutingCriteria;
 use magnoliawinch::service_file::{ServiceType, UpstreamSpec, key_digest};
 use magnoliawinch::time::{Millis, Time};
@@ -39,6 +41,8 @@
     access: KindAccess,
     idempotency_key: Option<String>,
     body: Bytes,
+    body_digest: String,
+    fingerprint: Fingerprint,
     deadline: Time,
 }
 
@@ -76,7 +80,15 @@
     shared.metrics.count("requests", &access.service_access.service.spec.name, &access.kind_name);
     shared.routing().retry_budget.record_request();
     let request_id = request_id.to_owned();
-    let job = CallJob { request_id, access, idempotency_key, body, deadline };
+    let body_digest = key_digest(&String::from_utf8_lossy(&body));
+    let fingerprint = Fingerprint::new(
+        access.service_access.organisation.as_str(),
+        access.service_access.service.spec.name.as_str(),
+        access.kind_name.as_str(),
+        &body_digest,
+    );
+    let job =
+        CallJob { request_id, access, idempotency_key, body, body_digest, fingerprint, deadline };
     // The call continues even if the caller disconnects, so that its outcome is recorded.
     let (task_shared, in_progress) = (Arc::clone(shared), shared.track_request());
     let handle = tokio::spawn(async move {
@@ -175,13 +187,12 @@
 /// Claims a call's key. The error of a lost claim says what is known of the call that holds the
 /// key.
 async fn claim(shared: &Arc<Shared>, job: &CallJob, key: &str) -> Result<Claimed, ErrorBody> {
-    let body_digest = key_digest(&String::from_utf8_lossy(&job.body));
     loop {
         let sent_at = shared.clock.now();
         let nonce: u64 = shared.routing().rng.random();
         let claim = Claim {
             key: key.to_owned(),
-            body_digest: body_digest.clone(),
+            body_digest: job.body_digest.clone(),
             claimant: Claimant {
                 host: shared.settings.host.clone(),
                 incarnation: shared.clock.started_at().0,
@@ -269,6 +280,10 @@
     let mut avoid: Option<FailureDomain> = None;
     let mut count = 0;
     loop {
+        let quarantine = report_suspect(shared, job.fingerprint, Notice::Ask).await;
+        if let QuarantineStatus::Refused(left) = quarantine {
+            return Err(fail_quarantined(job, shared, left, verdict));
+        }
         let Some((upstream, spec)) = choose_upstream(shared, job, avoid.as_ref()) else {
             let name = &job.access.service_access.service.spec.name;
             let message = format!("no upstream of service \"{name}\" is available");
@@ -285,10 +300,17 @@
             Ok(answer) => {
                 let result = u64::from(answer.status);
                 job.log(shared, Decision::Ended { result, verdict: Verdict::Ran });
+                if quarantine == QuarantineStatus::Suspect {
+                    report_suspect(shared, job.fingerprint, Notice::Completed).await;
+                }
                 return Ok(answer);
             }
             Err(e) => e,
         };
+        // A broken connection alone does not show that the upstream has ended.
+        if e.is_broken_connection() && shared.services.refuses_connections(spec.address).await {
+            report_suspect(shared, job.fingerprint, Notice::Crashed(&upstream)).await;
+        }
         verdict = verdict.combine(e.verdict());
         avoid = Some(spec.failure_domain.clone());
         let idempotent = job.access.kind.idempotent;
@@ -311,8 +333,18 @@
     message: String,
     verdict: Verdict,
 ) -> CallFailure {
-    let error =
-        ErrorBody::new(code, message).with_verdict(verdict).with_retry_after(RETRY_AFTER_MS);
+    fail_with(job, shared, ErrorBody::new(code, message).with_retry_after(RETRY_AFTER_MS), verdict)
+}
+
+/// The failure of a call under which upstreams have ended; it may return after `left`.
+fn fail_quarantined(job: &CallJob, shared: &Shared, left: Millis, verdict: Verdict) -> CallFailure {
+    let error = ErrorBody::new(Code::Quarantined, "the call crashed upstreams before");
+    fail_with(job, shared, error.with_retry_after(left.0), verdict)
+}
+
+fn fail_with(job: &CallJob, shared: &Shared, error: ErrorBody, verdict: Verdict) -> CallFailure {
+    let error = error.with_verdict(verdict);
+    let code = error.code;
     let retry_after_ms = error.retry_after_ms;
     job.log(shared, Decision::Refused { code: code.to_string(), retry_after_ms });
     CallFailure { verdict, error }
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -19,6 +19,9 @@
 /// Maximum size of a request body.
 const MAX_REQUEST_BYTES: usize = 1_048_576;
 
+/// A call whose body contains this text ends the upstream that runs it.
+const CRASH_MARKER: &str = "#crash";
+
 /// Faults to inject.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServiceFaults {
@@ -48,6 +51,7 @@
     runs: HashMap<String, u64>,
     total: u64,
     faults: ServiceFaults,
+    has_crashed: bool,
 }
 
 /// Run counts by key, shared by the upstreams of a service.
@@ -79,6 +83,7 @@
     inner: Arc<Mutex<Inner>>,
     address: SocketAddr,
     task: JoinHandle<()>,
+    /// Stops the upstream from accepting connections.
     _stop: watch::Sender<bool>,
 }
 
@@ -92,9 +97,9 @@
         let address = listener.local_addr()?;
         let inner = Arc::new(Mutex::new(Inner::default()));
         let (stop, stopped) = watch::channel(false);
-        let served = Arc::clone(&inner);
+        let (served, crash) = (Arc::clone(&inner), stop.clone());
         let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, move |req| {
-            handle(Arc::clone(&served), counts.clone(), req)
+            handle(Arc::clone(&served), counts.clone(), crash.clone(), address, req)
         }));
         Ok(Self { inner, address, task, _stop: stop })
     }
@@ -109,6 +114,11 @@
         lock(&self.inner).faults = faults;
     }
 
+    /// Whether the upstream has crashed.
+    pub fn is_dead(&self) -> bool {
+        lock(&self.inner).has_crashed
+    }
+
     /// Number of runs at this upstream.
     pub fn total(&self) -> u64 {
         lock(&self.inner).total
@@ -131,6 +141,8 @@
 async fn handle(
     inner: Arc<Mutex<Inner>>,
     counts: RunCounts,
+    crash: watch::Sender<bool>,
+    address: SocketAddr,
     req: Request<Incoming>,
 ) -> Response<Body> {
     let faults = lock(&inner).faults;
@@ -154,9 +166,18 @@
         inner.total
     };
     sleep(faults.call_duration).await;
+    let echo = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    if echo.contains(CRASH_MARKER) {
+        lock(&inner).has_crashed = true;
+        crash.send_replace(true);
+        while TcpStream::connect(address).await.is_ok() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        // Closes the connection without a response, and without the message of a panic.
+        std::panic::resume_unwind(Box::new("the upstream has crashed"));
+    }
     if faults.lose_responses {
         return aborted_response();
     }
-    let echo = String::from_utf8_lossy(&body.to_bytes()).into_owned();
     json_response(StatusCode::OK, &CallResponse { key, echo, run })
 }
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Request};
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Client, Reuse, SendError};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -74,6 +75,11 @@
             Self::Refused { verdict, .. } => *verdict,
         }
     }
+
+    /// Whether the connection broke after the call was sent, before its response was complete.
+    pub fn is_broken_connection(&self) -> bool {
+        matches!(self, Self::Send(e) if e.is_broken_connection())
+    }
 }
 
 /// Client of plain services.
@@ -88,6 +94,12 @@
         Self::default()
     }
 
+    /// Whether nothing listens at `address`.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let probe = self.client.probe(address).await;
+        probe.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Sends a call once and reads the whole response within `timeout`.
     pub async fn call(
         &self,
--- a/testbed/tests/at_most_once.rs
+++ b/testbed/tests/at_most_once.rs
@@ -6,7 +6,9 @@
 use magnoliawinch_caller::{Code, ErrorBody};
 use magnoliawinch_fakes::log::LogFaults;
 use magnoliawinch_fakes::service::ServiceFaults;
-use magnoliawinch_testbed::deployment::{ORDER_KIND, ORGANISATIONS, PLAIN_SERVICE, bearer_key};
+use magnoliawinch_testbed::deployment::{
+    ORDER_KIND, ORGANISATIONS, PLAIN_SERVICE, STOCK_KIND, bearer_key,
+};
 use magnoliawinch_testbed::{Testbed, TestbedOptions};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -165,3 +167,31 @@
     assert_eq!(again.verdict, Verdict::MayHaveRun);
     assert_eq!(testbed.run_counts.of("orphan"), 1);
 }
+
+/// Guards against calls that are sent on and on although each upstream that runs them ends.
+#[tokio::test]
+async fn calls_under_which_upstreams_end_are_quarantined_after_two_at_most() {
+    for (kind, is_order) in [(ORDER_KIND, true), (STOCK_KIND, false)] {
+        let testbed =
+            Testbed::start(TestbedOptions { plain_upstreams: 6, ..TestbedOptions::default() })
+                .await
+                .expect("the testbed starts");
+        let mut last = None;
+        for n in 0..8 {
+            let caller = CallerClient::new(&bearer_key(ORGANISATIONS[0]));
+            let host = testbed.caller_addresses()[n % 3];
+            let key = format!("fatal-{n}");
+            let key = is_order.then_some(key.as_str());
+            last = Some(caller.call(host, PLAIN_SERVICE, kind, key, "poison #crash".into()).await);
+        }
+        let ended = testbed.plain_upstreams.iter().filter(|upstream| upstream.is_dead()).count();
+        assert!((1..=2).contains(&ended), "{ended} upstreams ended under {kind}");
+        match last {
+            Some(Err(CallerError::Api(error))) => {
+                assert_eq!((error.code, error.verdict), (Code::Quarantined, Verdict::NotRun));
+            }
+            other => panic!("expected a refusal: {other:?}"),
+        }
+        place_order(&testbed, 0, "other", "bearing").await.expect("other calls are served");
+    }
+}
