--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -236,7 +236,12 @@
         let SendPermit { to, service } = permit;
         let sent_at = self.shared.clock.now();
         let response = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await?;
-        let info = self.note_statements(&service, &to, sent_at, &response);
+        let info = self.note_statements(&service, &to, &response);
+        let upstream = to.incarnation(&service);
+        // Another upstream may have responded.
+        if response.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.shared.note_limit(&upstream, sent_at, info.limit_per_second);
+        }
         Ok((response, info))
     }
 
@@ -253,7 +258,11 @@
         let client = &self.shared.upstreams.client;
         let sent_at = self.shared.clock.now();
         let response = client.send(to.address, req, Reuse::Never, timeout).await?;
-        self.note_statements(service, to, sent_at, &response);
+        let info = self.note_statements(service, to, &response);
+        // Only a response to a request shows that a limit is over.
+        if info.limit_per_second.is_some() {
+            self.shared.note_limit(&to.incarnation(service), sent_at, info.limit_per_second);
+        }
         Ok(response)
     }
 
@@ -281,16 +290,11 @@
         &self,
         service: &ServiceName,
         to: &Endpoint,
-        sent_at: Time,
         response: &ClientResponse,
     ) -> ResponseInfo {
         let info = self.wire.parse_response_headers(response.headers());
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = info.retry_after.filter(|_| refused);
-        // Another upstream may have responded.
-        if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            self.shared.note_limit(&to.incarnation(service), sent_at, info.limit_per_second);
-        }
         if info.is_leaving || retry_after.is_some() {
             let upstream = to.incarnation(service);
             self.shared.note_statements(&upstream, info.is_leaving, retry_after);
