--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -141,7 +141,7 @@
     reader_addresses: HashMap<u64, SocketAddr>,
     held_polls: Vec<HeldPoll>,
     crash_detector: CrashDetector,
-    /// Requests that wait for the result of a check, by upstream.
+    /// Requests that wait for the result of a check, by upstream; dropping a sender tells its request.
     waiting_for_checks: Vec<(UpstreamProcess, oneshot::Sender<()>)>,
     peak_daemons: usize,
     members_version: u64,
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -16,11 +16,12 @@
 pub(crate) struct BrokenRequest {
     pub(crate) fingerprint: Fingerprint,
     pub(crate) upstream: UpstreamProcess,
-    /// Told when it is known whether the upstream has ended.
+    /// Dropped once it is known whether the upstream has ended.
     pub(crate) reply: oneshot::Sender<()>,
 }
 
 impl Control {
+    /// Has it examined whether the upstream ended, unless that is known.
     pub(super) fn handle_broken_request(&mut self, now: Time, broken: BrokenRequest) {
         let BrokenRequest { fingerprint, upstream, reply } = broken;
         // An upstream that leaves refuses connections before it ends what it runs.
@@ -58,7 +59,6 @@
     ) {
         let ended = self.crash_detector.checked(now, upstream, result);
         self.note_ended(now, upstream, &ended, "refused");
-        // Dropping the senders tells the requests that wait for the result.
         self.waiting_for_checks.retain(|(waited_for, _)| waited_for != upstream);
     }
 
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -281,7 +281,7 @@
             self.shared.traffic.spawn(async move { control.send(message).await });
         }
         async move {
-            // The sender is dropped without a message if there is nothing to wait for.
+            // The sender is dropped without a message.
             let _ = examined.await;
         }
     }
