Log which runs had just begun when their upstream ended, with the shared parts of their prompts

The shared parts of a prompt are decoded; runs are recorded from sending to their end; each end of an upstream logs the runs that had just begun or not begun, with their parts, and counts them (suspect_run); runs that outlive their start are counted (run_start_survived). Nothing decides by it.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -228,6 +228,7 @@
                 Attempt::from(e)
             }
         };
+        self.note_run_end(fwd, &upstream.name, &attempt);
         match &attempt {
             Attempt::Responded(_) => self.shared.note_completed(fwd.fingerprint),
             Attempt::MayHaveRun { is_broken: true, .. } => {
@@ -287,6 +288,17 @@
         Attempt::Responded(BufferedResponse { status, headers, body })
     }
 
+    /// Notes how a run ended whose response was to be read completely.
+    pub(crate) fn note_run_end(&self, fwd: &Forward, upstream: &UpstreamName, attempt: &Attempt) {
+        let (now, run) = (self.shared.clock.now(), &fwd.info.run);
+        let mut starts = self.shared.run_starts();
+        match attempt {
+            Attempt::Responded(_) => starts.completed(now, run, upstream),
+            Attempt::NotRun { .. } => starts.not_run(run, upstream),
+            Attempt::MayHaveRun { .. } => starts.broke(now, run, upstream),
+        }
+    }
+
     /// Counts and logs a failed attempt.
     pub(crate) fn note_failed_attempt(
         &self,
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -3,7 +3,9 @@
 use super::convert::{facts_from_proto, facts_to_proto};
 use super::{Control, Message};
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
+use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
+use magnoliawinch::run_starts::SuspectRun;
 use magnoliawinch::time::Time;
 use magnoliawinch_peer::QuarantineNews;
 use std::collections::HashMap;
@@ -78,6 +80,8 @@
 
     /// Makes the checks that are due.
     pub(super) fn tick_crash_detector(&mut self, now: Time) {
+        let survivors = self.shared.run_starts().take_survivors(now);
+        self.shared.metrics.add("run_start_survived", "", survivors.len());
         for upstream in self.crash_detector.tick(now) {
             self.check_process(upstream);
         }
@@ -90,6 +94,9 @@
         requests: &[Fingerprint],
         evidence: &'static str,
     ) {
+        if !requests.is_empty() {
+            self.log_suspect_runs(now, upstream);
+        }
         for fingerprint in requests.iter().copied() {
             self.shared.metrics.count("ended_under_request", evidence);
             log::warn!(
@@ -104,6 +111,24 @@
         }
     }
 
+    /// Logs the runs that may be the cause of an upstream's end, with the parts of their prompts.
+    fn log_suspect_runs(&self, now: Time, upstream: &UpstreamProcess) {
+        let suspects = self.shared.run_starts().take_suspects(now, &upstream.name, upstream.born);
+        for SuspectRun { run, parts, begun_at } in suspects {
+            let state = if begun_at.is_some() { "just_begun" } else { "not_begun" };
+            self.shared.metrics.count("suspect_run", state);
+            log::info!(
+                upstream = upstream.name.as_str(),
+                born = upstream.born,
+                run = run.as_str(),
+                state,
+                begun_ms_ago = begun_at.map_or(0, |at| now.since(at).0),
+                parts = parts.iter().map(PartId::to_string).collect::<Vec<_>>().join(",");
+                "run may be the cause of its upstream's end"
+            );
+        }
+    }
+
     /// Handles the end of a run with a fingerprint under which upstreams have ended.
     pub(super) fn handle_suspect_completed(&mut self, now: Time, fingerprint: Fingerprint) {
         self.learn_facts(now, [Fact::Completed(fingerprint, now)], "own");
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -13,15 +13,17 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use magnoliawinch::names::{ServiceName, UpstreamName};
+use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
+use magnoliawinch::prompt_parts::PromptParts;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
+use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{BodyBudget, Client, ClientResponse, Reuse, SendError};
 use rand::RngExt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
@@ -88,6 +90,19 @@
 pub(crate) struct SendPermit {
     to: Endpoint,
     service: ServiceName,
+    run: RunId,
+    parts: PromptParts,
+}
+
+impl SendPermit {
+    fn new(fwd: &Forward, to: &Endpoint) -> Self {
+        Self {
+            to: to.clone(),
+            service: fwd.service.clone(),
+            run: fwd.info.run.clone(),
+            parts: Arc::clone(&fwd.info.shared_parts),
+        }
+    }
 }
 
 impl<W: Wire> RequestHandler<W> {
@@ -103,7 +118,7 @@
                 self.note_withheld(fwd, &to.name, withheld);
                 Err(NotPermitted::Withheld(withheld))
             }
-            Ok(()) => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
+            Ok(()) => Ok(SendPermit::new(fwd, to)),
         }
     }
 
@@ -129,7 +144,7 @@
                 self.note_withheld(fwd, &to.name, withheld);
                 Err(NotPermitted::Withheld(withheld))
             }
-            None => Ok(SendPermit { to: to.clone(), service: fwd.service.clone() }),
+            None => Ok(SendPermit::new(fwd, to)),
         }
     }
 
@@ -233,10 +248,26 @@
         reuse: Reuse,
         timeout: Duration,
     ) -> Result<(ClientResponse, ResponseInfo), SendError> {
-        let SendPermit { to, service } = permit;
+        let SendPermit { to, service, run, parts } = permit;
         let sent_at = self.shared.clock.now();
-        let response = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await?;
+        self.shared.run_starts().sent(&run, &to.name, to.born, &parts);
+        let result = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await;
+        let now = self.shared.clock.now();
+        let response = match result {
+            Ok(response) => response,
+            Err(e) => {
+                match e.verdict() {
+                    Verdict::NotRun => self.shared.run_starts().not_run(&run, &to.name),
+                    _ => self.shared.run_starts().broke(now, &run, &to.name),
+                }
+                return Err(e);
+            }
+        };
         let info = self.note_statements(&service, &to, &response);
+        match info.not_run {
+            true => self.shared.run_starts().not_run(&run, &to.name),
+            false => self.shared.run_starts().begun(now, &run, &to.name),
+        }
         let upstream = to.incarnation(&service);
         // Another upstream may have responded.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -15,6 +15,7 @@
 use magnoliawinch::quarantine::{Completions, Fingerprint};
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
+use magnoliawinch::run_starts::RunStarts;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch_http::BodyBudget;
@@ -65,6 +66,7 @@
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
     completions: Mutex<Completions>,
+    run_starts: Mutex<RunStarts>,
     requests: RequestCounter,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
@@ -112,6 +114,7 @@
             traffic,
             routing: Mutex::new(routing),
             completions: Mutex::default(),
+            run_starts: Mutex::default(),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
             bodies: Mutex::default(),
@@ -134,6 +137,11 @@
         self.completions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Runs that have just begun.
+    pub(crate) fn run_starts(&self) -> MutexGuard<'_, RunStarts> {
+        self.run_starts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that a run completed, so that its fingerprint is no suspect.
     pub(crate) fn note_completed(&self, fingerprint: Fingerprint) {
         self.completions().record(self.clock.now(), fingerprint);
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -215,8 +215,9 @@
             return Ok(EngineResponse::Stream(response));
         }
         let engine = &assignment.engine;
-        let read = self.read_response(fwd, engine, response, &info, fwd.remaining());
-        Ok(EngineResponse::Other(read.await))
+        let read = self.read_response(fwd, engine, response, &info, fwd.remaining()).await;
+        self.note_run_end(fwd, &engine.name, &read);
+        Ok(EngineResponse::Other(read))
     }
 
     fn event_stream(
@@ -298,6 +299,7 @@
                         if !events.is_empty() {
                             let tokens = self.events.count() * u64::from(self.tokens_per_event);
                             self.run.set_tokens_written(tokens as u32);
+                            self.note_run_goes_on();
                             self.note_events_sent();
                             return Some(Ok(Frame::data(events)));
                         }
@@ -320,6 +322,11 @@
         }
     }
 
+    fn note_run_goes_on(&self) {
+        let (now, source) = (self.now(), &self.handover.source().name);
+        self.handler.shared.run_starts().goes_on(now, &self.fwd.info.run, source);
+    }
+
     fn note_events_sent(&mut self) {
         let now = Instant::now();
         match self.last_sent_at {
@@ -386,6 +393,12 @@
 impl<W: Wire> Drop for EventStream<W> {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or("caller_left");
+        let (now, run) = (self.now(), &self.fwd.info.run);
+        let source = &self.handover.source().name;
+        match outcome {
+            "complete" => self.handler.shared.run_starts().completed(now, run, source),
+            _ => self.handler.shared.run_starts().broke(now, run, source),
+        }
         self.handler.shared.metrics.count("stream", outcome);
         if self.handler.shared.log_limiter.admits(self.handler.shared.clock.now()) {
             log::info!(
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -238,6 +238,9 @@
             pause_ms = self.last_sent_at.map_or(0, |at| at.elapsed().as_millis() as u64);
             "run goes on"
         );
+        let now = self.now();
+        let source = &self.handover.source().name;
+        self.handler.shared.run_starts().broke(now, &self.fwd.info.run, source);
         self.moves += 1;
         self.is_framed = is_framed(response.headers());
         self.body = response.into_body();
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use magnoliawinch::balance::Load;
 use magnoliawinch::names::{RunId, UpstreamName};
+use magnoliawinch::prompt_parts::PromptParts;
 use magnoliawinch::time::Millis;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -23,6 +24,8 @@
     pub timeout: Option<Millis>,
     /// Token counts; present in requests for model engines.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: PromptParts,
 }
 
 /// Token counts of a request.
