A refused connection shows the end of an upstream only if other hosts meet with it, too

Callers saw: requests refused as "quarantined" on all hosts although no upstream had ended. Cause: a host whose paths are cut has its connections reset and new ones refused, which it took for the end of the upstream, and told all others. Class: one host's view decides for all.

One that gets through: the path is lost, nothing is reported. A refusal elsewhere counts if that host reaches another upstream.

Ruled out: asking only hosts of the own failure domain, which may all be cut.

PathFaults in the HTTP client cuts one daemon of a test process off from its upstreams.

--- a/core/src/crash_detection.rs
+++ b/core/src/crash_detection.rs
@@ -1,16 +1,16 @@
 //! Tells upstreams that ended under requests from those that only failed them.
 //!
 //! A connection that broke before its response was complete shows nothing by itself: connections
-//! are reset and responses are lost or cut while the upstream lives. An upstream counts as ended if
-//! it then refuses connections, or if it can't be reached and another incarnation is listed at its
-//! address.
+//! are reset and responses are lost or cut while the upstream lives, and a host may lose its paths to
+//! all of them. An upstream counts as ended if it then refuses connections of other hosts, too, or if
+//! it can't be reached and another incarnation is listed at its address.
 
 use crate::names::UpstreamName;
 use crate::quarantine::Fingerprint;
+pub use crate::reachability::Reachability;
 use crate::time::{Millis, Time};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use strum::{Display, IntoStaticStr};
 
 /// Delay before an upstream that accepted a connection is checked once more: the connections of a
 /// process may break before its listener is closed.
@@ -39,18 +39,6 @@
     pub address: SocketAddr,
 }
 
-/// What a new connection to an upstream met with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Reachability {
-    /// Nothing listens at the address.
-    Refused,
-    /// It was opened.
-    Accepted,
-    /// It was not opened in time, or failed in another way.
-    Unknown,
-}
-
 /// What is known after a connection to an upstream broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
@@ -141,8 +129,9 @@
         if result == Reachability::Refused {
             return suspected.end();
         }
-        let is_open = suspected.checks < MAX_CHECKS;
-        if !is_open && result == Reachability::Accepted {
+        let lives = matches!(result, Reachability::Accepted | Reachability::PathLost);
+        let is_open = suspected.checks < MAX_CHECKS && result != Reachability::PathLost;
+        if !is_open && lives {
             suspected.requests.clear();
         }
         suspected.next_check = is_open.then_some(now + SECOND_CHECK_DELAY);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod prompt_parts;
 pub mod quarantine;
+pub mod reachability;
 pub mod rendezvous;
 pub mod retry;
 pub mod route_table;
--- /dev/null
+++ b/core/tests/reachability.rs
@@ -0,0 +1,64 @@
+//! What hosts conclude together about upstreams that one of them cannot reach.
+
+use magnoliawinch::capacity::Capacity;
+use magnoliawinch::membership::{Member, MemberState};
+use magnoliawinch::names::{FailureDomain, HostName};
+use magnoliawinch::reachability::Reachability::{Accepted, PathLost, Refused, Unknown};
+use magnoliawinch::reachability::{WITNESSES, choose_witnesses};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+
+/// Guards against taking the word of one host for all: others reach the upstream, or nobody knows.
+#[test]
+fn a_refusal_is_an_end_only_if_no_other_host_gets_through() {
+    let cases = [
+        (Accepted, vec![Refused], true, Accepted),
+        (Refused, vec![Refused, Accepted], true, PathLost),
+        (Refused, vec![Refused, Unknown], false, Refused),
+        (Refused, vec![Unknown, Unknown], false, Unknown),
+        (Refused, vec![Unknown], true, Refused),
+        (Refused, vec![], true, Refused),
+        (Refused, vec![], false, Unknown),
+        (Unknown, vec![Accepted], true, PathLost),
+        (Unknown, vec![Refused], true, Unknown),
+    ];
+    for (own, witnessed, reaches_others, expected) in cases {
+        let result = own.confirmed(&witnessed, reaches_others);
+        assert_eq!(result, expected, "{own} {witnessed:?} {reaches_others}");
+    }
+}
+
+fn member(host: usize, domain: usize) -> Member {
+    Member {
+        host: HostName::new(&format!("h{host}")),
+        incarnation: 1,
+        failure_domain: FailureDomain::new(&format!("d{domain}")),
+        peer_address: "10.0.0.1:1".parse().unwrap(),
+        caller_address: "10.0.0.1:2".parse().unwrap(),
+        capacity: Capacity::default(),
+        state: MemberState::Alive,
+    }
+}
+
+/// Guards against asking only hosts that lost their paths together with this one.
+#[test]
+fn witnesses_come_from_as_many_failure_domains_as_possible() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (hosts, domains) in [(2, 1), (7, 4), (9, 3), (58, 3), (295, 5)] {
+        let members: Vec<_> = (0..hosts).map(|n| member(n, n % domains)).collect();
+        for _ in 0..100 {
+            let (own, domain) = (&members[0].host, &members[0].failure_domain);
+            let chosen = choose_witnesses(&members, own, domain, &mut rng);
+            assert_eq!(chosen.len(), WITNESSES.min(hosts - 1));
+            assert!(chosen.iter().all(|witness| witness.host != *own));
+            let mut by_domain: HashMap<_, usize> = HashMap::new();
+            for witness in &chosen {
+                *by_domain.entry(&witness.failure_domain).or_default() += 1;
+            }
+            let from_own = by_domain.get(domain).copied().unwrap_or_default();
+            let elsewhere = chosen.len() - from_own;
+            assert!(elsewhere >= (domains - 1).min(WITNESSES), "{hosts} {by_domain:?}");
+        }
+    }
+}
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client whose errors tell whether the request may have run.
 
 use crate::body_budget::{BodyBudget, BufferedBody};
+use crate::path_faults::PathFaults;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
@@ -154,6 +155,7 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connect_timeout: Duration,
     budget: BodyBudget,
+    path_faults: PathFaults,
 }
 
 impl Default for Client {
@@ -169,6 +171,7 @@
             idle: Arc::default(),
             connect_timeout: CONNECT_TIMEOUT,
             budget: BodyBudget::default(),
+            path_faults: PathFaults::default(),
         }
     }
 
@@ -182,6 +185,11 @@
         Self { budget, ..self }
     }
 
+    /// Faults on the paths to servers, for tests.
+    pub fn path_faults(&self) -> &PathFaults {
+        &self.path_faults
+    }
+
     /// The memory that the bodies being read share.
     pub fn body_budget(&self) -> &BodyBudget {
         &self.budget
@@ -213,7 +221,7 @@
         }
         // Apart from the time limit of the request, which has not run if no connection opens.
         let left = deadline.saturating_duration_since(Instant::now());
-        let mut sender = connect(address, self.connect_timeout.min(left)).await?;
+        let mut sender = self.connect(address, self.connect_timeout.min(left)).await?;
         let sent = timeout_at(deadline, sender.try_send_request(req)).await;
         match sent.map_err(timed_out)? {
             Ok(response) => Ok(self.response(address, response, sender)),
@@ -251,10 +259,37 @@
 
     /// Opens a connection and closes it.
     pub async fn probe(&self, address: SocketAddr) -> io::Result<()> {
-        let opened = with_timeout(self.connect_timeout, TcpStream::connect(address)).await;
+        let opened = with_timeout(self.connect_timeout, self.open(address)).await;
         opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?.map(drop)
     }
 
+    async fn open(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        self.path_faults.open(address).await?;
+        TcpStream::connect(address).await
+    }
+
+    async fn connect(&self, address: SocketAddr, timeout: Duration) -> Result<Sender, SendError> {
+        let connect_error = |reason: String| SendError::Connect { address, reason };
+        let stream = match with_timeout(timeout, self.open(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(connect_error(e.to_string())),
+            Err(_) => return Err(connect_error(format!("no response within {timeout:?}"))),
+        };
+        stream.set_nodelay(true).map_err(|e| connect_error(e.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| connect_error(e.to_string()))?;
+        let path_faults = self.path_faults.clone();
+        tokio::spawn(async move {
+            // Its error reaches the request in progress.
+            let connection = async { drop(connection.await) };
+            path_faults.drive(address, connection).await;
+        });
+        Ok(sender)
+    }
+
     /// Sends `body` as JSON and reads a JSON response of at most `max_bytes`, all within `timeout`.
     pub async fn json<T: DeserializeOwned>(
         &self,
@@ -291,23 +326,6 @@
     builder.body(Full::new(Bytes::from(bytes))).unwrap_or_default()
 }
 
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<Sender, SendError> {
-    let connect_error = |reason: String| SendError::Connect { address, reason };
-    let stream = match with_timeout(timeout, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(connect_error(e.to_string())),
-        Err(_) => return Err(connect_error(format!("no response within {timeout:?}"))),
-    };
-    stream.set_nodelay(true).map_err(|e| connect_error(e.to_string()))?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|e| connect_error(e.to_string()))?;
-    tokio::spawn(connection);
-    Ok(sender)
-}
-
 fn no_response(address: SocketAddr, e: &hyper::Error) -> SendError {
     SendError::NoResponse { address, reason: e.to_string() }
 }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -4,11 +4,13 @@
 pub mod body_budget;
 pub mod client;
 pub mod lines;
+pub mod path_faults;
 pub mod server;
 
 pub use body_budget::{BodyBudget, BudgetExceeded, BudgetShare};
 pub use client::{BodyLimits, Client, ClientResponse, Reuse, SendError};
 pub use lines::JsonLines;
+pub use path_faults::{PathFault, PathFaults};
 pub use server::{
     Body, BodyAborted, ServerLimits, Shutdown, full_body, json_response, serve, serve_with_limits,
 };
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -2,14 +2,15 @@
 
 use super::convert::{facts_from_proto, facts_to_proto};
 use super::{Control, Message};
+use crate::runs::Endpoint;
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
+use magnoliawinch::names::ServiceName;
 use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
 use magnoliawinch::run_starts::SuspectRun;
 use magnoliawinch::time::Time;
 use magnoliawinch_peer::QuarantineNews;
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
@@ -43,9 +44,18 @@
 
     fn check_process(&self, upstream: UpstreamProcess) {
         let shared = Arc::clone(&self.shared);
+        let listed = self.fleet.get(&upstream.name);
+        let service = listed.map_or_else(|| ServiceName::new(""), |listed| listed.service.clone());
         self.shared.traffic.spawn(async move {
-            let result = reachability(shared.upstreams.probe(upstream.address).await);
+            let result = shared.examine(&service, &Endpoint::from(&upstream)).await;
             shared.metrics.count("crash_check", result.into());
+            if result == Reachability::PathLost {
+                log::info!(
+                    upstream = upstream.name.as_str(),
+                    born = upstream.born;
+                    "this host cannot reach an upstream that others reach"
+                );
+            }
             let message = Message::ProcessChecked { upstream, result };
             if shared.control.send(message).await.is_err() {
                 log::debug!("the control thread has ended");
@@ -214,11 +224,3 @@
         self.view_is_stale |= self.update_quarantine_view(now);
     }
 }
-
-fn reachability(probe: io::Result<()>) -> Reachability {
-    match probe {
-        Ok(()) => Reachability::Accepted,
-        Err(e) if e.kind() == ErrorKind::ConnectionRefused => Reachability::Refused,
-        Err(_) => Reachability::Unknown,
-    }
-}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod handler;
 mod node;
 mod outbound;
+mod paths;
 mod peer_server;
 mod placement;
 mod refusal;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -12,6 +12,7 @@
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
 use magnoliawinch::time::{Millis, Time};
+use magnoliawinch_http::PathFaults;
 use magnoliawinch_peer::RelayServer;
 use magnoliawinch_runtime::start_control;
 use std::io;
@@ -267,6 +268,11 @@
         Ok(Self { shared, stop })
     }
 
+    /// Faults on this daemon's paths to upstreams, for tests.
+    pub fn path_faults(&self) -> &PathFaults {
+        self.shared.upstreams.path_faults()
+    }
+
     /// A handler for callers' requests in the format `wire`.
     pub fn handler<W: Wire>(&self, wire: W) -> RequestHandler<W> {
         RequestHandler::new(Arc::clone(&self.shared), wire)
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -19,7 +19,7 @@
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::{BodyBudget, Client, ClientResponse, Reuse, SendError};
+use magnoliawinch_http::{BodyBudget, Client, ClientResponse, PathFaults, Reuse, SendError};
 use rand::RngExt;
 use std::io;
 use std::net::SocketAddr;
@@ -65,6 +65,11 @@
         self.client.body_budget()
     }
 
+    /// Faults on the paths to upstreams, for tests.
+    pub(crate) fn path_faults(&self) -> &PathFaults {
+        self.client.path_faults()
+    }
+
     /// Opens a connection to an upstream and closes it.
     pub(crate) async fn probe(&self, address: SocketAddr) -> io::Result<()> {
         self.client.probe(address).await
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -11,8 +11,9 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
-    CellOf, FetchReply, FetchRequest, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest, Relay,
-    RelocateReply, RelocateRequest, RunsReply, RunsReport, StateReply, StateRequest,
+    CellOf, FetchReply, FetchRequest, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest,
+    ReachReply, ReachRequest, Relay, RelocateReply, RelocateRequest, RunsReply, RunsReport,
+    StateReply, StateRequest,
 };
 use std::sync::Arc;
 use strum::FromRepr;
@@ -107,6 +108,14 @@
         self.ask(|reply| Message::State { req, reply }).await.map(Response::new)
     }
 
+    async fn reach(&self, req: Request<ReachRequest>) -> Result<Response<ReachReply>, Status> {
+        let ReachRequest { upstream, address, service } = req.into_inner();
+        let address = address.parse().map_err(|_| Status::invalid_argument("no address"))?;
+        let (upstream, service) = (UpstreamName::new(&upstream), ServiceName::new(&service));
+        let result = self.shared.witness(&service, &upstream, address).await;
+        Ok(Response::new(ReachReply { result: result as u32 }))
+    }
+
     async fn fetch(&self, req: Request<FetchRequest>) -> Result<Response<FetchReply>, Status> {
         let FetchRequest { version, digest, offset, host } = req.into_inner();
         let (now, follower) = (self.shared.clock.now(), rendezvous::hash(&host));
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -37,6 +37,12 @@
     }
 }
 
+impl From<&UpstreamProcess> for Endpoint {
+    fn from(process: &UpstreamProcess) -> Self {
+        Self { name: process.name.clone(), address: process.address, born: process.born }
+    }
+}
+
 impl From<&ListedUpstream> for Endpoint {
     fn from(listed: &ListedUpstream) -> Self {
         Self { name: listed.name.clone(), address: listed.address, born: listed.born }
