Requests with a part of their prompts on which engines end are refused

Cause: the quarantine knew requests only as a whole; Prefix-Hash was read nowhere. Class: a culprit that is a property of several requests, looked for in each one.

An end now counts against the shared parts of the runs that had just begun there, on all hosts; a run that outlives its start clears its parts. Two ends since: refused on every way (the permit), requests that wait for an answer are withdrawn, one request at a time is tried later. Hosts that start learn it with the configuration.

Ruled out: all runs in progress as suspects (what runs everywhere is always among them), ends as not seen (logs).

--- a/core/src/crash_detection.rs
+++ b/core/src/crash_detection.rs
@@ -154,6 +154,11 @@
         ended.map(|(process, suspected)| (process.clone(), suspected.end())).collect()
     }
 
+    /// When the last connection to an upstream under suspicion broke.
+    pub fn broke_at(&self, process: &UpstreamProcess) -> Option<Time> {
+        self.suspected.get(process).map(|suspected| suspected.broke_at)
+    }
+
     /// Whether any upstream is under suspicion.
     pub fn is_empty(&self) -> bool {
         self.suspected.is_empty()
--- a/core/src/run_starts.rs
+++ b/core/src/run_starts.rs
@@ -6,7 +6,7 @@
 use crate::names::{RunId, UpstreamName};
 use crate::prompt_parts::PromptParts;
 use crate::time::{Millis, Time};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// Time after the start of an answer within which the answer may be the cause of an end.
@@ -82,7 +82,7 @@
 /// The runs of one daemon whose prompts have parts that others may share.
 #[derive(Clone, Debug, Default)]
 pub struct RunStarts {
-    active: HashMap<(RunId, UpstreamName), ActiveRun>,
+    active: BTreeMap<(RunId, UpstreamName), ActiveRun>,
     /// In the order of their ends.
     ended: VecDeque<EndedRun>,
     survivors: Vec<Survivor>,
@@ -139,6 +139,16 @@
         self.end(now, run, upstream, RunEnd::Broken);
     }
 
+    /// Records that nobody waits for the answer to a run any more.
+    pub fn dropped(&mut self, now: Time, run: &RunId) {
+        let first = (run.clone(), UpstreamName::new(""));
+        let of_run = self.active.range(first..).take_while(|((other, _), _)| other == run);
+        let upstreams: Vec<_> = of_run.map(|((_, upstream), _)| upstream.clone()).collect();
+        for upstream in upstreams {
+            self.broke(now, run, &upstream);
+        }
+    }
+
     fn end(&mut self, now: Time, run: &RunId, upstream: &UpstreamName, end: RunEnd) {
         let active = self.active.remove(&(run.clone(), upstream.clone()));
         let Some(active) = active.filter(|active| !active.has_survived) else {
@@ -164,7 +174,7 @@
             let is_recent = begun_at.is_none_or(|at| ended_at.since(at) <= CRASH_DELAY);
             on == upstream && active.born == born && is_recent
         };
-        let active = self.active.extract_if(|(_, on), active| is_suspect(on, active));
+        let active = self.active.extract_if(.., |(_, on), active| is_suspect(on, active));
         let mut suspects: Vec<_> =
             active.map(|((run, _), active)| SuspectRun::new(run, active)).collect();
         self.ended.retain(|ended| {
--- a/core/tests/run_starts.rs
+++ b/core/tests/run_starts.rs
@@ -93,3 +93,17 @@
     assert!(starts.take_survivors(Time(60_000)).is_empty());
     assert!(suspects(&mut starts, 60_000).is_empty(), "it is forgotten");
 }
+
+/// Guards against keeping runs for ever whose callers have left before the response began.
+#[test]
+fn runs_that_nobody_waits_for_are_forgotten() {
+    let mut starts = RunStarts::new();
+    starts.sent(&run("r1"), &engine(), BORN, &parts(&[1]));
+    starts.sent(&run("r1"), &UpstreamName::new("e2"), BORN, &parts(&[1]));
+    starts.sent(&run("r2"), &engine(), BORN, &parts(&[1]));
+    starts.dropped(Time(1_000), &run("r1"));
+    assert_eq!(suspects(&mut starts, 1_100), ["r1", "r2"]);
+    starts.dropped(Time(1_200), &run("r1"));
+    starts.take_survivors(Time(60_000));
+    assert!(starts.take_suspects(Time(60_000), &UpstreamName::new("e2"), BORN).is_empty());
+}
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -100,6 +100,12 @@
         /// Time limit.
         after: Duration,
     },
+    /// The request was given up before its response began.
+    #[error("the request to {address} was withdrawn")]
+    Withdrawn {
+        /// Server address.
+        address: SocketAddr,
+    },
     /// The body of the response stopped arriving.
     #[error("{address} sent {received} bytes of a body, then nothing for {after:?}")]
     Stalled {
@@ -135,6 +141,7 @@
             Self::NoResponse { .. }
             | Self::BodyBroken { .. }
             | Self::Timeout { .. }
+            | Self::Withdrawn { .. }
             | Self::Stalled { .. }
             | Self::BadResponse { .. } => Verdict::MayHaveRun,
         }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -4,6 +4,7 @@
 mod configurations;
 mod convert;
 mod crashes;
+mod fatal_parts;
 mod following;
 mod leaving;
 mod limits;
@@ -25,11 +26,13 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::crash_detection::{CrashDetector, Reachability, UpstreamProcess};
 use magnoliawinch::dissemination::{ChunkRequest, Follower, Transfer};
+use magnoliawinch::fatal_parts::{FatalParts, Survivals};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::leaving_news::LeavingNews;
 use magnoliawinch::membership::{Member, MemberState, Membership};
 use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
+use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine};
 use magnoliawinch::route_table::{Configuration, RouteTable};
 use magnoliawinch::store_position::StorePosition;
@@ -131,6 +134,8 @@
     list_log: ChangeLog,
     pools: Pools,
     quarantine: Quarantine,
+    fatal_parts: FatalParts,
+    survivals: Survivals,
     urgent_news: UrgentNews,
     announced_versions: AnnouncedVersions,
     leaving_news: LeavingNews,
@@ -151,6 +156,8 @@
     fleet_view_is_stale: bool,
     /// The quarantine as published in the view.
     quarantine_view: Arc<HashMap<Fingerprint, Time>>,
+    /// The refused parts of prompts as published in the view.
+    blamed_view: Arc<HashMap<PartId, Time>>,
     view_is_stale: bool,
     view_published_at: Time,
 }
@@ -167,6 +174,8 @@
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             quarantine: Quarantine::new(),
+            fatal_parts: FatalParts::new(),
+            survivals: Survivals::new(),
             urgent_news: UrgentNews::default(),
             announced_versions: AnnouncedVersions::new(),
             leaving_news: LeavingNews::new(),
@@ -184,6 +193,7 @@
             fleet_view: Arc::default(),
             fleet_view_is_stale: true,
             quarantine_view: Arc::default(),
+            blamed_view: Arc::default(),
             view_is_stale: true,
             view_published_at: Time(0),
             shared,
@@ -244,6 +254,7 @@
             table: self.table.clone(),
             fleet: Arc::clone(&self.fleet_view),
             quarantine: Arc::clone(&self.quarantine_view),
+            blamed_parts: Arc::clone(&self.blamed_view),
         }));
     }
 
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -1,11 +1,13 @@
 //! Conversions between protobuf messages and the types of the pools.
 
 use super::updates::age_ms;
+use magnoliawinch::fatal_parts::{EngineEnd, PartNews, Suspect};
 use magnoliawinch::names::{KindName, OrganisationName, RunId, UpstreamName};
 use magnoliawinch::pool::{EndedRun, EngineUse, RunState};
+use magnoliawinch::prompt_parts::{MAX_PARTS, PartId};
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint};
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch_peer::{CompletedRun, QuarantineNews};
+use magnoliawinch_peer::{CompletedRun, QuarantineNews, SurvivedPart};
 
 pub(super) fn run_to_proto(state: &RunState) -> magnoliawinch_peer::RunState {
     magnoliawinch_peer::RunState {
@@ -72,33 +74,84 @@
     }
 }
 
-pub(super) fn facts_to_proto(now: Time, facts: &[Fact]) -> QuarantineNews {
-    let mut news = QuarantineNews::default();
-    for fact in facts {
-        match fact {
-            Fact::Crashed(crash, at) => news.crashes.push(magnoliawinch_peer::Crash {
-                fingerprint: crash.fingerprint.0,
-                upstream: crash.upstream.to_string(),
-                born: crash.born,
-                age_ms: age_ms(now, *at),
-            }),
-            Fact::Completed(fingerprint, at) => news
-                .completed
-                .push(CompletedRun { fingerprint: fingerprint.0, age_ms: age_ms(now, *at) }),
+/// What daemons tell each other about requests under which upstreams end.
+#[derive(Debug, Default)]
+pub(super) struct QuarantineUpdate {
+    pub(super) facts: Vec<Fact>,
+    pub(super) parts: Vec<PartNews>,
+}
+
+impl QuarantineUpdate {
+    pub(super) fn is_empty(&self) -> bool {
+        self.facts.is_empty() && self.parts.is_empty()
+    }
+
+    pub(super) fn to_proto(&self, now: Time) -> QuarantineNews {
+        let mut news = QuarantineNews::default();
+        for fact in &self.facts {
+            match fact {
+                Fact::Crashed(crash, at) => news.crashes.push(magnoliawinch_peer::Crash {
+                    fingerprint: crash.fingerprint.0,
+                    upstream: crash.upstream.to_string(),
+                    born: crash.born,
+                    age_ms: age_ms(now, *at),
+                }),
+                Fact::Completed(fingerprint, at) => news
+                    .completed
+                    .push(CompletedRun { fingerprint: fingerprint.0, age_ms: age_ms(now, *at) }),
+            }
+        }
+        for part_news in &self.parts {
+            match part_news {
+                PartNews::Ended(end) => news.ends.push(end_to_proto(now, end)),
+                PartNews::Survived(part, begun_at) => news
+                    .survived
+                    .push(SurvivedPart { part: part.0, age_ms: age_ms(now, *begun_at) }),
+            }
         }
+        news
+    }
+
+    pub(super) fn from_proto(now: Time, news: &QuarantineNews) -> Self {
+        let at = |age_ms: u32| now - Millis(u64::from(age_ms));
+        let crashes = news.crashes.iter().map(|crash| {
+            let upstream = UpstreamName::new(&crash.upstream);
+            let fingerprint = Fingerprint(crash.fingerprint);
+            Fact::Crashed(Crash { fingerprint, upstream, born: crash.born }, at(crash.age_ms))
+        });
+        let completed = news.completed.iter();
+        let completed =
+            completed.map(|run| Fact::Completed(Fingerprint(run.fingerprint), at(run.age_ms)));
+        let ended = news.ends.iter().map(|end| PartNews::Ended(end_from_proto(now, end)));
+        let survived = news.survived.iter();
+        let survived =
+            survived.map(|known| PartNews::Survived(PartId(known.part), at(known.age_ms)));
+        Self { facts: crashes.chain(completed).collect(), parts: ended.chain(survived).collect() }
+    }
+}
+
+fn end_to_proto(now: Time, end: &EngineEnd) -> magnoliawinch_peer::EngineEnd {
+    let suspects = end.suspects.iter().map(|suspect| magnoliawinch_peer::SuspectRun {
+        parts: suspect.parts.iter().map(|part| part.0).collect(),
+        has_begun: suspect.has_begun,
+    });
+    magnoliawinch_peer::EngineEnd {
+        upstream: end.upstream.to_string(),
+        born: end.born,
+        age_ms: age_ms(now, end.at),
+        suspects: suspects.collect(),
     }
-    news
 }
 
-pub(super) fn facts_from_proto(now: Time, news: &QuarantineNews) -> Vec<Fact> {
-    let at = |age_ms: u32| now - Millis(u64::from(age_ms));
-    let crashes = news.crashes.iter().map(|crash| {
-        let upstream = UpstreamName::new(&crash.upstream);
-        let fingerprint = Fingerprint(crash.fingerprint);
-        Fact::Crashed(Crash { fingerprint, upstream, born: crash.born }, at(crash.age_ms))
+fn end_from_proto(now: Time, end: &magnoliawinch_peer::EngineEnd) -> EngineEnd {
+    let suspects = end.suspects.iter().map(|suspect| Suspect {
+        parts: suspect.parts.iter().take(MAX_PARTS).copied().map(PartId).collect(),
+        has_begun: suspect.has_begun,
     });
-    let completed = news.completed.iter();
-    let completed =
-        completed.map(|run| Fact::Completed(Fingerprint(run.fingerprint), at(run.age_ms)));
-    crashes.chain(completed).collect()
+    EngineEnd {
+        upstream: UpstreamName::new(&end.upstream),
+        born: end.born,
+        at: now - Millis(u64::from(end.age_ms)),
+        suspects: suspects.collect(),
+    }
 }
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -1,13 +1,11 @@
 //! Ends of upstreams under requests, and the quarantine of such requests.
 
-use super::convert::{facts_from_proto, facts_to_proto};
+use super::convert::QuarantineUpdate;
 use super::{Control, Message};
 use crate::runs::Endpoint;
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
 use magnoliawinch::names::ServiceName;
-use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
-use magnoliawinch::run_starts::SuspectRun;
 use magnoliawinch::time::Time;
 use magnoliawinch_peer::QuarantineNews;
 use std::collections::HashMap;
@@ -90,8 +88,7 @@
 
     /// Makes the checks that are due.
     pub(super) fn tick_crash_detector(&mut self, now: Time) {
-        let survivors = self.shared.run_starts().take_survivors(now);
-        self.shared.metrics.add("run_start_survived", "", survivors.len());
+        self.note_survivors(now);
         for upstream in self.crash_detector.tick(now) {
             self.check_process(upstream);
         }
@@ -105,7 +102,7 @@
         evidence: &'static str,
     ) {
         if !requests.is_empty() {
-            self.log_suspect_runs(now, upstream);
+            self.note_suspect_runs(now, upstream);
         }
         for fingerprint in requests.iter().copied() {
             self.shared.metrics.count("ended_under_request", evidence);
@@ -121,24 +118,6 @@
         }
     }
 
-    /// Logs the runs that may be the cause of an upstream's end, with the parts of their prompts.
-    fn log_suspect_runs(&self, now: Time, upstream: &UpstreamProcess) {
-        let suspects = self.shared.run_starts().take_suspects(now, &upstream.name, upstream.born);
-        for SuspectRun { run, parts, begun_at } in suspects {
-            let state = if begun_at.is_some() { "just_begun" } else { "not_begun" };
-            self.shared.metrics.count("suspect_run", state);
-            log::info!(
-                upstream = upstream.name.as_str(),
-                born = upstream.born,
-                run = run.as_str(),
-                state,
-                begun_ms_ago = begun_at.map_or(0, |at| now.since(at).0),
-                parts = parts.iter().map(PartId::to_string).collect::<Vec<_>>().join(",");
-                "run may be the cause of its upstream's end"
-            );
-        }
-    }
-
     /// Handles the end of a run with a fingerprint under which upstreams have ended.
     pub(super) fn handle_suspect_completed(&mut self, now: Time, fingerprint: Fingerprint) {
         self.learn_facts(now, [Fact::Completed(fingerprint, now)], "own");
@@ -147,7 +126,9 @@
     /// Handles what a peer has passed on.
     pub(super) fn apply_quarantine_news(&mut self, now: Time, news: Option<&QuarantineNews>) {
         if let Some(news) = news {
-            self.learn_facts(now, facts_from_proto(now, news), "peer");
+            let QuarantineUpdate { facts, parts } = QuarantineUpdate::from_proto(now, news);
+            self.learn_facts(now, facts, "peer");
+            self.learn_part_news(now, parts, "peer");
         }
     }
 
@@ -212,11 +193,13 @@
 
     /// What this daemon passes on, for messages.
     pub(super) fn quarantine_news(&self, now: Time) -> Option<QuarantineNews> {
-        let facts = self.quarantine.news(now);
-        (!facts.is_empty()).then(|| facts_to_proto(now, &facts))
+        let (facts, parts) = (self.quarantine.news(now), self.fatal_parts.news(now));
+        let update = QuarantineUpdate { facts, parts };
+        (!update.is_empty()).then(|| update.to_proto(now))
     }
 
     pub(super) fn tick_quarantine(&mut self, now: Time) {
+        self.tick_fatal_parts(now);
         if self.quarantine.is_empty() && self.quarantine_view.is_empty() {
             return;
         }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -231,6 +231,7 @@
             attempt_age_ms,
             configuration_reader: reader.host,
             configuration_reader_rank: reader.rank,
+            quarantine: self.quarantine_news(now),
         }
     }
 
@@ -296,6 +297,8 @@
         is_followed: bool,
         state: &StateReply,
     ) {
+        // First, as the configuration makes this daemon ready.
+        self.apply_quarantine_news(now, state.quarantine.as_ref());
         if let Some(configuration) = &state.configuration {
             self.shared.metrics.add("bytes_received", "configuration", configuration.body.len());
             self.apply_peer_configuration(now, source, is_followed, configuration);
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response};
-use magnoliawinch::names::FailureDomain;
+use magnoliawinch::names::{FailureDomain, RunId};
 use magnoliawinch::route_table::{CallerLimits, Delivery, Organisation, Route, RouteTable};
 use std::sync::Arc;
 use std::time::Duration;
@@ -106,6 +106,7 @@
         let info = self.wire.parse_request(&parts).map_err(|e| Refusal::BadRequest(e.to_string()));
         let info = info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
         let run = info.run.clone();
+        let waiting = WaitingRequest { shared: &self.shared, run: &run };
         let mut route_name = String::new();
         let result = self.admit_and_forward(arrived_at, info, parts, body, &mut route_name).await;
         match &result {
@@ -122,6 +123,8 @@
                 }
             }
             Ok(CallerResponse::Stream(..)) => {
+                // The stream takes over.
+                std::mem::forget(waiting);
                 self.shared.metrics.time("stream_head", &route_name, arrived_at.elapsed());
             }
             Err(refusal) => self.note_refusal(run.as_str(), &route_name, arrived_at, refusal),
@@ -218,6 +221,18 @@
     }
 }
 
+/// A request whose response has not begun; when it is dropped, its runs at upstreams are.
+struct WaitingRequest<'a> {
+    shared: &'a Shared,
+    run: &'a RunId,
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.run_starts().dropped(self.shared.clock.now(), self.run);
+    }
+}
+
 /// The organisation of the request's key; `None` if the key is unknown and the route or the
 /// configuration requires no key.
 fn authenticate(
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use magnoliawinch::membership::MemberState;
 use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
 use magnoliawinch::prompt_parts::PromptParts;
 use magnoliawinch::time::{Millis, Time};
@@ -153,10 +154,12 @@
         }
     }
 
-    /// How long a request is refused because upstreams have ended under equal ones; `None` if it may
-    /// run.
+    /// How long a request is refused because upstreams have ended under equal ones or engines on a
+    /// part of its prompt; `None` if it may run.
     pub(crate) fn refused_for(&self, fwd: &Forward) -> Option<Millis> {
-        self.shared.view.load().refused_for(self.shared.clock.now(), fwd.fingerprint)
+        let (view, now) = (self.shared.view.load(), self.shared.clock.now());
+        let equal = view.refused_for(now, fwd.fingerprint);
+        equal.or_else(|| self.shared.refused_for_parts(&fwd.info.run, &fwd.info.shared_parts))
     }
 
     /// Why an upstream gets no new work of this daemon, if it does not; counted and logged.
@@ -256,7 +259,14 @@
         let SendPermit { to, service, run, parts } = permit;
         let sent_at = self.shared.clock.now();
         self.shared.run_starts().sent(&run, &to.name, to.born, &parts);
-        let result = self.shared.upstreams.client.send(to.address, req, reuse, timeout).await;
+        // An engine that has not begun to answer must not end, too.
+        let result = tokio::select! {
+            result = self.shared.upstreams.client.send(to.address, req, reuse, timeout) => result,
+            () = self.shared.parts_are_refused(&run, &parts) => {
+                self.shared.metrics.count("withdrawn", "part_refused");
+                Err(SendError::Withdrawn { address: to.address })
+            }
+        };
         let now = self.shared.clock.now();
         let response = match result {
             Ok(response) => response,
@@ -340,6 +350,33 @@
 }
 
 impl Shared {
+    /// How long a run is refused because engines end on a part of its prompt.
+    fn refused_for_parts(&self, run: &RunId, parts: &PromptParts) -> Option<Millis> {
+        let view = self.view.load();
+        if view.blamed_parts.is_empty() {
+            return None;
+        }
+        let now = self.clock.now();
+        let blamed = parts.iter().filter_map(|part| Some((*part, *view.blamed_parts.get(part)?)));
+        let waits = blamed.filter_map(|(part, until)| {
+            let running = view.members.iter().filter(|m| m.state == MemberState::Alive);
+            let hosts = running.map(|member| member.host.as_str());
+            self.trials().wait(now, part, until, run, self.settings.host.as_str(), hosts)
+        });
+        waits.max()
+    }
+
+    /// Waits until engines are known to end on a part of a run's prompt.
+    async fn parts_are_refused(&self, run: &RunId, parts: &PromptParts) {
+        let mut changes = self.blame_changed.subscribe();
+        while parts.is_empty() || self.refused_for_parts(run, parts).is_none() {
+            // The sender lives as long as `self`.
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     fn note_statements(
         &self,
         upstream: &Incarnation,
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use magnoliawinch::balance::Balancer;
 use magnoliawinch::dissemination::{ChunkRequest, KnownRead, KnownReads};
+use magnoliawinch::fatal_parts::Trials;
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::quarantine::{Completions, Fingerprint};
@@ -32,7 +33,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tonic::transport::Channel;
 
 /// Time after the last chunk for which a daemon waits for a transfer from a peer instead of reading
@@ -67,6 +68,9 @@
     routing: Mutex<Routing>,
     completions: Mutex<Completions>,
     run_starts: Mutex<RunStarts>,
+    trials: Mutex<Trials>,
+    /// Changes with the refused parts of prompts.
+    pub(crate) blame_changed: watch::Sender<()>,
     requests: RequestCounter,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
@@ -115,6 +119,8 @@
             routing: Mutex::new(routing),
             completions: Mutex::default(),
             run_starts: Mutex::default(),
+            trials: Mutex::default(),
+            blame_changed: watch::Sender::new(()),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
             bodies: Mutex::default(),
@@ -137,6 +143,11 @@
         self.completions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests with refused parts that are tried.
+    pub(crate) fn trials(&self) -> MutexGuard<'_, Trials> {
+        self.trials.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs that have just begun.
     pub(crate) fn run_starts(&self) -> MutexGuard<'_, RunStarts> {
         self.run_starts.lock().unwrap_or_else(PoisonError::into_inner)
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -394,11 +394,12 @@
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or("caller_left");
         let (now, run) = (self.now(), &self.fwd.info.run);
-        let source = &self.handover.source().name;
-        match outcome {
-            "complete" => self.handler.shared.run_starts().completed(now, run, source),
-            _ => self.handler.shared.run_starts().broke(now, run, source),
+        let mut starts = self.handler.shared.run_starts();
+        if outcome == "complete" {
+            starts.completed(now, run, &self.handover.source().name);
         }
+        starts.dropped(now, run);
+        drop(starts);
         self.handler.shared.metrics.count("stream", outcome);
         if self.handler.shared.log_limiter.admits(self.handler.shared.clock.now()) {
             log::info!(
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -4,6 +4,7 @@
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::HostName;
+use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::route_table::RouteTable;
 use magnoliawinch::time::{Millis, Time};
@@ -108,6 +109,8 @@
     pub(crate) knows_whole_list: bool,
     /// Fingerprints of requests under which upstreams have ended, and until when these are refused.
     pub(crate) quarantine: Arc<HashMap<Fingerprint, Time>>,
+    /// Parts of prompts on which engines end, and until when all requests with them are refused.
+    pub(crate) blamed_parts: Arc<HashMap<PartId, Time>>,
 }
 
 impl View {
@@ -122,6 +125,7 @@
             fleet: Arc::default(),
             knows_whole_list: false,
             quarantine: Arc::default(),
+            blamed_parts: Arc::default(),
             own,
         }
     }
