Hosts notice that they are cut off from a service; failing tests: their callers are refused

A host whose connections to the upstreams of a service do not open asks others; if one of them reaches an upstream, the host logs and counts that it is cut off, and when that is over. Nothing decides by it yet.

Reproduced with two to four daemons, cut off from all upstreams: 60 of 60 requests refused when connections are reset, 60 of 60 when they hang, 40 of 60 when only new ones are refused, 60 of 60 with three of four hosts cut off.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod routing;
 pub mod run_starts;
 pub mod service_file;
+pub mod service_paths;
 pub mod settings;
 pub mod store_position;
 pub mod time;
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -69,6 +69,8 @@
         address: SocketAddr,
         /// Cause of the failure.
         reason: String,
+        /// Whether there was no response at all.
+        timed_out: bool,
     },
     /// The connection closed before the request was written.
     #[error("{address} closed the connection before the request was sent")]
@@ -276,11 +278,15 @@
     }
 
     async fn connect(&self, address: SocketAddr, timeout: Duration) -> Result<Sender, SendError> {
-        let connect_error = |reason: String| SendError::Connect { address, reason };
+        let connect_error =
+            |reason: String| SendError::Connect { address, reason, timed_out: false };
         let stream = match with_timeout(timeout, self.open(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(connect_error(e.to_string())),
-            Err(_) => return Err(connect_error(format!("no response within {timeout:?}"))),
+            Err(_) => {
+                let reason = format!("no response within {timeout:?}");
+                return Err(SendError::Connect { address, reason, timed_out: true });
+            }
         };
         stream.set_nodelay(true).map_err(|e| connect_error(e.to_string()))?;
         let (sender, connection) = http1::Builder::new()
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -16,6 +16,7 @@
 use magnoliawinch::membership::MemberState;
 use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
 use magnoliawinch::prompt_parts::PromptParts;
+use magnoliawinch::service_paths::ConnectFailure;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
@@ -271,6 +272,13 @@
         let response = match result {
             Ok(response) => response,
             Err(e) => {
+                if let SendError::Connect { timed_out, .. } = e {
+                    let failure = match timed_out {
+                        true => ConnectFailure::NoResponse,
+                        false => ConnectFailure::Refused,
+                    };
+                    self.shared.note_connect_failure(&service, &to, failure);
+                }
                 match e.verdict() {
                     Verdict::NotRun => self.shared.run_starts().not_run(&run, &to.name),
                     _ => self.shared.run_starts().broke(now, &run, &to.name),
@@ -278,6 +286,7 @@
                 return Err(e);
             }
         };
+        self.shared.paths().connected(&service);
         let info = self.note_statements(&service, &to, &response);
         match info.not_run {
             true => self.shared.run_starts().not_run(&run, &to.name),
--- a/relay/src/paths.rs
+++ b/relay/src/paths.rs
@@ -1,16 +1,20 @@
-//! Whether upstreams can be reached, from this host and from others.
+//! Whether upstreams can be reached, from this host and from others, and whether this host has lost
+//! its paths to a whole service.
 
 use crate::runs::Endpoint;
 use crate::shared::Shared;
 use futures_util::future::join_all;
 use magnoliawinch::membership::Member;
-use magnoliawinch::names::{ServiceName, UpstreamName};
+use magnoliawinch::names::{HostName, ServiceName, UpstreamName};
 use magnoliawinch::reachability::{Reachability, choose_witnesses};
+use magnoliawinch::service_paths::{ConnectFailure, PROBE_INTERVAL};
 use magnoliawinch_peer::{ReachReply, ReachRequest};
 use rand::seq::IteratorRandom;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Timeout for the word of another host, which may itself wait for a connection.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(450);
@@ -19,6 +23,80 @@
 const MAX_OTHERS_TRIED: usize = 2;
 
 impl Shared {
+    /// Notes that a connection to an upstream did not open; has other hosts asked if that is due.
+    pub(crate) fn note_connect_failure(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        upstream: &Endpoint,
+        failure: ConnectFailure,
+    ) {
+        let now = self.clock.now();
+        let is_check_due = self.paths().connect_failed(now, service, &upstream.name, failure);
+        if is_check_due {
+            let (shared, service, upstream) = (Arc::clone(self), service.clone(), upstream.clone());
+            self.traffic.spawn(async move { shared.check_paths(&service, &upstream).await });
+        }
+    }
+
+    /// Finds out whether other hosts reach an upstream that this one does not.
+    async fn check_paths(self: Arc<Self>, service: &ServiceName, upstream: &Endpoint) {
+        let witnessed = self.ask_witnesses(service, upstream).await;
+        let (asked, via) = (witnessed.len(), reaching_hosts(witnessed));
+        let reaching = via.len();
+        let is_cut = self.paths().checked(self.clock.now(), service, &upstream.name, via);
+        self.paths_changed.send_replace(());
+        if !is_cut {
+            return;
+        }
+        self.metrics.count("service_cut_off", service.as_str());
+        log::warn!(
+            service = service.as_str(),
+            upstream = upstream.name.as_str(),
+            asked,
+            reaching;
+            "this host is cut off from a service that others reach"
+        );
+        self.traffic.spawn(Arc::clone(&self).watch_cut(service.clone()));
+    }
+
+    /// Tries the upstreams of a service that is cut off until the cut is over.
+    async fn watch_cut(self: Arc<Self>, service: ServiceName) {
+        let since = self.paths().cut_since(&service);
+        let is_down = loop {
+            sleep(PROBE_INTERVAL.into()).await;
+            let Some(upstream) = self.random_upstream(&service) else {
+                if self.paths().refreshed(&service, Vec::new()) {
+                    break true;
+                }
+                continue;
+            };
+            let has_opened = self.probe(upstream.address).await == Reachability::Accepted;
+            if self.paths().probed(&service, has_opened) {
+                break false;
+            }
+            if !has_opened {
+                let via = reaching_hosts(self.ask_witnesses(&service, &upstream).await);
+                if self.paths().refreshed(&service, via) {
+                    break true;
+                }
+            }
+        };
+        self.paths_changed.send_replace(());
+        let lasted = since.map_or(0, |since| self.clock.now().since(since).0);
+        log::info!(
+            service = service.as_str(),
+            lasted_ms = lasted,
+            is_down;
+            "this host is no longer cut off from a service"
+        );
+    }
+
+    fn random_upstream(&self, service: &ServiceName) -> Option<Endpoint> {
+        let view = self.view.load();
+        let usable = view.fleet.usable(service.as_str());
+        usable.choose(&mut self.routing().rng).map(Endpoint::from)
+    }
+
     /// Opens a connection to an upstream and closes it.
     async fn probe(&self, address: SocketAddr) -> Reachability {
         let probed: io::Result<()> = self.upstreams.probe(address).await;
@@ -112,3 +190,8 @@
         own.confirmed(&witnessed, reaches_others)
     }
 }
+
+fn reaching_hosts(witnessed: Vec<(Member, Reachability)>) -> Vec<HostName> {
+    let reaching = witnessed.into_iter().filter(|(_, result)| *result == Reachability::Accepted);
+    reaching.map(|(member, _)| member.host).collect()
+}
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -17,6 +17,7 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::SharedRetryBudget;
 use magnoliawinch::run_starts::RunStarts;
+use magnoliawinch::service_paths::ServicePaths;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::Hosts;
 use magnoliawinch_http::BodyBudget;
@@ -69,6 +70,9 @@
     completions: Mutex<Completions>,
     run_starts: Mutex<RunStarts>,
     trials: Mutex<Trials>,
+    paths: Mutex<ServicePaths>,
+    /// Changes with the paths.
+    pub(crate) paths_changed: watch::Sender<()>,
     /// Changes with the refused parts of prompts.
     pub(crate) blame_changed: watch::Sender<()>,
     requests: RequestCounter,
@@ -120,6 +124,8 @@
             completions: Mutex::default(),
             run_starts: Mutex::default(),
             trials: Mutex::default(),
+            paths: Mutex::default(),
+            paths_changed: watch::Sender::new(()),
             blame_changed: watch::Sender::new(()),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
@@ -143,6 +149,11 @@
         self.completions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether this host reaches the services.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, ServicePaths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Requests with refused parts that are tried.
     pub(crate) fn trials(&self) -> MutexGuard<'_, Trials> {
         self.trials.lock().unwrap_or_else(PoisonError::into_inner)
