Callers of a host that is cut off from a service are served by way of hosts that reach it

Cause: there was no way from a host to an upstream but its own connections. Class: a host's own view is taken for the state of the system ("no upstream has room").

A host whose connections to a service do not open asks others; if one gets through, it carries its callers' requests to those (peer call Carry), one step at most. The receiver says that it is there before it gets the request, so that what was not sent is known; a host that has not run a request and cannot says so.

Ruled out: other addresses for callers (they keep connections), not listening (a refused connection is a failed try).

--- a/core/src/service_paths.rs
+++ b/core/src/service_paths.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug)]
 struct Cut {
     since: Time,
-    /// Hosts that reach the service, most recently confirmed first.
+    /// Hosts that reach the service.
     via: Vec<HostName>,
     opened: u32,
     fruitless: u32,
@@ -97,9 +97,8 @@
 
     /// Records that a connection opened.
     pub fn connected(&mut self, service: &ServiceName) {
-        let is_over = |path: &ServicePath| path.cut.is_none() && !path.is_checking;
-        if self.by_service.get(service).is_some_and(is_over) {
-            self.by_service.remove(service);
+        if let Some(path) = self.by_service.get_mut(service) {
+            path.failed.clear();
         }
     }
 
@@ -130,9 +129,11 @@
         self.by_service.get(service).is_some_and(|path| path.is_checking)
     }
 
-    /// Whether no connections to the service have failed lately.
+    /// Whether connections to the service open, as far as known.
     pub fn is_open(&self, service: &ServiceName) -> bool {
-        !self.by_service.contains_key(service)
+        let is_open =
+            |path: &ServicePath| path.failed.is_empty() && !path.is_checking && path.cut.is_none();
+        self.by_service.get(service).is_none_or(is_open)
     }
 
     /// Hosts that reach a service that is cut off from this one; empty if it is not.
@@ -179,15 +180,14 @@
         is_down
     }
 
-    /// Records that a host did not serve a request for a service that is cut off from this one; it is
-    /// asked last from now on.
+    /// Records that a host did not serve a request for a service that is cut off from this one; unless
+    /// it is the only one, it gets no more until it has been asked again.
     pub fn did_not_serve(&mut self, service: &ServiceName, host: &HostName) {
         let cut = self.by_service.get_mut(service).and_then(|path| path.cut.as_mut());
         if let Some(cut) = cut
-            && let Some(index) = cut.via.iter().position(|known| known == host)
+            && cut.via.len() > 1
         {
-            let host = cut.via.remove(index);
-            cut.via.push(host);
+            cut.via.retain(|known| known != host);
         }
     }
 }
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -133,7 +133,8 @@
                 Attempt::Responded(response) => return Ok(response),
                 Attempt::NotRun { reached_upstream } => {
                     attempts_not_run += 1;
-                    if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN {
+                    let is_cut_off = self.shared.is_cut_off(&fwd.service);
+                    if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN || is_cut_off {
                         break;
                     }
                     is_retry = reached_upstream;
--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -4,7 +4,7 @@
 use crate::wire::{Outgoing, RequestInfo, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::Body;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -138,11 +138,14 @@
 }
 
 /// Reads a body of at most `max_bytes` before the deadline.
-pub(crate) async fn read_body(
-    body: Incoming,
+pub(crate) async fn read_body<B>(
+    body: B,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, Refusal> {
+) -> Result<Bytes, Refusal>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
+{
     match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests: admission, routing to upstreams, and the response.
 
 use crate::call::BufferedResponse;
+use crate::carry::CarriedStream;
 use crate::directory::{AddressList, address_list};
 use crate::forward::{Forward, fingerprint, forwarded_parts, header_bytes, read_body};
 use crate::refusal::Refusal;
@@ -16,6 +17,7 @@
 use hyper::{Request, Response};
 use magnoliawinch::names::{FailureDomain, RunId};
 use magnoliawinch::route_table::{CallerLimits, Delivery, Organisation, Route, RouteTable};
+use magnoliawinch::time::Millis;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -35,9 +37,23 @@
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
-enum CallerResponse<W: Wire> {
+pub(crate) enum CallerResponse<W: Wire> {
     Buffered(BufferedResponse),
+    /// Events of a run that this host holds.
     Stream(Response<()>, Box<EventStream<W>>),
+    /// Events of a run that another host holds.
+    Carried(Response<()>, Box<CarriedStream>),
+}
+
+/// Who sent a request to this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    Caller,
+    /// Another host, which carries the request of its caller.
+    Host {
+        /// Time left for the response.
+        timeout: Millis,
+    },
 }
 
 impl<W: Wire> RequestHandler<W> {
@@ -77,7 +93,7 @@
         // request.
         let is_chunked = req.headers().contains_key(TRANSFER_ENCODING);
         let closes_connection = is_chunked || self.shared.view.load().is_leaving();
-        let result = self.respond(arrived_at, req).await;
+        let result = self.respond(arrived_at, req, Origin::Caller).await;
         let mut response = match result {
             Ok(CallerResponse::Buffered(buffered)) => {
                 let mut response = Response::new(Either::Left(Full::new(buffered.body)));
@@ -86,7 +102,12 @@
                 response
             }
             Ok(CallerResponse::Stream(head, stream)) => {
-                head.map(|()| Either::Right(StreamBody::new(body_frames(stream))))
+                let frames = Either::Left(StreamBody::new(body_frames(stream)));
+                head.map(|()| Either::Right(frames))
+            }
+            Ok(CallerResponse::Carried(head, stream)) => {
+                let frames = Either::Right(StreamBody::new(carried_frames(stream)));
+                head.map(|()| Either::Right(frames))
             }
             Err(refusal) => refusal.response().map(Either::Left),
         };
@@ -97,18 +118,31 @@
         response
     }
 
-    async fn respond(
+    /// Responds to a request that arrived from `origin`.
+    pub(crate) async fn respond<B>(
         &self,
         arrived_at: Instant,
-        req: Request<Incoming>,
-    ) -> Result<CallerResponse<W>, Refusal> {
+        req: Request<B>,
+        origin: Origin,
+    ) -> Result<CallerResponse<W>, Refusal>
+    where
+        B: Body<Data = Bytes, Error: Into<BoxError>>,
+    {
         let (parts, body) = req.into_parts();
         let info = self.wire.parse_request(&parts).map_err(|e| Refusal::BadRequest(e.to_string()));
-        let info = info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
+        let mut info =
+            info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
+        if let Origin::Host { timeout } = origin {
+            info.timeout = Some(info.timeout.map_or(timeout, |requested| requested.min(timeout)));
+        }
         let run = info.run.clone();
         let waiting = WaitingRequest { shared: &self.shared, run: &run };
         let mut route_name = String::new();
-        let result = self.admit_and_forward(arrived_at, info, parts, body, &mut route_name).await;
+        let result = self.admit(arrived_at, info, parts, body, &mut route_name).await;
+        let result = match result {
+            Ok(fwd) => self.serve(Arc::new(fwd), origin).await,
+            Err(refusal) => Err(refusal),
+        };
         match &result {
             Ok(CallerResponse::Buffered(buffered)) => {
                 self.shared.metrics.time("answer", &route_name, arrived_at.elapsed());
@@ -122,7 +156,7 @@
                     );
                 }
             }
-            Ok(CallerResponse::Stream(..)) => {
+            Ok(CallerResponse::Stream(..) | CallerResponse::Carried(..)) => {
                 // The stream takes over.
                 std::mem::forget(waiting);
                 self.shared.metrics.time("stream_head", &route_name, arrived_at.elapsed());
@@ -132,14 +166,18 @@
         result
     }
 
-    async fn admit_and_forward(
+    /// Reads a request and checks whether it may be served.
+    async fn admit<B>(
         &self,
         arrived_at: Instant,
         info: RequestInfo,
         parts: hyper::http::request::Parts,
-        body: Incoming,
+        body: B,
         route_name: &mut String,
-    ) -> Result<CallerResponse<W>, Refusal> {
+    ) -> Result<Forward, Refusal>
+    where
+        B: Body<Data = Bytes, Error: Into<BoxError>>,
+    {
         let view = self.shared.view.load_full();
         let table = view.table.clone().ok_or(Refusal::NotReady)?;
         let route = table.route(&info.host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
@@ -173,18 +211,42 @@
             deadline,
             fingerprint,
         };
-        if let Some(left) = self.refused_for(&fwd) {
-            return Err(Refusal::Quarantined(left));
+        match self.refused_for(&fwd) {
+            Some(left) => Err(Refusal::Quarantined(left)),
+            None => Ok(fwd),
         }
-        self.shared.earn_retry(&fwd.service);
-        if fwd.route.delivery == Delivery::Stream {
-            return self.respond_with_stream(fwd).await;
+    }
+
+    /// Sends a request to an upstream of its service, or to a host that reaches one if this host does
+    /// not.
+    async fn serve(&self, fwd: Arc<Forward>, origin: Origin) -> Result<CallerResponse<W>, Refusal> {
+        if origin == Origin::Caller {
+            self.shared.earn_retry(&fwd.service);
+        }
+        if !self.shared.is_cut_off(&fwd.service) {
+            let result = self.serve_here(Arc::clone(&fwd)).await;
+            let has_not_run = matches!(result, Err(Refusal::Overloaded(_)));
+            if !has_not_run || !self.shared.is_found_cut_off(&fwd.service).await {
+                return result;
+            }
+        }
+        match origin {
+            Origin::Caller => self.carry(&fwd).await,
+            Origin::Host { .. } => Err(Refusal::CutOff),
+        }
+    }
+
+    async fn serve_here(&self, fwd: Arc<Forward>) -> Result<CallerResponse<W>, Refusal> {
+        match fwd.route.delivery {
+            Delivery::Stream => self.respond_with_stream(fwd).await,
+            Delivery::Idempotent | Delivery::AtMostOnce => {
+                self.call(&fwd).await.map(CallerResponse::Buffered)
+            }
         }
-        self.call(&fwd).await.map(CallerResponse::Buffered)
     }
 
-    async fn respond_with_stream(&self, fwd: Forward) -> Result<CallerResponse<W>, Refusal> {
-        match self.start_stream(Arc::new(fwd)).await? {
+    async fn respond_with_stream(&self, fwd: Arc<Forward>) -> Result<CallerResponse<W>, Refusal> {
+        match self.start_stream(fwd).await? {
             StreamStart::Buffered(buffered) => Ok(CallerResponse::Buffered(buffered)),
             StreamStart::Stream { status, headers, stream } => {
                 let mut head = Response::new(());
@@ -253,3 +315,10 @@
 ) -> impl Stream<Item = Result<Frame<Bytes>, StreamCut>> + Send + 'static {
     unfold(stream, |mut stream| async move { stream.next().await.map(|item| (item, stream)) })
 }
+
+/// Returns the events of a run that another host holds; dropping them tells that host.
+fn carried_frames(
+    stream: Box<CarriedStream>,
+) -> impl Stream<Item = Result<Frame<Bytes>, StreamCut>> + Send + 'static {
+    unfold(stream, |mut stream| async move { stream.next().await.map(|item| (item, stream)) })
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! an implementation of [`Wire`].
 
 mod call;
+mod carry;
 mod clock;
 mod configuration_body;
 mod control;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a relay daemon.
 
+use crate::carry::CarriedCall;
 use crate::clock::Clock;
 use crate::control::{Control, ListUpdate, Message};
 use crate::handler::RequestHandler;
@@ -17,7 +18,7 @@
 use magnoliawinch_runtime::start_control;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -28,6 +29,12 @@
 /// Messages that may be queued for the control thread.
 const CONTROL_QUEUE_LEN: usize = 4_096;
 
+/// Requests of other hosts that may be queued.
+const CARRIED_QUEUE_LEN: usize = 64;
+
+/// Largest message of a daemon, in bytes; bodies of callers are larger than other messages.
+const MAX_MESSAGE_BYTES: usize = 33_554_432;
+
 /// Interval of checks for requests in progress while the daemon is leaving.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -86,6 +93,8 @@
 pub struct Node {
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
+    /// Taken by the first handler.
+    carried: Mutex<Option<mpsc::Receiver<CarriedCall>>>,
 }
 
 /// Passes updates from the platform's store to the control thread and reads the daemon's state.
@@ -252,8 +261,10 @@
             state: MemberState::Joining,
         };
         let (control_tx, control_rx) = mpsc::channel(CONTROL_QUEUE_LEN);
-        let shared =
-            Arc::new(Shared::new(settings, clock, own.clone(), control_tx, Handle::current()));
+        let (carried_tx, carried_rx) = mpsc::channel(CARRIED_QUEUE_LEN);
+        let traffic = Handle::current();
+        let shared = Shared::new(settings, clock, own.clone(), control_tx, carried_tx, traffic);
+        let shared = Arc::new(shared);
         let (stop, stopped) = watch::channel(false);
         let control = Control::new(Arc::clone(&shared), own);
         start_control(control, control_rx, stopped.clone()).map_err(StartError::Control)?;
@@ -265,7 +276,7 @@
             incarnation = shared.clock.started_at().0;
             "daemon started"
         );
-        Ok(Self { shared, stop })
+        Ok(Self { shared, stop, carried: Mutex::new(Some(carried_rx)) })
     }
 
     /// Faults on this daemon's paths to upstreams, for tests.
@@ -273,9 +284,15 @@
         self.shared.upstreams.path_faults()
     }
 
-    /// A handler for callers' requests in the format `wire`.
+    /// A handler for callers' requests in the format `wire`; the first one also handles those that
+    /// other hosts carry to this one.
     pub fn handler<W: Wire>(&self, wire: W) -> RequestHandler<W> {
-        RequestHandler::new(Arc::clone(&self.shared), wire)
+        let handler = RequestHandler::new(Arc::clone(&self.shared), wire);
+        let carried = self.carried.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(carried) = carried {
+            self.shared.traffic.spawn(handler.clone().serve_carried(carried));
+        }
+        handler
     }
 
     /// A handle for passing updates to the daemon.
@@ -311,8 +328,9 @@
 }
 
 async fn serve_peers(shared: Arc<Shared>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let service = RelayServer::new(RelayService::new(shared));
     let services = tonic::transport::Server::builder()
-        .add_service(RelayServer::new(RelayService::new(shared)));
+        .add_service(service.max_decoding_message_size(MAX_MESSAGE_BYTES));
     magnoliawinch_peer::serve(services, listener, stop).await;
 }
 
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -1,5 +1,6 @@
 //! The gRPC service for other daemons.
 
+use crate::carry::{CarriedCall, CarriedParts};
 use crate::configuration_body::Chunk;
 use crate::control::{Message, PlaceOutcome};
 use crate::shared::Shared;
@@ -11,14 +12,19 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
-    CellOf, FetchReply, FetchRequest, PlaceReply, PlaceRequest, ProbeReply, ProbeRequest,
-    ReachReply, ReachRequest, Relay, RelocateReply, RelocateRequest, RunsReply, RunsReport,
-    StateReply, StateRequest,
+    CarriedRequest, CellOf, FetchReply, FetchRequest, PlaceReply, PlaceRequest, ProbeReply,
+    ProbeRequest, ReachReply, ReachRequest, Relay, RelocateReply, RelocateRequest, RunsReply,
+    RunsReport, StateReply, StateRequest,
 };
 use std::sync::Arc;
+use std::time::Duration;
 use strum::FromRepr;
 use tokio::sync::oneshot;
-use tonic::{Request, Response, Status};
+use tokio::time::timeout;
+use tonic::{Request, Response, Status, Streaming};
+
+/// Time in which a host sends the request that it carries here.
+const CARRIED_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Values of `PlaceReply::decision` on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, FromRepr)]
@@ -61,6 +67,32 @@
 
 #[tonic::async_trait]
 impl Relay for RelayService {
+    type CarryStream = CarriedParts;
+
+    async fn carry(
+        &self,
+        req: Request<Streaming<CarriedRequest>>,
+    ) -> Result<Response<CarriedParts>, Status> {
+        if !self.shared.view.load().is_ready() {
+            return Err(Status::unavailable("the daemon takes no requests"));
+        }
+        let (parts, reply) = CarriedParts::new();
+        let (carried, mut requests) = (self.shared.carried.clone(), req.into_inner());
+        self.shared.traffic.spawn(async move {
+            let request = timeout(CARRIED_REQUEST_TIMEOUT, requests.message()).await;
+            match request.unwrap_or(Ok(None)) {
+                Ok(Some(request)) => {
+                    if carried.send(CarriedCall { request, parts }).await.is_err() {
+                        log::debug!("a carried request arrived after the end of the handler");
+                    }
+                }
+                Ok(None) => log::debug!("a host carried no request"),
+                Err(status) => log::debug!("a carried request did not arrive: {status}"),
+            }
+        });
+        Ok(Response::new(reply))
+    }
+
     async fn probe(&self, req: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
         let req = req.into_inner();
         self.ask(|reply| Message::Probe { req, reply }).await.map(Response::new)
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -28,6 +28,8 @@
     BodyTooLarge,
     /// No upstream has capacity; the caller may retry after this time.
     Overloaded(Millis),
+    /// This host reaches no upstream of the service, and the request was carried to it by another one.
+    CutOff,
     /// Equal requests crashed upstreams before; the caller may retry after this time.
     Quarantined(Millis),
     /// The deadline passed before the request was sent.
@@ -61,11 +63,17 @@
             Self::NotReady
             | Self::Leaving
             | Self::Overloaded(_)
+            | Self::CutOff
             | Self::Quarantined(_)
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// Whether another host may serve the request, which has not run.
+    pub(crate) fn is_of_this_host(&self) -> bool {
+        matches!(self, Self::NotReady | Self::Leaving | Self::CutOff)
+    }
+
     /// Time after which the caller may retry, if it is known.
     pub fn retry_after(&self) -> Option<Millis> {
         match self {
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of one daemon.
 
+use crate::carry::CarriedCall;
 use crate::clock::Clock;
 use crate::configuration_body::ServedBodies;
 use crate::control::Message;
@@ -61,6 +62,10 @@
     pub(crate) peers: PeerChannels<RelayClient<Channel>>,
     /// Channels for transfers, which must not delay other messages or fail with them.
     pub(crate) bulk_peers: PeerChannels<RelayClient<Channel>>,
+    /// Channels for callers' requests that other hosts serve.
+    pub(crate) carriers: PeerChannels<RelayClient<Channel>>,
+    /// Requests that other hosts carry to this one.
+    pub(crate) carried: mpsc::Sender<CarriedCall>,
     pub(crate) upstreams: Upstreams,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
@@ -98,6 +103,7 @@
         clock: Clock,
         own: Member,
         control: mpsc::Sender<Message>,
+        carried: mpsc::Sender<CarriedCall>,
         traffic: Handle,
     ) -> Self {
         let routing = Routing {
@@ -115,6 +121,8 @@
             control,
             peers: PeerChannels::new(),
             bulk_peers: PeerChannels::new(),
+            carriers: PeerChannels::new(),
+            carried,
             upstreams: Upstreams::new(sharing_hosts, body_budget),
             runs: Runs::new(),
             metrics: Metrics::new(),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -155,7 +155,8 @@
                 }
             }
             avoid.push(name);
-            if avoid.len() as u32 >= MAX_ENGINES_TRIED || fwd.remaining().is_zero() {
+            let is_cut_off = self.shared.is_cut_off(&fwd.service);
+            if avoid.len() as u32 >= MAX_ENGINES_TRIED || is_cut_off || fwd.remaining().is_zero() {
                 return Err(self.refused_run(&fwd));
             }
         }
