Brittle upstreams get no more requests at a time than they have room for

Nothing read the statement; each host found out for itself that an upstream was full. Class: as with limits, what all hosts do together is seen by none of them.

The mechanism of limits now shares requests at a time, too: a few hosts by rendezvous hashing share half of the slots, the others carry their requests to these.

--- a/core/src/upstream_notices.rs
+++ b/core/src/upstream_notices.rs
@@ -7,7 +7,7 @@
 
 use crate::names::{HostName, ServiceName, UpstreamName};
 use crate::time::{Millis, Time};
-use crate::upstream_limits::{Hosts, UpstreamLimit};
+use crate::upstream_limits::{Hosts, Terms, UpstreamLimit};
 use std::collections::HashMap;
 use strum::{Display, IntoStaticStr};
 
@@ -128,17 +128,19 @@
     }
 }
 
-/// What an upstream says about its limit.
+/// What an upstream says about its limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LimitStatement {
     /// The upstream.
     pub upstream: UpstreamName,
     /// When that incarnation started, in milliseconds since 1970 by its own clock.
     pub born: u64,
-    /// Requests a second; `None` if it names no limit any more.
-    pub per_second: Option<f64>,
+    /// None if it names no limit any more.
+    pub terms: Terms,
     /// When it was last known to say so.
     pub at: Time,
+    /// When it last turned a request away although it is brittle, if that still counts.
+    pub turned_away_at: Option<Time>,
 }
 
 /// One daemon's knowledge of what upstreams have stated.
@@ -203,38 +205,73 @@
         });
     }
 
-    /// Records that an upstream named a limit, in requests a second, or none, at `stated_at`; returns
-    /// whether that is news.
+    /// Records that an upstream named limits, or none, at `stated_at`; returns whether that is news.
     pub fn record_limit(
         &mut self,
         now: Time,
         stated_at: Time,
         upstream: &Incarnation,
-        per_second: Option<f64>,
+        terms: impl Into<Terms>,
     ) -> bool {
+        let terms = terms.into();
         let is_known = self.by_name.get(&upstream.name).is_some_and(|known| known.limit.is_some());
-        if per_second.is_none() && !is_known {
+        if terms.is_none() && !is_known {
             return false;
         }
         let hosts = std::mem::take(&mut self.hosts);
         let is_news = self.entry(now, upstream).is_some_and(|known| match &mut known.limit {
-            Some(limit) => limit.state(now, stated_at, per_second, &hosts),
+            Some(limit) => limit.state(now, stated_at, terms, &hosts),
+            None if terms.is_none() => false,
             None => {
-                let new = |per_second| {
-                    UpstreamLimit::new(now, stated_at, &upstream.name, per_second, &hosts)
-                };
-                known.limit = per_second.map(new);
-                known.limit.is_some()
+                known.limit =
+                    Some(UpstreamLimit::new(now, stated_at, &upstream.name, terms, &hosts));
+                true
             }
         });
         self.hosts = hosts;
         is_news
     }
 
+    /// Records that an upstream turned a request away at `at`; returns whether it is brittle and that
+    /// is news.
+    pub fn record_turned_away(&mut self, now: Time, at: Time, upstream: &Incarnation) -> bool {
+        let known = self.by_name.get_mut(&upstream.name);
+        let known = known.filter(|known| known.born == upstream.born);
+        let limit = known.and_then(|known| known.limit.as_mut());
+        limit.is_some_and(|limit| limit.turned_away(now, at))
+    }
+
     /// Whether an upstream was known at `sent_at` to name a limit.
     pub fn names_limit_since(&self, name: &UpstreamName, sent_at: Time) -> bool {
         let limit = self.by_name.get(name).and_then(|known| known.limit.as_ref());
-        limit.is_some_and(|limit| matches!(limit.statement(), (Some(_), at) if at <= sent_at))
+        limit
+            .map(UpstreamLimit::statement)
+            .is_some_and(|(terms, at)| !terms.is_none() && at <= sent_at)
+    }
+
+    /// Whether requests that are sent to an incarnation are counted until they end.
+    pub fn counts_requests(&self, name: &UpstreamName, born: u64) -> bool {
+        let known = self.by_name.get(name).filter(|known| known.born >= born);
+        known.is_some_and(|known| known.limit.is_some())
+    }
+
+    /// Records that a counted request to an upstream has ended.
+    pub fn request_ended(&mut self, name: &UpstreamName) {
+        if let Some(limit) = self.by_name.get_mut(name).and_then(|known| known.limit.as_mut()) {
+            limit.ended();
+        }
+    }
+
+    /// Hosts that share the room of an incarnation, and whether this one does; `None` if it is not
+    /// shared.
+    pub fn room_senders(
+        &self,
+        now: Time,
+        name: &UpstreamName,
+        born: u64,
+    ) -> Option<(&[HostName], bool)> {
+        let limit = self.of(now, name, born)?.limit.as_ref()?;
+        Some((limit.room_senders(now)?, limit.has_room_share()))
     }
 
     /// Statements about limits that are recent enough to be passed on, newest first, at most `max`.
@@ -244,8 +281,9 @@
             known.filter_map(|(name, known)| Some((name, known, known.limit.as_ref()?)));
         let current = with_limit.filter(|(_, _, limit)| limit.is_current(now));
         let statements = current.map(|(name, known, limit)| {
-            let (per_second, at) = limit.statement();
-            LimitStatement { upstream: name.clone(), born: known.born, per_second, at }
+            let (terms, at) = limit.statement();
+            let (upstream, turned_away_at) = (name.clone(), limit.turned_away_at(now));
+            LimitStatement { upstream, born: known.born, terms, at, turned_away_at }
         });
         let mut statements: Vec<_> = statements.collect();
         statements.sort_by(|a, b| b.at.cmp(&a.at).then_with(|| a.upstream.cmp(&b.upstream)));
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -17,6 +17,7 @@
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Largest response body that is accepted, in bytes; typical ones are a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16_777_216;
@@ -32,6 +33,13 @@
 /// round trips to a server and to the control thread.
 const CRASH_CHECK_PATIENCE: Duration = Duration::from_millis(30);
 
+/// Time since its arrival for which a request waits until this host's part of the room of a brittle
+/// server is free; the work of a call takes 30 ms in the mean.
+const ROOM_PATIENCE: Millis = Millis(250);
+
+/// Interval at which it looks.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Retry delay for a caller whose request no server accepted.
 const OVERLOADED_RETRY_AFTER: Millis = Millis(150);
 
@@ -112,6 +120,11 @@
                 break;
             }
             let Some(upstream) = self.choose_server(fwd, &tried) else {
+                let may_wait = fwd.elapsed_ms() < ROOM_PATIENCE.0;
+                if may_wait && self.waits_for_room(fwd, &tried) {
+                    sleep(ROOM_POLL_INTERVAL).await;
+                    continue;
+                }
                 break;
             };
             if is_retry && !self.shared.spend_retry(&fwd.service) {
@@ -215,7 +228,7 @@
         let started_at = Instant::now();
         let mut outstanding = OutstandingCall::new(self, &upstream.name);
         let attempt = match self.send(permit, req, reuse, timeout).await {
-            Ok((response, info)) => {
+            Ok((response, info, _outstanding)) => {
                 let left = timeout.saturating_sub(started_at.elapsed());
                 self.read_response(fwd, &engine, response, &info, left).await
             }
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -108,9 +108,18 @@
         self.is_cut_off(service)
     }
 
-    /// Hosts that reach a service which is cut off from this one, in random order.
+    /// Whether other hosts have to serve requests for a service: this one does not reach it, or shares no
+    /// room of its upstreams.
+    pub(crate) fn is_served_elsewhere(&self, service: &ServiceName) -> bool {
+        self.is_cut_off(service) || !self.hosts_with_room(service).is_empty()
+    }
+
+    /// Hosts that may serve requests which this one cannot, in random order.
     fn carrying_hosts(&self, service: &ServiceName) -> Vec<Member> {
         let mut via: Vec<HostName> = self.paths().via(service).to_vec();
+        if via.is_empty() {
+            via = self.hosts_with_room(service);
+        }
         via.shuffle(&mut self.routing().rng);
         let view = self.view.load();
         let is_running = |member: &&Member| member.state == MemberState::Alive;
--- a/relay/src/control/limits.rs
+++ b/relay/src/control/limits.rs
@@ -27,26 +27,35 @@
         let statements = statements.into_iter().map(|statement| UpstreamLimit {
             upstream: statement.upstream.to_string(),
             born: statement.born,
-            per_second: statement.per_second,
+            per_second: statement.terms.per_second,
             age_ms: age_ms(now, statement.at),
+            max_rejections: statement.terms.brittle.map(|brittle| brittle.max_rejections),
+            turned_away_age_ms: statement.turned_away_at.map(|at| age_ms(now, at)),
         });
         statements.collect()
     }
 
     /// Applies what a peer knows of limits.
     pub(super) fn apply_limit_statements(&mut self, now: Time, statements: &[UpstreamLimit]) {
-        for UpstreamLimit { upstream, born, per_second, age_ms } in statements {
-            let name = UpstreamName::new(upstream);
+        for statement in statements {
+            let name = UpstreamName::new(&statement.upstream);
             let Some(service) = self.fleet.get(&name).map(|listed| listed.service.clone()) else {
                 continue;
             };
-            let upstream = Incarnation { service, name, born: *born };
-            let stated_at = now - Millis(u64::from(*age_ms));
+            let UpstreamLimit { born, per_second, max_rejections, .. } = *statement;
+            let upstream = Incarnation { service, name, born };
+            let terms = self.shared.terms(&upstream, per_second, max_rejections);
+            let at = |age_ms: u32| now - Millis(u64::from(age_ms));
             let mut notices = self.shared.upstreams.notices();
-            let is_news = notices.record_limit(now, stated_at, &upstream, *per_second);
+            let is_news = notices.record_limit(now, at(statement.age_ms), &upstream, terms);
+            let is_full = statement
+                .turned_away_age_ms
+                .is_some_and(|age_ms| notices.record_turned_away(now, at(age_ms), &upstream));
             drop(notices);
             if is_news {
-                log_limit(&upstream, *per_second, "peer");
+                log_limit(&upstream, terms, "peer");
+            }
+            if is_news || is_full {
                 self.tell_news(now);
             }
         }
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -223,7 +223,7 @@
         if origin == Origin::Caller {
             self.shared.earn_retry(&fwd.service);
         }
-        if !self.shared.is_cut_off(&fwd.service) {
+        if !self.shared.is_served_elsewhere(&fwd.service) {
             let result = self.serve_here(Arc::clone(&fwd)).await;
             let has_not_run = matches!(result, Err(Refusal::Overloaded(_)));
             if !has_not_run || !self.shared.is_found_cut_off(&fwd.service).await {
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -14,11 +14,11 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use magnoliawinch::membership::MemberState;
-use magnoliawinch::names::{RunId, ServiceName, UpstreamName};
+use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::prompt_parts::PromptParts;
 use magnoliawinch::service_paths::ConnectFailure;
 use magnoliawinch::time::{Millis, Time};
-use magnoliawinch::upstream_limits::Hosts;
+use magnoliawinch::upstream_limits::{Brittle, Hosts, Terms};
 use magnoliawinch::upstream_notices::{Incarnation, UpstreamNotices, Withheld};
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{BodyBudget, Client, ClientResponse, PathFaults, Reuse, SendError};
@@ -99,15 +99,38 @@
     service: ServiceName,
     run: RunId,
     parts: PromptParts,
+    /// Whether the request continues a run, which may also be refused because its copy is not there.
+    is_resume: bool,
+    outstanding: OutstandingRequest,
+}
+
+/// Counts a request as outstanding at an upstream until dropped.
+#[derive(Debug)]
+pub(crate) struct OutstandingRequest {
+    shared: Arc<Shared>,
+    /// `None` if the upstream names no limits.
+    upstream: Option<UpstreamName>,
+}
+
+impl Drop for OutstandingRequest {
+    fn drop(&mut self) {
+        if let Some(upstream) = &self.upstream {
+            self.shared.upstreams.notices().request_ended(upstream);
+        }
+    }
 }
 
 impl SendPermit {
-    fn new(fwd: &Forward, to: &Endpoint) -> Self {
+    fn new(shared: &Arc<Shared>, fwd: &Forward, to: &Endpoint, is_resume: bool) -> Self {
+        let is_counted = shared.upstreams.notices().counts_requests(&to.name, to.born);
+        let upstream = is_counted.then(|| to.name.clone());
         Self {
+            outstanding: OutstandingRequest { shared: Arc::clone(shared), upstream },
             to: to.clone(),
             service: fwd.service.clone(),
             run: fwd.info.run.clone(),
             parts: Arc::clone(&fwd.info.shared_parts),
+            is_resume,
         }
     }
 }
@@ -125,7 +148,7 @@
                 self.note_withheld(fwd, &to.name, withheld);
                 Err(NotPermitted::Withheld(withheld))
             }
-            Ok(()) => Ok(SendPermit::new(fwd, to)),
+            Ok(()) => Ok(SendPermit::new(&self.shared, fwd, to, false)),
         }
     }
 
@@ -151,7 +174,7 @@
                 self.note_withheld(fwd, &to.name, withheld);
                 Err(NotPermitted::Withheld(withheld))
             }
-            None => Ok(SendPermit::new(fwd, to)),
+            None => Ok(SendPermit::new(&self.shared, fwd, to, true)),
         }
     }
 
@@ -217,6 +240,19 @@
         withheld.into_iter().map(|(name, _)| name).collect()
     }
 
+    /// Whether this host's part of the room of some brittle upstream of the service is in use, so that
+    /// a request may be sent as soon as another one ends.
+    pub(crate) fn waits_for_room(&self, fwd: &Forward, tried: &[UpstreamName]) -> bool {
+        let (now, view) = (self.shared.clock.now(), self.shared.view.load());
+        let notices = self.shared.upstreams.notices();
+        let mut untried =
+            view.fleet.usable(fwd.service.as_str()).filter(|listed| !tried.contains(&listed.name));
+        untried.any(|listed| {
+            let senders = notices.room_senders(now, &listed.name, listed.born);
+            senders.is_some_and(|(_, is_sender)| is_sender)
+        })
+    }
+
     /// When a caller may return if all listed upstreams of the service want no requests; `None` if
     /// some do.
     pub(crate) fn wait_if_all_withheld(&self, fwd: &Forward) -> Option<Millis> {
@@ -249,15 +285,16 @@
         first + Millis(self.shared.routing().rng.random_range(0..=spread.0))
     }
 
-    /// Sends a request and records what the upstream states in its response.
+    /// Sends a request and records what the upstream states in its response. The request is
+    /// outstanding until the last part of the result is dropped.
     pub(crate) async fn send(
         &self,
         permit: SendPermit,
         req: Request<Full<Bytes>>,
         reuse: Reuse,
         timeout: Duration,
-    ) -> Result<(ClientResponse, ResponseInfo), SendError> {
-        let SendPermit { to, service, run, parts } = permit;
+    ) -> Result<(ClientResponse, ResponseInfo, OutstandingRequest), SendError> {
+        let SendPermit { to, service, run, parts, is_resume, outstanding } = permit;
         let sent_at = self.shared.clock.now();
         self.shared.run_starts().sent(&run, &to.name, to.born, &parts);
         // An engine that has not begun to answer must not end, too.
@@ -295,9 +332,14 @@
         let upstream = to.incarnation(&service);
         // Another upstream may have responded.
         if response.status() != StatusCode::MISDIRECTED_REQUEST {
-            self.shared.note_limit(&upstream, sent_at, info.limit_per_second);
+            let terms = self.shared.terms(&upstream, info.limit_per_second, info.max_rejections);
+            self.shared.note_limit(&upstream, sent_at, terms);
         }
-        Ok((response, info))
+        let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if is_unavailable && info.not_run && !is_resume {
+            self.shared.note_turned_away(&upstream);
+        }
+        Ok((response, info, outstanding))
     }
 
     /// Sends an order about a run in progress, or a health check. Both also go to an upstream that
@@ -315,8 +357,10 @@
         let response = client.send(to.address, req, Reuse::Never, timeout).await?;
         let info = self.note_statements(service, to, &response);
         // Only a response to a request shows that a limit is over.
-        if info.limit_per_second.is_some() {
-            self.shared.note_limit(&to.incarnation(service), sent_at, info.limit_per_second);
+        let upstream = to.incarnation(service);
+        let terms = self.shared.terms(&upstream, info.limit_per_second, info.max_rejections);
+        if !terms.is_none() {
+            self.shared.note_limit(&upstream, sent_at, terms);
         }
         Ok(response)
     }
@@ -359,6 +403,21 @@
 }
 
 impl Shared {
+    /// The hosts that share the room of a service's upstreams if these are all brittle and this host
+    /// shares none of it; empty otherwise.
+    pub(crate) fn hosts_with_room(&self, service: &ServiceName) -> Vec<HostName> {
+        let (now, view) = (self.clock.now(), self.view.load());
+        let notices = self.upstreams.notices();
+        let mut hosts = Vec::new();
+        for listed in view.fleet.usable(service.as_str()) {
+            match notices.room_senders(now, &listed.name, listed.born) {
+                Some((senders, false)) => hosts.extend_from_slice(senders),
+                Some((_, true)) | None => return Vec::new(),
+            }
+        }
+        hosts
+    }
+
     /// How long a run is refused because engines end on a part of its prompt.
     fn refused_for_parts(&self, run: &RunId, parts: &PromptParts) -> Option<Millis> {
         let view = self.view.load();
@@ -414,19 +473,49 @@
         }
     }
 
-    /// Notes the limit that an upstream names in the response to a request sent at `sent_at`.
-    fn note_limit(&self, upstream: &Incarnation, sent_at: Time, per_second: Option<f64>) {
+    /// The limits that an upstream names.
+    pub(crate) fn terms(
+        &self,
+        upstream: &Incarnation,
+        per_second: Option<f64>,
+        max_rejections: Option<u32>,
+    ) -> Terms {
+        let view = self.view.load();
+        let service =
+            view.table.as_ref().and_then(|table| table.service(upstream.service.as_str()));
+        let is_pooled = service.is_some_and(|service| service.engine.is_some());
+        let listed = view.fleet.get(&upstream.name).filter(|_| !is_pooled);
+        let slots = listed.map_or(0, |listed| listed.slots);
+        let brittle = max_rejections.map(|max_rejections| Brittle { max_rejections, slots });
+        Terms { per_second, brittle }
+    }
+
+    /// Notes the limits that an upstream names in the response to a request sent at `sent_at`.
+    fn note_limit(&self, upstream: &Incarnation, sent_at: Time, terms: Terms) {
         let now = self.clock.now();
         let is_news = {
             let mut notices = self.upstreams.notices();
             // A response that has crossed one with a limit does not end that.
-            let is_known =
-                per_second.is_some() || notices.names_limit_since(&upstream.name, sent_at);
-            is_known && notices.record_limit(now, now, upstream, per_second)
+            let is_known = !terms.is_none() || notices.names_limit_since(&upstream.name, sent_at);
+            is_known && notices.record_limit(now, now, upstream, terms)
         };
         if is_news {
             self.metrics.count("upstream_statement", "limit");
-            log_limit(upstream, per_second, "own");
+            log_limit(upstream, terms, "own");
+            self.tell(Message::LimitNews);
+        }
+    }
+
+    /// Notes that an upstream turned a request away for want of room.
+    fn note_turned_away(&self, upstream: &Incarnation) {
+        let now = self.clock.now();
+        if self.upstreams.notices().record_turned_away(now, now, upstream) {
+            self.metrics.count("upstream_statement", "full");
+            log::info!(
+                upstream = upstream.name.as_str(),
+                born = upstream.born;
+                "brittle upstream turned a request away"
+            );
             self.tell(Message::LimitNews);
         }
     }
@@ -446,13 +535,15 @@
     }
 }
 
-/// Logs that an upstream names another limit, or none any more.
-pub(crate) fn log_limit(upstream: &Incarnation, per_second: Option<f64>, source: &'static str) {
+/// Logs that an upstream names other limits, or none any more.
+pub(crate) fn log_limit(upstream: &Incarnation, terms: Terms, source: &'static str) {
     log::info!(
         upstream = upstream.name.as_str(),
         born = upstream.born,
-        has_limit = per_second.is_some(),
-        per_second = per_second.unwrap_or_default(),
+        has_limit = terms.per_second.is_some(),
+        per_second = terms.per_second.unwrap_or_default(),
+        is_brittle = terms.brittle.is_some(),
+        max_rejections = terms.brittle.map_or(0, |brittle| brittle.max_rejections),
         source;
         "limit of upstream"
     );
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -141,7 +141,7 @@
         if sent.as_ref().is_err_and(SendError::is_broken_connection) {
             drop(self.note_broken_connection(fwd, to));
         }
-        let (response, info) = sent?;
+        let (response, info, _) = sent?;
         let (engine, status) = (to.name.clone(), response.status());
         if !status.is_success() || info.not_run {
             return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
-use crate::outbound::SendPermit;
+use crate::outbound::{OutstandingRequest, SendPermit};
 use crate::refusal::Refusal;
 use crate::runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo};
 use crate::wire::{Outgoing, Wire};
@@ -54,6 +54,7 @@
     /// Time from arrival to assignment.
     waited: Duration,
     in_progress: InProgressGuard,
+    outstanding: OutstandingRequest,
 }
 
 /// Times of a stream as the caller sees them, for the log.
@@ -88,6 +89,7 @@
     moves: u32,
     outcome: Option<&'static str>,
     _in_progress: InProgressGuard,
+    _outstanding: OutstandingRequest,
 }
 
 /// What a stream has to handle next.
@@ -120,8 +122,9 @@
             let (run, orders) = self.shared.runs.register(self.run_info(&fwd), assignment.clone());
             let name = assignment.engine.name.clone();
             match self.send_to_engine(&fwd, permit, &assignment).await {
-                Ok(EngineResponse::Stream(response)) => {
-                    let placed_run = PlacedRun { run, orders, assignment, waited, in_progress };
+                Ok(EngineResponse::Stream(response, outstanding)) => {
+                    let placed_run =
+                        PlacedRun { run, orders, assignment, waited, in_progress, outstanding };
                     return Ok(self.event_stream(&fwd, placed_run, response));
                 }
                 Ok(EngineResponse::Other(Attempt::Responded(response))) => {
@@ -209,11 +212,11 @@
         };
         let req = fwd.request(&*self.wire, &out);
         let timeout = fwd.remaining();
-        let (response, info) = self.send(permit, req, Reuse::Never, timeout).await?;
+        let (response, info, outstanding) = self.send(permit, req, Reuse::Never, timeout).await?;
         let is_stream = response.status().is_success()
             && response_problem(fwd, response.status(), &info).is_none();
         if is_stream && !info.not_run {
-            return Ok(EngineResponse::Stream(response));
+            return Ok(EngineResponse::Stream(response, outstanding));
         }
         let engine = &assignment.engine;
         let read = self.read_response(fwd, engine, response, &info, fwd.remaining()).await;
@@ -253,6 +256,7 @@
             moves: 0,
             outcome: None,
             _in_progress: placed_run.in_progress,
+            _outstanding: placed_run.outstanding,
         });
         StreamStart::Stream { status, headers, stream }
     }
@@ -269,7 +273,7 @@
 const REFUSED_RUN_RETRY_AFTER: Millis = Millis(500);
 
 enum EngineResponse {
-    Stream(ClientResponse),
+    Stream(ClientResponse, OutstandingRequest),
     Other(Attempt),
 }
 
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -92,6 +92,8 @@
     pub retry_after: Option<Millis>,
     /// Requests a second that the upstream takes from all daemons together, if it names a limit.
     pub limit_per_second: Option<f64>,
+    /// Requests that the upstream may turn away in a second without ending, if it is brittle.
+    pub max_rejections: Option<u32>,
 }
 
 /// A copy of a run's memory at another engine.
