An answer without a length or chunks counts as complete only if its upstream still lives

Callers saw: a stream or the answer to a call passed off as complete when its upstream had ended between two events or in the middle of the body, as an upstream that ends closes its connections just like one that is done; and such a run cleared its request and parts of the quarantine.

Before such an answer counts as complete, a connection to the upstream is opened (asking other hosts if it is refused).

Metric unframed_end. Ruled out: taking all of them for broken, as some upstreams answer like this on purpose.

--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,7 +6,7 @@
 mod moving;
 
 use self::moving::{MoveTasks, StreamEnd, TaskResult};
-use crate::call::{Attempt, BufferedResponse, response_problem};
+use crate::call::{Attempt, BufferedResponse, UNFRAMED_END, is_framed, response_problem};
 use crate::control::Message;
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
@@ -17,7 +17,7 @@
 use crate::wire::{Outgoing, Wire};
 use bytes::Bytes;
 use hyper::body::Frame;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, StatusCode};
 use magnoliawinch::handover::{BodyEnd, CutCause, Handover, caller_patience};
 use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
@@ -277,10 +277,6 @@
     Other(Attempt),
 }
 
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
 impl<W: Wire> EventStream<W> {
     /// The next events; `None` at the end of a complete stream or after an error.
     pub(crate) async fn next(&mut self) -> Option<Result<Frame<Bytes>, StreamCut>> {
@@ -319,7 +315,16 @@
                     self.end_body(BodyEnd::Broken, "the stream ended within an event");
                 }
                 Step::Chunk(None) if self.is_framed => self.end_body(BodyEnd::Whole, ""),
-                Step::Chunk(None) => self.end_body(BodyEnd::Unframed, "the connection was closed"),
+                Step::Chunk(None) if self.handover.may_end_early() => {
+                    self.end_body(BodyEnd::Unframed, "the connection was closed");
+                }
+                Step::Chunk(None) => {
+                    let source = self.handover.source().clone();
+                    match self.handler.has_closed_whole_body(&self.fwd, &source).await {
+                        true => self.end_body(BodyEnd::Unframed, "the connection was closed"),
+                        false => self.end_body(BodyEnd::Broken, UNFRAMED_END),
+                    }
+                }
                 Step::Order(order) => self.handle_order(order),
                 Step::Task(result) => self.handle_result(result),
                 Step::Timer => {}
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -1,6 +1,7 @@
 //! Performs the steps that [`Handover`](magnoliawinch::handover::Handover) decides on.
 
-use super::{EventStream, is_framed};
+use super::EventStream;
+use crate::call::is_framed;
 use crate::control::Message;
 use crate::relocate::{CopyError, ResumeError};
 use crate::runs::{Assignment, Endpoint, MoveOrder};
