Failure domains that operators evacuate get no requests until that is taken back

Cause: no code read the record of an evacuation.

The reader of the configuration reads it on the way, and it travels with the replies to polls. The permit, the choice of servers and the owners of pools keep away; runs in progress stay.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod dissemination;
 pub mod estimate;
+pub mod evacuations;
 pub mod fatal_parts;
 pub mod fleet;
 pub mod handover;
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -19,7 +19,9 @@
 use crate::admission::load::Footprint;
 use crate::estimate::LengthEstimator;
 use crate::fleet::ListedUpstream;
-use crate::names::{HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName};
+use crate::names::{
+    FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
+};
 use crate::route_table::EngineConfig;
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
@@ -161,7 +163,7 @@
 
     /// Engines, runs and memory in use.
     pub fn occupancy(&self, now: Time) -> Occupancy {
-        let usable = self.engines.values().filter(|engine| engine.is_usable).count();
+        let usable = self.engines.values().filter(|engine| engine.takes_runs()).count();
         Occupancy {
             engines: usable,
             running: self.runs.len(),
@@ -192,6 +194,14 @@
         self.invalidate_loads();
     }
 
+    /// Sets which failure domains are evacuated: their engines get no runs.
+    pub fn set_evacuated(&mut self, is_evacuated: impl Fn(&FailureDomain) -> bool) {
+        for engine in self.engines.values_mut() {
+            engine.is_evacuated = is_evacuated(&engine.failure_domain);
+        }
+        self.invalidate_loads();
+    }
+
     /// Records the owner's figures on other daemons' runs, which expire after 3 seconds.
     pub fn set_remote_use(&mut self, now: Time, uses: &[EngineUse]) {
         for engine_use in uses {
@@ -223,7 +233,7 @@
     }
 
     fn is_usable(&self, engine: &UpstreamName) -> bool {
-        self.engines.get(engine).is_some_and(|engine| engine.is_usable)
+        self.engines.get(engine).is_some_and(Engine::takes_runs)
     }
 
     fn footprint(&mut self, now: Time, state: &RunState) -> Footprint {
@@ -256,7 +266,7 @@
             return PlacementDecision::Placed(placement);
         }
         let wait = self.expected_wait(now, &request);
-        if !self.engines.values().any(|engine| engine.is_usable) {
+        if !self.engines.values().any(Engine::takes_runs) {
             return PlacementDecision::Refused(NO_ENGINE_RETRY_AFTER);
         }
         if self.avoids_all_engines(&request) {
@@ -272,7 +282,7 @@
     }
 
     fn avoids_all_engines(&self, request: &PlacementRequest) -> bool {
-        let mut usable = self.engines.iter().filter(|(_, engine)| engine.is_usable);
+        let mut usable = self.engines.iter().filter(|(_, engine)| engine.takes_runs());
         usable.all(|(name, _)| request.avoid.contains(name))
     }
 
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -64,6 +64,8 @@
 pub(super) struct Engine {
     pub(super) failure_domain: FailureDomain,
     pub(super) is_usable: bool,
+    /// Whether its failure domain is evacuated: its runs stay, and it gets no others.
+    pub(super) is_evacuated: bool,
     pub(super) slots: u32,
     /// Expected end of the prefill of all prompts sent there, in milliseconds as in [`Time`].
     pub(super) prefill_until: f64,
@@ -77,6 +79,7 @@
         Self {
             failure_domain: listed.failure_domain.clone(),
             is_usable: true,
+            is_evacuated: false,
             slots: listed.slots,
             prefill_until: 0.0,
             remote: None,
@@ -84,6 +87,11 @@
         }
     }
 
+    /// Whether runs may be sent there.
+    pub(super) fn takes_runs(&self) -> bool {
+        self.is_usable && !self.is_evacuated
+    }
+
     /// Updates the average with a run that wrote `tokens` in `span`.
     pub(super) fn record_token_time(&mut self, now: Time, tokens: u32, span: Millis) {
         if span < MIN_SAMPLE_SPAN {
@@ -302,7 +310,7 @@
         let mut best: Option<(f64, &UpstreamName)> = None;
         let mut has_room = false;
         for (name, engine) in &self.engines {
-            if !engine.is_usable || request.avoid.contains(name) {
+            if !engine.takes_runs() || request.avoid.contains(name) {
                 continue;
             }
             let load = self.load_with(now, name, &added);
@@ -344,7 +352,7 @@
         }
         let mut best: Option<(f64, &UpstreamName)> = None;
         for (name, other) in &self.engines {
-            if !other.is_usable || name == engine {
+            if !other.takes_runs() || name == engine {
                 continue;
             }
             let load = self.load_with(now, name, added);
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -438,7 +438,7 @@
         }
         let added = ProjectedRun::new(now, run.footprint.clone());
         let has_room = |(name, engine): &(&UpstreamName, &Engine)| {
-            engine.is_usable && self.load_after_move(now, name, engine, &added).is_some()
+            engine.takes_runs() && self.load_after_move(now, name, engine, &added).is_some()
         };
         let with_room: Vec<_> =
             self.engines.iter().filter(has_room).map(|(name, _)| name).collect();
@@ -491,7 +491,7 @@
     /// The engine with room for the run now and the lowest expected delay.
     fn choose_move_target(&self, now: Time, run: &Run) -> Option<UpstreamName> {
         let candidates = self.engines.iter().filter(|(name, engine)| {
-            engine.is_usable && !run.is_refused(now, name) && !self.is_link_busy(now, name)
+            engine.takes_runs() && !run.is_refused(now, name) && !self.is_link_busy(now, name)
         });
         let added = ProjectedRun::new(now, run.footprint.clone());
         let mut best: Option<(f64, &UpstreamName)> = None;
--- a/core/src/upstream_notices.rs
+++ b/core/src/upstream_notices.rs
@@ -47,6 +47,8 @@
         /// Time until it wants requests again.
         left: Millis,
     },
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// It takes a limited number of requests from all daemons together.
     Limited {
         /// Time since this was learned.
@@ -61,13 +63,14 @@
     pub fn age(&self) -> Millis {
         match self {
             Self::Leaving { age } | Self::Paused { age, .. } | Self::Limited { age, .. } => *age,
+            Self::Evacuated => Millis(0),
         }
     }
 
     /// Time until requests may be sent again; `None` if never.
     pub fn left(&self) -> Option<Millis> {
         match self {
-            Self::Leaving { .. } => None,
+            Self::Leaving { .. } | Self::Evacuated => None,
             Self::Paused { left, .. } | Self::Limited { left, .. } => Some(*left),
         }
     }
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -4,6 +4,7 @@
 mod configurations;
 mod convert;
 mod crashes;
+mod evacuations;
 mod fatal_parts;
 mod following;
 mod leaving;
@@ -15,6 +16,7 @@
 mod updates;
 
 pub(crate) use crashes::BrokenRequest;
+pub use evacuations::EvacuationUpdate;
 pub use updates::ListUpdate;
 
 use crate::runs::Assignment;
@@ -26,11 +28,12 @@
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::crash_detection::{CrashDetector, Reachability, UpstreamProcess};
 use magnoliawinch::dissemination::{ChunkRequest, Follower, Transfer};
+use magnoliawinch::evacuations::Evacuations;
 use magnoliawinch::fatal_parts::{FatalParts, Survivals};
 use magnoliawinch::fleet::{ChangeLog, Fleet};
 use magnoliawinch::leaving_news::LeavingNews;
 use magnoliawinch::membership::{Member, MemberState, Membership};
-use magnoliawinch::names::{ServiceName, UpstreamName};
+use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
 use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine};
@@ -47,7 +50,7 @@
 use pools::Pools;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -84,6 +87,8 @@
     Configuration(Box<Configuration>),
     /// An update of the list of upstreams.
     UpstreamList(ListUpdate),
+    /// Evacuations read up to a position in the store.
+    Evacuations(StorePosition, EvacuationUpdate),
     /// An upstream responded that it is leaving or is not the one addressed.
     UpstreamLeaving(Incarnation),
     /// Connecting to an upstream failed.
@@ -133,6 +138,9 @@
     fleet_changed_at: StorePosition,
     list_log: ChangeLog,
     pools: Pools,
+    evacuations: Evacuations,
+    /// The evacuated failure domains as published in the view.
+    evacuated: Arc<BTreeSet<FailureDomain>>,
     quarantine: Quarantine,
     fatal_parts: FatalParts,
     survivals: Survivals,
@@ -173,6 +181,8 @@
             fleet_changed_at: StorePosition::START,
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
+            evacuations: Evacuations::new(),
+            evacuated: Arc::default(),
             quarantine: Quarantine::new(),
             fatal_parts: FatalParts::new(),
             survivals: Survivals::new(),
@@ -255,6 +265,7 @@
             fleet: Arc::clone(&self.fleet_view),
             quarantine: Arc::clone(&self.quarantine_view),
             blamed_parts: Arc::clone(&self.blamed_view),
+            evacuated: Arc::clone(&self.evacuated),
         }));
     }
 
@@ -304,6 +315,9 @@
             }
             Message::Configuration(configuration) => self.apply_configuration(now, *configuration),
             Message::UpstreamList(update) => self.apply_list(now, update, &CellSet::all()),
+            Message::Evacuations(position, update) => {
+                self.apply_evacuations(now, position, update);
+            }
             Message::UpstreamLeaving(upstream) => self.handle_upstream_leaving(now, &upstream),
             Message::UpstreamUnreachable(name) => {
                 self.fleet.mark_unreachable(now, &name);
@@ -348,6 +362,7 @@
         self.tick_pools(now);
         self.tick_crash_detector(now);
         self.tick_quarantine(now);
+        self.tick_evacuations(now);
         self.tell_due_news(now);
         self.request_announced_version(now);
         self.poll_readers(now);
--- a/relay/src/control/following.rs
+++ b/relay/src/control/following.rs
@@ -70,6 +70,7 @@
             || has_read
             || has_tried
             || self.has_list_for(&poll.req)
+            || self.has_evacuations_for(&poll.req)
     }
 
     fn answer_poll(&mut self, now: Time, poll: HeldPoll) {
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -115,6 +115,7 @@
                 |listed: &&ListedUpstream| listed.service == *service && cell.has(&listed.name);
             let engines = fleet.all().filter(is_in_pool);
             pool.set_engines(engines.map(|listed| (listed, fleet.is_usable(&listed.name))));
+            pool.set_evacuated(|domain| self.evacuated.contains(domain));
         }
     }
 
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -190,6 +190,8 @@
             wait_ms: 0,
             configuration_age_ms,
             attempt_age_ms,
+            evacuations_era: self.evacuations.position().era,
+            evacuations_offset: self.evacuations.position().offset,
         }
     }
 
@@ -232,6 +234,7 @@
             configuration_reader: reader.host,
             configuration_reader_rank: reader.rank,
             quarantine: self.quarantine_news(now),
+            evacuations: self.evacuations_to_proto(),
         }
     }
 
@@ -299,6 +302,7 @@
     ) {
         // First, as the configuration makes this daemon ready.
         self.apply_quarantine_news(now, state.quarantine.as_ref());
+        self.apply_peer_evacuations(now, state.evacuations.as_ref());
         if let Some(configuration) = &state.configuration {
             self.shared.metrics.add("bytes_received", "configuration", configuration.body.len());
             self.apply_peer_configuration(now, source, is_followed, configuration);
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -27,7 +27,7 @@
 mod view;
 mod wire;
 
-pub use control::ListUpdate;
+pub use control::{EvacuationUpdate, ListUpdate};
 pub use directory::AddressList;
 pub use events::{EventError, EventReader};
 pub use handler::RequestHandler;
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::carry::CarriedCall;
 use crate::clock::Clock;
-use crate::control::{Control, ListUpdate, Message};
+use crate::control::{Control, EvacuationUpdate, ListUpdate, Message};
 use crate::handler::RequestHandler;
 use crate::peer_server::RelayService;
 use crate::settings::Settings;
@@ -12,6 +12,7 @@
 use magnoliawinch::dissemination::{MAX_READ_AGE, ReadStatus, STANDBY_RANK};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::route_table::Configuration;
+use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_http::PathFaults;
 use magnoliawinch_peer::RelayServer;
@@ -114,6 +115,11 @@
         self.send(Message::UpstreamList(update)).await;
     }
 
+    /// Passes on evacuations read up to a position in the store.
+    pub async fn update_evacuations(&self, position: StorePosition, update: EvacuationUpdate) {
+        self.send(Message::Evacuations(position, update)).await;
+    }
+
     /// Probes peer addresses where other daemons may be running.
     pub async fn probe_seeds(&self, seeds: Vec<SocketAddr>) {
         self.send(Message::Seeds(seeds)).await;
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -142,7 +142,10 @@
             return Err(NotPermitted::Quarantined(left));
         }
         let now = self.shared.clock.now();
-        let taken = self.shared.upstreams.notices().take(now, &to.name, to.born);
+        let taken = match self.shared.view.load().is_evacuated(&to.name) {
+            true => Err(Withheld::Evacuated),
+            false => self.shared.upstreams.notices().take(now, &to.name, to.born),
+        };
         match taken {
             Err(withheld) => {
                 self.note_withheld(fwd, &to.name, withheld);
@@ -164,11 +167,13 @@
         }
         let now = self.shared.clock.now();
         let arrived_at = now - Millis(fwd.elapsed_ms());
-        let withheld = self
-            .shared
-            .upstreams
-            .notices()
-            .withheld_from_resume(now, &to.name, to.born, arrived_at);
+        let withheld = match self.shared.view.load().is_evacuated(&to.name) {
+            true => Some(Withheld::Evacuated),
+            false => {
+                let mut notices = self.shared.upstreams.notices();
+                notices.withheld_from_resume(now, &to.name, to.born, arrived_at)
+            }
+        };
         match withheld {
             Some(withheld) => {
                 self.note_withheld(fwd, &to.name, withheld);
@@ -194,7 +199,10 @@
         born: u64,
     ) -> Option<Withheld> {
         let now = self.shared.clock.now();
-        let withheld = self.shared.upstreams.notices().withheld(now, upstream, born)?;
+        let withheld = match self.shared.view.load().is_evacuated(upstream) {
+            true => Withheld::Evacuated,
+            false => self.shared.upstreams.notices().withheld(now, upstream, born)?,
+        };
         self.note_withheld(fwd, upstream, withheld);
         Some(withheld)
     }
@@ -262,7 +270,10 @@
         usable.peek()?;
         let is_withheld = {
             let notices = self.shared.upstreams.notices();
-            usable.all(|listed| notices.withheld(now, &listed.name, listed.born).is_some())
+            usable.all(|listed| {
+                let is_withheld = notices.withheld(now, &listed.name, listed.born).is_some();
+                is_withheld || view.evacuated.contains(&listed.failure_domain)
+            })
         };
         is_withheld.then(|| self.wait_for_withheld(fwd))
     }
@@ -409,7 +420,8 @@
         let (now, view) = (self.clock.now(), self.view.load());
         let notices = self.upstreams.notices();
         let mut hosts = Vec::new();
-        for listed in view.fleet.usable(service.as_str()) {
+        let usable = view.fleet.usable(service.as_str());
+        for listed in usable.filter(|listed| !view.evacuated.contains(&listed.failure_domain)) {
             match notices.room_senders(now, &listed.name, listed.born) {
                 Some((senders, false)) => hosts.extend_from_slice(senders),
                 Some((_, true)) | None => return Vec::new(),
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -209,9 +209,10 @@
                 match &e {
                     ResumeError::Refused { not_run: true, .. }
                     | ResumeError::Quarantined(_)
-                    | ResumeError::Withheld { withheld: Withheld::Leaving { .. }, .. } => {
-                        ResumeOutcome::Refused
-                    }
+                    | ResumeError::Withheld {
+                        withheld: Withheld::Leaving { .. } | Withheld::Evacuated,
+                        ..
+                    } => ResumeOutcome::Refused,
                     e if e.verdict() == Verdict::NotRun => ResumeOutcome::NotSent,
                     _ => ResumeOutcome::MayHaveRun,
                 }
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -3,12 +3,12 @@
 use magnoliawinch::cells::{Cell, Layout};
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::membership::{Member, MemberState};
-use magnoliawinch::names::HostName;
+use magnoliawinch::names::{FailureDomain, HostName, UpstreamName};
 use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::route_table::RouteTable;
 use magnoliawinch::time::{Millis, Time};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Owners of a cell's pools: the primary decides, the standby gets the same reports.
@@ -111,6 +111,8 @@
     pub(crate) quarantine: Arc<HashMap<Fingerprint, Time>>,
     /// Parts of prompts on which engines end, and until when all requests with them are refused.
     pub(crate) blamed_parts: Arc<HashMap<PartId, Time>>,
+    /// Failure domains whose upstreams get no requests.
+    pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
 }
 
 impl View {
@@ -126,6 +128,7 @@
             knows_whole_list: false,
             quarantine: Arc::default(),
             blamed_parts: Arc::default(),
+            evacuated: Arc::default(),
             own,
         }
     }
@@ -139,6 +142,15 @@
         self.own.state == MemberState::Leaving
     }
 
+    /// Whether an upstream is in a failure domain that is evacuated.
+    pub(crate) fn is_evacuated(&self, upstream: &UpstreamName) -> bool {
+        if self.evacuated.is_empty() {
+            return false;
+        }
+        let listed = self.fleet.get(upstream);
+        listed.is_some_and(|listed| self.evacuated.contains(&listed.failure_domain))
+    }
+
     /// How long requests with this fingerprint are refused; `None` if they may run.
     pub(crate) fn refused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Millis> {
         let until = *self.quarantine.get(&fingerprint)?;
