Runs in progress at a host that is cut off go on from their copies by way of another host

Cause: the request to continue a run was sent over the holder's own connections only.

The request is carried with the copy and the last event; the holder stays the holder and reads the engine's bytes from the host that carries them. An engine that other hosts reach and this one does not, found when a connection breaks, counts towards the host being cut off.

runs_in_progress_at_a_host_that_is_cut_off_go_on_from_their_copies failed before (cut after 4 of 150 events) and passes for connections that are reset and that hang: all 150 events in order, one run.

--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -12,9 +12,12 @@
 use crate::forward::Forward;
 use crate::handler::{CallerResponse, RequestHandler};
 use crate::refusal::Refusal;
+use crate::relocate::ResumeError;
+use crate::run_body::RunBody;
+use crate::runs::Endpoint;
 use crate::shared::Shared;
 use crate::stream::StreamCut;
-use crate::wire::Wire;
+use crate::wire::{Resume, Wire};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use hyper::body::Frame;
@@ -24,7 +27,8 @@
 use magnoliawinch::names::{HostName, ServiceName};
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::Millis;
-use magnoliawinch_peer::{CarriedHead, CarriedHeader, CarriedPart, CarriedRequest};
+use magnoliawinch::verdict::Verdict;
+use magnoliawinch_peer::{CarriedHead, CarriedHeader, CarriedPart, CarriedRequest, CarriedResume};
 use magnoliawinch_runtime::InProgressGuard;
 use rand::seq::SliceRandom;
 use std::time::Duration;
@@ -70,6 +74,11 @@
 impl CarriedStream {
     /// The next events; `None` at the end of a complete stream or after an error.
     pub(crate) async fn next(&mut self) -> Option<Result<Frame<Bytes>, StreamCut>> {
+        Some(self.next_data().await?.map(Frame::data))
+    }
+
+    /// The next bytes; `None` at the end of a complete stream or after an error.
+    pub(crate) async fn next_data(&mut self) -> Option<Result<Bytes, StreamCut>> {
         if self.is_over {
             return None;
         }
@@ -78,7 +87,7 @@
                 self.is_over = true;
                 None
             }
-            Ok(Some(part)) => Some(Ok(Frame::data(part.data))),
+            Ok(Some(part)) => Some(Ok(part.data)),
             Ok(None) | Err(_) => {
                 self.is_over = true;
                 Some(Err(StreamCut))
@@ -153,11 +162,53 @@
         Err(lost.map_or(Refusal::Overloaded(NO_HOST_RETRY_AFTER), Refusal::Lost))
     }
 
-    async fn carry_to(
+    /// Has another host continue a run that this host goes on holding.
+    pub(crate) async fn carry_resume(
+        &self,
+        fwd: &Forward,
+        to: &Endpoint,
+        resume: &Resume,
+    ) -> Result<RunBody, ResumeError> {
+        let failed = |cause: String, verdict| ResumeError::Carried { cause, verdict };
+        let mut last = failed("no host is known to reach it".to_owned(), Verdict::NotRun);
+        for host in self.shared.carrying_hosts(&fwd.service) {
+            let resume = carried_resume(to, resume);
+            let request = CarriedRequest { resume: Some(resume), ..carried_request(fwd) };
+            let result = self.send_to_host(&host, fwd, request).await;
+            self.note_carried(fwd, &host, &result);
+            match result {
+                Ok((parts, head)) if head.is_stream => {
+                    return Ok(RunBody::Carried(Box::new(self.carried_stream(parts))));
+                }
+                Ok((_, CarriedHead { status, not_run, .. })) => {
+                    let status = u16::try_from(status).ok();
+                    let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+                    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+                    return Err(ResumeError::Refused { engine: to.name.clone(), status, not_run });
+                }
+                Err(CarryError::NotRun(cause)) => {
+                    self.shared.paths().did_not_serve(&fwd.service, &host.host);
+                    last = failed(cause, Verdict::NotRun);
+                }
+                Err(CarryError::MayHaveRun(cause)) => {
+                    return Err(failed(cause, Verdict::MayHaveRun));
+                }
+            }
+        }
+        Err(last)
+    }
+
+    fn carried_stream(&self, parts: Streaming<CarriedPart>) -> CarriedStream {
+        CarriedStream { parts, is_over: false, _in_progress: self.shared.track_request() }
+    }
+
+    /// Sends a request to another host; returns the head of its response and what follows.
+    async fn send_to_host(
         &self,
         host: &Member,
         fwd: &Forward,
-    ) -> Result<CallerResponse<W>, CarryError> {
+        request: CarriedRequest,
+    ) -> Result<(Streaming<CarriedPart>, CarriedHead), CarryError> {
         let not_run = |cause: String| CarryError::NotRun(cause);
         let may_have_run = |cause: &str| CarryError::MayHaveRun(cause.to_owned());
         let (tx, rx) = mpsc::channel(1);
@@ -173,7 +224,7 @@
             Ok(Err(status)) => return Err(not_run(status.to_string())),
             Err(_) => return Err(not_run(format!("no reply within {READY_TIMEOUT:?}"))),
         }
-        if tx.send(carried_request(fwd)).await.is_err() {
+        if tx.send(request).await.is_err() {
             return Err(not_run("the connection to the host broke".to_owned()));
         }
         let head = match timeout(fwd.remaining(), parts.message()).await {
@@ -185,13 +236,22 @@
         if head.try_elsewhere {
             return Err(not_run("the host cannot serve the request".to_owned()));
         }
+        Ok((parts, head))
+    }
+
+    async fn carry_to(
+        &self,
+        host: &Member,
+        fwd: &Forward,
+    ) -> Result<CallerResponse<W>, CarryError> {
+        let may_have_run = |cause: &str| CarryError::MayHaveRun(cause.to_owned());
+        let (mut parts, head) = self.send_to_host(host, fwd, carried_request(fwd)).await?;
         let (status, headers) = response_head(&head).ok_or_else(|| may_have_run("invalid head"))?;
         if head.is_stream {
-            let in_progress = self.shared.track_request();
-            let stream = CarriedStream { parts, is_over: false, _in_progress: in_progress };
             let mut response = Response::new(());
             (*response.status_mut(), *response.headers_mut()) = (status, headers);
-            return Ok(CallerResponse::Carried(response, Box::new(stream)));
+            let stream = Box::new(self.carried_stream(parts));
+            return Ok(CallerResponse::Carried(response, stream));
         }
         let body = match timeout(fwd.remaining(), read_body(&mut parts)).await {
             Ok(Some(body)) => body,
@@ -201,12 +261,7 @@
         Ok(CallerResponse::Buffered(BufferedResponse { status, headers, body }))
     }
 
-    fn note_carried(
-        &self,
-        fwd: &Forward,
-        host: &Member,
-        result: &Result<CallerResponse<W>, CarryError>,
-    ) {
+    fn note_carried<T>(&self, fwd: &Forward, host: &Member, result: &Result<T, CarryError>) {
         let (outcome, reason) = match result {
             Ok(_) => ("responded", String::new()),
             Err(e @ CarryError::NotRun(_)) => ("not_run", e.to_string()),
@@ -252,6 +307,18 @@
         headers: carried_headers(&fwd.headers),
         body: fwd.body.clone(),
         timeout_ms: fwd.remaining_ms().0.min(u64::from(u32::MAX)) as u32,
+        resume: None,
+    }
+}
+
+fn carried_resume(to: &Endpoint, resume: &Resume) -> CarriedResume {
+    CarriedResume {
+        upstream: to.name.to_string(),
+        address: to.address.to_string(),
+        born: to.born,
+        source_address: resume.address.to_string(),
+        handle: resume.handle.clone(),
+        last_event: resume.last_event,
     }
 }
 
--- a/relay/src/carry/receive.rs
+++ b/relay/src/carry/receive.rs
@@ -3,13 +3,17 @@
 use super::{carried_headers, header_map};
 use crate::handler::{CallerResponse, Origin, RequestHandler};
 use crate::refusal::Refusal;
-use crate::wire::Wire;
+use crate::relocate::ResumeError;
+use crate::runs::Endpoint;
+use crate::wire::{Resume, Wire};
 use bytes::Bytes;
 use futures_util::Stream;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
+use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::Millis;
-use magnoliawinch_peer::{CarriedHead, CarriedPart, CarriedRequest};
+use magnoliawinch::verdict::Verdict;
+use magnoliawinch_peer::{CarriedHead, CarriedPart, CarriedRequest, CarriedResume};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -86,15 +90,20 @@
     }
 
     async fn reply(&self, call: CarriedCall) -> Result<(), HostLeft> {
-        let CarriedCall { request, parts } = call;
-        let time_left = Millis(u64::from(request.timeout_ms));
-        let result = match http_request(request) {
-            Some(req) => {
-                self.respond(Instant::now(), req, Origin::Host { timeout: time_left }).await
-            }
-            None => Err(Refusal::BadRequest("a carried request is malformed".to_owned())),
+        let CarriedCall { mut request, parts } = call;
+        let origin = Origin::Host { timeout: Millis(u64::from(request.timeout_ms)) };
+        let resume = request.resume.take();
+        let malformed = Refusal::BadRequest("a carried request is malformed".to_owned());
+        let Some(req) = http_request(request) else {
+            return send_refusal(&parts, &malformed).await;
         };
-        match result {
+        if let Some(resume) = resume {
+            return match resume_point(&resume) {
+                Some((to, resume)) => self.reply_with_run(&parts, req, origin, &to, &resume).await,
+                None => send_refusal(&parts, &malformed).await,
+            };
+        }
+        match self.respond(Instant::now(), req, origin).await {
             Ok(CallerResponse::Buffered(buffered)) => {
                 let head = head(buffered.status, &buffered.headers);
                 send_whole(&parts, head, buffered.body).await
@@ -115,19 +124,73 @@
                 send_end(&parts).await
             }
             Ok(CallerResponse::Carried(..)) => Ok(()),
-            Err(refusal) => {
-                let response = refusal.response();
-                let name: &'static str = (&refusal).into();
-                let head = CarriedHead {
-                    try_elsewhere: refusal.is_of_this_host(),
-                    ..head(response.status(), response.headers())
-                };
-                send_whole(&parts, head, Bytes::from_static(name.as_bytes())).await
+            Err(refusal) => send_refusal(&parts, &refusal).await,
+        }
+    }
+
+    /// Has an engine continue a run that another host holds, and passes on what it writes.
+    async fn reply_with_run(
+        &self,
+        parts: &mpsc::Sender<CarriedPart>,
+        req: Request<Full<Bytes>>,
+        origin: Origin,
+        to: &Endpoint,
+        resume: &Resume,
+    ) -> Result<(), HostLeft> {
+        let fwd = match self.admit_carried(Instant::now(), req, origin).await {
+            Ok(fwd) => fwd,
+            Err(refusal) => return send_refusal(parts, &refusal).await,
+        };
+        let mut body = match self.resume_run(&fwd, to, resume).await {
+            Ok(body) => body,
+            Err(ResumeError::NoResponse(e)) if e.verdict() == Verdict::NotRun => {
+                return send_refusal(parts, &Refusal::CutOff).await;
             }
+            Err(e) => {
+                log::info!(request = fwd.info.run.as_str(); "carried run did not go on: {e}");
+                let not_run = e.verdict() == Verdict::NotRun;
+                let head = head(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new());
+                return send_whole(parts, CarriedHead { not_run, ..head }, Bytes::new()).await;
+            }
+        };
+        let head = head(StatusCode::OK, &HeaderMap::new());
+        send_head(parts, CarriedHead { is_stream: true, ..head }).await?;
+        while let Some(chunk) = body.chunk().await {
+            // Without its end, the stream counts as cut.
+            let Ok(data) = chunk else {
+                return Ok(());
+            };
+            send(parts, CarriedPart { data, ..CarriedPart::default() }).await?;
         }
+        if body.is_framed() || self.has_closed_whole_body(&fwd, to).await {
+            send_end(parts).await?;
+        }
+        Ok(())
     }
 }
 
+fn resume_point(carried: &CarriedResume) -> Option<(Endpoint, Resume)> {
+    let CarriedResume { upstream, address, born, source_address, handle, last_event } = carried;
+    let to =
+        Endpoint { name: UpstreamName::new(upstream), address: address.parse().ok()?, born: *born };
+    let (address, handle) = (source_address.parse().ok()?, handle.clone());
+    Some((to, Resume { address, handle, last_event: *last_event }))
+}
+
+async fn send_refusal(
+    parts: &mpsc::Sender<CarriedPart>,
+    refusal: &Refusal,
+) -> Result<(), HostLeft> {
+    let response = refusal.response();
+    let name: &'static str = refusal.into();
+    let head = CarriedHead {
+        try_elsewhere: refusal.is_of_this_host(),
+        not_run: refusal.is_not_run(),
+        ..head(response.status(), response.headers())
+    };
+    send_whole(parts, head, Bytes::from_static(name.as_bytes())).await
+}
+
 fn http_request(request: CarriedRequest) -> Option<Request<Full<Bytes>>> {
     let mut req = Request::builder()
         .method(request.method.as_str())
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -6,6 +6,7 @@
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
+use magnoliawinch::service_paths::ConnectFailure;
 use magnoliawinch::time::Time;
 use magnoliawinch_peer::QuarantineNews;
 use std::collections::HashMap;
@@ -45,9 +46,11 @@
         let listed = self.fleet.get(&upstream.name);
         let service = listed.map_or_else(|| ServiceName::new(""), |listed| listed.service.clone());
         self.shared.traffic.spawn(async move {
-            let result = shared.examine(&service, &Endpoint::from(&upstream)).await;
+            let endpoint = Endpoint::from(&upstream);
+            let result = shared.examine(&service, &endpoint).await;
             shared.metrics.count("crash_check", result.into());
             if result == Reachability::PathLost {
+                shared.note_connect_failure(&service, &endpoint, ConnectFailure::Refused);
                 log::info!(
                     upstream = upstream.name.as_str(),
                     born = upstream.born;
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -129,12 +129,8 @@
         B: Body<Data = Bytes, Error: Into<BoxError>>,
     {
         let (parts, body) = req.into_parts();
-        let info = self.wire.parse_request(&parts).map_err(|e| Refusal::BadRequest(e.to_string()));
-        let mut info =
-            info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
-        if let Origin::Host { timeout } = origin {
-            info.timeout = Some(info.timeout.map_or(timeout, |requested| requested.min(timeout)));
-        }
+        let info = self.parse(&parts, origin);
+        let info = info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
         let run = info.run.clone();
         let waiting = WaitingRequest { shared: &self.shared, run: &run };
         let mut route_name = String::new();
@@ -166,6 +162,34 @@
         result
     }
 
+    /// Reads a request that another host carries here to continue a run of its own.
+    pub(crate) async fn admit_carried<B>(
+        &self,
+        arrived_at: Instant,
+        req: Request<B>,
+        origin: Origin,
+    ) -> Result<Forward, Refusal>
+    where
+        B: Body<Data = Bytes, Error: Into<BoxError>>,
+    {
+        let (parts, body) = req.into_parts();
+        let info = self.parse(&parts, origin)?;
+        self.admit(arrived_at, info, parts, body, &mut String::new()).await
+    }
+
+    fn parse(
+        &self,
+        parts: &hyper::http::request::Parts,
+        origin: Origin,
+    ) -> Result<RequestInfo, Refusal> {
+        let info = self.wire.parse_request(parts);
+        let mut info = info.map_err(|e| Refusal::BadRequest(e.to_string()))?;
+        if let Origin::Host { timeout } = origin {
+            info.timeout = Some(info.timeout.map_or(timeout, |requested| requested.min(timeout)));
+        }
+        Ok(info)
+    }
+
     /// Reads a request and checks whether it may be served.
     async fn admit<B>(
         &self,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod refusal;
 mod relocate;
+mod run_body;
 mod runs;
 mod settings;
 mod shared;
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -74,6 +74,12 @@
         matches!(self, Self::NotReady | Self::Leaving | Self::CutOff)
     }
 
+    /// Whether the status guarantees that the request has not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        let status = self.status();
+        status == StatusCode::SERVICE_UNAVAILABLE || status.is_client_error()
+    }
+
     /// Time after which the caller may retry, if it is known.
     pub fn retry_after(&self) -> Option<Millis> {
         match self {
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -1,10 +1,11 @@
 //! Requests to engines: copies of a run's memory to another engine, attempts to continue a run, and
 //! health checks.
 
-use crate::call::response_problem;
+use crate::call::{is_framed, response_problem};
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
 use crate::outbound::NotPermitted;
+use crate::run_body::RunBody;
 use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
@@ -12,7 +13,7 @@
 use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::{ClientResponse, Reuse, SendError};
+use magnoliawinch_http::{Reuse, SendError};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -73,6 +74,9 @@
     /// Upstreams have ended under equal requests.
     #[error("equal requests are refused for {0}")]
     Quarantined(Millis),
+    /// The host that was to send the request to the engine did not, or broke off.
+    #[error("the request was carried to another host: {cause}")]
+    Carried { cause: String, verdict: Verdict },
     /// The response is not that of the run.
     #[error("invalid response with status {status} from {engine}: {problem}")]
     Invalid { engine: UpstreamName, status: StatusCode, problem: &'static str },
@@ -86,6 +90,7 @@
             Self::Refused { not_run: true, .. } | Self::Withheld { .. } | Self::Quarantined(_) => {
                 Verdict::NotRun
             }
+            Self::Carried { verdict, .. } => *verdict,
             Self::Refused { .. } | Self::Invalid { .. } => Verdict::MayHaveRun,
         }
     }
@@ -112,13 +117,31 @@
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
+    /// Has the engine `to` continue a run from a copy, by way of another host if this one is cut off
+    /// from its service.
+    pub(crate) async fn continue_run(
+        &self,
+        fwd: &Forward,
+        to: &Endpoint,
+        resume: &Resume,
+    ) -> Result<RunBody, ResumeError> {
+        if !self.shared.is_cut_off(&fwd.service) {
+            let result = self.resume_run(fwd, to, resume).await;
+            let was_not_sent = matches!(&result, Err(ResumeError::NoResponse(e)) if e.verdict() == Verdict::NotRun);
+            if !was_not_sent || !self.shared.is_found_cut_off(&fwd.service).await {
+                return result;
+            }
+        }
+        self.carry_resume(fwd, to, resume).await
+    }
+
     /// Sends the request of a run to the engine `to`, which continues it from a copy.
     pub(crate) async fn resume_run(
         &self,
         fwd: &Forward,
         to: &Endpoint,
         resume: &Resume,
-    ) -> Result<ClientResponse, ResumeError> {
+    ) -> Result<RunBody, ResumeError> {
         let permit = self.permit_resume(fwd, to).map_err(|reason| match reason {
             NotPermitted::Withheld(withheld) => {
                 ResumeError::Withheld { engine: to.name.clone(), withheld }
@@ -148,7 +171,10 @@
         }
         match response_problem(fwd, status, &info) {
             Some(problem) => Err(ResumeError::Invalid { engine, status, problem }),
-            None => Ok(response),
+            None => {
+                let is_framed = is_framed(response.headers());
+                Ok(RunBody::Direct { body: response.into_body(), is_framed })
+            }
         }
     }
 
--- /dev/null
+++ b/relay/src/run_body.rs
@@ -0,0 +1,47 @@
+//! The stream of a run, from its engine or by way of another host.
+
+use crate::carry::CarriedStream;
+use bytes::Bytes;
+use magnoliawinch_http::client::Body;
+use thiserror::Error;
+
+/// The stream broke off.
+#[derive(Debug, Error)]
+#[error("{0}")]
+pub(crate) struct BodyBroken(String);
+
+/// The bytes that the engine of a run writes.
+#[derive(Debug)]
+pub(crate) enum RunBody {
+    /// Over a connection to the engine.
+    Direct {
+        body: Body,
+        /// Whether the response has a length or is chunked, so that its end is distinguishable from a
+        /// lost connection.
+        is_framed: bool,
+    },
+    /// By way of a host that reaches the engine, which tells the end of a complete stream.
+    Carried(Box<CarriedStream>),
+}
+
+impl RunBody {
+    /// The next chunk; `None` at the end.
+    pub(crate) async fn chunk(&mut self) -> Option<Result<Bytes, BodyBroken>> {
+        match self {
+            Self::Direct { body, .. } => {
+                body.chunk().await.map(|chunk| chunk.map_err(|e| BodyBroken(e.to_string())))
+            }
+            Self::Carried(stream) => stream.next_data().await.map(|data| {
+                data.map_err(|_| BodyBroken("the host broke off the stream".to_owned()))
+            }),
+        }
+    }
+
+    /// Whether the end of the stream is distinguishable from a lost connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        match self {
+            Self::Direct { is_framed, .. } => *is_framed,
+            Self::Carried(_) => true,
+        }
+    }
+}
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -13,6 +13,7 @@
 use crate::handler::RequestHandler;
 use crate::outbound::{OutstandingRequest, SendPermit};
 use crate::refusal::Refusal;
+use crate::run_body::{BodyBroken, RunBody};
 use crate::runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo};
 use crate::wire::{Outgoing, Wire};
 use bytes::Bytes;
@@ -73,10 +74,7 @@
     fwd: Arc<Forward>,
     run: RunGuard,
     orders: mpsc::Receiver<MoveOrder>,
-    body: magnoliawinch_http::client::Body,
-    /// Whether the response has a length or is chunked, so that its end is distinguishable from a
-    /// lost connection.
-    is_framed: bool,
+    body: RunBody,
     events: EventReader,
     tokens_per_event: u32,
     handover: Handover<Endpoint>,
@@ -94,7 +92,7 @@
 
 /// What a stream has to handle next.
 enum Step {
-    Chunk(Option<Result<Bytes, hyper::Error>>),
+    Chunk(Option<Result<Bytes, BodyBroken>>),
     Order(MoveOrder),
     Task(TaskResult),
     Timer,
@@ -244,8 +242,7 @@
             fwd: Arc::clone(fwd),
             run: placed_run.run,
             orders: placed_run.orders,
-            body: response.into_body(),
-            is_framed,
+            body: RunBody::Direct { body: response.into_body(), is_framed },
             events: EventReader::new(self.shared.upstreams.body_budget()),
             tokens_per_event: engine_config.map_or(1, |config| config.tokens_per_event),
             handover: self.handover(fwd, placed_run.assignment),
@@ -314,7 +311,7 @@
                 Step::Chunk(None) if self.events.has_partial_event() => {
                     self.end_body(BodyEnd::Broken, "the stream ended within an event");
                 }
-                Step::Chunk(None) if self.is_framed => self.end_body(BodyEnd::Whole, ""),
+                Step::Chunk(None) if self.body.is_framed() => self.end_body(BodyEnd::Whole, ""),
                 Step::Chunk(None) if self.handover.may_end_early() => {
                     self.end_body(BodyEnd::Unframed, "the connection was closed");
                 }
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -1,9 +1,9 @@
 //! Performs the steps that [`Handover`](magnoliawinch::handover::Handover) decides on.
 
 use super::EventStream;
-use crate::call::is_framed;
 use crate::control::Message;
 use crate::relocate::{CopyError, ResumeError};
+use crate::run_body::RunBody;
 use crate::runs::{Assignment, Endpoint, MoveOrder};
 use crate::wire::{CopyRefusal, Resume, RunCopy, Wire};
 use magnoliawinch::handover::{
@@ -11,14 +11,13 @@
 };
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::ClientResponse;
 use std::time::Duration;
 use tokio::task::{JoinError, JoinHandle};
 use tokio::time::Instant;
 
 type CopyResult = Result<RunCopy, CopyError>;
 
-type ResumeResult = Result<ClientResponse, ResumeError>;
+type ResumeResult = Result<RunBody, ResumeError>;
 
 /// How a stream ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,7 +135,7 @@
         };
         let resume = Resume { address, handle, last_event: self.events.last_id() };
         let to = point.engine.clone();
-        let send = async move { handler.resume_run(&fwd, &to, &resume).await };
+        let send = async move { handler.continue_run(&fwd, &to, &resume).await };
         self.tasks.resume = Some(Task::new(self.handler.shared.traffic.spawn(send)));
         self.tasks.resume_target = Some(point.engine);
     }
@@ -203,7 +202,7 @@
         took: Duration,
     ) {
         let outcome = match result {
-            Ok(Ok(response)) => return self.continue_at(to, response, took),
+            Ok(Ok(body)) => return self.continue_at(to, body, took),
             Ok(Err(e)) => {
                 self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
                 match &e {
@@ -228,8 +227,8 @@
         }
     }
 
-    /// Reads on from `response`; the body of the engine before is closed.
-    fn continue_at(&mut self, to: Endpoint, response: ClientResponse, took: Duration) {
+    /// Reads on from `body`; that of the engine before is closed.
+    fn continue_at(&mut self, to: Endpoint, body: RunBody, took: Duration) {
         self.count_step("resume", Verdict::Ran);
         log::info!(
             request = self.fwd.info.run.as_str(),
@@ -244,8 +243,7 @@
         let source = &self.handover.source().name;
         self.handler.shared.run_starts().broke(now, &self.fwd.info.run, source);
         self.moves += 1;
-        self.is_framed = is_framed(response.headers());
-        self.body = response.into_body();
+        self.body = body;
         self.events.discard_partial_event();
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
         (self.tasks.copy, self.tasks.check) = (None, None);
