Read again from the other side: hosts that have just started, memory of carried responses, cost of an event

A host that has just started and knows no other host took all of the room of a brittle upstream for itself; it now has none until it knows another one or 3 s have passed (a_host_that_has_just_started_uses_no_room failed before). Whole responses that are carried share response_buffer_mb like those of upstreams. A host is never asked to carry its own requests.

An event of a stream looked the run up for as long as the stream lasts; now until the run has outlived its start.

What is refused was worked out at each tick, over all known ends for each part; now when an end or a survivor is news, in one pass.

Wording, and statements of upstreams out of outbound.rs into a module of their own.

--- a/core/src/fatal_parts.rs
+++ b/core/src/fatal_parts.rs
@@ -127,12 +127,32 @@
 }
 
 /// What counts against one part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Case {
     weight: u32,
     /// Indices of the ends that count.
     ends: BTreeSet<usize>,
     last_at: Time,
+    /// When the last moment that counts once began, and what it counts.
+    moment: Option<(Time, u32)>,
+}
+
+impl Case {
+    /// Adds an end that is not earlier than those before.
+    fn add(&mut self, index: usize, at: Time, weight: u32) {
+        self.ends.insert(index);
+        self.last_at = at;
+        match &mut self.moment {
+            Some((began_at, counted)) if at.since(*began_at) < MIN_SPACING => {
+                self.weight += weight.saturating_sub(*counted);
+                *counted = weight.max(*counted);
+            }
+            moment => {
+                self.weight += weight;
+                *moment = Some((at, weight));
+            }
+        }
+    }
 }
 
 /// Known ends of engines, and which parts have outlived them.
@@ -225,44 +245,37 @@
         self.survived.get(&part).map_or(Time(0), |(until, _)| *until)
     }
 
-    fn case(&self, now: Time, part: PartId) -> Option<Case> {
-        let cleared_until = self.cleared_until(part);
-        let counted = self.ends.iter().enumerate().filter(|(_, known)| {
-            let at = known.end.at;
-            at > cleared_until && now.since(at) < RETENTION && known.weight(part) > 0
-        });
-        let mut by_time: Vec<_> = counted.collect();
-        by_time.sort_by_key(|(_, known)| known.end.at);
-        let last_at = by_time.last()?.1.end.at;
-        let mut weight = 0;
-        let mut moment: Option<(Time, u32)> = None;
-        for (_, known) in &by_time {
-            let own = known.weight(part);
-            match &mut moment {
-                Some((started_at, counted)) if known.end.at.since(*started_at) < MIN_SPACING => {
-                    weight += own.saturating_sub(*counted);
-                    *counted = own.max(*counted);
+    /// What counts against each part of a suspect.
+    fn cases(&self, now: Time) -> BTreeMap<PartId, Case> {
+        let mut order: Vec<_> = (0..self.ends.len()).collect();
+        order.sort_by_key(|index| self.ends[*index].end.at);
+        let mut cases: BTreeMap<PartId, Case> = BTreeMap::new();
+        for index in order {
+            let end = &self.ends[index].end;
+            if now.since(end.at) >= RETENTION {
+                continue;
+            }
+            let mut weights: BTreeMap<PartId, u32> = BTreeMap::new();
+            for suspect in &end.suspects {
+                let weight = if suspect.has_begun { BEGUN_WEIGHT } else { NOT_BEGUN_WEIGHT };
+                for part in suspect.parts.iter() {
+                    let known = weights.entry(*part).or_default();
+                    *known = weight.max(*known);
                 }
-                _ => {
-                    weight += own;
-                    moment = Some((known.end.at, own));
+            }
+            for (part, weight) in weights {
+                if end.at > self.cleared_until(part) {
+                    cases.entry(part).or_default().add(index, end.at, weight);
                 }
             }
         }
-        let ends = by_time.into_iter().map(|(index, _)| index).collect();
-        Some(Case { weight, ends, last_at })
+        cases
     }
 
     /// The parts that are refused.
     pub fn blamed(&self, now: Time) -> Vec<Blame> {
-        let suspects = self.ends.iter().flat_map(|known| &known.end.suspects);
-        let parts: BTreeSet<_> =
-            suspects.flat_map(|suspect| suspect.parts.iter().copied()).collect();
-        let cases: BTreeMap<PartId, Case> = parts
-            .into_iter()
-            .filter_map(|part| Some((part, self.case(now, part)?)))
-            .filter(|(_, case)| case.weight >= MIN_BLAME)
-            .collect();
+        let mut cases = self.cases(now);
+        cases.retain(|_, case| case.weight >= MIN_BLAME);
         let is_explained = |part: PartId, case: &Case| {
             cases.iter().any(|(other, theirs)| {
                 let comes_before = |end: &usize| self.ends[*end].has_in_order(part, *other);
@@ -319,11 +332,16 @@
         survived.chain(ended).take_while(fits).collect()
     }
 
-    /// Drops what no longer counts.
-    pub fn tick(&mut self, now: Time) {
+    /// Drops what no longer counts; returns whether there was any.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let before = self.ends.len();
         self.ends.retain(|known| now.since(known.end.at) < RETENTION);
-        let ends = &self.ends;
-        self.survived.retain(|part, _| ends.iter().any(|known| known.weight(*part) > 0));
+        let has_changed = self.ends.len() < before;
+        if has_changed {
+            let ends = &self.ends;
+            self.survived.retain(|part, _| ends.iter().any(|known| known.weight(*part) > 0));
+        }
+        has_changed
     }
 }
 
--- a/core/src/run_starts.rs
+++ b/core/src/run_starts.rs
@@ -115,18 +115,21 @@
         }
     }
 
-    /// Records that more of the answer to a run has arrived.
-    pub fn goes_on(&mut self, now: Time, run: &RunId, upstream: &UpstreamName) {
+    /// Records that more of the answer to a run has arrived; returns whether later parts of it need not
+    /// be recorded.
+    pub fn progressed(&mut self, now: Time, run: &RunId, upstream: &UpstreamName) -> bool {
         let Some(active) = self.active.get_mut(&(run.clone(), upstream.clone())) else {
-            return;
+            return true;
         };
         let Some(begun_at) = active.begun_at.filter(|_| !active.has_survived) else {
-            return;
+            return true;
         };
-        if now.since(begun_at) > CRASH_DELAY {
-            active.has_survived = true;
-            self.survivors.push(Survivor { parts: Arc::clone(&active.parts), begun_at });
+        if now.since(begun_at) <= CRASH_DELAY {
+            return false;
         }
+        active.has_survived = true;
+        self.survivors.push(Survivor { parts: Arc::clone(&active.parts), begun_at });
+        true
     }
 
     /// Records that the answer to a run is complete.
@@ -139,7 +142,7 @@
         self.end(now, run, upstream, RunEnd::Broken);
     }
 
-    /// Records that nobody waits for the answer to a run any more.
+    /// Records that the caller of a run has left, or has its answer.
     pub fn dropped(&mut self, now: Time, run: &RunId) {
         let first = (run.clone(), UpstreamName::new(""));
         let of_run = self.active.range(first..).take_while(|((other, _), _)| other == run);
--- a/core/src/upstream_limits.rs
+++ b/core/src/upstream_limits.rs
@@ -154,11 +154,11 @@
     }
 }
 
-/// What is known of the limits of one upstream.
+/// The limits of one upstream, and this host's part of them.
 #[derive(Clone, Debug)]
 pub struct UpstreamLimit {
     upstream: UpstreamName,
-    /// None once the upstream names no limit any more.
+    /// Empty if the upstream names no limit.
     terms: Terms,
     /// When it was last known to say so.
     stated_at: Time,
@@ -203,8 +203,9 @@
             turned_away_at: None,
         };
         limit.update(now, hosts);
-        // All hosts learn of it now, and all that was sent before may still be there.
-        limit.has_room_at = limit.has_room_at.map(|_| now);
+        // All hosts learn of it now. One that has just started may not know any other yet.
+        let settled_at = if hosts.all.len() > 1 { now } else { hosts.settled_at };
+        limit.has_room_at = limit.has_room_at.map(|_| now.max(settled_at));
         limit
     }
 
@@ -305,9 +306,9 @@
         (self.is_current(now) && self.room.is_some()).then_some(&self.room_senders)
     }
 
-    /// Whether this host shares the room.
-    pub fn has_room_share(&self) -> bool {
-        self.has_room_at.is_some()
+    /// Whether this host has a part of the room.
+    pub fn has_room_share(&self, now: Time) -> bool {
+        self.has_room_at.is_some_and(|at| now >= at)
     }
 
     /// Time until this host may send a request; `None` if it may now.
--- a/core/src/upstream_notices.rs
+++ b/core/src/upstream_notices.rs
@@ -138,7 +138,7 @@
     pub upstream: UpstreamName,
     /// When that incarnation started, in milliseconds since 1970 by its own clock.
     pub born: u64,
-    /// None if it names no limit any more.
+    /// Empty if it names no limit.
     pub terms: Terms,
     /// When it was last known to say so.
     pub at: Time,
@@ -274,7 +274,7 @@
         born: u64,
     ) -> Option<(&[HostName], bool)> {
         let limit = self.of(now, name, born)?.limit.as_ref()?;
-        Some((limit.room_senders(now)?, limit.has_room_share()))
+        Some((limit.room_senders(now)?, limit.has_room_share(now)))
     }
 
     /// Statements about limits that are recent enough to be passed on, newest first, at most `max`.
--- a/core/tests/brittle_load.rs
+++ b/core/tests/brittle_load.rs
@@ -13,6 +13,8 @@
 const SERVERS: usize = 4;
 const SLOTS: u32 = 6;
 const MAX_REJECTIONS: u32 = 2;
+/// By then the hosts know each other.
+const START_MS: u64 = 5_000;
 const DURATION_MS: u64 = 20_000;
 const BURST_MS: std::ops::Range<u64> = 8_000..12_000;
 /// Draws of a request in a millisecond.
@@ -62,12 +64,8 @@
             let group = (0..count).filter(|m| m % groups == n % groups).map(host).collect();
             notices.set_running_hosts(Time(0), group);
             for n in 0..SERVERS {
-                notices.record_limit(
-                    Time(0),
-                    Time(0),
-                    &server(n),
-                    Terms { per_second: None, brittle },
-                );
+                let (at, terms) = (Time(START_MS), Terms { per_second: None, brittle });
+                notices.record_limit(at, at, &server(n), terms);
             }
             notices
         })
@@ -77,7 +75,7 @@
     let mut waiting: Vec<(u64, usize)> = Vec::new();
     let mut outcome = Outcome::default();
     for now in 0..DURATION_MS {
-        let at = Time(now);
+        let at = Time(START_MS + now);
         for (n, requests) in running.iter_mut().enumerate() {
             for (_, sender) in requests.extract_if(.., |(ends_at, _)| *ends_at <= now) {
                 hosts[sender].request_ended(&server(n).name);
@@ -86,7 +84,7 @@
         }
         for (_, n) in news.extract_if(.., |(due, _)| *due <= now) {
             for notices in &mut hosts {
-                notices.record_turned_away(at, Time(now - NEWS_DELAY_MS), &server(n));
+                notices.record_turned_away(at, Time(START_MS + now - NEWS_DELAY_MS), &server(n));
             }
         }
         let factor = if BURST_MS.contains(&now) { 3.0 } else { 1.0 };
@@ -175,3 +173,17 @@
         assert!(outcome.falls() <= MAX_FALLS, "{count} hosts: {:?}", outcome.rejections);
     }
 }
+
+/// Guards against a host that has just started, knows no other and takes all of the room for itself.
+#[test]
+fn a_host_that_has_just_started_uses_no_room() {
+    let started_at = Time(60_000);
+    let mut notices = UpstreamNotices::new().with_hosts(Hosts::new(started_at, host(1)));
+    let brittle = Some(Brittle { max_rejections: MAX_REJECTIONS, slots: SLOTS });
+    let now = Time(60_500);
+    notices.record_limit(now, now, &server(1), Terms { per_second: None, brittle });
+    assert!(notices.take(now, &server(1).name, 1).is_err());
+    let senders = notices.room_senders(now, &server(1).name, 1);
+    assert!(senders.is_some_and(|(_, is_sender)| !is_sender));
+    assert!(notices.take(Time(63_001), &server(1).name, 1).is_ok());
+}
--- a/core/tests/fatal_parts_load.rs
+++ b/core/tests/fatal_parts_load.rs
@@ -132,7 +132,7 @@
                 run.has_begun = true;
                 starts.begun(at, &run.id, &name(run.engine));
             } else if run.has_begun {
-                starts.goes_on(at, &run.id, &name(run.engine));
+                starts.progressed(at, &run.id, &name(run.engine));
             }
             if run.is_fatal && now >= run.ends_at {
                 ending.push(run.engine);
--- a/core/tests/run_starts.rs
+++ b/core/tests/run_starts.rs
@@ -44,7 +44,7 @@
 }
 
 /// Guards against losing the cause when its own stream ends before its engine is known to have
-/// ended, also when it goes on at another engine at once.
+/// ended, also when it continues at another engine at once.
 #[test]
 fn a_run_that_broke_off_or_went_on_elsewhere_stays_a_suspect() {
     let mut starts = RunStarts::new();
@@ -72,15 +72,15 @@
 fn runs_that_outlive_their_start_are_survivors() {
     let mut starts = RunStarts::new();
     sent_and_begun(&mut starts, "long", 1_000);
-    starts.goes_on(Time(1_400), &run("long"), &engine());
+    starts.progressed(Time(1_400), &run("long"), &engine());
     assert!(starts.take_survivors(Time(1_400)).is_empty(), "it has just begun");
-    starts.goes_on(Time(1_600), &run("long"), &engine());
+    starts.progressed(Time(1_600), &run("long"), &engine());
     sent_and_begun(&mut starts, "short", 1_500);
     starts.completed(Time(1_550), &run("short"), &engine());
     let begun: Vec<_> =
         starts.take_survivors(Time(2_500)).iter().map(|survivor| survivor.begun_at).collect();
     assert_eq!(begun, [Time(1_000), Time(1_500)]);
-    starts.goes_on(Time(3_000), &run("long"), &engine());
+    starts.progressed(Time(3_000), &run("long"), &engine());
     assert!(starts.take_survivors(Time(4_000)).is_empty(), "each is reported once");
 }
 
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -28,6 +28,7 @@
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::BudgetShare;
 use magnoliawinch_peer::{CarriedHead, CarriedHeader, CarriedPart, CarriedRequest, CarriedResume};
 use magnoliawinch_runtime::InProgressGuard;
 use rand::seq::SliceRandom;
@@ -133,7 +134,8 @@
         let view = self.view.load();
         let is_running = |member: &&Member| member.state == MemberState::Alive;
         let member = |host: &HostName| {
-            view.members.iter().filter(is_running).find(|member| member.host == *host)
+            let others = view.members.iter().filter(|member| member.host != view.own.host);
+            others.filter(is_running).find(|member| member.host == *host)
         };
         via.iter().filter_map(member).take(MAX_HOSTS).cloned().collect()
     }
@@ -253,7 +255,8 @@
             let stream = Box::new(self.carried_stream(parts));
             return Ok(CallerResponse::Carried(response, stream));
         }
-        let body = match timeout(fwd.remaining(), read_body(&mut parts)).await {
+        let share = self.shared.upstreams.body_budget().share();
+        let body = match timeout(fwd.remaining(), read_body(&mut parts, share)).await {
             Ok(Some(body)) => body,
             Ok(None) => return Err(may_have_run("the host broke off its response")),
             Err(_) => return Err(may_have_run("the response was not complete in time")),
@@ -327,13 +330,15 @@
     Some((status, header_map(&head.headers)?))
 }
 
-/// Reads the rest of a response; `None` if it broke off or is too large.
-async fn read_body(parts: &mut Streaming<CarriedPart>) -> Option<Bytes> {
+/// Reads the rest of a response; `None` if it broke off, is too large or takes more than its `share` of
+/// the memory for responses.
+async fn read_body(parts: &mut Streaming<CarriedPart>, mut share: BudgetShare) -> Option<Bytes> {
     let mut body = BytesMut::new();
     loop {
         match parts.message().await {
             Ok(Some(part)) if part.is_end => return Some(body.freeze()),
             Ok(Some(part)) if body.len() + part.data.len() <= MAX_RESPONSE_BYTES => {
+                share.cover(body.len() + part.data.len()).ok()?;
                 body.extend_from_slice(&part.data);
             }
             _ => return None,
--- a/relay/src/control/fatal_parts.rs
+++ b/relay/src/control/fatal_parts.rs
@@ -131,10 +131,8 @@
     }
 
     pub(super) fn tick_fatal_parts(&mut self, now: Time) {
-        if self.fatal_parts.is_empty() && self.blamed_view.is_empty() {
-            return;
+        if self.fatal_parts.tick(now) {
+            self.view_is_stale |= self.update_blamed_view(now, "own");
         }
-        self.fatal_parts.tick(now);
-        self.view_is_stale |= self.update_blamed_view(now, "own");
     }
 }
--- a/relay/src/control/limits.rs
+++ b/relay/src/control/limits.rs
@@ -2,7 +2,7 @@
 
 use super::Control;
 use super::updates::age_ms;
-use crate::outbound::log_limit;
+use crate::statements::log_limit;
 use magnoliawinch::membership::MemberState;
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::{Millis, Time};
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod runs;
 mod settings;
 mod shared;
+mod statements;
 mod stream;
 mod view;
 mod wire;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -85,6 +85,8 @@
     last_sent_at: Option<Instant>,
     times: StreamTimes,
     moves: u32,
+    /// Whether the engine has lived on for long enough after it began to write.
+    has_outlived_start: bool,
     outcome: Option<&'static str>,
     _in_progress: InProgressGuard,
     _outstanding: OutstandingRequest,
@@ -251,6 +253,7 @@
             last_sent_at: None,
             times: StreamTimes { placed: placed_run.waited, ..StreamTimes::default() },
             moves: 0,
+            has_outlived_start: false,
             outcome: None,
             _in_progress: placed_run.in_progress,
             _outstanding: placed_run.outstanding,
@@ -297,7 +300,9 @@
                         if !events.is_empty() {
                             let tokens = self.events.count() * u64::from(self.tokens_per_event);
                             self.run.set_tokens_written(tokens as u32);
-                            self.note_run_goes_on();
+                            if !self.has_outlived_start {
+                                self.note_progress();
+                            }
                             self.note_events_sent();
                             return Some(Ok(Frame::data(events)));
                         }
@@ -329,9 +334,10 @@
         }
     }
 
-    fn note_run_goes_on(&self) {
+    fn note_progress(&mut self) {
         let (now, source) = (self.now(), &self.handover.source().name);
-        self.handler.shared.run_starts().goes_on(now, &self.fwd.info.run, source);
+        let mut starts = self.handler.shared.run_starts();
+        self.has_outlived_start = starts.progressed(now, &self.fwd.info.run, source);
     }
 
     fn note_events_sent(&mut self) {
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -243,6 +243,7 @@
         let source = &self.handover.source().name;
         self.handler.shared.run_starts().broke(now, &self.fwd.info.run, source);
         self.moves += 1;
+        self.has_outlived_start = false;
         self.body = body;
         self.events.discard_partial_event();
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
