A silent engine keeps its run for 1.8 s

A run with a copy went on elsewhere 1,010 ms after its last event (600 ms of silence and one failed health check), so that both engines could work on it. Class: silence is taken for an end.

A failed health check counts only after 1.8 s of silence; checks go on every 600 ms. Engines that break their connections are left at once, as before.

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -12,6 +12,10 @@
 /// Time without data after which the source is checked, or left if the run may have stopped.
 pub const SILENCE: Millis = Millis(600);
 
+/// Silence that a sound engine may fall into, health checks included. Its run does not continue
+/// elsewhere before that: both engines would work on it.
+pub const SOUND_SILENCE: Millis = Millis(1_800);
+
 /// Pause after an attempt to continue the run that was not sent; it doubles with each further one.
 const RETRY_PAUSE: Millis = Millis(50);
 const MAX_RETRY_PAUSE: Millis = Millis(400);
@@ -367,7 +371,9 @@
     pub fn on_check(&mut self, now: Time, is_alive: bool) {
         self.is_checking = false;
         // Data that arrived since the check began shows that the source is alive.
-        self.is_suspect = !is_alive && self.last_data_at <= self.checked_at;
+        let has_been_silent = self.last_data_at <= self.checked_at;
+        let is_long = now.since(self.last_data_at) >= SOUND_SILENCE;
+        self.is_suspect = !is_alive && has_been_silent && is_long;
         self.checked_at = now;
     }
 
