--- a/http/src/body_budget.rs
+++ b/http/src/body_budget.rs
@@ -83,7 +83,7 @@
 
 /// A buffered body with its share of the budget.
 #[derive(Debug)]
-pub(crate) struct BufferedBody {
+pub struct BufferedBody {
     buf: Vec<u8>,
     share: BudgetShare,
 }
@@ -95,16 +95,23 @@
 }
 
 impl BufferedBody {
-    pub(crate) fn new(share: BudgetShare) -> Self {
+    /// An empty body that takes its memory from `share`.
+    pub fn new(share: BudgetShare) -> Self {
         Self { buf: Vec::new(), share }
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// Size in bytes.
+    pub fn len(&self) -> usize {
         self.buf.len()
     }
 
+    /// Whether nothing was added.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// Adds `data`; allocates at most twice the size of the body, and no more than `max_bytes`.
-    pub(crate) fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), BudgetExceeded> {
+    pub fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), BudgetExceeded> {
         let needed = self.buf.len() + data.len();
         if needed > self.buf.capacity() {
             let capacity = (2 * self.buf.len()).min(max_bytes).max(needed);
@@ -116,7 +123,7 @@
     }
 
     /// The body; its share of the budget is returned when the last reference to it is dropped.
-    pub(crate) fn freeze(self) -> Bytes {
+    pub fn freeze(self) -> Bytes {
         Bytes::from_owner(self)
     }
 }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod path_faults;
 pub mod server;
 
-pub use body_budget::{BodyBudget, BudgetExceeded, BudgetShare};
+pub use body_budget::{BodyBudget, BudgetExceeded, BudgetShare, BufferedBody};
 pub use client::{BodyLimits, Client, ClientResponse, Reuse, SendError};
 pub use lines::JsonLines;
 pub use path_faults::{PathFault, PathFaults};
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 
 /// Largest response body that is accepted, in bytes; typical ones are a few kilobytes.
-const MAX_RESPONSE_BYTES: usize = 16_777_216;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16_777_216;
 
 /// Timeout of an attempt that may be retried; the longest processing time that users specify is
 /// 220 ms.
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -8,7 +8,7 @@
 
 pub(crate) use receive::{CarriedCall, CarriedParts};
 
-use crate::call::BufferedResponse;
+use crate::call::{BufferedResponse, MAX_RESPONSE_BYTES};
 use crate::forward::Forward;
 use crate::handler::{CallerResponse, RequestHandler};
 use crate::refusal::Refusal;
@@ -18,7 +18,7 @@
 use crate::shared::Shared;
 use crate::stream::StreamCut;
 use crate::wire::{Resume, Wire};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use hyper::body::Frame;
 use hyper::header::{HeaderName, HeaderValue};
@@ -28,7 +28,7 @@
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::BudgetShare;
+use magnoliawinch_http::{BudgetShare, BufferedBody};
 use magnoliawinch_peer::{CarriedHead, CarriedHeader, CarriedPart, CarriedRequest, CarriedResume};
 use magnoliawinch_runtime::InProgressGuard;
 use rand::seq::SliceRandom;
@@ -50,9 +50,6 @@
 /// Retry delay for a caller whose request no host could take.
 const NO_HOST_RETRY_AFTER: Millis = Millis(500);
 
-/// Largest body of a response that is not a stream, in bytes, like that of an upstream.
-const MAX_RESPONSE_BYTES: usize = 16_777_216;
-
 /// Why a host has not served a request.
 #[derive(Debug, Error)]
 enum CarryError {
@@ -332,14 +329,13 @@
 
 /// Reads the rest of a response; `None` if it broke off, is too large or takes more than its `share` of
 /// the memory for responses.
-async fn read_body(parts: &mut Streaming<CarriedPart>, mut share: BudgetShare) -> Option<Bytes> {
-    let mut body = BytesMut::new();
+async fn read_body(parts: &mut Streaming<CarriedPart>, share: BudgetShare) -> Option<Bytes> {
+    let mut body = BufferedBody::new(share);
     loop {
         match parts.message().await {
             Ok(Some(part)) if part.is_end => return Some(body.freeze()),
             Ok(Some(part)) if body.len() + part.data.len() <= MAX_RESPONSE_BYTES => {
-                share.cover(body.len() + part.data.len()).ok()?;
-                body.extend_from_slice(&part.data);
+                body.push(&part.data, MAX_RESPONSE_BYTES).ok()?;
             }
             _ => return None,
         }
--- a/relay/src/control/fatal_parts.rs
+++ b/relay/src/control/fatal_parts.rs
@@ -71,7 +71,7 @@
                 PartNews::Survived(part, begun_at) => {
                     self.fatal_parts.record_survival(now, part, begun_at)
                 }
-                PartNews::Ended(end) => self.learn_engine_end(now, &end, source),
+                PartNews::Ended(end) => self.learn_engine_end(now, &end),
             };
         }
         if is_news {
@@ -83,17 +83,16 @@
         }
     }
 
-    fn learn_engine_end(&mut self, now: Time, end: &EngineEnd, source: &'static str) -> bool {
+    fn learn_engine_end(&mut self, now: Time, end: &EngineEnd) -> bool {
         if !self.fatal_parts.record_end(now, end) {
             return false;
         }
         let mut suspects = end.suspects.clone();
-        if source == "peer" {
-            let own = EngineEnd { suspects: Vec::new(), ..end.clone() };
-            if let Some(own) = self.with_own_suspects(own) {
-                self.fatal_parts.record_end(now, &own);
-                suspects.extend(own.suspects);
-            }
+        let own = EngineEnd { suspects: Vec::new(), ..end.clone() };
+        // Of an end that this daemon has found itself, they are in `end`.
+        if let Some(own) = self.with_own_suspects(own) {
+            self.fatal_parts.record_end(now, &own);
+            suspects.extend(own.suspects);
         }
         for part in suspects.iter().flat_map(|suspect| suspect.parts.iter()) {
             if let Some(begun_at) = self.survivals.last(*part) {
