--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -45,6 +45,9 @@
     pub waiting: u32,
     /// Maximum concurrent calls.
     pub slots: u32,
+    /// How long work takes on the server's machine at this moment, in hundredths of the usual time;
+    /// absent if the server does not report it.
+    pub slowdown_percent: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/core/tests/balance.rs
+++ b/core/tests/balance.rs
@@ -59,7 +59,11 @@
     for _ in 0..9 {
         balancer.started(Time(0), &names[0]);
     }
-    balancer.record_load(Time(0), &names[1], Load { running: 6, waiting: 10, slots: 6 });
+    balancer.record_load(
+        Time(0),
+        &names[1],
+        Load { running: 6, waiting: 10, slots: 6, slowdown_percent: None },
+    );
     let chosen = choices(&mut balancer, Time(10), 100);
     assert_eq!(chosen, [0, 0, 100]);
 }
