--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -7,13 +7,16 @@
 
 mod engine;
 mod messages;
+mod mixing;
 mod queue;
 mod relocation;
+mod speed;
 
 pub use messages::{
-    EndedRun, EngineUse, Event, Occupancy, Placement, PlacementDecision, PlacementRequest, Report,
-    RunState,
+    EndedRun, EngineSlowdown, EngineUse, Event, Occupancy, Placement, PlacementDecision,
+    PlacementRequest, Report, RunState,
 };
+pub use mixing::MixingCounts;
 pub use relocation::{DrainStatus, FailedMove, FailedMoves, MoveFailure, MoveMethod, RunMove};
 
 use crate::admission::load::Footprint;
@@ -27,6 +30,7 @@
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
 use relocation::{LinkUse, PendingMove, Refusals, Retries};
+use speed::PoolSpeed;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -56,6 +60,8 @@
 /// upstreams within about a second.
 const NO_ENGINE_RETRY_AFTER: Millis = Millis(1_000);
 
+const PERCENT: f64 = 100.0;
+
 const MAX_RETRY_AFTER: Millis = Millis(10_000);
 
 #[derive(Clone, Debug)]
@@ -76,6 +82,7 @@
     prefill_due: Time,
     /// When its holder last reported it; `placed_at` before the first report.
     confirmed_at: Time,
+    max_pause: Option<Millis>,
 }
 
 impl Run {
@@ -87,6 +94,11 @@
         self.footprint.expected_residual(now, STEP_MS) * STEP_MS
     }
 
+    /// Whether it will probably write for a while.
+    fn is_long(&self, now: Time) -> bool {
+        self.remaining_ms(now) >= MIN_TIME_LEFT.0 as f64
+    }
+
     /// Whether it has no output well after its prefill should be complete.
     fn is_stuck(&self) -> bool {
         let has_begun = self.footprint.written > 0.0;
@@ -125,6 +137,10 @@
     failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
+    speed: PoolSpeed,
+    /// Whether prompts are kept away from streams that they would make late.
+    keeps_pauses: bool,
+    mixing: MixingCounts,
 }
 
 impl Pool {
@@ -143,9 +159,17 @@
             busy_links: HashMap::new(),
             failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
+            speed: PoolSpeed::default(),
+            keeps_pauses: false,
+            mixing: MixingCounts::default(),
         }
     }
 
+    /// The same pool, which keeps prompts away from streams that they would make late if `keeps_pauses`.
+    pub fn with_pauses_kept(self, keeps_pauses: bool) -> Self {
+        Self { keeps_pauses, ..self }
+    }
+
     /// Applies new engine settings.
     pub fn set_config(&mut self, config: EngineConfig) {
         self.config = config;
@@ -351,11 +375,15 @@
 
     fn start(&mut self, now: Time, request: &PlacementRequest, placement: &Placement) {
         self.queue.remove(&request.run);
+        self.count_mixing(now, request, placement);
         let length_distribution =
             self.lengths.distribution(&self.service, &request.kind, &request.organisation);
+        let prefill_ms = match self.engines.get(&placement.engine) {
+            Some(engine) => self.prefill_ms(request, engine),
+            None => request.prefill_ms(),
+        };
         let engine = self.engines.get_mut(&placement.engine);
-        let prefill_due =
-            engine.map_or(now, |engine| engine.queue_prefill(now, request.prefill_ms()));
+        let prefill_due = engine.map_or(now, |engine| engine.queue_prefill(now, prefill_ms));
         let run = Run {
             holder: request.holder.clone(),
             organisation: request.organisation.clone(),
@@ -374,6 +402,7 @@
             placed_at: now,
             prefill_due,
             confirmed_at: now,
+            max_pause: request.max_pause,
         };
         self.add_to_loads(now, placement, &run.footprint);
         self.runs.insert(request.run.clone(), run);
@@ -389,6 +418,7 @@
         for run in report.released {
             self.runs.remove(run);
         }
+        self.record_slowdowns(now, report.slowdowns);
         for state in report.runs {
             let footprint = self.footprint(now, state);
             // The holder may not know yet that the backup engine is draining.
@@ -432,6 +462,7 @@
                         placed_at: now,
                         prefill_due: now,
                         confirmed_at: now,
+                        max_pause: state.max_pause,
                     };
                     run.update_move(now, state);
                     self.has_unchecked_engines = true;
@@ -447,6 +478,20 @@
         });
     }
 
+    fn record_slowdowns(&mut self, now: Time, slowdowns: &[EngineSlowdown]) {
+        for reported in slowdowns {
+            let slowdown = f64::from(reported.percent) / PERCENT;
+            let engine = self.engines.get_mut(&reported.engine);
+            let ratio = engine.and_then(|engine| engine.speed.record(now - reported.age, slowdown));
+            if let Some(ratio) = ratio {
+                self.speed.record(ratio);
+            }
+        }
+        if !slowdowns.is_empty() {
+            self.speed.set_mean(self.engines.values().filter_map(|engine| engine.speed.lasting()));
+        }
+    }
+
     /// Expected wait for a placement, from the memory that running runs free per millisecond.
     fn expected_wait(&self, now: Time, request: &PlacementRequest) -> Millis {
         let ahead: f64 = self.queue.tokens_ahead_of(now, request);
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -1,5 +1,6 @@
 //! Engine loads, and the choice of an engine for a run.
 
+use super::speed::EngineSpeed;
 use super::{MIN_TIME_LEFT, Placement, PlacementRequest, Pool, REMOTE_USE_LIFETIME, STEP_MS};
 use crate::admission::load::{Footprint, Projection, running_horizons};
 use crate::fleet::ListedUpstream;
@@ -72,6 +73,7 @@
     pub(super) remote: Option<RemoteUse>,
     /// Moving average of the time per token, in milliseconds, and when it was last updated.
     pub(super) token_time: Option<(f64, Time)>,
+    pub(super) speed: EngineSpeed,
 }
 
 impl Engine {
@@ -84,6 +86,7 @@
             prefill_until: 0.0,
             remote: None,
             token_time: None,
+            speed: EngineSpeed::default(),
         }
     }
 
@@ -102,9 +105,10 @@
         self.token_time = Some((old + TOKEN_TIME_EWMA_WEIGHT * (observed - old), now));
     }
 
-    pub(super) fn token_ms(&self, now: Time) -> f64 {
+    /// Time per token; `usual` if no run has shown it lately.
+    pub(super) fn token_ms(&self, now: Time, usual: f64) -> f64 {
         let fresh = self.token_time.filter(|(_, at)| now.since(*at) < TOKEN_TIME_LIFETIME);
-        fresh.map_or(STEP_MS, |(token_time, _)| token_time)
+        fresh.map_or(usual, |(token_time, _)| token_time)
     }
 
     pub(super) fn record_remote_use(&mut self, now: Time, running: u32, tokens: u64) {
@@ -123,7 +127,7 @@
         Time(self.prefill_until as u64)
     }
 
-    fn prefill_wait(&self, now: Time) -> f64 {
+    pub(super) fn prefill_wait(&self, now: Time) -> f64 {
         (self.prefill_until - now.0 as f64).max(0.0)
     }
 }
@@ -135,11 +139,22 @@
     projection: Projection,
     /// Whether a run waits there for memory, so that more is held than the pool knows.
     is_stuck: bool,
+    /// Streams that a prompt read in a slow moment of the machine would make late.
+    sensitive: f64,
+    /// Runs that will probably write for a while.
+    streams: f64,
 }
 
 impl EngineLoad {
     fn new(running: f64, tokens: f64) -> Self {
-        Self { running, tokens, projection: Projection::new(tokens), is_stuck: false }
+        Self {
+            running,
+            tokens,
+            projection: Projection::new(tokens),
+            is_stuck: false,
+            sensitive: 0.0,
+            streams: 0.0,
+        }
     }
 }
 
@@ -195,6 +210,10 @@
     pub(super) tokens: f64,
     /// Whether a run waits there for memory.
     pub(super) is_stuck: bool,
+    /// Other streams there that a prompt read in a slow moment of the machine would make late.
+    pub(super) sensitive: f64,
+    /// Other runs there that will probably write for a while.
+    pub(super) streams: f64,
 }
 
 impl Pool {
@@ -219,9 +238,16 @@
             own_peak: projection.peak_within(HEADROOM, added.horizons),
             tokens: base.tokens + added.tokens,
             is_stuck: base.is_stuck,
+            sensitive: base.sensitive,
+            streams: base.streams,
         }
     }
 
+    /// Streams at an engine that a prompt read in a slow moment would make late.
+    pub(super) fn sensitive_streams(&self, now: Time, name: &UpstreamName) -> f64 {
+        self.load_of(now, name).sensitive
+    }
+
     /// The load of an engine, from the loads cached for `now`.
     fn load_of(&self, now: Time, name: &UpstreamName) -> EngineLoad {
         let mut loads = self.loads.borrow_mut();
@@ -254,6 +280,10 @@
                 if let Some(load) = by_engine.get_mut(name) {
                     load.add(now, &run.footprint, is_running);
                     load.is_stuck |= *name == run.engine && run.is_stuck();
+                    if is_running && run.is_long(now) {
+                        load.streams += 1.0;
+                        load.sensitive += f64::from(u8::from(self.is_sensitive_at(run, name)));
+                    }
                 }
             }
         }
@@ -289,10 +319,10 @@
 
     /// Whether the engine prefills the prompt soon enough. A request that would be late behind the
     /// engine's backlog may still be on time at an engine that gets room while the request waits.
-    fn prefills_in_time(now: Time, engine: &Engine, request: &PlacementRequest) -> bool {
+    fn prefills_in_time(&self, now: Time, engine: &Engine, request: &PlacementRequest) -> bool {
         let wait = engine.prefill_wait(now);
         match request.can_be_on_time(now) {
-            true => request.is_on_time_after(now, wait),
+            true => request.is_on_time_after(now, wait, self.prefill_ms(request, engine)),
             false => wait <= LATE_PREFILL_WAIT_MS,
         }
     }
@@ -318,12 +348,14 @@
                 continue;
             }
             has_room = true;
-            if load.is_stuck || !Self::prefills_in_time(now, engine, request) {
+            if load.is_stuck || !self.prefills_in_time(now, engine, request) {
                 continue;
             }
             let is_cross_domain = engine.failure_domain != request.holder_domain;
-            let extra_ms = mean_length * (engine.token_ms(now) - STEP_MS);
+            let extra_ms =
+                mean_length * (engine.token_ms(now, self.usual_token_ms(engine)) - STEP_MS);
             let score = engine.prefill_wait(now)
+                + self.mixing_cost_ms(now, engine, &load, request)
                 + SLOWNESS_WEIGHT * extra_ms
                 + self.contention_ms(load.peak, load.running)
                 + if is_cross_domain { CROSS_DOMAIN_MS } else { 0.0 };
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -36,22 +36,26 @@
     pub patience_until: Time,
     /// Engines that refused it, or want no requests of its holder, and must not be chosen.
     pub avoid: Vec<UpstreamName>,
+    /// Longest pause between events for which it is on time.
+    pub max_pause: Option<Millis>,
 }
 
 impl PlacementRequest {
+    /// Time to prefill the prompt at an engine of the usual speed.
     pub(super) fn prefill_ms(&self) -> f64 {
         f64::from(self.prompt_tokens) / PREFILL_TOKENS_PER_MS
     }
 
-    /// Whether its first event meets the deadline at an engine with a prefill backlog of `wait_ms`.
-    pub(super) fn is_on_time_after(&self, now: Time, wait_ms: f64) -> bool {
-        let first_event = now.0 as f64 + wait_ms + self.prefill_ms() + FIRST_EVENT_MS;
+    /// Whether its first event meets the deadline at an engine that has a prefill backlog of `wait_ms`
+    /// and takes `prefill_ms` for the prompt.
+    pub(super) fn is_on_time_after(&self, now: Time, wait_ms: f64, prefill_ms: f64) -> bool {
+        let first_event = now.0 as f64 + wait_ms + prefill_ms + FIRST_EVENT_MS;
         first_event <= self.first_event_deadline.0 as f64
     }
 
     /// Whether it can still meet its deadline at an engine without a prefill backlog.
     pub(super) fn can_be_on_time(&self, now: Time) -> bool {
-        self.is_on_time_after(now, 0.0)
+        self.is_on_time_after(now, 0.0, self.prefill_ms())
     }
 }
 
@@ -111,6 +115,19 @@
     pub moving_to: Option<UpstreamName>,
     /// Engines that refused it since it was ordered to move.
     pub refused: Vec<UpstreamName>,
+    /// Longest pause between events for which it is on time.
+    pub max_pause: Option<Millis>,
+}
+
+/// How long work takes on an engine's machine, as a response of the engine stated it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineSlowdown {
+    /// The engine.
+    pub engine: UpstreamName,
+    /// Hundredths of the usual time.
+    pub percent: u32,
+    /// Time since the response.
+    pub age: Millis,
 }
 
 /// A run that completed on its own, to learn its answer length.
@@ -133,6 +150,8 @@
     pub ended: &'a [EndedRun],
     /// Runs that the daemon has stopped holding since the last report.
     pub released: &'a [RunId],
+    /// The newest figures of the engines that have responded to the daemon since the last report.
+    pub slowdowns: &'a [EngineSlowdown],
 }
 
 /// Engines, runs and memory use of a pool.
--- a/experiments/src/reclaim/simulation.rs
+++ b/experiments/src/reclaim/simulation.rs
@@ -173,6 +173,7 @@
             first_event_deadline: arrival.at + kind.objective,
             patience_until: run.first_requested_at + patience,
             avoid: run.avoid.clone(),
+            max_pause: None,
         }
     }
 
@@ -338,7 +339,8 @@
                 .filter(|index| self.workload.arrivals[*index].daemon == number)
                 .filter_map(|index| self.run_state(index))
                 .collect();
-            let report = Report { runs: &runs, ended: &ended, released: &released };
+            let report =
+                Report { runs: &runs, ended: &ended, released: &released, ..Report::default() };
             self.pool.report(self.now, &daemon(number), &report);
         }
     }
--- a/experiments/src/reclaim/simulation/moves.rs
+++ b/experiments/src/reclaim/simulation/moves.rs
@@ -44,6 +44,7 @@
             priority: self.site.kinds[arrival.kind].priority,
             moving_to: run.moving_to.clone(),
             refused: run.refused_by.clone(),
+            max_pause: None,
         })
     }
 
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -3,7 +3,7 @@
 use super::updates::age_ms;
 use magnoliawinch::fatal_parts::{EngineEnd, PartNews, Suspect};
 use magnoliawinch::names::{KindName, OrganisationName, RunId, UpstreamName};
-use magnoliawinch::pool::{EndedRun, EngineUse, RunState};
+use magnoliawinch::pool::{EndedRun, EngineSlowdown, EngineUse, RunState};
 use magnoliawinch::prompt_parts::{MAX_PARTS, PartId};
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint};
 use magnoliawinch::time::{Millis, Time};
@@ -22,6 +22,7 @@
         priority: u32::from(state.priority),
         moving_to: state.moving_to.as_ref().map(ToString::to_string).unwrap_or_default(),
         refused: state.refused.iter().map(ToString::to_string).collect(),
+        max_pause_ms: state.max_pause.map(|pause| pause.0 as u32),
     }
 }
 
@@ -39,6 +40,23 @@
         priority: message.priority.min(u32::from(u8::MAX)) as u8,
         moving_to: upstream(&message.moving_to),
         refused: message.refused.iter().map(|name| UpstreamName::new(name)).collect(),
+        max_pause: message.max_pause_ms.map(|ms| Millis(u64::from(ms))),
+    }
+}
+
+pub(super) fn slowdown_to_proto(slowdown: &EngineSlowdown) -> magnoliawinch_peer::EngineSlowdown {
+    magnoliawinch_peer::EngineSlowdown {
+        engine: slowdown.engine.to_string(),
+        percent: slowdown.percent,
+        age_ms: slowdown.age.0 as u32,
+    }
+}
+
+pub(super) fn slowdown_from_proto(message: &magnoliawinch_peer::EngineSlowdown) -> EngineSlowdown {
+    EngineSlowdown {
+        engine: UpstreamName::new(&message.engine),
+        percent: message.percent,
+        age: Millis(u64::from(message.age_ms)),
     }
 }
 
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -99,7 +99,9 @@
                 match pools.get_mut(&key) {
                     Some(pool) => pool.set_config(config),
                     None => {
-                        pools.insert(key, Pool::new(name.clone(), config));
+                        let pool = Pool::new(name.clone(), config)
+                            .with_pauses_kept(self.shared.settings.scheduling.keeps_pauses);
+                        pools.insert(key, pool);
                     }
                 }
             }
@@ -213,10 +215,13 @@
                 continue;
             }
             let (service, cell) = (key.service.as_str(), key.cell.number());
-            let occupancy = pool.occupancy(now);
+            let (occupancy, mixing) = (pool.occupancy(now), pool.take_mixing_counts());
             log::info!(
                 service,
                 cell,
+                prompts_apart = mixing.apart,
+                prompts_beside = mixing.beside,
+                expected_late = mixing.expected_late,
                 engines = occupancy.engines,
                 running = occupancy.running,
                 waiting = occupancy.waiting,
--- a/relay/src/control/reports.rs
+++ b/relay/src/control/reports.rs
@@ -1,7 +1,8 @@
 //! Reports of runs to the owners of their cells, and the owners' replies.
 
 use super::convert::{
-    ended_from_proto, ended_to_proto, run_from_proto, run_to_proto, use_from_proto, use_to_proto,
+    ended_from_proto, ended_to_proto, run_from_proto, run_to_proto, slowdown_from_proto,
+    slowdown_to_proto, use_from_proto, use_to_proto,
 };
 use super::pools::PoolKey;
 use super::{Control, Message};
@@ -38,7 +39,7 @@
         let services: HashSet<_> =
             self.pools.by_key.keys().map(|key| key.service.clone()).collect();
         for service in services {
-            let update = self.shared.runs.take_update(&service);
+            let update = self.shared.runs.take_update(now, &service);
             for (cell, part) in update.by_cell(self.cells.layout, home) {
                 let key = PoolKey { service: service.clone(), cell };
                 if let Some(pool) = self.pools.by_key.get_mut(&key) {
@@ -63,6 +64,7 @@
             configuration_version: self.version(),
             cell: Some(key.cell.into()),
             wants_list: self.gets_list_from_owners_of(key.cell),
+            slowdowns: update.slowdowns.iter().map(slowdown_to_proto).collect(),
         }
     }
 
@@ -101,6 +103,7 @@
             runs: report.runs.iter().map(run_from_proto).collect(),
             ended: report.ended.iter().map(ended_from_proto).collect(),
             released: Vec::new(),
+            slowdowns: report.slowdowns.iter().map(slowdown_from_proto).collect(),
         };
         let cell = report.cell.as_ref().and_then(CellOf::cell).unwrap_or(Cell::ALL);
         let released: Vec<_> = report.over.iter().map(|run| RunId::new(run)).collect();
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -405,6 +405,11 @@
         let info = self.wire.parse_response_headers(response.headers());
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = info.retry_after.filter(|_| refused);
+        // Another upstream may have responded.
+        let load = info.load.filter(|_| response.status() != StatusCode::MISDIRECTED_REQUEST);
+        if let Some(percent) = load.and_then(|load| load.slowdown_percent) {
+            self.shared.note_slowdown(service, &to.name, percent);
+        }
         if info.is_leaving || retry_after.is_some() {
             let upstream = to.incarnation(service);
             self.shared.note_statements(&upstream, info.is_leaving, retry_after);
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -114,6 +114,7 @@
             first_event_deadline: now + Millis(u64::from(req.on_time_ms)),
             patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
+            max_pause: req.max_pause_ms.map(|ms| Millis(u64::from(ms))),
         });
         let cell = req.cell.as_ref().and_then(CellOf::cell);
         let cell = cell.ok_or_else(|| Status::invalid_argument("no cell"))?;
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -157,6 +157,7 @@
             patience_ms: Self::remaining_wait(fwd).0 as u32,
             avoid: avoid.iter().map(UpstreamName::to_string).collect(),
             cell: Some(cell.into()),
+            max_pause_ms: fwd.route.max_pause.map(|pause| pause.0 as u32),
         };
         let call = self.shared.peers.call(
             owner.peer_address,
@@ -206,6 +207,7 @@
             first_event_deadline: self.shared.clock.now() + Self::time_to_objective(fwd),
             patience_until: self.shared.clock.now() + Self::remaining_wait(fwd),
             avoid: avoid.to_vec(),
+            max_pause: fwd.route.max_pause,
         }
     }
 }
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -4,7 +4,8 @@
 use magnoliawinch::crash_detection::UpstreamProcess;
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
-use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
+use magnoliawinch::pool::{EndedRun, EngineSlowdown, Placement, Report, RunState};
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_notices::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -95,6 +96,8 @@
     pub(crate) prompt_tokens: u32,
     pub(crate) max_tokens: u32,
     pub(crate) priority: u8,
+    /// Longest pause between events for which it is on time.
+    pub(crate) max_pause: Option<Millis>,
     /// Whether it runs in a pool of engines, whose owner receives reports of it.
     pub(crate) is_pooled: bool,
 }
@@ -132,6 +135,7 @@
             priority: self.info.priority,
             moving_to: moving.to,
             refused: moving.refused_by,
+            max_pause: self.info.max_pause,
         }
     }
 }
@@ -148,6 +152,8 @@
     ended: Vec<EndedRun>,
     /// Runs no longer held, each with its last engine.
     released: Vec<(RunId, UpstreamName)>,
+    /// How long work takes on the engines that have responded, in hundredths of the usual time.
+    slowdowns: HashMap<UpstreamName, (Time, u32)>,
 }
 
 /// The runs of a service and its events since the last report.
@@ -157,12 +163,13 @@
     pub(crate) ended: Vec<EndedRun>,
     /// Runs no longer held, each with its last engine.
     pub(crate) released: Vec<(RunId, UpstreamName)>,
+    pub(crate) slowdowns: Vec<EngineSlowdown>,
 }
 
 impl RunsUpdate {
     /// The same as a report to a pool; `released` are the ids of the runs no longer held.
     pub(crate) fn report<'a>(&'a self, released: &'a [RunId]) -> Report<'a> {
-        Report { runs: &self.runs, ended: &self.ended, released }
+        Report { runs: &self.runs, ended: &self.ended, released, slowdowns: &self.slowdowns }
     }
 
     /// Ids of the runs no longer held.
@@ -179,6 +186,9 @@
         for (run, engine) in self.released {
             parts.entry(layout.cell_of(&engine)).or_default().released.push((run, engine));
         }
+        for slowdown in self.slowdowns {
+            parts.entry(layout.cell_of(&slowdown.engine)).or_default().slowdowns.push(slowdown);
+        }
         parts.entry(home).or_default().ended = self.ended;
         parts
     }
@@ -227,10 +237,34 @@
     }
 
     /// Current states of the runs of a service, and its events since the last call.
-    pub(crate) fn take_update(&self, service: &ServiceName) -> RunsUpdate {
+    pub(crate) fn take_update(&self, now: Time, service: &ServiceName) -> RunsUpdate {
         let runs = self.states(service);
         let unreported = self.lock().unreported.remove(service).unwrap_or_default();
-        RunsUpdate { runs, ended: unreported.ended, released: unreported.released }
+        let slowdowns = unreported.slowdowns.into_iter();
+        let slowdowns = slowdowns.map(|(engine, (at, percent))| EngineSlowdown {
+            engine,
+            percent,
+            age: now.since(at),
+        });
+        RunsUpdate {
+            runs,
+            ended: unreported.ended,
+            released: unreported.released,
+            slowdowns: slowdowns.collect(),
+        }
+    }
+
+    /// Notes how long work takes on the machine of an engine that has responded.
+    pub(crate) fn note_slowdown(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        engine: &UpstreamName,
+        percent: u32,
+    ) {
+        let mut inner = self.lock();
+        let unreported = inner.unreported.entry(service.clone()).or_default();
+        unreported.slowdowns.insert(engine.clone(), (now, percent));
     }
 
     /// Sends an order to a run; returns whether the run is held here and its queue has room.
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use magnoliawinch::names::{FailureDomain, HostName};
 use magnoliawinch::retry::SharedRetryLimits;
 use magnoliawinch::time::Millis;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
@@ -35,6 +36,15 @@
     pub store_address: SocketAddr,
     /// Limits set by the platform.
     pub bounds: Bounds,
+    /// How runs are placed on engines.
+    pub scheduling: Scheduling,
+}
+
+/// How runs are placed on engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduling {
+    /// Whether prompts are kept away from streams whose pauses they would make too long.
+    pub keeps_pauses: bool,
 }
 
 /// Limits set by the platform.
@@ -86,17 +96,21 @@
     /// Parses a settings file; the error names the section or key at fault.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let doc = Document::parse(text)?;
-        let known = ["daemon", "host", "platform", "bounds"];
+        let known = ["daemon", "host", "platform", "bounds", "scheduling"];
         if let Some(section) = doc.sections().keys().find(|s| !known.contains(&s.as_str())) {
             return Err(IniError::UnknownSection {
                 section: section.clone(),
-                expected: "[daemon], [host], [platform] or [bounds]".to_owned(),
+                expected: "[daemon], [host], [platform], [bounds] or [scheduling]".to_owned(),
             });
         }
         let mut daemon = doc.section("daemon")?;
         let mut host = doc.section("host")?;
         let mut platform = doc.section("platform")?;
         let mut bounds = doc.section("bounds")?;
+        let mut scheduling = match doc.sections().contains_key("scheduling") {
+            true => doc.section("scheduling")?,
+            false => SectionReader::new("scheduling", &BTreeMap::new()),
+        };
         let peer_address = daemon.required("peer_address")?;
         let memory_mb = bounds.number_or("memory_mb", 256, MEMORY_MB)?;
         let response_buffer_mb = memory_mb / RESPONSE_BUFFER_DIVISOR;
@@ -132,7 +146,9 @@
                     DEFAULT_MAX_RETRY_AFTER_S,
                 )?,
             },
+            scheduling: Scheduling { keeps_pauses: scheduling.value_or("keep_pauses", false)? },
         };
+        scheduling.finish()?;
         daemon.finish()?;
         host.finish()?;
         platform.finish()?;
--- a/relay/src/statements.rs
+++ b/relay/src/statements.rs
@@ -2,6 +2,7 @@
 
 use crate::control::Message;
 use crate::shared::Shared;
+use magnoliawinch::names::{ServiceName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::{Brittle, Terms};
 use magnoliawinch::upstream_notices::Incarnation;
@@ -36,6 +37,17 @@
         }
     }
 
+    /// Notes how long work takes on the machine of an engine, in hundredths of the usual time.
+    pub(crate) fn note_slowdown(&self, service: &ServiceName, engine: &UpstreamName, percent: u32) {
+        let view = self.view.load();
+        let service = view.table.as_ref().and_then(|table| table.service(service.as_str()));
+        if self.settings.scheduling.keeps_pauses
+            && let Some(service) = service.filter(|service| service.engine.is_some())
+        {
+            self.runs.note_slowdown(self.clock.now(), &service.name, engine, percent);
+        }
+    }
+
     /// The limits that an upstream names.
     pub(crate) fn terms(
         &self,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -193,6 +193,7 @@
             prompt_tokens: fwd.info.prompt.map_or(0, |prompt| prompt.tokens),
             max_tokens: fwd.info.prompt.map_or(0, |prompt| prompt.max_answer_tokens),
             priority: fwd.priority(),
+            max_pause: fwd.route.max_pause,
             is_pooled: fwd.is_pooled,
         }
     }
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -27,6 +27,7 @@
         prompt_tokens: 100,
         max_tokens: 100,
         priority: 1,
+        max_pause: None,
         is_pooled: true,
     };
     runs.register(info, Assignment { engine: endpoint("e1"), backup: None })
