--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -6,6 +6,7 @@
 //! fallback when no owner replies, so losing an owner costs only efficiency.
 
 mod engine;
+mod handoff;
 mod messages;
 mod mixing;
 mod queue;
@@ -28,6 +29,7 @@
 use crate::route_table::EngineConfig;
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
+use handoff::HandoffBudget;
 use queue::Queue;
 use relocation::{LinkUse, PendingMove, Refusals, Retries};
 use speed::PoolSpeed;
@@ -62,6 +64,8 @@
 
 const PERCENT: f64 = 100.0;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 const MAX_RETRY_AFTER: Millis = Millis(10_000);
 
 #[derive(Clone, Debug)]
@@ -83,6 +87,8 @@
     /// When its holder last reported it; `placed_at` before the first report.
     confirmed_at: Time,
     max_pause: Option<Millis>,
+    /// When its holder first reported output.
+    begun_at: Option<Time>,
 }
 
 impl Run {
@@ -141,6 +147,7 @@
     /// Whether prompts are kept away from streams that they would make late.
     keeps_pauses: bool,
     mixing: MixingCounts,
+    handoffs: HandoffBudget,
 }
 
 impl Pool {
@@ -162,6 +169,7 @@
             speed: PoolSpeed::default(),
             keeps_pauses: false,
             mixing: MixingCounts::default(),
+            handoffs: HandoffBudget::new(0.0, 0.0),
         }
     }
 
@@ -175,6 +183,12 @@
         self.config = config;
     }
 
+    /// The same pool, which hands runs to engines that write: so many for each placed run, and so many a
+    /// second besides.
+    pub fn with_handoffs(self, per_placement: f64, per_second: f64) -> Self {
+        Self { handoffs: HandoffBudget::new(per_placement, per_second / MILLIS_PER_SECOND), ..self }
+    }
+
     /// Number of queued runs.
     pub fn waiting(&self) -> usize {
         self.queue.len()
@@ -280,10 +294,11 @@
             self.runs.get(&request.run).filter(|run| !request.avoid.contains(&run.engine))
         {
             return PlacementDecision::Placed(Placement {
-                engine: run.engine.clone(),
                 backup: run.backup.clone(),
+                ..Placement::new(run.engine.clone())
             });
         }
+        self.forget_prefill(&request);
         let must_queue = self.queue.has_ahead_of(now, &request);
         if !must_queue && let Choice::Fits(placement) = self.choose_engine(now, &request) {
             self.start(now, &request, &placement);
@@ -376,6 +391,7 @@
     fn start(&mut self, now: Time, request: &PlacementRequest, placement: &Placement) {
         self.queue.remove(&request.run);
         self.count_mixing(now, request, placement);
+        self.handoffs.note_placement();
         let length_distribution =
             self.lengths.distribution(&self.service, &request.kind, &request.organisation);
         let prefill_ms = match self.engines.get(&placement.engine) {
@@ -403,6 +419,7 @@
             prefill_due,
             confirmed_at: now,
             max_pause: request.max_pause,
+            begun_at: None,
         };
         self.add_to_loads(now, placement, &run.footprint);
         self.runs.insert(request.run.clone(), run);
@@ -446,6 +463,9 @@
                     }
                     run.backup = backup;
                     run.footprint = footprint;
+                    if state.written > 0 {
+                        run.begun_at = run.begun_at.or(Some(now));
+                    }
                     run.confirmed_at = now;
                 }
                 None => {
@@ -463,6 +483,7 @@
                         prefill_due: now,
                         confirmed_at: now,
                         max_pause: state.max_pause,
+                        begun_at: None,
                     };
                     run.update_move(now, state);
                     self.has_unchecked_engines = true;
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -143,6 +143,8 @@
     sensitive: f64,
     /// Runs that will probably write for a while.
     streams: f64,
+    /// Shortest of the pauses that the sensitive ones are allowed.
+    min_pause: Option<Millis>,
 }
 
 impl EngineLoad {
@@ -154,6 +156,7 @@
             is_stuck: false,
             sensitive: 0.0,
             streams: 0.0,
+            min_pause: None,
         }
     }
 }
@@ -185,6 +188,16 @@
 }
 
 impl ProjectedRun {
+    /// Tokens that it is expected to write.
+    pub(super) fn remaining_tokens(&self, now: Time) -> f64 {
+        self.footprint.expected_residual(now, STEP_MS)
+    }
+
+    /// Current memory use, in tokens.
+    pub(super) fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     pub(super) fn new(now: Time, footprint: Footprint) -> Self {
         let mut projection = Projection::new(0.0);
         projection.add(now, STEP_MS, &footprint);
@@ -243,9 +256,15 @@
         }
     }
 
-    /// Streams at an engine that a prompt read in a slow moment would make late.
-    pub(super) fn sensitive_streams(&self, now: Time, name: &UpstreamName) -> f64 {
-        self.load_of(now, name).sensitive
+    /// Streams at an engine that a prompt read in a slow moment would make late, and the shortest of the
+    /// pauses that they are allowed.
+    pub(super) fn sensitive_streams(
+        &self,
+        now: Time,
+        name: &UpstreamName,
+    ) -> (f64, Option<Millis>) {
+        let load = self.load_of(now, name);
+        (load.sensitive, load.min_pause)
     }
 
     /// The load of an engine, from the loads cached for `now`.
@@ -282,7 +301,11 @@
                     load.is_stuck |= *name == run.engine && run.is_stuck();
                     if is_running && run.is_long(now) {
                         load.streams += 1.0;
-                        load.sensitive += f64::from(u8::from(self.is_sensitive_at(run, name)));
+                        if let Some(pause) = self.pause_at_risk(run, name) {
+                            load.sensitive += 1.0;
+                            let shortest = load.min_pause.map_or(pause, |least| least.min(pause));
+                            load.min_pause = Some(shortest);
+                        }
                     }
                 }
             }
@@ -367,8 +390,11 @@
             return if has_room { Choice::PrefillLate } else { Choice::NoRoom };
         };
         let engine = engine.clone();
-        let backup = self.choose_backup(now, &engine, &added);
-        Choice::Fits(Placement { engine, backup })
+        let backup = self
+            .choose_writer(now, &engine, &added, request.max_pause)
+            .or_else(|| self.choose_backup(now, &engine, &added));
+        let max_slowdown_percent = self.max_slowdown_percent(now, &engine);
+        Choice::Fits(Placement { engine, backup, max_slowdown_percent })
     }
 
     /// The engine for a run's backup copy, if one has enough idle memory.
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -66,6 +66,17 @@
     pub engine: UpstreamName,
     /// Engine that keeps a copy of its memory, if any.
     pub backup: Option<UpstreamName>,
+    /// Slowdown of the engine's machine up to which the prompt makes no stream there late, in hundredths
+    /// of the usual time; its holder checks it before it sends the request. `None` if no stream is in
+    /// danger.
+    pub max_slowdown_percent: Option<u32>,
+}
+
+impl Placement {
+    /// A run at `engine` without a backup.
+    pub fn new(engine: UpstreamName) -> Self {
+        Self { engine, backup: None, max_slowdown_percent: None }
+    }
 }
 
 /// Immediate reply to a placement request.
--- a/core/src/pool/mixing.rs
+++ b/core/src/pool/mixing.rs
@@ -5,7 +5,7 @@
 //! late, as far as they are still on time there.
 
 use super::engine::{Engine, ProjectedLoad};
-use super::{Placement, PlacementRequest, Pool, Run, STEP_MS};
+use super::{PERCENT, Placement, PlacementRequest, Pool, Run, STEP_MS};
 use crate::names::UpstreamName;
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,8 @@
     pub beside: usize,
     /// Streams that these are expected to make late.
     pub expected_late: f64,
+    /// Runs ordered to continue at another engine so that prompts there make them late no more.
+    pub handed_off: usize,
 }
 
 impl Pool {
@@ -45,7 +47,7 @@
         let Some(engine) = self.engines.get(&placement.engine).filter(|_| self.keeps_pauses) else {
             return;
         };
-        let sensitive = self.sensitive_streams(now, &placement.engine);
+        let (sensitive, _) = self.sensitive_streams(now, &placement.engine);
         let late = self.expected_late(now, engine, sensitive, request);
         match late > 0.0 {
             true => self.mixing.beside += 1,
@@ -70,19 +72,44 @@
         }
     }
 
-    /// Whether a prompt that `engine` reads in a slow moment makes a stream with this limit late.
-    fn exceeds_pause(&self, engine: &Engine, max_pause: Millis) -> bool {
-        let step = READING_STEP_MS * self.speed.in_slow_moment(&engine.speed);
-        step * f64::from(self.config.tokens_per_event) > max_pause.0 as f64
+    /// Time between two events of a stream whose engine also reads a prompt, on a machine of the usual
+    /// speed.
+    fn pause_beside_prompt_ms(&self) -> f64 {
+        READING_STEP_MS * f64::from(self.config.tokens_per_event)
     }
 
-    /// Whether a prompt read at `engine` in a slow moment makes the run late.
-    pub(super) fn is_sensitive_at(&self, run: &Run, engine: &UpstreamName) -> bool {
-        let Some(max_pause) = run.max_pause.filter(|_| self.keeps_pauses) else {
-            return false;
+    /// The pause that a run is allowed, if a prompt read at `engine` in a slow moment would exceed it.
+    pub(super) fn pause_at_risk(&self, run: &Run, engine: &UpstreamName) -> Option<Millis> {
+        let max_pause = run.max_pause.filter(|_| self.keeps_pauses)?;
+        self.exceeds_pause(engine, max_pause).then_some(max_pause)
+    }
+
+    /// Whether a prompt read at `engine` in a slow moment makes a stream with this limit late.
+    pub(super) fn exceeds_pause(&self, engine: &UpstreamName, max_pause: Millis) -> bool {
+        self.engines.get(engine).is_some_and(|engine| {
+            let slowdown = self.speed.in_slow_moment(&engine.speed);
+            self.pause_beside_prompt_ms() * slowdown > max_pause.0 as f64
+        })
+    }
+
+    /// The slowdown of an engine's machine up to which a prompt makes no stream there late.
+    pub(super) fn max_slowdown_percent(&self, now: Time, engine: &UpstreamName) -> Option<u32> {
+        let (_, min_pause) = self.sensitive_streams(now, engine);
+        min_pause.map(|pause| (PERCENT * pause.0 as f64 / self.pause_beside_prompt_ms()) as u32)
+    }
+
+    /// Takes the prompt of a run that was placed before off the backlog of its engine, which did not get
+    /// it.
+    pub(super) fn forget_prefill(&mut self, request: &PlacementRequest) {
+        let engine = self.runs.get(&request.run).map(|run| run.engine.clone());
+        let Some(engine) = engine.filter(|_| self.keeps_pauses) else {
+            return;
         };
-        let engine = self.engines.get(engine);
-        engine.is_some_and(|engine| self.exceeds_pause(engine, max_pause))
+        if let Some(ms) = self.engines.get(&engine).map(|engine| self.prefill_ms(request, engine))
+            && let Some(engine) = self.engines.get_mut(&engine)
+        {
+            engine.prefill_until -= ms;
+        }
     }
 
     /// Streams that reading the prompt of `request` at `engine`, which runs `sensitive` ones, is expected
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -191,8 +191,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct PendingMove {
     pub(super) to: UpstreamName,
-    way: MoveMethod,
-    at: Time,
+    pub(super) way: MoveMethod,
+    pub(super) at: Time,
 }
 
 /// Engines that refused to take over a run, or to copy it from themselves.
@@ -281,7 +281,7 @@
         Some(FailedMove { run, from, to, way, cause, after: now.since(at) })
     }
 
-    fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
+    pub(super) fn is_refused(&self, now: Time, engine: &UpstreamName) -> bool {
         self.refusals.contains(now, engine)
     }
 
--- a/core/src/pool/speed.rs
+++ b/core/src/pool/speed.rs
@@ -120,8 +120,8 @@
         let further = span.0 as f64 / MAX_AGE.0 as f64;
         let moments = match engine.is_slow(now) {
             Some(true) => return 1.0,
-            Some(false) => further,
-            None => 1.0 + further,
+            // Unknown states are checked before the prompt is sent.
+            Some(false) | None => further,
         };
         1.0 - (1.0 - share).powf(moments)
     }
--- a/core/src/route_table.rs
+++ b/core/src/route_table.rs
@@ -94,6 +94,9 @@
     pub name: ServiceName,
     /// Connections per upstream, from all daemons together.
     pub max_connections: u32,
+    /// Path of the upstreams' health checks, if they have one.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// Present if the upstreams are model engines.
     pub engine: Option<EngineConfig>,
 }
--- a/core/tests/pool.rs
+++ b/core/tests/pool.rs
@@ -82,7 +82,7 @@
 fn a_run_whose_move_was_refused_gets_another_engine() {
     let mut pool = draining_pool(&["r"]);
     let first = pool.plan_moves(Time(10), None).remove(0);
-    let placement = Placement { engine: UpstreamName::new("e1"), backup: None };
+    let placement = Placement::new(UpstreamName::new("e1"));
     let refused = RunState { refused: vec![first.to.clone()], ..state("r", &placement, 3_000, 5) };
     let report = Report { runs: &[refused], ..Report::default() };
     pool.report(Time(30), &HostName::new("edge-1"), &report);
@@ -186,8 +186,8 @@
 fn a_slow_engine_gets_fewer_runs() {
     let mut pool = pool(&[("e1", "a"), ("e2", "a")]);
     let holder = HostName::new("edge-1");
-    let slow = Placement { engine: UpstreamName::new("e1"), backup: None };
-    let fast = Placement { engine: UpstreamName::new("e2"), backup: None };
+    let slow = Placement::new(UpstreamName::new("e1"));
+    let fast = Placement::new(UpstreamName::new("e2"));
     for n in 1..12 {
         let runs = [
             state("slow", &slow, 3_000, u32::try_from(n * 10).unwrap()),
@@ -326,13 +326,13 @@
 #[test]
 fn a_run_is_not_moved_into_memory_that_others_need_next() {
     let mut pool = draining_pool(&["mover"]);
-    let e2 = Placement { engine: UpstreamName::new("e2"), backup: None };
-    let e3 = Placement { engine: UpstreamName::new("e3"), backup: None };
+    let e2 = Placement::new(UpstreamName::new("e2"));
+    let e3 = Placement::new(UpstreamName::new("e3"));
     let fills = |written: u32| {
         [("a", &e2), ("b", &e3)].map(|(run, placement)| state(run, placement, 28_000, written))
     };
     let report = |pool: &mut Pool, now: Time, runs: &[RunState]| {
-        let e1 = Placement { engine: UpstreamName::new("e1"), backup: None };
+        let e1 = Placement::new(UpstreamName::new("e1"));
         let mut all = vec![state("mover", &e1, 3_000, 200)];
         all.extend_from_slice(runs);
         let report = Report { runs: &all, ..Report::default() };
--- a/core/tests/relocation.rs
+++ b/core/tests/relocation.rs
@@ -12,7 +12,7 @@
 
 /// A run of `draining_pool` as its holder reports it.
 fn at_e1(run: &str) -> RunState {
-    let placement = Placement { engine: UpstreamName::new("e1"), backup: None };
+    let placement = Placement::new(UpstreamName::new("e1"));
     state(run, &placement, 3_000, 20)
 }
 
--- a/core/tests/relocation_fleet.rs
+++ b/core/tests/relocation_fleet.rs
@@ -99,7 +99,8 @@
     }
 
     fn state(&self) -> RunState {
-        let placement = Placement { engine: self.engine.clone(), backup: self.backup.clone() };
+        let backup = self.backup.clone();
+        let placement = Placement { backup, ..Placement::new(self.engine.clone()) };
         RunState {
             moving_to: self.moving_to.clone(),
             refused: self.refused.clone(),
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -25,6 +25,11 @@
 /// How long a placement request is held open before the reply that the run still waits.
 const LONG_POLL_TIMEOUT: Millis = Millis(200);
 
+/// Part of the shared retry budget for hand-offs.
+const HANDOFF_SHARE: f64 = 0.5;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Time without a reply, beyond two report intervals, after which an owner counts as silent and the
 /// daemon moves its runs itself.
 const OWNER_REPLY_SLACK: Millis = Millis(250);
@@ -88,6 +93,7 @@
             return;
         };
         let cells = self.pool_cells();
+        let (per_placement, per_second) = self.handoff_limits();
         let pools = &mut self.pools.by_key;
         pools.retain(|key, _| {
             let service = table.service(key.service.as_str());
@@ -100,7 +106,8 @@
                     Some(pool) => pool.set_config(config),
                     None => {
                         let pool = Pool::new(name.clone(), config)
-                            .with_pauses_kept(self.shared.settings.scheduling.keeps_pauses);
+                            .with_pauses_kept(self.shared.settings.scheduling.keeps_pauses)
+                            .with_handoffs(per_placement, per_second);
                         pools.insert(key, pool);
                     }
                 }
@@ -109,6 +116,15 @@
         self.update_pool_engines();
     }
 
+    /// Hand-offs for each placed run and for each second in one cell: a part of the shared retry budget,
+    /// which counts a run that continues elsewhere.
+    fn handoff_limits(&self) -> (f64, f64) {
+        let retries = &self.shared.settings.bounds.retries;
+        let window_s = retries.window.0 as f64 / MILLIS_PER_SECOND;
+        let cells = f64::from(self.cells.layout.cell_count());
+        (HANDOFF_SHARE * retries.ratio, HANDOFF_SHARE * retries.slack / window_s.max(1.0) / cells)
+    }
+
     /// Updates the engines of all pools from the list of upstreams.
     pub(super) fn update_pool_engines(&mut self) {
         let fleet = &self.fleet;
@@ -222,6 +238,7 @@
                 prompts_apart = mixing.apart,
                 prompts_beside = mixing.beside,
                 expected_late = mixing.expected_late,
+                handed_off = mixing.handed_off,
                 engines = occupancy.engines,
                 running = occupancy.running,
                 waiting = occupancy.waiting,
@@ -279,6 +296,9 @@
                 false if is_owner_silent && key.cell == owners.home() => Some(&own),
                 false => continue,
             };
+            if only_holder.is_none() {
+                orders.extend(pool.plan_handoffs(now));
+            }
             if !pool.has_runs_to_move() {
                 continue;
             }
@@ -385,7 +405,8 @@
     match endpoint(fleet, &placement.engine) {
         Some(engine) => {
             let backup = placement.backup.as_ref().and_then(|name| endpoint(fleet, name));
-            PlaceOutcome::Placed(Assignment { engine, backup })
+            let max_slowdown_percent = placement.max_slowdown_percent;
+            PlaceOutcome::Placed(Assignment { engine, backup, max_slowdown_percent })
         }
         None => PlaceOutcome::Unknown,
     }
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -189,6 +189,7 @@
             backup_address: assignment.backup.map(|b| b.address.to_string()).unwrap_or_default(),
             engine_born: assignment.engine.born,
             retry_after_ms: 0,
+            max_slowdown_percent: assignment.max_slowdown_percent,
         },
         PlaceOutcome::Refused(Millis(ms)) => PlaceReply {
             decision: PlaceCode::Refused as u32,
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -45,6 +45,9 @@
 /// them without a time.
 const REFUSED_BY_ALL_RETRY_AFTER: Millis = Millis(500);
 
+/// Engines whose machines are checked for one request, which is sent to the next one unchecked.
+const MAX_MACHINE_CHECKS: u32 = 3;
+
 impl<W: Wire> RequestHandler<W> {
     /// How long a request may still wait for an engine.
     fn remaining_wait(fwd: &Forward) -> Millis {
@@ -69,11 +72,30 @@
         let cell = self.choose_cell();
         let mut unknown_replies = 0;
         let mut withheld = Vec::new();
+        let mut slow = Vec::new();
+        let mut checks_left = MAX_MACHINE_CHECKS;
         loop {
             withheld = self.withheld_upstreams(fwd, &withheld);
-            let all_avoided = [avoid, withheld.as_slice()].concat();
+            let all_avoided = [avoid, withheld.as_slice(), slow.as_slice()].concat();
             match self.ask_owners(cell, fwd, &all_avoided).await {
-                PlaceOutcome::Placed(assignment) => return Ok(assignment),
+                PlaceOutcome::Placed(assignment) => match assignment.max_slowdown_percent {
+                    Some(max)
+                        if checks_left > 0
+                            && self.slowdown_exceeds(fwd, &assignment.engine, max).await =>
+                    {
+                        checks_left -= 1;
+                        slow.push(assignment.engine.name);
+                    }
+                    _ => {
+                        log::info!(up = assignment.engine.name.as_str(), max = assignment.max_slowdown_percent.unwrap_or(0), left = checks_left, run = fwd.info.run.as_str(), tok = fwd.info.prompt.map_or(0, |p| p.tokens); "xplaced");
+                        return Ok(assignment);
+                    }
+                },
+                // Engines that are slow at the moment are better than none.
+                _ if !slow.is_empty() => {
+                    slow.clear();
+                    checks_left = 0;
+                }
                 PlaceOutcome::Refused(wait) => return Err(Refusal::Overloaded(wait)),
                 PlaceOutcome::Queued => {}
                 PlaceOutcome::AllAvoided => {
@@ -225,7 +247,8 @@
         PlaceCode::Placed => {
             let engine = endpoint(&reply.engine, &reply.engine_address, reply.engine_born)?;
             let backup = endpoint(&reply.backup, &reply.backup_address, reply.backup_born);
-            Some(PlaceOutcome::Placed(Assignment { engine, backup }))
+            let max_slowdown_percent = reply.max_slowdown_percent;
+            Some(PlaceOutcome::Placed(Assignment { engine, backup, max_slowdown_percent }))
         }
         PlaceCode::Refused => Some(PlaceOutcome::Refused(Millis(u64::from(reply.retry_after_ms)))),
         PlaceCode::Queued => Some(PlaceOutcome::Queued),
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -26,6 +26,9 @@
 /// Timeout for the response headers of an engine where a run continues.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Timeout of the check of an engine's machine before a prompt is sent there: some round trips.
+const MACHINE_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Timeout of the health check of a silent engine.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -178,6 +181,34 @@
         }
     }
 
+    /// Whether the machine of an engine is slower at the moment than `max_percent`, in hundredths of the
+    /// usual time.
+    pub(crate) async fn slowdown_exceeds(
+        &self,
+        fwd: &Forward,
+        engine: &Endpoint,
+        max_percent: u32,
+    ) -> bool {
+        let slowdown = self.ask_slowdown(fwd, engine).await;
+        let result = match slowdown {
+            Some(percent) if percent > max_percent => "slow",
+            Some(_) => "usual",
+            None => "unknown",
+        };
+        self.shared.metrics.count("machine_check", result);
+        log::info!(request = fwd.info.run.as_str(), upstream = engine.name.as_str(), slowdown:?, max_percent; "machine checked");
+        result == "slow"
+    }
+
+    async fn ask_slowdown(&self, fwd: &Forward, engine: &Endpoint) -> Option<u32> {
+        let view = self.shared.view.load();
+        let path = view.table.as_ref()?.service(fwd.service.as_str())?.health_path.as_deref()?;
+        let req = self.wire.load_request(path);
+        let sent = self.send_order(&fwd.service, engine, req, MACHINE_CHECK_TIMEOUT);
+        let response = sent.await.inspect_err(|e| log::debug!("machine check failed: {e}")).ok()?;
+        self.wire.parse_response_headers(response.headers()).load?.slowdown_percent
+    }
+
     /// Whether the engine of a run responds to a health check.
     pub(crate) async fn is_alive(&self, fwd: &Forward, engine: &Endpoint) -> bool {
         let req = self.wire.health_check_request();
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -56,13 +56,20 @@
     pub(crate) engine: Endpoint,
     /// Engine that keeps a copy of the run's memory.
     pub(crate) backup: Option<Endpoint>,
+    /// Slowdown of the engine's machine up to which the prompt makes no stream there late, in hundredths
+    /// of the usual time; `None` if no stream is in danger.
+    pub(crate) max_slowdown_percent: Option<u32>,
 }
 
 impl Assignment {
+    pub(crate) fn new(engine: Endpoint, backup: Option<Endpoint>) -> Self {
+        Self { engine, backup, max_slowdown_percent: None }
+    }
+
     fn names(&self) -> Placement {
         Placement {
-            engine: self.engine.name.clone(),
             backup: self.backup.as_ref().map(|backup| backup.name.clone()),
+            ..Placement::new(self.engine.name.clone())
         }
     }
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -181,7 +181,7 @@
             return self.place(fwd, avoid).await;
         }
         let server = self.choose_server(fwd, avoid).ok_or_else(|| self.refused_run(fwd))?;
-        Ok(Assignment { engine: Endpoint::from(&server), backup: None })
+        Ok(Assignment::new(Endpoint::from(&server), None))
     }
 
     fn run_info(&self, fwd: &Forward) -> RunInfo {
@@ -347,6 +347,9 @@
             Some(at) => {
                 let pause = now.duration_since(at);
                 self.times.longest_pause = self.times.longest_pause.max(pause);
+                if pause.as_millis() > 170 {
+                    log::info!(up = self.handover.source().name.as_str(), ms = pause.as_millis() as u64, run = self.fwd.info.run.as_str(), events = self.events.count(); "xpause");
+                }
             }
             None => self.times.first = Some(now.duration_since(self.fwd.arrived_at)),
         }
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -249,7 +249,7 @@
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
         (self.tasks.copy, self.tasks.check) = (None, None);
         let backup = self.handover.backup().cloned();
-        self.run.set_assignment(Assignment { engine: to, backup });
+        self.run.set_assignment(Assignment::new(to, backup));
     }
 
     /// Handles the end of the body of the engine that writes the stream.
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -153,4 +153,7 @@
 
     /// A request to which any engine that is alive responds at once.
     fn health_check_request(&self) -> Request<Full<Bytes>>;
+
+    /// Builds a request for the current load of an upstream with health checks at `path`.
+    fn load_request(&self, path: &str) -> Request<Full<Bytes>>;
 }
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -30,7 +30,7 @@
         max_pause: None,
         is_pooled: true,
     };
-    runs.register(info, Assignment { engine: endpoint("e1"), backup: None })
+    runs.register(info, Assignment::new(endpoint("e1"), None))
 }
 
 fn reported(runs: &Runs) -> RunState {
