Prompts are kept away from streams that they would make late; runs are handed to engines that write

Cause: an engine that reads a prompt takes twice as long for a step, and machines of engines have slow moments of 2.5 times. Off unless [scheduling] keep_pauses is set. Ruled out: asking /report (no figure there; no effect), the same without the check or without hand-offs (docs/design/mixing.md).

--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -389,6 +389,9 @@
         let Some((_, engine)) = best else {
             return if has_room { Choice::PrefillLate } else { Choice::NoRoom };
         };
+        if self.should_wait(now, engine, request) {
+            return Choice::PrefillLate;
+        }
         let engine = engine.clone();
         let backup = self
             .choose_writer(now, &engine, &added, request.max_pause)
--- a/core/src/pool/mixing.rs
+++ b/core/src/pool/mixing.rs
@@ -10,9 +10,16 @@
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
-/// Time of a step that also reads a chunk of a prompt, on a machine of the usual speed.
+/// Time of a step that also reads a chunk of a prompt, on a machine of the usual speed; from the users'
+/// data sheets.
 const READING_STEP_MS: f64 = 15.5;
 
+/// Streams expected to be late from which a prompt waits for another engine.
+const MAX_EXPECTED_LATE: f64 = 0.05;
+
+/// Time left until the objective up to which a prompt waits, besides that for reading it.
+const WAIT_RESERVE_MS: f64 = 700.0;
+
 /// Weight of the time by which a prompt delays the end of other streams, as of a wait.
 const DELAY_WEIGHT: f64 = 0.1;
 
@@ -128,6 +135,23 @@
         sensitive * self.speed.slow_within(now, &engine.speed, span)
     }
 
+    /// Whether a request that would make streams late at the best engine waits for another one: it is
+    /// still on time if that takes a while.
+    pub(super) fn should_wait(
+        &self,
+        now: Time,
+        name: &UpstreamName,
+        request: &PlacementRequest,
+    ) -> bool {
+        let Some(engine) = self.engines.get(name).filter(|_| self.keeps_pauses) else {
+            return false;
+        };
+        let (sensitive, _) = self.sensitive_streams(now, name);
+        let prefill_ms = engine.prefill_wait(now) + self.prefill_ms(request, engine);
+        self.expected_late(now, engine, sensitive, request) > MAX_EXPECTED_LATE
+            && request.is_on_time_after(now, WAIT_RESERVE_MS, prefill_ms)
+    }
+
     /// Expected cost to the runs at `engine` of reading the prompt of `request` there.
     pub(super) fn mixing_cost_ms(
         &self,
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -246,6 +246,10 @@
                 memory_tokens = occupancy.memory_tokens;
                 "pool"
             );
+            let metrics = &self.shared.metrics;
+            metrics.add("prompt_placed", "apart", mixing.apart);
+            metrics.add("prompt_placed", "beside_streams", mixing.beside);
+            metrics.add("hand_off", "ordered", mixing.handed_off);
             log_failed_moves(service, &failed);
             if let Some(status) = pool.drain_status(now).filter(|status| status.waiting() > 0) {
                 log::info!(
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -86,10 +86,7 @@
                         checks_left -= 1;
                         slow.push(assignment.engine.name);
                     }
-                    _ => {
-                        log::info!(up = assignment.engine.name.as_str(), max = assignment.max_slowdown_percent.unwrap_or(0), left = checks_left, run = fwd.info.run.as_str(), tok = fwd.info.prompt.map_or(0, |p| p.tokens); "xplaced");
-                        return Ok(assignment);
-                    }
+                    _ => return Ok(assignment),
                 },
                 // Engines that are slow at the moment are better than none.
                 _ if !slow.is_empty() => {
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -196,7 +196,16 @@
             None => "unknown",
         };
         self.shared.metrics.count("machine_check", result);
-        log::info!(request = fwd.info.run.as_str(), upstream = engine.name.as_str(), slowdown:?, max_percent; "machine checked");
+        if self.shared.log_limiter.admits(self.shared.clock.now()) {
+            log::info!(
+                request = fwd.info.run.as_str(),
+                upstream = engine.name.as_str(),
+                slowdown_percent = slowdown.unwrap_or(0),
+                max_percent,
+                result;
+                "machine checked before a prompt is sent"
+            );
+        }
         result == "slow"
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -347,9 +347,6 @@
             Some(at) => {
                 let pause = now.duration_since(at);
                 self.times.longest_pause = self.times.longest_pause.max(pause);
-                if pause.as_millis() > 170 {
-                    log::info!(up = self.handover.source().name.as_str(), ms = pause.as_millis() as u64, run = self.fwd.info.run.as_str(), events = self.events.count(); "xpause");
-                }
             }
             None => self.times.first = Some(now.duration_since(self.fwd.arrived_at)),
         }
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -48,6 +48,8 @@
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 0"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
+        ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pauses = perhaps"),
+        ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pause = true"),
     ];
     let errors: Vec<_> = cases
         .iter()
@@ -55,3 +57,11 @@
         .collect();
     insta::assert_debug_snapshot!(errors);
 }
+
+/// Guards against a feature that is on where the settings do not ask for it.
+#[test]
+fn scheduling_is_off_by_default() {
+    assert!(!Settings::parse(GOOD).unwrap().scheduling.keeps_pauses);
+    let text = format!("{GOOD}[scheduling]\nkeep_pauses = true\n");
+    assert!(Settings::parse(&text).unwrap().scheduling.keeps_pauses);
+}
