--- a/core/tests/mixing.rs
+++ b/core/tests/mixing.rs
@@ -1,5 +1,6 @@
 //! Prompts beside running streams, on engines of uneven speed with slow moments.
 
+#[allow(dead_code, reason = "only part of the fixture is used here")]
 #[path = "fixtures/pools.rs"]
 mod pools;
 
@@ -177,7 +178,7 @@
     let mut pool = pool_with_copied_run(0.0, 10.0);
     assert_eq!(pool.plan_handoffs(Time(2_000)).len(), 1);
     let without_copy = stream_state("r", "s1", None, 80);
-    report_runs(&mut pool, Time(2_300), &[without_copy.clone()]);
+    report_runs(&mut pool, Time(2_300), std::slice::from_ref(&without_copy));
     assert_eq!(pool.take_failed_moves().moves.len(), 1);
     report_runs(&mut pool, Time(2_600), &[without_copy]);
     assert_eq!(pool.plan_handoffs(Time(2_600)), []);
