--- a/core/benches/decisions.rs
+++ b/core/benches/decisions.rs
@@ -172,6 +172,7 @@
                 max_tokens: request.max_tokens,
                 priority: request.priority,
                 moving_to: None,
+                is_copied: false,
                 refused: Vec::new(),
             });
         }
--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -4,10 +4,17 @@
 //! engine that writes it, may write it. It ends early only if its source has stopped and no copy of
 //! the run's memory is left to continue from, or its caller is expected to have left.
 
+mod copying;
+mod steps;
+
+pub use steps::{
+    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ResumeOutcome, ResumePoint, Stop,
+};
+
 use crate::pool::MoveMethod;
 use crate::time::{Millis, Time};
+use copying::{Copying, stop_limit};
 use std::collections::VecDeque;
-use strum::{Display, IntoStaticStr};
 
 /// Time without data after which the source is checked, or left if the run may have stopped.
 pub const SILENCE: Millis = Millis(600);
@@ -39,131 +46,6 @@
     MIN_PATIENCE.max(Millis(objective.0 * PATIENCE_OBJECTIVES)).max(Millis(pauses))
 }
 
-/// Whether the source has stopped the run for a copy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum Stop {
-    /// It has not.
-    Excluded,
-    /// It was told to, and nothing shows whether it did.
-    InDoubt,
-    /// It has.
-    Certain,
-}
-
-/// A copy of the run's memory.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeptCopy<E> {
-    /// Made by a move, and registered at `source` under `handle`.
-    Moved {
-        /// The engine that made it.
-        source: E,
-        /// Its handle there.
-        handle: String,
-    },
-    /// Kept up to date while the run was written.
-    Backup,
-}
-
-/// An engine at which the run can continue, and the copy that it uses.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ResumePoint<E> {
-    /// The engine.
-    pub engine: E,
-    /// The copy.
-    pub copy: KeptCopy<E>,
-}
-
-/// How a copy ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CopyOutcome {
-    /// The target has the copy; after a final one, the run has stopped.
-    Copied {
-        /// Its handle at the source.
-        handle: String,
-    },
-    /// The source was not reached.
-    NotSent,
-    /// The source did nothing: it does not have the run, or another copy is in progress.
-    Refused,
-    /// The target has no room or is unreachable.
-    NoRoom {
-        /// Handle of the memory that the source keeps of a run that it has stopped.
-        kept: Option<String>,
-    },
-    /// The source may have acted.
-    Unknown,
-}
-
-/// How an attempt to continue the run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResumeOutcome {
-    /// The engine writes the stream.
-    Started,
-    /// The engine was not reached.
-    NotSent,
-    /// The engine did not run the request and cannot use the copy.
-    Refused,
-    /// The engine may have used the copy.
-    MayHaveRun,
-}
-
-/// How the response body of the source ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyEnd {
-    /// With its end.
-    Whole,
-    /// With its connection, which is also how a complete body without a length ends.
-    Unframed,
-    /// Before its end.
-    Broken,
-}
-
-/// Why a stream ends before it is complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum CutCause {
-    /// Its engine was lost.
-    EngineLost,
-    /// It was stopped for a move and continues nowhere.
-    MoveFailed,
-    /// Its deadline has passed.
-    Timeout,
-}
-
-/// What the holder of the run has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action<E> {
-    /// Copy the run's memory from the source to `to`; a final copy stops the run first.
-    StartCopy {
-        /// Target of the copy.
-        to: E,
-        /// Whether it is final.
-        is_final: bool,
-    },
-    /// Send the request to the engine of the point. Once it has started, the body of the former
-    /// source is to be closed.
-    Resume(ResumePoint<E>),
-    /// Check whether the source is alive.
-    CheckSource,
-    /// Report that the ordered move failed.
-    ReportFailedMove {
-        /// The engine that refused the run or could not be reached.
-        refused_by: Option<E>,
-    },
-    /// End the stream as complete.
-    Complete,
-    /// End the stream early.
-    Cut(CutCause),
-}
-
-#[derive(Clone, Debug)]
-struct Copying<E> {
-    to: E,
-    is_final: bool,
-    started_at: Option<Time>,
-}
-
 /// The moves of one run.
 #[derive(Clone, Debug)]
 pub struct Handover<E> {
@@ -172,6 +54,8 @@
     end: Option<BodyEnd>,
     stop: Stop,
     copying: Option<Copying<E>>,
+    /// Target of the last copy.
+    copied_to: Option<E>,
     /// Where the run can continue, in the order of attempts.
     points: Vec<ResumePoint<E>>,
     resuming: Option<ResumePoint<E>>,
@@ -188,6 +72,8 @@
     /// Whether the silent source failed its check.
     is_suspect: bool,
     patience: Millis,
+    /// Time that a final copy may wait for other copies; `None` if any pause will do.
+    stop_limit: Option<Millis>,
     deadline: Time,
     failed_moves: VecDeque<Option<E>>,
     is_over: bool,
@@ -203,6 +89,7 @@
             end: None,
             stop: Stop::Excluded,
             copying: None,
+            copied_to: None,
             points: backup.into_iter().collect(),
             resuming: None,
             backup_attempts: 0,
@@ -214,12 +101,19 @@
             checked_at: now,
             is_suspect: false,
             patience,
+            stop_limit: None,
             deadline,
             failed_moves: VecDeque::new(),
             is_over: false,
         }
     }
 
+    /// Sets the longest pause that the caller allows: the run is not stopped for a copy while other
+    /// copies keep the link for longer.
+    pub fn with_max_pause(self, max_pause: Option<Millis>) -> Self {
+        Self { stop_limit: max_pause.map(stop_limit), ..self }
+    }
+
     /// The engine that writes the stream, or did last.
     pub fn source(&self) -> &E {
         &self.source
@@ -266,13 +160,14 @@
     }
 
     /// Handles an order to move the run to `to`; `is_from_source` is false for an order to move it
-    /// from an engine that it has left.
-    pub fn on_order(&mut self, is_from_source: bool, to: E, method: MoveMethod) {
+    /// from an engine that it has left. `expected` is the time that the first copy takes over a free
+    /// link.
+    pub fn on_order(&mut self, is_from_source: bool, to: E, method: MoveMethod, expected: Millis) {
         if !self.accepts_orders() || !is_from_source || to == self.source {
             return self.failed_moves.push_back(None);
         }
         match method {
-            MoveMethod::Copy => self.start_copy(to, false),
+            MoveMethod::Copy => self.copying = Some(Copying::new(to, expected)),
             MoveMethod::Backup if self.backup_point().is_some() => {
                 self.backup_attempts = BACKUP_ATTEMPTS;
             }
@@ -292,8 +187,8 @@
         for at in [&mut self.last_data_at, &mut self.checked_at] {
             *at = *at + pause;
         }
-        if let Some(at) = self.copying.as_mut().and_then(|copying| copying.started_at.as_mut()) {
-            *at = *at + pause;
+        if let Some(copying) = &mut self.copying {
+            copying.skip(pause);
         }
     }
 
@@ -303,7 +198,7 @@
     }
 
     /// Handles the end of the copy in progress.
-    pub fn on_copy(&mut self, outcome: CopyOutcome) {
+    pub fn on_copy(&mut self, now: Time, outcome: CopyOutcome) {
         let Some(copying) = self.copying.take() else {
             return;
         };
@@ -312,13 +207,14 @@
             CopyOutcome::Copied { handle } => {
                 let copy = KeptCopy::Moved { source: source.clone(), handle };
                 self.points.retain(|point| point.copy == KeptCopy::Backup);
-                let to = copying.to;
-                self.points.insert(0, ResumePoint { engine: to.clone(), copy: copy.clone() });
+                let engine = copying.to.clone();
+                self.copied_to = Some(engine.clone());
+                self.points.insert(0, ResumePoint { engine, copy: copy.clone() });
                 if copying.is_final {
                     self.stop = Stop::Certain;
                     self.points.insert(1, ResumePoint { engine: source, copy });
                 } else {
-                    self.start_copy(to, true);
+                    self.copying = Some(copying.next(now, self.stop_limit));
                 }
             }
             CopyOutcome::NotSent => self.failed_moves.push_back(Some(source)),
@@ -345,7 +241,7 @@
         let attempts_left = self.backup_attempts.saturating_sub(1);
         let was_ordered = std::mem::take(&mut self.backup_attempts) > 0;
         match outcome {
-            ResumeOutcome::Started => return self.restart(now, point.engine),
+            ResumeOutcome::Started => return self.restart(now, point),
             ResumeOutcome::NotSent => {
                 self.retry_at = now + self.retry_pause;
                 self.retry_pause = MAX_RETRY_PAUSE.min(self.retry_pause + self.retry_pause);
@@ -401,7 +297,7 @@
         }
         if let Some(copying) = self.copying.as_mut().filter(|copying| copying.started_at.is_none())
         {
-            copying.started_at = Some(now);
+            copying.start(now);
             let (to, is_final) = (copying.to.clone(), copying.is_final);
             return Some(Action::StartCopy { to, is_final });
         }
@@ -428,10 +324,6 @@
         self.points.iter().find(|point| point.copy == KeptCopy::Backup)
     }
 
-    fn start_copy(&mut self, to: E, is_final: bool) {
-        self.copying = Some(Copying { to, is_final, started_at: None });
-    }
-
     fn is_final_copy_pending(&self) -> bool {
         self.copying.as_ref().is_some_and(|copying| copying.is_final)
     }
@@ -465,15 +357,20 @@
         self.failed_moves.push_back(Some(to));
     }
 
-    /// Notes that the run continues at `source`.
-    fn restart(&mut self, now: Time, source: E) {
+    /// Notes that the run continues at `point`.
+    fn restart(&mut self, now: Time, point: ResumePoint<E>) {
+        self.failed_moves.clear();
+        if point.engine == self.source {
+            // The target of the copy did not continue it.
+            self.failed_moves.push_back(self.copied_to.take());
+        }
+        let source = point.engine;
         self.points.retain(|point| point.copy == KeptCopy::Backup && point.engine != source);
         self.source = source;
         (self.end, self.stop, self.copying) = (None, Stop::Excluded, None);
         (self.is_suspect, self.is_checking) = (false, false);
         self.retry_pause = RETRY_PAUSE;
         (self.last_data_at, self.checked_at) = (now, now);
-        self.failed_moves.clear();
     }
 
     fn is_complete(&self) -> bool {
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -26,7 +26,7 @@
 use crate::time::{Millis, Time};
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
-use relocation::{LinkUse, PendingMove, Refusals, Retries};
+use relocation::{PendingMove, Refusals, RefusingTargets, Retries};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -87,10 +87,14 @@
         self.footprint.expected_residual(now, STEP_MS) * STEP_MS
     }
 
+    /// Whether it has begun to write.
+    fn has_begun(&self) -> bool {
+        self.footprint.written > 0.0
+    }
+
     /// Whether it has no output well after its prefill should be complete.
     fn is_stuck(&self) -> bool {
-        let has_begun = self.footprint.written > 0.0;
-        !has_begun
+        !self.has_begun()
             && self.pending_move.is_none()
             && self.confirmed_at.since(self.prefill_due) > STUCK_AFTER
     }
@@ -120,8 +124,8 @@
     has_unchecked_engines: bool,
     /// Engines that have runs but are not listed, with the time at which that was noticed.
     unlisted: HashMap<UpstreamName, Time>,
-    /// Engines whose link a copy uses, until the copy should end or its move has ended.
-    busy_links: HashMap<UpstreamName, LinkUse>,
+    /// Targets that refused runs.
+    refusing_targets: RefusingTargets,
     failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
@@ -140,7 +144,7 @@
             draining: HashMap::new(),
             has_unchecked_engines: false,
             unlisted: HashMap::new(),
-            busy_links: HashMap::new(),
+            refusing_targets: RefusingTargets::default(),
             failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
         }
@@ -408,10 +412,12 @@
                     if run.engine != state.engine {
                         self.has_unchecked_engines = true;
                         run.engine = state.engine.clone();
+                        self.refusing_targets.note_arrival(&run.engine);
                         run.pending_move = None;
                         run.retries = Retries::default();
                     }
                     if let Some(failed) = run.update_move(now, state) {
+                        self.refusing_targets.note_failure(now, &failed);
                         self.failed_moves.push(failed);
                     }
                     run.backup = backup;
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -109,6 +109,8 @@
     pub priority: u8,
     /// Target of the move in progress, if any.
     pub moving_to: Option<UpstreamName>,
+    /// Whether its memory is there but for what it wrote last, which is being copied.
+    pub is_copied: bool,
     /// Engines that refused it since it was ordered to move.
     pub refused: Vec<UpstreamName>,
 }
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -13,6 +13,12 @@
 const PATIENCE: Millis = Millis(2_000);
 const DEADLINE: Time = Time(20_000);
 
+/// Longest pause that callers allow.
+const MAX_PAUSE: Millis = Millis(180);
+
+/// Time of a copy over a free link.
+const COPY_TIME: Millis = Millis(200);
+
 /// Bounds of the relay on a copy, an attempt to continue and a check.
 const STEP_LIMIT: Millis = Millis(2_500);
 
@@ -99,7 +105,8 @@
         Self {
             variant,
             now,
-            handover: Handover::new(now, 0, Some(1), PATIENCE, DEADLINE),
+            handover: Handover::new(now, 0, Some(1), PATIENCE, DEADLINE)
+                .with_max_pause(Some(MAX_PAUSE)),
             has_stopped: false,
             end: None,
             last_data_at: now,
@@ -174,10 +181,13 @@
         }
         let is_doubtful =
             matches!(outcome, CopyOutcome::Unknown | CopyOutcome::NoRoom { kept: None });
-        self.handover.on_copy(match self.variant {
-            Variant::IgnoresDoubt if is_final && is_doubtful => CopyOutcome::NotSent,
-            _ => outcome,
-        });
+        self.handover.on_copy(
+            self.now,
+            match self.variant {
+                Variant::IgnoresDoubt if is_final && is_doubtful => CopyOutcome::NotSent,
+                _ => outcome,
+            },
+        );
     }
 
     fn end_resume(&mut self, choice: u8) {
@@ -223,7 +233,7 @@
                 self.ordered_attempts = 0;
                 self.has_open_order = true;
                 let method = if is_copy { MoveMethod::Copy } else { MoveMethod::Backup };
-                self.handover.on_order(true, to, method);
+                self.handover.on_order(true, to, method, COPY_TIME);
             }
             Step::Copy(choice) => self.end_copy(choice),
             Step::Resume(choice) => self.end_resume(choice),
@@ -412,16 +422,16 @@
     for is_final in [false, true] {
         let now = Time(1_000);
         let mut handover = Handover::new(now, 0, None, PATIENCE, DEADLINE);
-        handover.on_order(true, 2, MoveMethod::Copy);
+        handover.on_order(true, 2, MoveMethod::Copy, COPY_TIME);
         assert_eq!(handover.next_action(now), Some(Action::StartCopy { to: 2, is_final: false }));
         if is_final {
-            handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+            handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
             assert_eq!(
                 handover.next_action(now),
                 Some(Action::StartCopy { to: 2, is_final: true })
             );
         }
-        handover.on_copy(CopyOutcome::NotSent);
+        handover.on_copy(now, CopyOutcome::NotSent);
         let report = Action::ReportFailedMove { refused_by: Some(0) };
         assert_eq!(handover.next_action(now), Some(report));
         assert_eq!(handover.next_action(now), None);
@@ -435,9 +445,9 @@
 fn time_in_which_the_stream_is_not_read_does_not_count() {
     let now = Time(1_000);
     let mut handover = Handover::new(now, 0, Some(1), PATIENCE, DEADLINE);
-    handover.on_order(true, 2, MoveMethod::Copy);
+    handover.on_order(true, 2, MoveMethod::Copy, COPY_TIME);
     handover.next_action(now);
-    handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+    handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
     let final_copy = Action::StartCopy { to: 2, is_final: true };
     assert_eq!(handover.next_action(now), Some(final_copy));
     let pause = PATIENCE + PATIENCE;
@@ -445,7 +455,7 @@
     handover.skip(pause);
     assert_eq!(handover.next_action(later), None, "the copy has not expired");
     handover.on_end(BodyEnd::Broken);
-    handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+    handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
     assert!(matches!(handover.next_action(later), Some(Action::Resume(_))));
 }
 
--- a/experiments/src/reclaim/simulation/moves.rs
+++ b/experiments/src/reclaim/simulation/moves.rs
@@ -43,6 +43,7 @@
             max_tokens: u32::MAX,
             priority: self.site.kinds[arrival.kind].priority,
             moving_to: run.moving_to.clone(),
+            is_copied: matches!(run.phase, Phase::Moving { .. }),
             refused: run.refused_by.clone(),
         })
     }
--- a/relay/src/control/convert.rs
+++ b/relay/src/control/convert.rs
@@ -21,6 +21,7 @@
         max_tokens: state.max_tokens,
         priority: u32::from(state.priority),
         moving_to: state.moving_to.as_ref().map(ToString::to_string).unwrap_or_default(),
+        is_copied: state.is_copied,
         refused: state.refused.iter().map(ToString::to_string).collect(),
     }
 }
@@ -38,6 +39,7 @@
         max_tokens: message.max_tokens,
         priority: message.priority.min(u32::from(u8::MAX)) as u8,
         moving_to: upstream(&message.moving_to),
+        is_copied: message.is_copied,
         refused: message.refused.iter().map(|name| UpstreamName::new(name)).collect(),
     }
 }
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -5,6 +5,7 @@
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
+use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_notices::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -75,11 +76,15 @@
     pub(crate) to: Endpoint,
     /// How the run's memory gets there.
     pub(crate) way: magnoliawinch::pool::MoveMethod,
+    /// Time that a first copy takes if nothing else uses the links.
+    pub(crate) copy_time: Millis,
 }
 
 #[derive(Clone, Debug, Default)]
 struct MoveProgress {
     to: Option<UpstreamName>,
+    /// Whether only what the run wrote last is still to be copied.
+    is_copied: bool,
     /// Engines that refused the run since it was ordered to move and were not tried again, latest
     /// last.
     refused_by: Vec<UpstreamName>,
@@ -131,6 +136,7 @@
             max_tokens: self.info.max_tokens,
             priority: self.info.priority,
             moving_to: moving.to,
+            is_copied: moving.is_copied,
             refused: moving.refused_by,
         }
     }
@@ -243,7 +249,7 @@
             let is_sent = active.orders.try_send(order).is_ok();
             if is_sent {
                 moving.refused_by.retain(|name| *name != to);
-                moving.to = Some(to);
+                (moving.to, moving.is_copied) = (Some(to), false);
             }
             is_sent
         })
@@ -265,11 +271,17 @@
         *self.active.moving() = MoveProgress::default();
     }
 
+    /// Notes that only what the run wrote last is still to be copied.
+    pub(crate) fn mark_copied(&self) {
+        let mut moving = self.active.moving();
+        moving.is_copied = moving.to.is_some();
+    }
+
     /// Notes that the move failed; `refused_by` is the engine that refused the run: the target, or the
     /// run's own.
     pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
         let mut moving = self.active.moving();
-        moving.to = None;
+        (moving.to, moving.is_copied) = (None, false);
         let Some(refused_by) = refused_by else {
             return;
         };
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -266,6 +266,7 @@
         let patience = caller_patience(fwd.route.objective, fwd.route.max_pause);
         let deadline = now + fwd.remaining_ms();
         Handover::new(now, assignment.engine, assignment.backup, patience, deadline)
+            .with_max_pause(fwd.route.max_pause)
     }
 }
 
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -107,7 +107,7 @@
             return self.report_failed_move(Some(&order.to));
         }
         let is_from_source = order.from == self.handover.source().name;
-        self.handover.on_order(is_from_source, order.to, order.way);
+        self.handover.on_order(is_from_source, order.to, order.way, order.copy_time);
     }
 
     fn report_failed_move(&self, refused_by: Option<&Endpoint>) {
@@ -119,7 +119,12 @@
         // The target may have stated so since the first copy; the run must not stop in vain.
         if is_final && self.handler.withheld(&self.fwd, &to.name, to.born).is_some() {
             self.report_failed_move(Some(to));
-            return self.handover.on_copy(CopyOutcome::Refused);
+            return self.handover.on_copy(self.now(), CopyOutcome::Refused);
+        }
+        if is_final {
+            // Copies of other runs may follow over the same links.
+            self.run.mark_copied();
+            self.handler.shared.tell(Message::ReportSoon);
         }
         let handler = self.handler.clone();
         let (fwd, from, to) = (self.fwd.clone(), self.handover.source().clone(), to.address);
@@ -181,7 +186,7 @@
         if !problem.is_empty() {
             self.last_failure = problem;
         }
-        self.handover.on_copy(match result {
+        let outcome = match result {
             Ok(Ok(copied)) => CopyOutcome::Copied { handle: copied.handle },
             Ok(Err(CopyError::Refused(refusal))) => match refusal {
                 CopyRefusal::NoRun | CopyRefusal::Busy => CopyOutcome::Refused,
@@ -192,7 +197,8 @@
                 CopyOutcome::NotSent
             }
             Ok(Err(CopyError::NoResponse(_))) | Err(_) => CopyOutcome::Unknown,
-        });
+        };
+        self.handover.on_copy(self.now(), outcome);
     }
 
     fn handle_resume_result(
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -6,6 +6,7 @@
 
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{MoveMethod, RunState};
+use magnoliawinch::time::Millis;
 use runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo, Runs};
 use tokio::sync::mpsc;
 
@@ -14,7 +15,12 @@
 }
 
 fn order(to: &str) -> MoveOrder {
-    MoveOrder { from: UpstreamName::new("e1"), to: endpoint(to), way: MoveMethod::Copy }
+    MoveOrder {
+        from: UpstreamName::new("e1"),
+        to: endpoint(to),
+        way: MoveMethod::Copy,
+        copy_time: Millis(200),
+    }
 }
 
 /// A run at engine `e1`.
