--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -109,7 +109,7 @@
     pub priority: u8,
     /// Target of the move in progress, if any.
     pub moving_to: Option<UpstreamName>,
-    /// Whether its memory is there but for what it wrote last, which is being copied.
+    /// Whether its memory is there, so that its copy uses no link any more.
     pub is_copied: bool,
     /// Engines that refused it since it was ordered to move.
     pub refused: Vec<UpstreamName>,
--- a/core/src/pool/relocation/links.rs
+++ b/core/src/pool/relocation/links.rs
@@ -1,8 +1,7 @@
 //! Use of engines' links by copies of runs: one copy at a time over each.
 //!
-//! A copy uses the links of both engines until its holder reports that only what the run wrote last is
-//! still to be copied, or that the move has ended. A final copy then finds the links free: a run that
-//! has stopped does not wait for the first copy of another.
+//! A move uses the links of both engines until its holder reports that the final copy has ended, or the
+//! move has. So a run that has stopped does not wait behind the first copy of another.
 
 use super::outcome::PendingMove;
 use crate::names::UpstreamName;
--- a/core/src/pool/relocation/outcome.rs
+++ b/core/src/pool/relocation/outcome.rs
@@ -106,7 +106,7 @@
     at: Time,
     /// Until when its copy is taken to use the links of both engines, unless it has ended before.
     link_until: Time,
-    /// Whether only what the run wrote last is still to be copied.
+    /// Whether the run's memory is at the target.
     is_copied: bool,
 }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug, Default)]
 struct MoveProgress {
     to: Option<UpstreamName>,
-    /// Whether only what the run wrote last is still to be copied.
+    /// Whether the run's memory is there.
     is_copied: bool,
     /// Engines that refused the run since it was ordered to move and were not tried again, latest
     /// last.
@@ -271,7 +271,7 @@
         *self.active.moving() = MoveProgress::default();
     }
 
-    /// Notes that only what the run wrote last is still to be copied.
+    /// Notes that the run's memory is at the target of its move.
     pub(crate) fn mark_copied(&self) {
         let mut moving = self.active.moving();
         moving.is_copied = moving.to.is_some();
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -121,11 +121,6 @@
             self.report_failed_move(Some(to));
             return self.handover.on_copy(self.now(), CopyOutcome::Refused);
         }
-        if is_final {
-            // Copies of other runs may follow over the same links.
-            self.run.mark_copied();
-            self.handler.shared.tell(Message::ReportSoon);
-        }
         let handler = self.handler.clone();
         let (fwd, from, to) = (self.fwd.clone(), self.handover.source().clone(), to.address);
         let copy = async move { handler.copy_run(&fwd, &from, to, is_final).await };
@@ -183,6 +178,12 @@
             Err(e) => (Verdict::MayHaveRun, e.to_string()),
         };
         self.log_copy(verdict, &problem);
+        if verdict == Verdict::Ran && self.handover.copying().is_some_and(|(_, is_final)| is_final)
+        {
+            // Copies of other runs may follow over the same links.
+            self.run.mark_copied();
+            self.handler.shared.tell(Message::ReportSoon);
+        }
         if !problem.is_empty() {
             self.last_failure = problem;
         }
