Stop a run for its final copy only after a short copy

A move's pause was the final copy waiting behind another copy on a link: the first copy of the next run, ordered when the first one should have ended, or the first transfer of a new run's backup.

- A holder copies what is new again until a copy took at most a third of the pause that the route allows, four times and for 1 s at most; then the run is stopped.

Ruled out: freeing the links when the final copy starts.

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -72,7 +72,7 @@
     /// Whether the silent source failed its check.
     is_suspect: bool,
     patience: Millis,
-    /// Time that a final copy may wait for other copies; `None` if any pause will do.
+    /// Longest copy after which the run is stopped; `None` if any pause will do.
     stop_limit: Option<Millis>,
     deadline: Time,
     failed_moves: VecDeque<Option<E>>,
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Sets the longest pause that the caller allows: the run is not stopped for a copy while other
-    /// copies keep the link for longer.
+    /// Sets the longest pause that the caller allows: the run is stopped for a copy only after one that
+    /// took a part of that.
     pub fn with_max_pause(self, max_pause: Option<Millis>) -> Self {
         Self { stop_limit: max_pause.map(stop_limit), ..self }
     }
@@ -160,14 +160,13 @@
     }
 
     /// Handles an order to move the run to `to`; `is_from_source` is false for an order to move it
-    /// from an engine that it has left. `expected` is the time that the first copy takes over a free
-    /// link.
-    pub fn on_order(&mut self, is_from_source: bool, to: E, method: MoveMethod, expected: Millis) {
+    /// from an engine that it has left.
+    pub fn on_order(&mut self, is_from_source: bool, to: E, method: MoveMethod) {
         if !self.accepts_orders() || !is_from_source || to == self.source {
             return self.failed_moves.push_back(None);
         }
         match method {
-            MoveMethod::Copy => self.copying = Some(Copying::new(to, expected)),
+            MoveMethod::Copy => self.copying = Some(Copying::new(to)),
             MoveMethod::Backup if self.backup_point().is_some() => {
                 self.backup_attempts = BACKUP_ATTEMPTS;
             }
--- a/core/src/handover/copying.rs
+++ b/core/src/handover/copying.rs
@@ -1,13 +1,13 @@
 //! Copies of a run's memory to the target of a move.
 //!
 //! The run goes on while the first one is made, and stops for the final one. A final copy waits behind
-//! those that already use the link of either engine, so what is new is copied again before, until a
-//! copy shows that the link is free.
+//! whatever has come to the link of either engine during the copy before it, so what is new is copied
+//! again until a copy has been short.
 
 use crate::time::{Millis, Time};
 
-/// Part of the longest pause that the caller allows which a final copy may wait for other copies. The
-/// rest is for the attempt to continue and the first step at the target.
+/// Part of the longest pause that the caller allows which the copy before the final one may take. The
+/// rest is for the final one, the attempt to continue and the first step at the target.
 const STOP_PAUSE_DIVISOR: u64 = 3;
 
 /// Copies made while the run goes on, and the time for all of them, before a final one is made even
@@ -15,7 +15,7 @@
 const MAX_ROUNDS: u32 = 4;
 const MAX_ROUNDS_TIME: Millis = Millis(1_000);
 
-/// Time that a final copy may wait for other copies of a run whose caller allows `max_pause`.
+/// Longest copy after which a run whose caller allows `max_pause` is stopped.
 pub(super) fn stop_limit(max_pause: Millis) -> Millis {
     Millis(max_pause.0 / STOP_PAUSE_DIVISOR)
 }
@@ -30,14 +30,12 @@
     rounds: u32,
     /// When the first of them started.
     first_started_at: Option<Time>,
-    /// Time that this copy takes over a free link.
-    expected: Millis,
 }
 
 impl<E> Copying<E> {
     /// The first copy to `to`.
-    pub(super) fn new(to: E, expected: Millis) -> Self {
-        Self { to, is_final: false, started_at: None, rounds: 0, first_started_at: None, expected }
+    pub(super) fn new(to: E) -> Self {
+        Self { to, is_final: false, started_at: None, rounds: 0, first_started_at: None }
     }
 
     pub(super) fn start(&mut self, now: Time) {
@@ -52,20 +50,14 @@
         }
     }
 
-    /// The copy of what is new since this one, which ends now. It is final unless this one had to wait
-    /// for longer than `stop_limit`.
+    /// The copy of what is new since this one, which ends now. It is final if this one took at most
+    /// `stop_limit`: little is new, and only what has come to the links since can delay it.
     pub(super) fn next(self, now: Time, stop_limit: Option<Millis>) -> Self {
         let since = |at: Option<Time>| at.map_or(Millis(0), |at| now.since(at));
         let rounds = self.rounds + 1;
         let took = since(self.started_at);
-        let is_link_free = stop_limit.is_none_or(|limit| took <= self.expected + limit);
+        let is_short = stop_limit.is_none_or(|limit| took <= limit);
         let is_exhausted = rounds >= MAX_ROUNDS || since(self.first_started_at) >= MAX_ROUNDS_TIME;
-        Self {
-            is_final: is_link_free || is_exhausted,
-            started_at: None,
-            rounds,
-            expected: Millis(0),
-            ..self
-        }
+        Self { is_final: is_short || is_exhausted, started_at: None, rounds, ..self }
     }
 }
--- a/core/src/pool/relocation.rs
+++ b/core/src/pool/relocation.rs
@@ -51,8 +51,6 @@
     pub to: UpstreamName,
     /// How its memory gets there.
     pub way: MoveMethod,
-    /// Time that a first copy takes if nothing else uses the links.
-    pub copy_time: Millis,
 }
 
 /// Runs on draining engines, by the state of their moves.
@@ -192,7 +190,7 @@
         run.pending_move = Some(PendingMove::new(now, to.clone(), way, link_until));
         let holder = run.holder.clone();
         self.invalidate_loads();
-        Some(RunMove { run: id.clone(), holder, from, to, way, copy_time })
+        Some(RunMove { run: id.clone(), holder, from, to, way })
     }
 
     /// The runs on draining engines, by the state of their moves; `None` if there are none.
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -16,9 +16,6 @@
 /// Longest pause that callers allow.
 const MAX_PAUSE: Millis = Millis(180);
 
-/// Time of a copy over a free link.
-const COPY_TIME: Millis = Millis(200);
-
 /// Bounds of the relay on a copy, an attempt to continue and a check.
 const STEP_LIMIT: Millis = Millis(2_500);
 
@@ -233,7 +230,7 @@
                 self.ordered_attempts = 0;
                 self.has_open_order = true;
                 let method = if is_copy { MoveMethod::Copy } else { MoveMethod::Backup };
-                self.handover.on_order(true, to, method, COPY_TIME);
+                self.handover.on_order(true, to, method);
             }
             Step::Copy(choice) => self.end_copy(choice),
             Step::Resume(choice) => self.end_resume(choice),
@@ -422,7 +419,7 @@
     for is_final in [false, true] {
         let now = Time(1_000);
         let mut handover = Handover::new(now, 0, None, PATIENCE, DEADLINE);
-        handover.on_order(true, 2, MoveMethod::Copy, COPY_TIME);
+        handover.on_order(true, 2, MoveMethod::Copy);
         assert_eq!(handover.next_action(now), Some(Action::StartCopy { to: 2, is_final: false }));
         if is_final {
             handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
@@ -445,7 +442,7 @@
 fn time_in_which_the_stream_is_not_read_does_not_count() {
     let now = Time(1_000);
     let mut handover = Handover::new(now, 0, Some(1), PATIENCE, DEADLINE);
-    handover.on_order(true, 2, MoveMethod::Copy, COPY_TIME);
+    handover.on_order(true, 2, MoveMethod::Copy);
     handover.next_action(now);
     handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
     let final_copy = Action::StartCopy { to: 2, is_final: true };
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -308,7 +308,6 @@
                 from: order.from.to_string(),
                 to: order.to.to_string(),
                 backup: order.way == MoveMethod::Backup,
-                copy_ms: order.copy_time.0,
             };
             if order.holder == own {
                 self.deliver_move_order(&req);
@@ -344,8 +343,7 @@
         };
         let to = Endpoint { name, address, born: req.to_born };
         let way = if req.backup { MoveMethod::Backup } else { MoveMethod::Copy };
-        let (from, copy_time) = (UpstreamName::new(&req.from), Millis(req.copy_ms));
-        let order = MoveOrder { from, to, way, copy_time };
+        let order = MoveOrder { from: UpstreamName::new(&req.from), to, way };
         if !self.shared.runs.send_order(&RunId::new(&req.run), order) {
             log::info!(
                 run = req.run.as_str(),
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -5,7 +5,6 @@
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{EndedRun, Placement, Report, RunState};
-use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_notices::Incarnation;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -76,8 +75,6 @@
     pub(crate) to: Endpoint,
     /// How the run's memory gets there.
     pub(crate) way: magnoliawinch::pool::MoveMethod,
-    /// Time that a first copy takes if nothing else uses the links.
-    pub(crate) copy_time: Millis,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -107,7 +107,7 @@
             return self.report_failed_move(Some(&order.to));
         }
         let is_from_source = order.from == self.handover.source().name;
-        self.handover.on_order(is_from_source, order.to, order.way, order.copy_time);
+        self.handover.on_order(is_from_source, order.to, order.way);
     }
 
     fn report_failed_move(&self, refused_by: Option<&Endpoint>) {
--- a/relay/tests/runs.rs
+++ b/relay/tests/runs.rs
@@ -6,7 +6,6 @@
 
 use magnoliawinch::names::{KindName, OrganisationName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::pool::{MoveMethod, RunState};
-use magnoliawinch::time::Millis;
 use runs::{Assignment, Endpoint, MoveOrder, RunGuard, RunInfo, Runs};
 use tokio::sync::mpsc;
 
@@ -15,12 +14,7 @@
 }
 
 fn order(to: &str) -> MoveOrder {
-    MoveOrder {
-        from: UpstreamName::new("e1"),
-        to: endpoint(to),
-        way: MoveMethod::Copy,
-        copy_time: Millis(200),
-    }
+    MoveOrder { from: UpstreamName::new("e1"), to: endpoint(to), way: MoveMethod::Copy }
 }
 
 /// A run at engine `e1`.
