--- a/experiments/src/reclaim/simulation/moves.rs
+++ b/experiments/src/reclaim/simulation/moves.rs
@@ -118,7 +118,7 @@
             run.refused_by.clear();
             run.has_moved = true;
             run.engine_loss.get_or_insert(LossCause::Reclaim);
-            return;
+            return self.report_at_once(index);
         }
         self.record_refusal(index, to);
         let has_returned = self.hosts.is_running(from, self.now)
@@ -137,6 +137,11 @@
         let run = &mut self.runs[index];
         run.moving_to = None;
         run.refused_by.push(name);
+        self.report_at_once(index);
+    }
+
+    /// Has the daemon of a run report its runs.
+    fn report_at_once(&mut self, index: usize) {
         let reporter = daemon(self.workload.arrivals[index].daemon);
         let states: Vec<_> = (0..self.runs.len())
             .filter(|other| {
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -150,8 +150,9 @@
     pub(super) fn handle_result(&mut self, result: TaskResult) {
         match result {
             TaskResult::Copy(result) => {
-                self.tasks.copy = None;
-                self.handle_copy_result(result);
+                let started_at = self.tasks.copy.take().map(|task| task.started_at);
+                let took = started_at.map_or(Duration::ZERO, |at| at.elapsed());
+                self.handle_copy_result(result, took);
             }
             TaskResult::Resume(result) => {
                 let started_at = self.tasks.resume.take().map(|task| task.started_at);
@@ -171,13 +172,13 @@
         }
     }
 
-    fn handle_copy_result(&mut self, result: Result<CopyResult, JoinError>) {
+    fn handle_copy_result(&mut self, result: Result<CopyResult, JoinError>, took: Duration) {
         let (verdict, problem) = match &result {
             Ok(Ok(_)) => (Verdict::Ran, String::new()),
             Ok(Err(e)) => (e.verdict(), e.to_string()),
             Err(e) => (Verdict::MayHaveRun, e.to_string()),
         };
-        self.log_copy(verdict, &problem);
+        self.log_copy(verdict, &problem, took);
         if verdict == Verdict::Ran && self.handover.copying().is_some_and(|(_, is_final)| is_final)
         {
             // Copies of other runs may follow over the same links.
@@ -277,7 +278,7 @@
         self.handover.on_end(end);
     }
 
-    fn log_copy(&self, verdict: Verdict, problem: &str) {
+    fn log_copy(&self, verdict: Verdict, problem: &str, took: Duration) {
         let Some((to, is_final)) = self.handover.copying() else {
             return;
         };
@@ -288,6 +289,7 @@
             to = to.name.as_str(),
             last = is_final,
             events = self.events.count(),
+            took_ms = took.as_millis() as u64,
             verdict:% = verdict,
             may_have_stopped = is_final && verdict != Verdict::NotRun,
             problem;
