--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -31,7 +31,7 @@
 use engine::{Choice, Engine, Loads};
 use handoff::HandoffBudget;
 use queue::Queue;
-use relocation::{LinkUse, PendingMove, Refusals, Retries};
+use relocation::{PendingMove, Refusals, RefusingTargets, Retries};
 use speed::PoolSpeed;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -105,10 +105,14 @@
         self.remaining_ms(now) >= MIN_TIME_LEFT.0 as f64
     }
 
+    /// Whether it has begun to write.
+    fn has_begun(&self) -> bool {
+        self.footprint.written > 0.0
+    }
+
     /// Whether it has no output well after its prefill should be complete.
     fn is_stuck(&self) -> bool {
-        let has_begun = self.footprint.written > 0.0;
-        !has_begun
+        !self.has_begun()
             && self.pending_move.is_none()
             && self.confirmed_at.since(self.prefill_due) > STUCK_AFTER
     }
@@ -138,8 +142,8 @@
     has_unchecked_engines: bool,
     /// Engines that have runs but are not listed, with the time at which that was noticed.
     unlisted: HashMap<UpstreamName, Time>,
-    /// Engines whose link a copy uses, until the copy should end or its move has ended.
-    busy_links: HashMap<UpstreamName, LinkUse>,
+    /// Targets that refused runs.
+    refusing_targets: RefusingTargets,
     failed_moves: FailedMoves,
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
@@ -163,7 +167,7 @@
             draining: HashMap::new(),
             has_unchecked_engines: false,
             unlisted: HashMap::new(),
-            busy_links: HashMap::new(),
+            refusing_targets: RefusingTargets::default(),
             failed_moves: FailedMoves::default(),
             loads: RefCell::default(),
             speed: PoolSpeed::default(),
@@ -455,10 +459,12 @@
                     if run.engine != state.engine {
                         self.has_unchecked_engines = true;
                         run.engine = state.engine.clone();
+                        self.refusing_targets.note_arrival(&run.engine);
                         run.pending_move = None;
                         run.retries = Retries::default();
                     }
                     if let Some(failed) = run.update_move(now, state) {
+                        self.refusing_targets.note_failure(now, &failed);
                         self.failed_moves.push(failed);
                     }
                     run.backup = backup;
--- a/core/src/pool/handoff.rs
+++ b/core/src/pool/handoff.rs
@@ -141,7 +141,7 @@
         }
         let run = self.runs.get_mut(id)?;
         let way = MoveMethod::Backup;
-        run.pending_move = Some(PendingMove { to: to.clone(), way, at: now });
+        run.pending_move = Some(PendingMove::new(now, to.clone(), way, now));
         let (holder, from) = (run.holder.clone(), run.engine.clone());
         self.mixing.handed_off += 1;
         self.invalidate_loads();
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -124,6 +124,8 @@
     pub priority: u8,
     /// Target of the move in progress, if any.
     pub moving_to: Option<UpstreamName>,
+    /// Whether its memory is there, so that its copy uses no link any more.
+    pub is_copied: bool,
     /// Engines that refused it since it was ordered to move.
     pub refused: Vec<UpstreamName>,
     /// Longest pause between events for which it is on time.
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -13,6 +13,9 @@
 const PATIENCE: Millis = Millis(2_000);
 const DEADLINE: Time = Time(20_000);
 
+/// Longest pause that callers allow.
+const MAX_PAUSE: Millis = Millis(180);
+
 /// Bounds of the relay on a copy, an attempt to continue and a check.
 const STEP_LIMIT: Millis = Millis(2_500);
 
@@ -99,7 +102,8 @@
         Self {
             variant,
             now,
-            handover: Handover::new(now, 0, Some(1), PATIENCE, DEADLINE),
+            handover: Handover::new(now, 0, Some(1), PATIENCE, DEADLINE)
+                .with_max_pause(Some(MAX_PAUSE)),
             has_stopped: false,
             end: None,
             last_data_at: now,
@@ -174,10 +178,13 @@
         }
         let is_doubtful =
             matches!(outcome, CopyOutcome::Unknown | CopyOutcome::NoRoom { kept: None });
-        self.handover.on_copy(match self.variant {
-            Variant::IgnoresDoubt if is_final && is_doubtful => CopyOutcome::NotSent,
-            _ => outcome,
-        });
+        self.handover.on_copy(
+            self.now,
+            match self.variant {
+                Variant::IgnoresDoubt if is_final && is_doubtful => CopyOutcome::NotSent,
+                _ => outcome,
+            },
+        );
     }
 
     fn end_resume(&mut self, choice: u8) {
@@ -415,13 +422,13 @@
         handover.on_order(true, 2, MoveMethod::Copy);
         assert_eq!(handover.next_action(now), Some(Action::StartCopy { to: 2, is_final: false }));
         if is_final {
-            handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+            handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
             assert_eq!(
                 handover.next_action(now),
                 Some(Action::StartCopy { to: 2, is_final: true })
             );
         }
-        handover.on_copy(CopyOutcome::NotSent);
+        handover.on_copy(now, CopyOutcome::NotSent);
         let report = Action::ReportFailedMove { refused_by: Some(0) };
         assert_eq!(handover.next_action(now), Some(report));
         assert_eq!(handover.next_action(now), None);
@@ -437,7 +444,7 @@
     let mut handover = Handover::new(now, 0, Some(1), PATIENCE, DEADLINE);
     handover.on_order(true, 2, MoveMethod::Copy);
     handover.next_action(now);
-    handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+    handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
     let final_copy = Action::StartCopy { to: 2, is_final: true };
     assert_eq!(handover.next_action(now), Some(final_copy));
     let pause = PATIENCE + PATIENCE;
@@ -445,7 +452,7 @@
     handover.skip(pause);
     assert_eq!(handover.next_action(later), None, "the copy has not expired");
     handover.on_end(BodyEnd::Broken);
-    handover.on_copy(CopyOutcome::Copied { handle: "h".to_owned() });
+    handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
     assert!(matches!(handover.next_action(later), Some(Action::Resume(_))));
 }
 
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -88,6 +88,8 @@
 #[derive(Clone, Debug, Default)]
 struct MoveProgress {
     to: Option<UpstreamName>,
+    /// Whether the run's memory is there.
+    is_copied: bool,
     /// Engines that refused the run since it was ordered to move and were not tried again, latest
     /// last.
     refused_by: Vec<UpstreamName>,
@@ -141,6 +143,7 @@
             max_tokens: self.info.max_tokens,
             priority: self.info.priority,
             moving_to: moving.to,
+            is_copied: moving.is_copied,
             refused: moving.refused_by,
             max_pause: self.info.max_pause,
         }
@@ -284,7 +287,7 @@
             let is_sent = active.orders.try_send(order).is_ok();
             if is_sent {
                 moving.refused_by.retain(|name| *name != to);
-                moving.to = Some(to);
+                (moving.to, moving.is_copied) = (Some(to), false);
             }
             is_sent
         })
@@ -306,11 +309,17 @@
         *self.active.moving() = MoveProgress::default();
     }
 
+    /// Notes that the run's memory is at the target of its move.
+    pub(crate) fn mark_copied(&self) {
+        let mut moving = self.active.moving();
+        moving.is_copied = moving.to.is_some();
+    }
+
     /// Notes that the move failed; `refused_by` is the engine that refused the run: the target, or the
     /// run's own.
     pub(crate) fn move_failed(&self, refused_by: Option<&UpstreamName>) {
         let mut moving = self.active.moving();
-        moving.to = None;
+        (moving.to, moving.is_copied) = (None, false);
         let Some(refused_by) = refused_by else {
             return;
         };
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -119,7 +119,7 @@
         // The target may have stated so since the first copy; the run must not stop in vain.
         if is_final && self.handler.withheld(&self.fwd, &to.name, to.born).is_some() {
             self.report_failed_move(Some(to));
-            return self.handover.on_copy(CopyOutcome::Refused);
+            return self.handover.on_copy(self.now(), CopyOutcome::Refused);
         }
         let handler = self.handler.clone();
         let (fwd, from, to) = (self.fwd.clone(), self.handover.source().clone(), to.address);
@@ -150,8 +150,9 @@
     pub(super) fn handle_result(&mut self, result: TaskResult) {
         match result {
             TaskResult::Copy(result) => {
-                self.tasks.copy = None;
-                self.handle_copy_result(result);
+                let started_at = self.tasks.copy.take().map(|task| task.started_at);
+                let took = started_at.map_or(Duration::ZERO, |at| at.elapsed());
+                self.handle_copy_result(result, took);
             }
             TaskResult::Resume(result) => {
                 let started_at = self.tasks.resume.take().map(|task| task.started_at);
@@ -171,17 +172,23 @@
         }
     }
 
-    fn handle_copy_result(&mut self, result: Result<CopyResult, JoinError>) {
+    fn handle_copy_result(&mut self, result: Result<CopyResult, JoinError>, took: Duration) {
         let (verdict, problem) = match &result {
             Ok(Ok(_)) => (Verdict::Ran, String::new()),
             Ok(Err(e)) => (e.verdict(), e.to_string()),
             Err(e) => (Verdict::MayHaveRun, e.to_string()),
         };
-        self.log_copy(verdict, &problem);
+        self.log_copy(verdict, &problem, took);
+        if verdict == Verdict::Ran && self.handover.copying().is_some_and(|(_, is_final)| is_final)
+        {
+            // Copies of other runs may follow over the same links.
+            self.run.mark_copied();
+            self.handler.shared.tell(Message::ReportSoon);
+        }
         if !problem.is_empty() {
             self.last_failure = problem;
         }
-        self.handover.on_copy(match result {
+        let outcome = match result {
             Ok(Ok(copied)) => CopyOutcome::Copied { handle: copied.handle },
             Ok(Err(CopyError::Refused(refusal))) => match refusal {
                 CopyRefusal::NoRun | CopyRefusal::Busy => CopyOutcome::Refused,
@@ -192,7 +199,8 @@
                 CopyOutcome::NotSent
             }
             Ok(Err(CopyError::NoResponse(_))) | Err(_) => CopyOutcome::Unknown,
-        });
+        };
+        self.handover.on_copy(self.now(), outcome);
     }
 
     fn handle_resume_result(
@@ -270,7 +278,7 @@
         self.handover.on_end(end);
     }
 
-    fn log_copy(&self, verdict: Verdict, problem: &str) {
+    fn log_copy(&self, verdict: Verdict, problem: &str, took: Duration) {
         let Some((to, is_final)) = self.handover.copying() else {
             return;
         };
@@ -281,6 +289,7 @@
             to = to.name.as_str(),
             last = is_final,
             events = self.events.count(),
+            took_ms = took.as_millis() as u64,
             verdict:% = verdict,
             may_have_stopped = is_final && verdict != Verdict::NotRun,
             problem;
