Unknown values from newer builds cost no request

Read against the case that the other side is newer: - An owner's unknown placement decision made it count as silent for 1.5 s, as did a cell that this build cannot have. Both now mean that the pool is unknown there, and the next owner is asked. - One entry of an unknown form made a daemon ignore a peer's whole list; it now ignores that entry. - An unknown kind of delivery made it ignore a peer's whole configuration, and an unknown routeType the store's, with the keys that it takes away; a daemon that started then refused everybody. Such routes now run at most once. - A member in an unknown state was not known at all; it counts as leaving.

--- a/core/src/route_table.rs
+++ b/core/src/route_table.rs
@@ -17,10 +17,12 @@
 pub enum Delivery {
     /// May run more than once.
     Idempotent,
-    /// Runs at most once per attempt of the caller.
-    AtMostOnce,
-    /// Runs at most once; answers with a stream of numbered events.
+    /// Answers with a stream of numbered events, and runs at most once.
     Stream,
+    /// Runs at most once per attempt of the caller. So do kinds that newer builds have added, as every
+    /// kind allows that.
+    #[serde(other)]
+    AtMostOnce,
 }
 
 /// Service with a share of a route's requests.
--- a/peer/src/convert.rs
+++ b/peer/src/convert.rs
@@ -42,6 +42,8 @@
             return Err(invalid("host"));
         }
         let state = u8::try_from(message.state).ok().and_then(MemberState::from_repr);
+        // A state that a newer build has added: the daemon responds, and is given no work.
+        let state = state.unwrap_or(MemberState::Leaving);
         Ok(Self {
             host: HostName::new(&message.host),
             incarnation: message.incarnation,
@@ -52,7 +54,7 @@
                 .parse()
                 .map_err(|_| invalid("caller address"))?,
             capacity: Capacity(message.capacity),
-            state: state.ok_or_else(|| invalid("state"))?,
+            state,
         })
     }
 }
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -8,7 +8,8 @@
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch_peer::{CellLoad, CellOf, StateReply, StateRequest};
-use serde::{Deserialize, Serialize};
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,12 +48,30 @@
     /// Whether `put` has all entries.
     is_whole: bool,
     /// New or changed entries.
+    #[serde(deserialize_with = "known_entries")]
     put: Vec<ListedUpstream>,
     removed: Vec<UpstreamName>,
     /// Expired entries, each with the time after which it is removed unless it returns.
     expiring: Vec<(UpstreamName, Millis)>,
 }
 
+/// Entries without those of a form that only a newer build knows.
+fn known_entries<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<ListedUpstream>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Entry {
+        Known(ListedUpstream),
+        Unknown(IgnoredAny),
+    }
+    let known = Vec::deserialize(deserializer)?.into_iter().filter_map(|entry| match entry {
+        Entry::Known(listed) => Some(listed),
+        Entry::Unknown(_) => None,
+    });
+    Ok(known.collect())
+}
+
 impl ListMessage {
     fn into_update(self, end: StorePosition) -> ListUpdate {
         let origin = Origin::Peer(self.expiring);
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -115,8 +115,9 @@
             patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
         });
-        let cell = req.cell.as_ref().and_then(CellOf::cell);
-        let cell = cell.ok_or_else(|| Status::invalid_argument("no cell"))?;
+        let Some(cell) = req.cell.as_ref().and_then(CellOf::cell) else {
+            return Ok(Response::new(place_reply(PlaceOutcome::Unknown)));
+        };
         let outcome = self.ask(|reply| Message::Place { service, cell, request, reply }).await?;
         Ok(Response::new(place_reply(outcome)))
     }
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -219,7 +219,12 @@
         let address: SocketAddr = address.parse().ok()?;
         Some(Endpoint { name: UpstreamName::new(name), address, born })
     };
-    match PlaceCode::from_repr(reply.decision)? {
+    let Some(code) = PlaceCode::from_repr(reply.decision) else {
+        // An owner of a newer build; it is not silent, and the next one may know the pool.
+        log::debug!("unknown placement decision {}", reply.decision);
+        return Some(PlaceOutcome::Unknown);
+    };
+    match code {
         PlaceCode::Placed => {
             let engine = endpoint(&reply.engine, &reply.engine_address, reply.engine_born)?;
             let backup = endpoint(&reply.backup, &reply.backup_address, reply.backup_born);
