--- a/scripts/soak-two-builds.sh
+++ b/scripts/soak-two-builds.sh
@@ -5,7 +5,8 @@
 #
 # usage: scripts/soak-two-builds.sh COMMIT [SEED...]; default seeds: 1 to 8
 # SOAK_SECONDS (20) is the length of each seed, SOAK_DAEMONS (3) the number of hosts, and SOAK_OPTIONS is
-# passed on ("--timed" on an idle machine). Logs of failed seeds stay in the system's temporary folder.
+# passed on: "--timed" on an idle machine, "--present-settings FILE" for parts that the settings switch on,
+# in sections that the earlier build need not know. Logs of failed seeds stay in the system's temporary folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
