Choose servers of plain services by models of their speed

Change: core/src/server_model.rs has the lasting and present speed, queue and failures of a server; the balancer shares calls by the expected time, unless that overloads a server. Hosts tell each other of slow and silent servers with their probes. A call that may be repeated and is late goes to a second server, too. Repeats that rarely help leave a part of the retry budget to others. On where servers report the slowdown of their machines, or by the setting server_model.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod route_table;
 pub mod routing;
 pub mod run_starts;
+pub mod server_model;
 pub mod service_file;
 pub mod service_paths;
 pub mod settings;
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -335,6 +335,14 @@
         running.sample(rng, count).map(|member| (*member).clone()).collect()
     }
 
+    /// The same, of this daemon's failure domain.
+    pub fn random_neighbours<R: Rng>(&self, count: usize, rng: &mut R) -> Vec<Member> {
+        let domain = &self.own().failure_domain;
+        let running = self.others().filter(|m| m.state != MemberState::Failed);
+        let near: Vec<_> = running.filter(|m| m.failure_domain == *domain).collect();
+        near.sample(rng, count).map(|member| (*member).clone()).collect()
+    }
+
     fn drop_departed(&mut self, now: Time) {
         let is_kept = |_: &HostName, record: &mut Record| {
             record.member.state <= MemberState::Alive
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -3,6 +3,7 @@
 use crate::time::{Millis, Time};
 use crate::verdict::Verdict;
 use std::collections::VecDeque;
+use strum::IntoStaticStr;
 
 /// Retries added per request.
 const RETRIES_PER_REQUEST: f64 = 0.1;
@@ -148,11 +149,17 @@
     /// Takes one retry from this daemon's share; returns false if none is left. `daemons` is the
     /// number of daemons that share the slack.
     pub fn try_spend(&mut self, now: Time, daemons: usize) -> bool {
+        self.try_spend_with_reserve(now, daemons, 0.0)
+    }
+
+    /// The same, but keeps the part `reserve` of this daemon's share for other retries.
+    pub fn try_spend_with_reserve(&mut self, now: Time, daemons: usize, reserve: f64) -> bool {
         let bucket = self.bucket(now);
         let mut windows = bucket.saturating_sub(WINDOW_BUCKETS)..=bucket;
         let has_one = windows.all(|first| {
             let retries = f64::from(self.retries.sum(first, bucket + 1));
-            retries + 1.0 <= self.allowed(now, daemons, self.max_requests(first))
+            let allowed = self.allowed(now, daemons, self.max_requests(first));
+            retries + 1.0 <= allowed * (1.0 - reserve)
         });
         if has_one {
             self.record_retry(now);
@@ -176,6 +183,60 @@
     }
 }
 
+/// Largest part of a daemon's share that is kept for more useful retries.
+const MAX_RESERVE: f64 = 0.5;
+
+/// Weight of the newest retry in the mean use of its kind.
+const USE_WEIGHT: f64 = 0.05;
+
+/// Why a request is sent to a second server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RepeatCause {
+    /// The first did not run it, or there was no usable response.
+    NoResponse,
+    /// The first responded with an error, which may be the request's fault.
+    Error,
+    /// The first is late.
+    Late,
+}
+
+/// How often retries of each kind helped. When the budget is short, it goes to the kinds that help
+/// more.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatUses {
+    no_response: f64,
+    error: f64,
+    late: f64,
+}
+
+impl Default for RepeatUses {
+    fn default() -> Self {
+        Self { no_response: 0.9, error: 0.5, late: 0.5 }
+    }
+}
+
+impl RepeatUses {
+    fn of(&mut self, cause: RepeatCause) -> &mut f64 {
+        match cause {
+            RepeatCause::NoResponse => &mut self.no_response,
+            RepeatCause::Error => &mut self.error,
+            RepeatCause::Late => &mut self.late,
+        }
+    }
+
+    /// Records whether a retry helped its request.
+    pub fn record(&mut self, cause: RepeatCause, helped: bool) {
+        let part = self.of(cause);
+        *part += USE_WEIGHT * (f64::from(u8::from(helped)) - *part);
+    }
+
+    /// Part of the budget that a retry must leave for others.
+    pub fn reserve(&mut self, cause: RepeatCause) -> f64 {
+        MAX_RESERVE * (1.0 - *self.of(cause))
+    }
+}
+
 /// Counts by bucket of time, in order.
 #[derive(Clone, Debug, Default)]
 struct BucketCounts {
--- a/core/tests/balance.rs
+++ b/core/tests/balance.rs
@@ -2,7 +2,7 @@
 
 use magnoliawinch::balance::{Balancer, Candidate, Load, Outcome};
 use magnoliawinch::names::UpstreamName;
-use magnoliawinch::time::{Millis, Time};
+use magnoliawinch::time::Time;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -11,7 +11,7 @@
 }
 
 fn candidate(name: &UpstreamName) -> Candidate<'_> {
-    Candidate { name, slots: 6, in_same_domain: true, is_unreachable: false }
+    Candidate { name, born: 1, slots: 6, in_same_domain: true, is_unreachable: false }
 }
 
 /// How often each server is chosen in `count` calls not recorded as started.
@@ -19,7 +19,9 @@
     let (names, mut rng) = (names(), ChaCha8Rng::seed_from_u64(7));
     let mut chosen = vec![0; names.len()];
     for _ in 0..count {
-        let name = balancer.choose(now, names.iter().map(candidate), &mut rng).cloned();
+        let name = balancer
+            .choose(now, names.iter().map(candidate), false, &mut rng)
+            .map(|choice| choice.name.clone());
         let index = names.iter().position(|n| Some(n) == name.as_ref());
         chosen[index.expect("the chosen name is a candidate")] += 1;
     }
@@ -42,9 +44,8 @@
         for name in &names {
             balancer.started(Time(n * 50), name);
             let fails = name.as_str() == "s1" && n % 2 == 0;
-            let success = Outcome::Responded(Millis(30));
-            let outcome = if fails { Outcome::Failed } else { success };
-            balancer.ended(Time(n * 50 + 30), name, Some(outcome));
+            let outcome = if fails { Outcome::Error } else { Outcome::Responded };
+            balancer.ended(Time(n * 50 + 30), name, Time(n * 50), Some(outcome));
         }
     }
     assert_eq!(choices(&mut balancer, Time(700), 100)[0], 0);
@@ -74,6 +75,10 @@
     let mut balancer = Balancer::new();
     let unreachable = Candidate { is_unreachable: true, ..candidate(&names[0]) };
     let both = [unreachable, candidate(&names[1])];
-    assert_eq!(balancer.choose(Time(0), both, &mut rng), Some(&names[1]));
-    assert_eq!(balancer.choose(Time(0), [unreachable], &mut rng), Some(&names[0]));
+    let mut choose = |candidates: &[Candidate<'_>]| {
+        let choice = balancer.choose(Time(0), candidates.iter().copied(), false, &mut rng);
+        choice.map(|choice| choice.name.clone())
+    };
+    assert_eq!(choose(&both).as_ref(), Some(&names[1]));
+    assert_eq!(choose(&[unreachable]).as_ref(), Some(&names[0]));
 }
--- a/daemon/src/control/members.rs
+++ b/daemon/src/control/members.rs
@@ -129,6 +129,7 @@
             // Owners of fingerprints are asked for each request.
             quarantine: None,
             limits: Vec::new(),
+            servers: Vec::new(),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -173,6 +174,7 @@
             hosts: self.members.host_notices(),
             quarantine: None,
             limits: Vec::new(),
+            servers: Vec::new(),
         });
     }
 
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -13,8 +13,9 @@
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::reachability::Reachability;
+use magnoliawinch::retry::RepeatCause;
 use magnoliawinch::route_table::Delivery;
-use magnoliawinch::time::Millis;
+use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::time::{Duration, Instant};
@@ -70,6 +71,11 @@
 }
 
 impl Attempt {
+    /// Whether the upstream responded without an error of its own.
+    pub(crate) fn is_success(&self) -> bool {
+        matches!(self, Self::Responded(response) if !response.status.is_server_error())
+    }
+
     fn invalid(cause: String) -> Self {
         Self::MayHaveRun { cause, is_broken: false }
     }
@@ -85,23 +91,33 @@
 struct OutstandingCall<'a, W: Wire> {
     handler: &'a RequestHandler<W>,
     name: &'a UpstreamName,
+    sent_at: Time,
     outcome: Option<Outcome>,
 }
 
 impl<'a, W: Wire> OutstandingCall<'a, W> {
     fn new(handler: &'a RequestHandler<W>, name: &'a UpstreamName) -> Self {
-        handler.shared.routing().balancer.started(handler.shared.clock.now(), name);
-        Self { handler, name, outcome: None }
+        let sent_at = handler.shared.clock.now();
+        handler.shared.routing().balancer.started(sent_at, name);
+        Self { handler, name, sent_at, outcome: None }
     }
 }
 
 impl<W: Wire> Drop for OutstandingCall<'_, W> {
     fn drop(&mut self) {
         let now = self.handler.shared.clock.now();
-        self.handler.shared.routing().balancer.ended(now, self.name, self.outcome);
+        let mut routing = self.handler.shared.routing();
+        routing.balancer.ended(now, self.name, self.sent_at, self.outcome);
     }
 }
 
+/// The server chosen for a request.
+pub(crate) struct ChosenServer {
+    pub(crate) server: ListedUpstream,
+    /// When a second server is tried, too, where servers are chosen by models of their speed.
+    pub(crate) late_after: Option<Millis>,
+}
+
 impl<W: Wire> RequestHandler<W> {
     /// Tries the service's upstreams until one responds or no retry is allowed.
     pub(crate) async fn call(&self, fwd: &Forward) -> Result<BufferedResponse, Refusal> {
@@ -112,15 +128,15 @@
         let mut attempts_not_run = 0;
         let mut error_response = None;
         let mut reason = String::new();
-        let mut is_retry = false;
+        let mut retry_cause = None;
         let mut refused_for = None;
-        while fwd.remaining() > MIN_ATTEMPT_TIME {
+        'attempts: while fwd.remaining() > MIN_ATTEMPT_TIME {
             // Another upstream may have ended under an equal request since the last attempt.
             refused_for = self.refused_for(fwd);
             if refused_for.is_some() {
                 break;
             }
-            let Some(upstream) = self.choose_server(fwd, &tried) else {
+            let Some(chosen) = self.choose_server(fwd, &tried) else {
                 let may_wait = fwd.elapsed_ms() < ROOM_PATIENCE.0;
                 if may_wait && self.waits_for_room(fwd, &tried) {
                     sleep(ROOM_POLL_INTERVAL).await;
@@ -128,44 +144,56 @@
                 }
                 break;
             };
-            if is_retry && !self.shared.spend_retry(&fwd.service) {
+            if retry_cause.is_some_and(|cause| !self.spend_retry(fwd, &chosen, cause)) {
                 break;
             }
             let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
-            match self.attempt(fwd, &upstream, may_retry).await {
-                Attempt::Responded(response) if response.status.is_server_error() && may_retry => {
-                    verdict = Verdict::Ran;
-                    runs += 1;
-                    self.note_failed_attempt(
-                        fwd,
-                        &upstream.name,
-                        response.status.as_str(),
-                        Verdict::Ran,
-                    );
-                    error_response = Some(response);
-                }
-                Attempt::Responded(response) => return Ok(response),
-                Attempt::NotRun { reached_upstream } => {
-                    attempts_not_run += 1;
-                    let is_cut_off = self.shared.is_cut_off(&fwd.service);
-                    if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN || is_cut_off {
-                        break;
+            let attempts = self.attempt_unless_late(fwd, chosen, may_retry, &tried).await;
+            if let Some(cause) = retry_cause {
+                let has_helped = attempts.iter().any(|(_, attempt)| attempt.is_success());
+                self.shared.note_repeat(&fwd.service, cause, has_helped);
+            }
+            for (name, attempt) in attempts {
+                let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
+                match attempt {
+                    Attempt::Responded(response) if response.status.is_server_error() => {
+                        if error_response.is_some()
+                            && let Some(first) = tried.last()
+                        {
+                            let now = self.shared.clock.now();
+                            self.shared.routing().balancer.failed_at_both(now, [first, &name]);
+                        }
+                        if !may_retry {
+                            return Ok(response);
+                        }
+                        verdict = Verdict::Ran;
+                        runs += 1;
+                        let status = response.status.as_str();
+                        self.note_failed_attempt(fwd, &name, status, Verdict::Ran);
+                        error_response = Some(response);
+                        retry_cause = Some(RepeatCause::Error);
                     }
-                    is_retry = reached_upstream;
-                    tried.push(upstream.name);
-                    continue;
-                }
-                Attempt::MayHaveRun { cause, .. } => {
-                    verdict = verdict.combine(Verdict::MayHaveRun);
-                    reason = cause;
-                    runs += 1;
-                    if !may_retry {
-                        break;
+                    Attempt::Responded(response) => return Ok(response),
+                    Attempt::NotRun { reached_upstream } => {
+                        attempts_not_run += 1;
+                        let is_cut_off = self.shared.is_cut_off(&fwd.service);
+                        if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN || is_cut_off {
+                            break 'attempts;
+                        }
+                        retry_cause = reached_upstream.then_some(RepeatCause::NoResponse);
+                    }
+                    Attempt::MayHaveRun { cause, .. } => {
+                        verdict = verdict.combine(Verdict::MayHaveRun);
+                        reason = cause;
+                        runs += 1;
+                        if !may_retry {
+                            break 'attempts;
+                        }
+                        retry_cause = Some(RepeatCause::NoResponse);
                     }
                 }
+                tried.push(name);
             }
-            is_retry = true;
-            tried.push(upstream.name);
         }
         match error_response {
             Some(response) => Ok(response),
@@ -184,7 +212,7 @@
         &self,
         fwd: &Forward,
         tried: &[UpstreamName],
-    ) -> Option<ListedUpstream> {
+    ) -> Option<ChosenServer> {
         let view = self.shared.view.load();
         let now = self.shared.clock.now();
         let own = &self.shared.settings.failure_domain;
@@ -195,15 +223,30 @@
         let routing = &mut *routing;
         let candidates = usable.into_iter().map(|listed| Candidate {
             name: &listed.name,
+            born: listed.born,
             slots: listed.slots,
             in_same_domain: listed.failure_domain == *own,
             is_unreachable: view.fleet.is_unreachable(now, &listed.name),
         });
-        let name = routing.balancer.choose(now, candidates, &mut routing.rng)?;
-        view.fleet.get(name).cloned()
+        let may_repeat = fwd.route.delivery == Delivery::Idempotent;
+        let choice = routing.balancer.choose(now, candidates, may_repeat, &mut routing.rng)?;
+        let server = view.fleet.get(choice.name).cloned()?;
+        Some(ChosenServer { server, late_after: choice.late_after })
+    }
+
+    fn spend_retry(&self, fwd: &Forward, chosen: &ChosenServer, cause: RepeatCause) -> bool {
+        match chosen.late_after {
+            Some(_) => self.shared.spend_repeat(&fwd.service, cause),
+            None => self.shared.spend_retry(&fwd.service),
+        }
     }
 
-    async fn attempt(&self, fwd: &Forward, upstream: &ListedUpstream, may_retry: bool) -> Attempt {
+    pub(crate) async fn attempt(
+        &self,
+        fwd: &Forward,
+        upstream: &ListedUpstream,
+        may_retry: bool,
+    ) -> Attempt {
         let engine = Endpoint::from(upstream);
         let Ok(permit) = self.permit(fwd, &engine) else {
             return Attempt::NotRun { reached_upstream: false };
@@ -255,12 +298,10 @@
             }
             Attempt::NotRun { .. } | Attempt::MayHaveRun { .. } => {}
         }
-        let took = Millis(started_at.elapsed().as_millis() as u64);
         outstanding.outcome = Some(match &attempt {
-            Attempt::Responded(response) if !response.status.is_server_error() => {
-                Outcome::Responded(took)
-            }
-            _ => Outcome::Failed,
+            attempt if attempt.is_success() => Outcome::Responded,
+            Attempt::Responded(_) | Attempt::NotRun { reached_upstream: true } => Outcome::Error,
+            Attempt::NotRun { .. } | Attempt::MayHaveRun { .. } => Outcome::NoResponse,
         });
         attempt
     }
@@ -275,9 +316,8 @@
         timeout: Duration,
     ) -> Attempt {
         let status = response.status();
-        if let Some(load) = info.load {
-            let now = self.shared.clock.now();
-            self.shared.routing().balancer.record_load(now, &upstream.name, load);
+        if let Some(load) = info.load.filter(|_| !fwd.is_pooled) {
+            self.shared.note_load(&upstream.name, load);
         }
         if info.not_run {
             if status == StatusCode::MISDIRECTED_REQUEST {
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -13,6 +13,7 @@
 mod news;
 mod pools;
 mod reports;
+mod servers;
 mod updates;
 
 pub(crate) use crashes::BrokenRequest;
@@ -99,6 +100,8 @@
     ReportSoon,
     /// An upstream names another limit, or none any more.
     LimitNews,
+    /// A server of a plain service has become slow or silent.
+    ServerNews,
     /// A request under which an upstream has ended completed now.
     SuspectCompleted(Fingerprint),
     /// The connection of a request broke before the response was complete.
@@ -145,6 +148,7 @@
     fatal_parts: FatalParts,
     survivals: Survivals,
     urgent_news: UrgentNews,
+    server_news_told_at: Time,
     announced_versions: AnnouncedVersions,
     leaving_news: LeavingNews,
     follower: Follower,
@@ -187,6 +191,7 @@
             fatal_parts: FatalParts::new(),
             survivals: Survivals::new(),
             urgent_news: UrgentNews::default(),
+            server_news_told_at: Time(0),
             announced_versions: AnnouncedVersions::new(),
             leaving_news: LeavingNews::new(),
             follower: Follower::new(now),
@@ -326,6 +331,7 @@
             Message::Relocate(req) => self.deliver_move_order(&req),
             Message::ReportSoon => self.pools.report_soon(),
             Message::LimitNews => self.tell_news(now),
+            Message::ServerNews => self.tell_server_news(now),
             Message::SuspectCompleted(fingerprint) => {
                 self.handle_suspect_completed(now, fingerprint);
             }
--- a/relay/src/control/members.rs
+++ b/relay/src/control/members.rs
@@ -40,6 +40,7 @@
             hosts: Vec::new(),
             quarantine: self.quarantine_news(now),
             limits: self.limit_statements(now),
+            servers: self.server_news(now),
         };
         let shared = Arc::clone(&self.shared);
         self.shared.traffic.spawn(async move {
@@ -78,6 +79,7 @@
         self.apply_leaving_news(now, &req.leaving);
         self.apply_quarantine_news(now, req.quarantine.as_ref());
         self.apply_limit_statements(now, &req.limits);
+        self.apply_server_news(now, &req.servers);
         let changes = self.membership.probe_reply(is_new, table_differs, &mut self.rng);
         let _ = reply.send(ProbeReply {
             sender: Some(self.membership.own().into()),
@@ -87,6 +89,7 @@
             hosts: Vec::new(),
             quarantine: self.quarantine_news(now),
             limits: self.limit_statements(now),
+            servers: self.server_news(now),
         });
     }
 
@@ -100,6 +103,7 @@
         self.apply_leaving_news(now, &reply.leaving);
         self.apply_quarantine_news(now, reply.quarantine.as_ref());
         self.apply_limit_statements(now, &reply.limits);
+        self.apply_server_news(now, &reply.servers);
     }
 
     /// Notifies other members at once that this daemon accepts work or is leaving.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod events;
 mod forward;
 mod handler;
+mod late;
 mod node;
 mod outbound;
 mod paths;
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a relay daemon.
 
+use magnoliawinch::balance::ModelUse;
 use magnoliawinch::capacity::Capacity;
 use magnoliawinch::ini::{Document, IniError, SectionReader};
 use magnoliawinch::names::{FailureDomain, HostName};
@@ -33,6 +34,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// When servers of plain services are chosen by models of their speed.
+    pub server_model: ModelUse,
     /// Limits set by the platform.
     pub bounds: Bounds,
 }
@@ -111,6 +114,7 @@
             peer_listen_address: daemon.value_or("peer_listen_address", peer_address)?,
             metrics_address: daemon.optional("metrics_address")?,
             seeds: addresses(&mut daemon, "seeds")?,
+            server_model: server_model(&mut daemon)?,
             store_address: platform.required("store_address")?,
             bounds: Bounds {
                 grace: seconds(&mut bounds, "grace_s")?,
@@ -141,6 +145,12 @@
     }
 }
 
+fn server_model(section: &mut SectionReader) -> Result<ModelUse, IniError> {
+    const KEY: &str = "server_model";
+    let text: String = section.value_or(KEY, ModelUse::default().to_string())?;
+    text.parse().map_err(|_| section.bad_value(KEY, &text, "expected reported, always or never"))
+}
+
 fn addresses(section: &mut SectionReader, key: &str) -> Result<Vec<SocketAddr>, IniError> {
     let text: String = section.value_or(key, String::new())?;
     let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -16,7 +16,7 @@
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::quarantine::{Completions, Fingerprint};
 use magnoliawinch::rendezvous;
-use magnoliawinch::retry::SharedRetryBudget;
+use magnoliawinch::retry::{RepeatCause, RepeatUses, SharedRetryBudget};
 use magnoliawinch::run_starts::RunStarts;
 use magnoliawinch::service_paths::ServicePaths;
 use magnoliawinch::time::{Millis, Time};
@@ -42,12 +42,19 @@
 /// the store.
 const TRANSFER_PATIENCE: Millis = Millis(1_500);
 
+/// Retries of one service's requests.
+#[derive(Debug)]
+struct ServiceRetries {
+    budget: SharedRetryBudget,
+    uses: RepeatUses,
+}
+
 /// Routing state of the traffic thread.
 #[derive(Debug)]
 pub(crate) struct Routing {
     pub(crate) balancer: Balancer,
     pub(crate) rng: ChaCha8Rng,
-    budgets: HashMap<ServiceName, SharedRetryBudget>,
+    retries: HashMap<ServiceName, ServiceRetries>,
     /// Pool owners that did not reply, by host, and until when they are skipped.
     pub(crate) silent_until: HashMap<String, Time>,
 }
@@ -107,9 +114,9 @@
         traffic: Handle,
     ) -> Self {
         let routing = Routing {
-            balancer: Balancer::new(),
+            balancer: Balancer::new().with_model_use(settings.server_model),
             rng: ChaCha8Rng::seed_from_u64(rand::random()),
-            budgets: HashMap::new(),
+            retries: HashMap::new(),
             silent_until: HashMap::new(),
         };
         let own_hash = rendezvous::hash(own.host.as_str());
@@ -264,15 +271,26 @@
 
     /// Credits a request for `service`, which adds a fraction of a retry to its budget.
     pub(crate) fn earn_retry(&self, service: &ServiceName) {
-        self.with_budget(service, |budget, now| budget.record_request(now));
+        self.with_retries(service, |retries, now| retries.budget.record_request(now));
     }
 
     /// Spends one retry for `service`; returns whether this daemon's share of the budget allows it.
     pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
+        self.spend(service, |_| 0.0)
+    }
+
+    /// The same, but leaves a part of the budget to retries that help more often than those for `cause`.
+    pub(crate) fn spend_repeat(&self, service: &ServiceName, cause: RepeatCause) -> bool {
+        self.spend(service, |uses| uses.reserve(cause))
+    }
+
+    fn spend(&self, service: &ServiceName, reserve: impl FnOnce(&mut RepeatUses) -> f64) -> bool {
         // The seeds are daemons, too, even if none has answered yet.
         let daemons = self.view.load().peak_daemons.max(self.settings.seeds.len());
-        let (may_retry, is_new) = self.with_budget(service, |budget, now| {
-            (budget.try_spend(now, daemons), budget.is_new(now))
+        let (may_retry, is_new) = self.with_retries(service, |retries, now| {
+            let reserve = reserve(&mut retries.uses);
+            let may_retry = retries.budget.try_spend_with_reserve(now, daemons, reserve);
+            (may_retry, retries.budget.is_new(now))
         });
         if !may_retry {
             let budget = if is_new { "new" } else { "shared" };
@@ -281,24 +299,31 @@
         may_retry
     }
 
+    /// Records whether a request was helped by being sent to a second server for `cause`.
+    pub(crate) fn note_repeat(&self, service: &ServiceName, cause: RepeatCause, helped: bool) {
+        let name: &'static str = cause.into();
+        self.metrics.count(if helped { "repeat_helped" } else { "repeat_in_vain" }, name);
+        self.with_retries(service, |retries, _| retries.uses.record(cause, helped));
+    }
+
     /// Records that a run of `service` was continued at another upstream, or that this was refused.
     pub(crate) fn note_resumption(&self, service: &ServiceName) {
-        self.with_budget(service, |budget, now| budget.record_retry(now));
+        self.with_retries(service, |retries, now| retries.budget.record_retry(now));
     }
 
-    fn with_budget<T>(
+    fn with_retries<T>(
         &self,
         service: &ServiceName,
-        f: impl FnOnce(&mut SharedRetryBudget, Time) -> T,
+        f: impl FnOnce(&mut ServiceRetries, Time) -> T,
     ) -> T {
         let limits = self.settings.bounds.retries;
         let now = self.clock.now();
         let mut routing = self.routing();
-        let budget = routing
-            .budgets
-            .entry(service.clone())
-            .or_insert_with(|| SharedRetryBudget::new(limits, self.clock.started_at()));
-        f(budget, now)
+        let retries = routing.retries.entry(service.clone()).or_insert_with(|| ServiceRetries {
+            budget: SharedRetryBudget::new(limits, self.clock.started_at()),
+            uses: RepeatUses::default(),
+        });
+        f(retries, now)
     }
 
     /// Notes when the list of upstreams was read, here or by the daemon that sent it.
--- a/relay/src/statements.rs
+++ b/relay/src/statements.rs
@@ -2,6 +2,8 @@
 
 use crate::control::Message;
 use crate::shared::Shared;
+use magnoliawinch::balance::Load;
+use magnoliawinch::names::UpstreamName;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_limits::{Brittle, Terms};
 use magnoliawinch::upstream_notices::Incarnation;
@@ -83,6 +85,36 @@
         }
     }
 
+    /// Notes the load that a server of a plain service reported.
+    pub(crate) fn note_load(&self, server: &UpstreamName, load: Load) {
+        let is_news = self.routing().balancer.record_load(self.clock.now(), server, load);
+        if is_news {
+            self.note_server_news(server, "slow");
+        }
+    }
+
+    /// Notes that another server responded to a request first, `waited` after it was sent to this one.
+    pub(crate) fn note_overtaken(&self, server: &UpstreamName, waited: Millis) {
+        self.routing().balancer.overtaken(self.clock.now(), server, waited);
+        self.note_silence(server);
+    }
+
+    /// Notes that a server has not responded for a while, if that is so.
+    pub(crate) fn note_silence(&self, server: &UpstreamName) {
+        let is_news = self.routing().balancer.note_silence(self.clock.now(), server);
+        if is_news {
+            self.note_server_news(server, "silent");
+        }
+    }
+
+    fn note_server_news(&self, server: &UpstreamName, state: &'static str) {
+        self.metrics.count("server_news", state);
+        if self.log_limiter.admits(self.clock.now()) {
+            log::info!(upstream = server.as_str(), state; "state of server has changed");
+        }
+        self.tell(Message::ServerNews);
+    }
+
     fn note_retry_after(&self, now: Time, upstream: &Incarnation, wait: Millis) {
         let honoured = wait.min(self.settings.bounds.max_retry_after);
         self.upstreams.notices().record_retry_after(now, upstream, honoured);
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -180,8 +180,8 @@
         if fwd.is_pooled {
             return self.place(fwd, avoid).await;
         }
-        let server = self.choose_server(fwd, avoid).ok_or_else(|| self.refused_run(fwd))?;
-        Ok(Assignment { engine: Endpoint::from(&server), backup: None })
+        let chosen = self.choose_server(fwd, avoid).ok_or_else(|| self.refused_run(fwd))?;
+        Ok(Assignment { engine: Endpoint::from(&chosen.server), backup: None })
     }
 
     fn run_info(&self, fwd: &Forward) -> RunInfo {
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -48,6 +48,7 @@
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 0"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
+        ("[host]", "server_model = sometimes\n[host]"),
     ];
     let errors: Vec<_> = cases
         .iter()
