Hosts refute a report that a server is silent

Change: a report says since when a server is silent; a host with a response since then tells so at once.

--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -343,7 +343,7 @@
             return Vec::new();
         }
         let is_news = |model: &ServerModel| {
-            let changed_at = model.facts().silent_at.max(model.recovered_at());
+            let changed_at = model.facts().silent_since.max(model.recovered_at());
             model.is_slow(now) || changed_at.is_some_and(|at| now.since(at) < TOLD_FOR)
         };
         let news = self.servers.iter().filter(|(_, server)| is_news(&server.model));
--- a/core/src/server_model.rs
+++ b/core/src/server_model.rs
@@ -67,8 +67,8 @@
 /// Time after which silence says nothing about the present any more.
 const SILENCE_VALIDITY: Millis = Millis(5_000);
 
-/// Time after which a silent server may be tried.
-const TRIAL_DELAY: Millis = Millis(500);
+/// Time since which a server has to be silent to be tried.
+const TRIAL_DELAY: Millis = Millis(800);
 
 /// Reports of silence that are closer together are one.
 const SILENCE_RESOLUTION: Millis = Millis(200);
@@ -94,8 +94,8 @@
     pub born: u64,
     /// The newest reported slowdown of its machine, in hundredths, and when it was reported.
     pub slowdown: Option<(Time, u32)>,
-    /// When it was last found silent.
-    pub silent_at: Option<Time>,
+    /// Since when some daemon's call has had no response, nor any other, as far as that daemon knew.
+    pub silent_since: Option<Time>,
     /// When it last responded.
     pub responded_at: Option<Time>,
 }
@@ -120,10 +120,10 @@
     decayed_at: Time,
     /// Calls without a response since the last one with a response, and when the last of them ended.
     lost: Reported<u32>,
-    silent_at: Option<Time>,
+    silent_since: Option<Time>,
     /// When it last responded to any daemon, as far as known.
     responded_at: Option<Time>,
-    /// When a response last ended a silence.
+    /// When a response last ended a silence, or refuted one that another daemon knew of.
     recovered_at: Option<Time>,
 }
 
@@ -143,7 +143,7 @@
             failures: 0.0,
             decayed_at: now,
             lost: Reported { at: now, value: 0 },
-            silent_at: None,
+            silent_since: None,
             responded_at: None,
             recovered_at: None,
         }
@@ -192,9 +192,7 @@
         if work_ms > self.work_ms {
             self.learn_work(work_ms);
         }
-        if self.is_silent_since(now - waited, waited) {
-            self.silent_at = Some(now);
-        }
+        self.note_silence_since(now, now - waited);
     }
 
     /// Records a call that failed; `has_responded` tells whether the server responded.
@@ -240,38 +238,41 @@
             self.responded_at = Some(at);
             self.lost.value = 0;
         }
-        if self.silent_at.is_some_and(|silent_at| silent_at < at) {
-            self.silent_at = None;
+        if self.silent_since.is_some_and(|since| since < at) {
+            self.silent_since = None;
             self.recovered_at = Some(at);
-            self.failures = 0.0;
         }
     }
 
-    /// Whether the server has not responded to anything since `since`, for `waited`.
-    fn is_silent_since(&self, since: Time, waited: Millis) -> bool {
-        waited >= SILENCE && self.responded_at.is_none_or(|at| at < since)
-    }
-
     /// Marks the server as silent if it is by now; returns whether that is news.
     pub fn note_silence(&mut self, now: Time) -> bool {
-        let oldest = self.outstanding.iter().min();
-        let is_silent = oldest.is_some_and(|at| self.is_silent_since(*at, now.since(*at)));
+        let oldest = self.outstanding.iter().min().copied();
+        oldest.is_some_and(|since| self.note_silence_since(now, since))
+    }
+
+    fn note_silence_since(&mut self, now: Time, since: Time) -> bool {
+        let is_silent =
+            now.since(since) >= SILENCE && self.responded_at.is_none_or(|heard| heard <= since);
+        is_silent && self.set_silent(since)
+    }
+
+    fn set_silent(&mut self, since: Time) -> bool {
         let is_news =
-            is_silent && self.silent_at.is_none_or(|known| now.since(known) >= SILENCE_RESOLUTION);
+            self.silent_since.is_none_or(|known| since.since(known) >= SILENCE_RESOLUTION);
         if is_news {
-            self.silent_at = Some(now);
+            self.silent_since = Some(since);
         }
         is_news
     }
 
     /// What other daemons can use of it.
     pub fn facts(&self) -> ServerFacts {
-        let Self { born, silent_at, responded_at, .. } = *self;
+        let Self { born, silent_since, responded_at, .. } = *self;
         let slowdown = self.slowdown.map(|reported| (reported.at, reported.value));
-        ServerFacts { born, slowdown, silent_at, responded_at }
+        ServerFacts { born, slowdown, silent_since, responded_at }
     }
 
-    /// When a response last ended a silence.
+    /// When a response last ended a silence, or refuted one that another daemon knew of.
     pub fn recovered_at(&self) -> Option<Time> {
         self.recovered_at
     }
@@ -283,17 +284,22 @@
         }
         let is_slow =
             facts.slowdown.is_some_and(|(at, percent)| self.record_slowdown(now, at, percent));
-        let was_silent = self.silent_at.is_some();
+        let was_silent = self.silent_since.is_some();
         if let Some(at) = facts.responded_at {
             self.hear(at);
         }
-        let heard_since = |at: &Time| self.responded_at.is_none_or(|heard| heard < *at);
-        if let Some(at) = facts.silent_at.filter(heard_since)
-            && self.silent_at.is_none_or(|known| at.since(known) >= SILENCE_RESOLUTION)
-        {
-            self.silent_at = Some(at);
-        }
-        is_slow || was_silent != self.silent_at.is_some()
+        let is_refuted = match (facts.silent_since, self.responded_at) {
+            (Some(since), Some(heard)) if since < heard => {
+                self.recovered_at = Some(now);
+                true
+            }
+            (Some(since), _) => {
+                self.set_silent(since);
+                false
+            }
+            (None, _) => false,
+        };
+        is_slow || is_refuted || was_silent != self.silent_since.is_some()
     }
 
     /// Slowdown expected now.
@@ -317,12 +323,12 @@
 
     /// How likely the server is silent now, from 0 to 1.
     pub fn silence(&self, now: Time) -> f64 {
-        self.silent_at.map_or(0.0, |at| Reported { at, value: () }.weight(now, SILENCE_VALIDITY))
+        self.silent_since.map_or(0.0, |at| Reported { at, value: () }.weight(now, SILENCE_VALIDITY))
     }
 
     /// Whether a silent server may be tried with a call that may be repeated.
     pub fn may_be_tried(&self, now: Time) -> bool {
-        self.silent_at.is_some_and(|at| now.since(at) >= TRIAL_DELAY)
+        self.silent_since.is_some_and(|at| now.since(at) >= TRIAL_DELAY)
     }
 
     /// Time after which a response is late on a machine that is as fast as usual.
--- a/core/tests/server_model.rs
+++ b/core/tests/server_model.rs
@@ -145,13 +145,20 @@
     assert!(choices(&mut other, Time(11_700), false)[0] > 60);
 }
 
-/// A server that has responded to others meanwhile is not silent, whatever an older report says.
+/// One long call looks like a silent server to its host. A host with a response since then refutes it.
 #[test]
-fn an_older_report_of_silence_is_ignored() {
+fn a_report_of_silence_is_refuted_by_a_response_since() {
     let mut balancer = experienced(Time(10_000), 20);
-    let facts = ServerFacts { born: 1, silent_at: Some(Time(9_900)), ..ServerFacts::default() };
-    assert!(!balancer.apply_news(Time(10_050), &names()[0], &facts));
-    assert!(choices(&mut balancer, Time(10_050), false)[0] > 60);
+    let silent = ServerFacts { born: 1, silent_since: Some(Time(9_900)), ..ServerFacts::default() };
+    let name = &names()[0];
+    assert!(balancer.apply_news(Time(10_210), name, &silent), "others hear of the response");
+    assert!(choices(&mut balancer, Time(10_210), false)[0] > 60);
+    let refutation = balancer.news(Time(10_220), 16)[0].1;
+    let mut other = experienced(Time(9_800), 20);
+    other.apply_news(Time(10_210), name, &silent);
+    assert_eq!(choices(&mut other, Time(10_210), false)[0], 0);
+    assert!(other.apply_news(Time(10_230), name, &refutation));
+    assert!(choices(&mut other, Time(10_230), false)[0] > 60);
 }
 
 /// The best server ends with calls outstanding, and is back cold under its name.
--- a/relay/src/control/servers.rs
+++ b/relay/src/control/servers.rs
@@ -17,7 +17,7 @@
 
 /// Minimum time between two rounds of telling others at once. Where there are more changes, they
 /// travel with the probes that are sent anyway.
-const MIN_ROUND_INTERVAL: Millis = Millis(200);
+const MIN_ROUND_INTERVAL: Millis = Millis(100);
 
 impl Control {
     /// Tells others at once of a change, unless they were told of one a moment ago.
@@ -43,7 +43,7 @@
                 born: facts.born,
                 slowdown_percent: facts.slowdown.map(|(_, percent)| percent),
                 slowdown_age_ms: facts.slowdown.map_or(0, |(at, _)| age(at)),
-                silent_age_ms: facts.silent_at.map(age),
+                silent_for_ms: facts.silent_since.map(age),
                 responded_age_ms: facts.responded_at.map(age),
             });
         news.collect()
@@ -62,7 +62,7 @@
                 slowdown: server
                     .slowdown_percent
                     .map(|figure| (at(server.slowdown_age_ms), figure)),
-                silent_at: server.silent_age_ms.map(at),
+                silent_since: server.silent_for_ms.map(at),
                 responded_at: server.responded_age_ms.map(at),
             };
             if self.shared.routing().balancer.apply_news(now, &name, &facts) {
