--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -50,6 +50,7 @@
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
         ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pauses = perhaps"),
         ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pause = true"),
+        ("[host]", "server_model = sometimes\n[host]"),
     ];
     let errors: Vec<_> = cases
         .iter()
