Organisations share the engines of a service; refused callers are told when room is there

Cause: in the queue of a pool nothing counted an organisation's share, refusals came at the end of a caller's patience, and a caller that returned as told was a newcomer.

Change: with `[sharing] by_organisation` the owner of a pool orders by what can be on time, priority, use above share, and time since the first refusal; refuses at once who cannot be served in its patience; and keeps a bounded table of promises to callers. Cells tell each other of the few organisations above their shares.

Ruled out (docs/design/shares.md): promises before all newcomers, refusing every early return, counting promises as ahead of newcomers, room held back, newcomers averaged over 30 s.

--- a/core/benches/decisions.rs
+++ b/core/benches/decisions.rs
@@ -129,6 +129,7 @@
         first_event_deadline: Time(1_000_000),
         patience_until: Time(1_000_000),
         avoid: Vec::new(),
+        fingerprint: None,
     }
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod service_file;
 pub mod service_paths;
 pub mod settings;
+pub mod shares;
 pub mod store_position;
 pub mod time;
 pub mod upstream_limits;
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -8,13 +8,19 @@
 mod engine;
 mod messages;
 mod queue;
+mod ranking;
 mod relocation;
+mod returns;
+mod room_rate;
+mod sharing;
 
 pub use messages::{
     EndedRun, EngineUse, Event, Occupancy, Placement, PlacementDecision, PlacementRequest, Report,
     RunState,
 };
 pub use relocation::{DrainStatus, FailedMove, FailedMoves, MoveFailure, MoveMethod, RunMove};
+pub use returns::ReturnFigures;
+pub use sharing::{OrganisationStanding, SharingFigures};
 
 use crate::admission::load::Footprint;
 use crate::estimate::LengthEstimator;
@@ -27,6 +33,7 @@
 use engine::{Choice, Engine, Loads};
 use queue::Queue;
 use relocation::{LinkUse, PendingMove, Refusals, Retries};
+use sharing::Sharing;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -61,6 +68,7 @@
 #[derive(Clone, Debug)]
 struct Run {
     holder: HostName,
+    kind: KindName,
     organisation: OrganisationName,
     engine: UpstreamName,
     backup: Option<UpstreamName>,
@@ -113,6 +121,8 @@
     engines: BTreeMap<UpstreamName, Engine>,
     runs: HashMap<RunId, Run>,
     queue: Queue,
+    /// Present if organisations share the engines by weight.
+    sharing: Option<Sharing>,
     lengths: LengthEstimator,
     /// Engines to move runs away from, with the start of draining.
     draining: HashMap<UpstreamName, Time>,
@@ -136,6 +146,7 @@
             engines: BTreeMap::new(),
             runs: HashMap::new(),
             queue: Queue::new(),
+            sharing: None,
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
             has_unchecked_engines: false,
@@ -260,6 +271,9 @@
                 backup: run.backup.clone(),
             });
         }
+        if self.sharing.is_some() {
+            return self.place_by_share(now, request);
+        }
         let must_queue = self.queue.has_ahead_of(now, &request);
         if !must_queue && let Choice::Fits(placement) = self.choose_engine(now, &request) {
             self.start(now, &request, &placement);
@@ -298,15 +312,21 @@
     pub fn tick(&mut self, now: Time) -> Vec<Event> {
         self.runs.retain(|_, run| now.since(run.confirmed_at) < RUN_LIFETIME);
         let mut events = Vec::new();
-        for request in self.queue.expire(now) {
-            let wait = self.expected_wait(now, &request);
-            events.push(Event::Refused(request.run, retry_after(wait)));
+        for queued in self.queue.expire(now) {
+            let retry_after = match self.sharing.is_some() {
+                true => self.refuse_queued(now, &queued),
+                false => retry_after(self.expected_wait(now, &queued.request)),
+            };
+            events.push(Event::Refused(queued.request.run, retry_after));
         }
         self.invalidate_loads();
         while let Some((placement, request)) = self.next_fitting(now) {
             self.start(now, &request, &placement);
             events.push(Event::Placed(request.run, placement));
         }
+        if self.sharing.is_some() {
+            self.refuse_hopeless(now, &mut events);
+        }
         events
     }
 
@@ -338,6 +358,9 @@
 
     /// Queued requests in scheduling order, with whether later ones may overtake them.
     fn ordered_queue(&self, now: Time) -> Vec<(PlacementRequest, bool)> {
+        if self.sharing.is_some() {
+            return self.queue_by_share(now);
+        }
         let mut uses: HashMap<&OrganisationName, f64> = HashMap::new();
         for run in self.runs.values() {
             *uses.entry(&run.organisation).or_default() += run.tokens(now);
@@ -351,6 +374,9 @@
 
     fn start(&mut self, now: Time, request: &PlacementRequest, placement: &Placement) {
         self.queue.remove(&request.run);
+        if let Some(sharing) = &mut self.sharing {
+            sharing.start(now, request);
+        }
         let length_distribution =
             self.lengths.distribution(&self.service, &request.kind, &request.organisation);
         let engine = self.engines.get_mut(&placement.engine);
@@ -358,6 +384,7 @@
             engine.map_or(now, |engine| engine.queue_prefill(now, request.prefill_ms()));
         let run = Run {
             holder: request.holder.clone(),
+            kind: request.kind.clone(),
             organisation: request.organisation.clone(),
             engine: placement.engine.clone(),
             backup: placement.backup.clone(),
@@ -421,6 +448,7 @@
                 None => {
                     let mut run = Run {
                         holder: holder.clone(),
+                        kind: state.kind.clone(),
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
                         backup,
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -1,12 +1,13 @@
 //! Requests and reports to a pool, and its replies.
 
 use crate::names::{FailureDomain, HostName, KindName, OrganisationName, RunId, UpstreamName};
+use crate::quarantine::Fingerprint;
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
 /// Prefill speed of an engine that also decodes: half of the figure in the users' data sheets, as
 /// each step of about 8 ms carries a prefill chunk that takes as long again.
-const PREFILL_TOKENS_PER_MS: f64 = 7.0;
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 7.0;
 
 /// Time from the end of prefill to the caller's first event: four tokens and the way back.
 const FIRST_EVENT_MS: f64 = 100.0;
@@ -36,6 +37,8 @@
     pub patience_until: Time,
     /// Engines that refused it, or want no requests of its holder, and must not be chosen.
     pub avoid: Vec<UpstreamName>,
+    /// What all attempts of its caller share; `None` if its holder does not send it.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl PlacementRequest {
@@ -43,9 +46,14 @@
         f64::from(self.prompt_tokens) / PREFILL_TOKENS_PER_MS
     }
 
+    /// Time to the first event at an engine without a prefill backlog, in milliseconds.
+    pub(super) fn first_event_ms(&self) -> f64 {
+        self.prefill_ms() + FIRST_EVENT_MS
+    }
+
     /// Whether its first event meets the deadline at an engine with a prefill backlog of `wait_ms`.
     pub(super) fn is_on_time_after(&self, now: Time, wait_ms: f64) -> bool {
-        let first_event = now.0 as f64 + wait_ms + self.prefill_ms() + FIRST_EVENT_MS;
+        let first_event = now.0 as f64 + wait_ms + self.first_event_ms();
         first_event <= self.first_event_deadline.0 as f64
     }
 
--- a/core/src/pool/queue.rs
+++ b/core/src/pool/queue.rs
@@ -1,15 +1,18 @@
 //! Queue of placement requests that do not fit yet.
 
 use super::PlacementRequest;
+use super::returns::ReturnedCaller;
 use crate::names::{OrganisationName, RunId};
 use crate::time::{Millis, Time};
 use std::cmp::Ordering;
 use std::collections::HashMap;
 
 #[derive(Clone, Debug)]
-struct QueuedRequest {
-    request: PlacementRequest,
-    queued_at: Time,
+pub(super) struct QueuedRequest {
+    pub(super) request: PlacementRequest,
+    pub(super) queued_at: Time,
+    /// Present if its caller was refused before.
+    pub(super) returned: Option<ReturnedCaller>,
     /// When its holder last repeated the request, as it does while the run waits.
     polled_at: Time,
 }
@@ -29,9 +32,14 @@
         !self.request.can_be_on_time(now)
     }
 
+    /// Whether it need not wait for the time that its caller was told.
+    pub(super) fn has_its_time(&self, now: Time) -> bool {
+        self.returned.is_none_or(|caller| caller.due <= now)
+    }
+
     /// Whether later requests of its priority may start before it: for the first half of its
     /// patience.
-    fn may_be_overtaken(&self, now: Time) -> bool {
+    pub(super) fn may_be_overtaken(&self, now: Time) -> bool {
         let patience = self.request.patience_until.since(self.queued_at).0;
         now.since(self.queued_at).0 * 2 < patience
     }
@@ -52,15 +60,38 @@
     }
 
     pub(super) fn push(&mut self, now: Time, request: PlacementRequest) {
+        self.push_returned(now, request, None);
+    }
+
+    /// Adds a request whose caller may have been refused before.
+    pub(super) fn push_returned(
+        &mut self,
+        now: Time,
+        request: PlacementRequest,
+        returned: Option<ReturnedCaller>,
+    ) {
         match self.requests.iter_mut().find(|queued| queued.request.run == request.run) {
             Some(queued) => {
                 queued.polled_at = now;
                 queued.request.avoid = request.avoid;
             }
-            None => self.requests.push(QueuedRequest { request, queued_at: now, polled_at: now }),
+            None => self.requests.push(QueuedRequest {
+                request,
+                queued_at: now,
+                returned,
+                polled_at: now,
+            }),
         }
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.requests.iter()
+    }
+
+    pub(super) fn get(&self, run: &RunId) -> Option<&QueuedRequest> {
+        self.iter().find(|queued| queued.request.run == *run)
+    }
+
     pub(super) fn remove(&mut self, run: &RunId) {
         self.requests.retain(|queued| queued.request.run != *run);
     }
@@ -83,10 +114,9 @@
 
     /// Removes and returns requests whose patience has run out; drops those that are no longer
     /// repeated.
-    pub(super) fn expire(&mut self, now: Time) -> Vec<PlacementRequest> {
+    pub(super) fn expire(&mut self, now: Time) -> Vec<QueuedRequest> {
         self.requests.retain(|queued| now.since(queued.polled_at) < POLL_TIMEOUT);
-        let expired = self.requests.extract_if(.., |queued| queued.request.patience_until <= now);
-        expired.map(|queued| queued.request).collect()
+        self.requests.extract_if(.., |queued| queued.request.patience_until <= now).collect()
     }
 
     /// Requests in scheduling order, with whether later ones may overtake them. Those that can
--- a/experiments/src/reclaim/simulation.rs
+++ b/experiments/src/reclaim/simulation.rs
@@ -173,6 +173,7 @@
             first_event_deadline: arrival.at + kind.objective,
             patience_until: run.first_requested_at + patience,
             avoid: run.avoid.clone(),
+            fingerprint: None,
         }
     }
 
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -13,6 +13,7 @@
 mod news;
 mod pools;
 mod reports;
+mod sharing;
 mod updates;
 
 pub(crate) use crashes::BrokenRequest;
@@ -38,6 +39,7 @@
 use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::{Fingerprint, Quarantine};
 use magnoliawinch::route_table::{Configuration, RouteTable};
+use magnoliawinch::shares::CellFigures;
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::upstream_notices::Incarnation;
@@ -138,6 +140,8 @@
     fleet_changed_at: StorePosition,
     list_log: ChangeLog,
     pools: Pools,
+    /// Use in the cells of a divided system, kept by readers of the list.
+    cell_figures: CellFigures,
     evacuations: Evacuations,
     /// The evacuated failure domains as published in the view.
     evacuated: Arc<BTreeSet<FailureDomain>>,
@@ -181,6 +185,7 @@
             fleet_changed_at: StorePosition::START,
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
+            cell_figures: CellFigures::new(),
             evacuations: Evacuations::new(),
             evacuated: Arc::default(),
             quarantine: Quarantine::new(),
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -88,6 +88,7 @@
             return;
         };
         let cells = self.pool_cells();
+        let weights = &self.shared.settings.sharing;
         let pools = &mut self.pools.by_key;
         pools.retain(|key, _| {
             let service = table.service(key.service.as_str());
@@ -99,7 +100,12 @@
                 match pools.get_mut(&key) {
                     Some(pool) => pool.set_config(config),
                     None => {
-                        pools.insert(key, Pool::new(name.clone(), config));
+                        let pool = Pool::new(name.clone(), config);
+                        let pool = match weights {
+                            Some(weights) => pool.with_sharing(weights.clone()),
+                            None => pool,
+                        };
+                        pools.insert(key, pool);
                     }
                 }
             }
@@ -209,6 +215,7 @@
             .collect();
         for (key, pool) in &mut self.pools.by_key {
             let failed = pool.take_failed_moves();
+            let sharing = pool.take_sharing_figures(now);
             if !owned.contains(&key.cell) {
                 continue;
             }
@@ -225,6 +232,9 @@
                 "pool"
             );
             log_failed_moves(service, &failed);
+            if let Some(sharing) = sharing {
+                self.shared.note_sharing(service, cell, &sharing);
+            }
             if let Some(status) = pool.drain_status(now).filter(|status| status.waiting() > 0) {
                 log::info!(
                     service,
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -192,6 +192,7 @@
             attempt_age_ms,
             evacuations_era: self.evacuations.position().era,
             evacuations_offset: self.evacuations.position().offset,
+            above_share: self.own_use_above_share(now),
         }
     }
 
@@ -210,6 +211,7 @@
     pub(super) fn state_reply(&mut self, now: Time, req: &StateRequest) -> StateReply {
         if self.is_reader() {
             self.update_cell_loads(&req.loads);
+            self.record_use_above_share(now, &req.above_share);
         }
         let wanted = cell_set(&req.wanted);
         let is_covered = self.cells.covered.covers(&wanted);
@@ -235,6 +237,7 @@
             configuration_reader_rank: reader.rank,
             quarantine: self.quarantine_news(now),
             evacuations: self.evacuations_to_proto(),
+            above_share: self.total_use_above_share(now),
         }
     }
 
@@ -320,6 +323,7 @@
         }
         if !self.cells.layout.is_undivided() && !self.is_reader() {
             self.replace_cell_loads(&state.cell_loads);
+            self.apply_use_above_share(now, &state.above_share);
         }
         let scope = cell_set(&state.told);
         let position = StorePosition { era: state.list_era, offset: state.list_offset };
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -9,6 +9,7 @@
     FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
 };
 use magnoliawinch::pool::PlacementRequest;
+use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::rendezvous;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
@@ -114,6 +115,7 @@
             first_event_deadline: now + Millis(u64::from(req.on_time_ms)),
             patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
+            fingerprint: req.fingerprint.map(Fingerprint),
         });
         let cell = req.cell.as_ref().and_then(CellOf::cell);
         let cell = cell.ok_or_else(|| Status::invalid_argument("no cell"))?;
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -11,6 +11,7 @@
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
 use magnoliawinch::pool::PlacementRequest;
+use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{PlaceReply, PlaceRequest};
 use std::net::SocketAddr;
@@ -157,6 +158,7 @@
             patience_ms: Self::remaining_wait(fwd).0 as u32,
             avoid: avoid.iter().map(UpstreamName::to_string).collect(),
             cell: Some(cell.into()),
+            fingerprint: self.caller_fingerprint(fwd).map(|fingerprint| fingerprint.0),
         };
         let call = self.shared.peers.call(
             owner.peer_address,
@@ -192,6 +194,14 @@
         outcome.unwrap_or(PlaceOutcome::Unknown)
     }
 
+    /// What all attempts of a caller share, if organisations share the engines. Bodies may be equal
+    /// where the headers tell the prompt.
+    fn caller_fingerprint(&self, fwd: &Forward) -> Option<Fingerprint> {
+        self.shared.settings.sharing.as_ref()?;
+        let prompt = fwd.info.prompt.map_or(0, |prompt| prompt.digest);
+        Some(Fingerprint(fwd.fingerprint.0 ^ prompt))
+    }
+
     fn placement_request(&self, fwd: &Forward, avoid: &[UpstreamName]) -> PlacementRequest {
         let settings = &self.shared.settings;
         PlacementRequest {
@@ -206,6 +216,7 @@
             first_event_deadline: self.shared.clock.now() + Self::time_to_objective(fwd),
             patience_until: self.shared.clock.now() + Self::remaining_wait(fwd),
             avoid: avoid.to_vec(),
+            fingerprint: self.caller_fingerprint(fwd),
         }
     }
 }
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -2,9 +2,11 @@
 
 use magnoliawinch::capacity::Capacity;
 use magnoliawinch::ini::{Document, IniError, SectionReader};
-use magnoliawinch::names::{FailureDomain, HostName};
+use magnoliawinch::names::{FailureDomain, HostName, OrganisationName};
 use magnoliawinch::retry::SharedRetryLimits;
+use magnoliawinch::shares::Weights;
 use magnoliawinch::time::Millis;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
@@ -35,6 +37,8 @@
     pub store_address: SocketAddr,
     /// Limits set by the platform.
     pub bounds: Bounds,
+    /// Weights by which organisations share the engines of a service; `None` if they do not.
+    pub sharing: Option<Weights>,
 }
 
 /// Limits set by the platform.
@@ -77,6 +81,9 @@
 /// Limit for the link of a host, in Mbit/s.
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
 
+/// Limits of the weight of an organisation.
+const WEIGHT: RangeInclusive<f64> = 0.001..=1_000.0;
+
 /// Limit for durations: one day.
 const MAX_SECONDS: f64 = 86_400.0;
 
@@ -86,17 +93,21 @@
     /// Parses a settings file; the error names the section or key at fault.
     pub fn parse(text: &str) -> Result<Self, IniError> {
         let doc = Document::parse(text)?;
-        let known = ["daemon", "host", "platform", "bounds"];
+        let known = ["daemon", "host", "platform", "bounds", "sharing"];
         if let Some(section) = doc.sections().keys().find(|s| !known.contains(&s.as_str())) {
             return Err(IniError::UnknownSection {
                 section: section.clone(),
-                expected: "[daemon], [host], [platform] or [bounds]".to_owned(),
+                expected: "[daemon], [host], [platform], [bounds] or [sharing]".to_owned(),
             });
         }
         let mut daemon = doc.section("daemon")?;
         let mut host = doc.section("host")?;
         let mut platform = doc.section("platform")?;
         let mut bounds = doc.section("bounds")?;
+        let sharing = match doc.sections().contains_key("sharing") {
+            true => sharing(doc.section("sharing")?)?,
+            false => None,
+        };
         let peer_address = daemon.required("peer_address")?;
         let memory_mb = bounds.number_or("memory_mb", 256, MEMORY_MB)?;
         let response_buffer_mb = memory_mb / RESPONSE_BUFFER_DIVISOR;
@@ -132,6 +143,7 @@
                     DEFAULT_MAX_RETRY_AFTER_S,
                 )?,
             },
+            sharing,
         };
         daemon.finish()?;
         host.finish()?;
@@ -151,6 +163,29 @@
         .collect()
 }
 
+/// Weights of organisations, if they share the engines.
+fn sharing(mut section: SectionReader) -> Result<Option<Weights>, IniError> {
+    let is_on = section.value_or("by_organisation", false)?;
+    let text: String = section.value_or("weights", String::new())?;
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    let mut weights = BTreeMap::new();
+    for part in parts {
+        let parsed = part.split_once('=').and_then(|(name, weight)| {
+            let weight = weight.trim().parse::<f64>().ok()?;
+            let is_valid = !name.trim().is_empty() && WEIGHT.contains(&weight);
+            is_valid.then(|| (OrganisationName::new(name.trim()), weight))
+        });
+        let reason =
+            format!("expected NAME=WEIGHT, …, each {} to {}", WEIGHT.start(), WEIGHT.end());
+        let (name, weight) = parsed.ok_or_else(|| section.bad_value("weights", part, &reason))?;
+        if weights.insert(name, weight).is_some() {
+            return Err(section.bad_value("weights", part, "the organisation has two weights"));
+        }
+    }
+    section.finish()?;
+    Ok(is_on.then(|| Weights::new(weights)))
+}
+
 /// The host's share of processor cores, their speed relative to a reference core, and its link.
 fn capacity(section: &mut SectionReader) -> Result<Capacity, IniError> {
     let share = non_negative(section, "processor_share", MAX_CORES)?;
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -35,6 +35,8 @@
     pub tokens: u32,
     /// Maximum tokens to generate.
     pub max_answer_tokens: u32,
+    /// Digest of the whole prompt, as far as the headers tell it.
+    pub digest: u64,
 }
 
 /// A request header is missing or malformed.
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Tests of parsing a relay daemon's settings.
 
+use magnoliawinch::names::OrganisationName;
+use magnoliawinch::shares::Weights;
 use magnoliawinch_relay::Settings;
 
 const GOOD: &str = "
@@ -31,6 +33,17 @@
     insta::assert_debug_snapshot!(Settings::parse(GOOD).unwrap());
 }
 
+#[test]
+fn organisations_share_engines_if_that_is_set() {
+    let sharing = |section: &str| Settings::parse(&format!("{GOOD}{section}")).unwrap().sharing;
+    assert_eq!(sharing(""), None);
+    assert_eq!(sharing("[sharing]\nby_organisation = false\nweights = a=2\n"), None);
+    let weights = [("a", 2.0), ("b", 0.5)];
+    let weights = weights.map(|(name, weight)| (OrganisationName::new(name), weight));
+    let set = sharing("[sharing]\nby_organisation = true\nweights = a=2, b = 0.5\n");
+    assert_eq!(set, Some(Weights::new(weights)));
+}
+
 #[test]
 fn bad_settings_name_key_and_value() {
     let cases = [
@@ -48,6 +61,11 @@
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 0"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
+        ("memory_mb = 110", "memory_mb = 110\n[sharing]\nby_organisation = maybe"),
+        ("memory_mb = 110", "memory_mb = 110\n[sharing]\nweights = a=2, b"),
+        ("memory_mb = 110", "memory_mb = 110\n[sharing]\nweights = a=0"),
+        ("memory_mb = 110", "memory_mb = 110\n[sharing]\nweights = a=1, a=2"),
+        ("memory_mb = 110", "memory_mb = 110\n[sharing]\nby_kind = true"),
     ];
     let errors: Vec<_> = cases
         .iter()
