--- a/core/benches/decisions.rs
+++ b/core/benches/decisions.rs
@@ -130,6 +130,7 @@
         patience_until: Time(1_000_000),
         avoid: Vec::new(),
         max_pause: None,
+        fingerprint: None,
     }
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod service_file;
 pub mod service_paths;
 pub mod settings;
+pub mod shares;
 pub mod store_position;
 pub mod time;
 pub mod upstream_limits;
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -10,7 +10,11 @@
 mod messages;
 mod mixing;
 mod queue;
+mod ranking;
 mod relocation;
+mod returns;
+mod room_rate;
+mod sharing;
 mod speed;
 
 pub use messages::{
@@ -19,6 +23,8 @@
 };
 pub use mixing::MixingCounts;
 pub use relocation::{DrainStatus, FailedMove, FailedMoves, MoveFailure, MoveMethod, RunMove};
+pub use returns::ReturnFigures;
+pub use sharing::{OrganisationStanding, SharingFigures};
 
 use crate::admission::load::Footprint;
 use crate::estimate::LengthEstimator;
@@ -32,6 +38,7 @@
 use handoff::HandoffBudget;
 use queue::Queue;
 use relocation::{PendingMove, Refusals, RefusingTargets, Retries};
+use sharing::Sharing;
 use speed::PoolSpeed;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -71,6 +78,7 @@
 #[derive(Clone, Debug)]
 struct Run {
     holder: HostName,
+    kind: KindName,
     organisation: OrganisationName,
     engine: UpstreamName,
     backup: Option<UpstreamName>,
@@ -135,6 +143,8 @@
     engines: BTreeMap<UpstreamName, Engine>,
     runs: HashMap<RunId, Run>,
     queue: Queue,
+    /// Present if organisations share the engines by weight.
+    sharing: Option<Sharing>,
     lengths: LengthEstimator,
     /// Engines to move runs away from, with the start of draining.
     draining: HashMap<UpstreamName, Time>,
@@ -163,6 +173,7 @@
             engines: BTreeMap::new(),
             runs: HashMap::new(),
             queue: Queue::new(),
+            sharing: None,
             lengths: LengthEstimator::new(),
             draining: HashMap::new(),
             has_unchecked_engines: false,
@@ -303,6 +314,9 @@
             });
         }
         self.forget_prefill(&request);
+        if self.sharing.is_some() {
+            return self.place_by_share(now, request);
+        }
         let must_queue = self.queue.has_ahead_of(now, &request);
         if !must_queue && let Choice::Fits(placement) = self.choose_engine(now, &request) {
             self.start(now, &request, &placement);
@@ -341,15 +355,21 @@
     pub fn tick(&mut self, now: Time) -> Vec<Event> {
         self.runs.retain(|_, run| now.since(run.confirmed_at) < RUN_LIFETIME);
         let mut events = Vec::new();
-        for request in self.queue.expire(now) {
-            let wait = self.expected_wait(now, &request);
-            events.push(Event::Refused(request.run, retry_after(wait)));
+        for queued in self.queue.expire(now) {
+            let retry_after = match self.sharing.is_some() {
+                true => self.refuse_queued(now, &queued),
+                false => retry_after(self.expected_wait(now, &queued.request)),
+            };
+            events.push(Event::Refused(queued.request.run, retry_after));
         }
         self.invalidate_loads();
         while let Some((placement, request)) = self.next_fitting(now) {
             self.start(now, &request, &placement);
             events.push(Event::Placed(request.run, placement));
         }
+        if self.sharing.is_some() {
+            self.refuse_hopeless(now, &mut events);
+        }
         events
     }
 
@@ -381,6 +401,9 @@
 
     /// Queued requests in scheduling order, with whether later ones may overtake them.
     fn ordered_queue(&self, now: Time) -> Vec<(PlacementRequest, bool)> {
+        if self.sharing.is_some() {
+            return self.queue_by_share(now);
+        }
         let mut uses: HashMap<&OrganisationName, f64> = HashMap::new();
         for run in self.runs.values() {
             *uses.entry(&run.organisation).or_default() += run.tokens(now);
@@ -396,6 +419,9 @@
         self.queue.remove(&request.run);
         self.count_mixing(now, request, placement);
         self.handoffs.note_placement();
+        if let Some(sharing) = &mut self.sharing {
+            sharing.start(now, request);
+        }
         let length_distribution =
             self.lengths.distribution(&self.service, &request.kind, &request.organisation);
         let prefill_ms = match self.engines.get(&placement.engine) {
@@ -406,6 +432,7 @@
         let prefill_due = engine.map_or(now, |engine| engine.queue_prefill(now, prefill_ms));
         let run = Run {
             holder: request.holder.clone(),
+            kind: request.kind.clone(),
             organisation: request.organisation.clone(),
             engine: placement.engine.clone(),
             backup: placement.backup.clone(),
@@ -477,6 +504,7 @@
                 None => {
                     let mut run = Run {
                         holder: holder.clone(),
+                        kind: state.kind.clone(),
                         organisation: state.organisation.clone(),
                         engine: state.engine.clone(),
                         backup,
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -1,12 +1,13 @@
 //! Requests and reports to a pool, and its replies.
 
 use crate::names::{FailureDomain, HostName, KindName, OrganisationName, RunId, UpstreamName};
+use crate::quarantine::Fingerprint;
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
 /// Prefill speed of an engine that also decodes: half of the figure in the users' data sheets, as
 /// each step of about 8 ms carries a prefill chunk that takes as long again.
-const PREFILL_TOKENS_PER_MS: f64 = 7.0;
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 7.0;
 
 /// Time from the end of prefill to the caller's first event: four tokens and the way back.
 const FIRST_EVENT_MS: f64 = 100.0;
@@ -38,6 +39,8 @@
     pub avoid: Vec<UpstreamName>,
     /// Longest pause between events for which it is on time.
     pub max_pause: Option<Millis>,
+    /// What all attempts of its caller share; `None` if its holder does not send it.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl PlacementRequest {
@@ -46,6 +49,11 @@
         f64::from(self.prompt_tokens) / PREFILL_TOKENS_PER_MS
     }
 
+    /// Time to the first event at an engine without a prefill backlog, in milliseconds.
+    pub(super) fn first_event_ms(&self) -> f64 {
+        self.prefill_ms() + FIRST_EVENT_MS
+    }
+
     /// Whether its first event meets the deadline at an engine that has a prefill backlog of `wait_ms`
     /// and takes `prefill_ms` for the prompt.
     pub(super) fn is_on_time_after(&self, now: Time, wait_ms: f64, prefill_ms: f64) -> bool {
--- a/experiments/src/reclaim/simulation.rs
+++ b/experiments/src/reclaim/simulation.rs
@@ -174,6 +174,7 @@
             patience_until: run.first_requested_at + patience,
             avoid: run.avoid.clone(),
             max_pause: None,
+            fingerprint: None,
         }
     }
 
--- a/relay/src/control/pools.rs
+++ b/relay/src/control/pools.rs
@@ -94,6 +94,7 @@
         };
         let cells = self.pool_cells();
         let (per_placement, per_second) = self.handoff_limits();
+        let weights = &self.shared.settings.sharing;
         let pools = &mut self.pools.by_key;
         pools.retain(|key, _| {
             let service = table.service(key.service.as_str());
@@ -108,6 +109,10 @@
                         let pool = Pool::new(name.clone(), config)
                             .with_pauses_kept(self.shared.settings.scheduling.keeps_pauses)
                             .with_handoffs(per_placement, per_second);
+                        let pool = match weights {
+                            Some(weights) => pool.with_sharing(weights.clone()),
+                            None => pool,
+                        };
                         pools.insert(key, pool);
                     }
                 }
@@ -227,6 +232,7 @@
             .collect();
         for (key, pool) in &mut self.pools.by_key {
             let failed = pool.take_failed_moves();
+            let sharing = pool.take_sharing_figures(now);
             if !owned.contains(&key.cell) {
                 continue;
             }
@@ -251,6 +257,9 @@
             metrics.add("prompt_placed", "beside_streams", mixing.beside);
             metrics.add("hand_off", "ordered", mixing.handed_off);
             log_failed_moves(service, &failed);
+            if let Some(sharing) = sharing {
+                self.shared.note_sharing(service, cell, &sharing);
+            }
             if let Some(status) = pool.drain_status(now).filter(|status| status.waiting() > 0) {
                 log::info!(
                     service,
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -9,6 +9,7 @@
     FailureDomain, HostName, KindName, OrganisationName, RunId, ServiceName, UpstreamName,
 };
 use magnoliawinch::pool::PlacementRequest;
+use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::rendezvous;
 use magnoliawinch::time::Millis;
 use magnoliawinch_peer::{
@@ -115,6 +116,7 @@
             patience_until: now + Millis(u64::from(req.patience_ms)),
             avoid: req.avoid.iter().map(|name| UpstreamName::new(name)).collect(),
             max_pause: req.max_pause_ms.map(|ms| Millis(u64::from(ms))),
+            fingerprint: req.fingerprint.map(Fingerprint),
         });
         let Some(cell) = req.cell.as_ref().and_then(CellOf::cell) else {
             return Ok(Response::new(place_reply(PlaceOutcome::Unknown)));
