--- a/core/src/pool/mixing.rs
+++ b/core/src/pool/mixing.rs
@@ -66,7 +66,7 @@
     /// Time to prefill a prompt at an engine.
     pub(super) fn prefill_ms(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
         match self.keeps_pauses {
-            true => request.prefill_ms() * self.speed.lasting(&engine.speed),
+            true => request.prefill_ms() * self.speed.relative(&engine.speed),
             false => request.prefill_ms(),
         }
     }
@@ -74,7 +74,7 @@
     /// Time per token expected of an engine while no run shows it.
     pub(super) fn usual_token_ms(&self, engine: &Engine) -> f64 {
         match self.keeps_pauses {
-            true => STEP_MS * self.speed.lasting(&engine.speed),
+            true => STEP_MS * self.speed.relative(&engine.speed),
             false => STEP_MS,
         }
     }
--- a/core/src/pool/speed.rs
+++ b/core/src/pool/speed.rs
@@ -109,6 +109,12 @@
         engine.lasting().unwrap_or(self.mean_lasting)
     }
 
+    /// The lasting slowdown of an engine relative to the mean of all: the pool's assumed times are those of
+    /// an average engine.
+    pub(super) fn relative(&self, engine: &EngineSpeed) -> f64 {
+        self.lasting(engine) / self.mean_lasting
+    }
+
     /// The slowdown of an engine in a slow moment.
     pub(super) fn in_slow_moment(&self, engine: &EngineSpeed) -> f64 {
         self.lasting(engine) * self.slow_ratio
--- a/core/tests/shares.rs
+++ b/core/tests/shares.rs
@@ -42,6 +42,22 @@
     assert_eq!((on_time(&alone), on_time(quiet)), (quiet_count, quiet_count));
     assert!(loud.iter().any(|caller| caller.started.is_none()), "the load must exceed the room");
 }
+/// Load: the same, with objectives of 2 s, and quiet organisations that all arrive within 300 ms every 2 s.
+#[test]
+fn quiet_organisations_that_arrive_together_lose_nothing() {
+    let mut quiet: Vec<_> = (0..10u64)
+        .flat_map(|round| (0..9u64).map(move |n| (n, round * 2_000 + n * 33)))
+        .map(|(n, at)| Caller::new(&format!("quiet-{n}"), at, Manner::WhenTold))
+        .collect();
+    let quiet_count = quiet.len();
+    quiet.extend(steady("loud", 10.0, 0, 20_000, Manner::WhenTold));
+    for caller in &mut quiet {
+        caller.objective = Millis(2_000);
+    }
+    play(&mut shared_pool(4, Weights::default()), &mut quiet, Millis(30_000), None);
+    assert_eq!(on_time(&quiet[..quiet_count]), quiet_count);
+}
+
 /// Load: a burst of 2.5 times what the engines serve, for 10 s; callers come back when told.
 #[test]
 fn a_burst_is_refused_at_once_and_promised_room_is_there() {
