--- a/core/src/pool/handoff.rs
+++ b/core/src/pool/handoff.rs
@@ -69,7 +69,7 @@
         added: &ProjectedRun,
         max_pause: Option<Millis>,
     ) -> Option<UpstreamName> {
-        let max_pause = max_pause.filter(|_| self.keeps_pauses && self.config.can_back_up)?;
+        let max_pause = max_pause.filter(|_| self.weighs_streams() && self.config.can_back_up)?;
         let remaining_ms = added.remaining_tokens(now) * STEP_MS;
         if remaining_ms < MIN_TIME_LEFT.0 as f64 || !self.exceeds_pause(engine, max_pause) {
             return None;
@@ -109,7 +109,7 @@
 
     /// Orders hand-offs of runs whose prompts have been read and copied.
     pub fn plan_handoffs(&mut self, now: Time) -> Vec<RunMove> {
-        if !self.keeps_pauses {
+        if !self.weighs_streams() {
             return Vec::new();
         }
         self.handoffs.advance(now);
--- a/core/src/pool/mixing.rs
+++ b/core/src/pool/mixing.rs
@@ -51,7 +51,8 @@
         request: &PlacementRequest,
         placement: &Placement,
     ) {
-        let Some(engine) = self.engines.get(&placement.engine).filter(|_| self.keeps_pauses) else {
+        let Some(engine) = self.engines.get(&placement.engine).filter(|_| self.weighs_streams())
+        else {
             return;
         };
         let (sensitive, _) = self.sensitive_streams(now, &placement.engine);
@@ -63,9 +64,15 @@
         self.mixing.expected_late += late;
     }
 
+    /// Whether prompts are placed by what they do to streams: that was asked for, and engines report how
+    /// long work takes on their machines.
+    pub(super) fn weighs_streams(&self) -> bool {
+        self.keeps_pauses && self.speed.is_reported()
+    }
+
     /// Time to prefill a prompt at an engine.
     pub(super) fn prefill_ms(&self, request: &PlacementRequest, engine: &Engine) -> f64 {
-        match self.keeps_pauses {
+        match self.weighs_streams() {
             true => request.prefill_ms() * self.speed.relative(&engine.speed),
             false => request.prefill_ms(),
         }
@@ -73,7 +80,7 @@
 
     /// Time per token expected of an engine while no run shows it.
     pub(super) fn usual_token_ms(&self, engine: &Engine) -> f64 {
-        match self.keeps_pauses {
+        match self.weighs_streams() {
             true => STEP_MS * self.speed.relative(&engine.speed),
             false => STEP_MS,
         }
@@ -87,7 +94,7 @@
 
     /// The pause that a run is allowed, if a prompt read at `engine` in a slow moment would exceed it.
     pub(super) fn pause_at_risk(&self, run: &Run, engine: &UpstreamName) -> Option<Millis> {
-        let max_pause = run.max_pause.filter(|_| self.keeps_pauses)?;
+        let max_pause = run.max_pause.filter(|_| self.weighs_streams())?;
         self.exceeds_pause(engine, max_pause).then_some(max_pause)
     }
 
@@ -109,7 +116,7 @@
     /// it.
     pub(super) fn forget_prefill(&mut self, request: &PlacementRequest) {
         let engine = self.runs.get(&request.run).map(|run| run.engine.clone());
-        let Some(engine) = engine.filter(|_| self.keeps_pauses) else {
+        let Some(engine) = engine.filter(|_| self.weighs_streams()) else {
             return;
         };
         if let Some(ms) = self.engines.get(&engine).map(|engine| self.prefill_ms(request, engine))
@@ -143,7 +150,7 @@
         name: &UpstreamName,
         request: &PlacementRequest,
     ) -> bool {
-        let Some(engine) = self.engines.get(name).filter(|_| self.keeps_pauses) else {
+        let Some(engine) = self.engines.get(name).filter(|_| self.weighs_streams()) else {
             return false;
         };
         let (sensitive, _) = self.sensitive_streams(now, name);
@@ -160,7 +167,7 @@
         load: &ProjectedLoad,
         request: &PlacementRequest,
     ) -> f64 {
-        if !self.keeps_pauses {
+        if !self.weighs_streams() {
             return 0.0;
         }
         let late = self.expected_late(now, engine, load.sensitive, request);
--- a/core/src/pool/speed.rs
+++ b/core/src/pool/speed.rs
@@ -75,17 +75,25 @@
     slow_ratio: f64,
     /// Mean lasting slowdown of the engines that reported one.
     mean_lasting: f64,
+    is_reported: bool,
 }
 
 impl Default for PoolSpeed {
     fn default() -> Self {
-        Self { figures: PRIOR_MOMENTS, slow_figures: 0.0, slow_ratio: USUAL, mean_lasting: USUAL }
+        Self {
+            figures: PRIOR_MOMENTS,
+            slow_figures: 0.0,
+            slow_ratio: USUAL,
+            mean_lasting: USUAL,
+            is_reported: false,
+        }
     }
 }
 
 impl PoolSpeed {
     /// Records a figure by its ratio to its engine's lasting slowdown.
     pub(super) fn record(&mut self, ratio: f64) {
+        self.is_reported = true;
         self.figures = self.figures * MOMENT_DECAY + 1.0;
         self.slow_figures *= MOMENT_DECAY;
         if ratio < SLOW_RATIO {
@@ -96,6 +104,11 @@
         self.slow_ratio += weight * (ratio - self.slow_ratio);
     }
 
+    /// Whether engines report how long work takes on their machines.
+    pub(super) fn is_reported(&self) -> bool {
+        self.is_reported
+    }
+
     /// Sets the mean of the lasting slowdowns that are known.
     pub(super) fn set_mean(&mut self, lasting: impl Iterator<Item = f64>) {
         let (count, sum) = lasting.fold((0.0, 0.0), |(n, sum), slowdown| (n + 1.0, sum + slowdown));
--- a/core/tests/mixing.rs
+++ b/core/tests/mixing.rs
@@ -115,6 +115,19 @@
     let before = place(pool(&engines));
     assert_eq!(place(uneven_pool(false)), before);
     assert_eq!(place(pool(&engines).with_pauses_kept(true)), before);
+    // Many streams at one engine, and a backlog of prompts at the other.
+    let engines = [("s1", "a"), ("s2", "a")];
+    let s1 = Placement::new(UpstreamName::new("s1"));
+    let streams: Vec<_> = (0..12)
+        .map(|n| RunState { max_pause: MAX_PAUSE, ..state(&format!("at-s1-{n}"), &s1, 1_000, 20) })
+        .collect();
+    let beside = |mut pool: Pool| {
+        report_runs(&mut pool, Time(900), &streams);
+        let avoid = vec![s1.engine.clone()];
+        placed(pool.place(Time(1_000), PlacementRequest { avoid, ..request("backlog", 2_500) }));
+        placed(pool.place(Time(1_000), stream("r"))).engine
+    };
+    assert_eq!(beside(pool(&engines).with_pauses_kept(true)), beside(pool(&engines)));
 }
 
 /// A pool with a stream on slow engine `s1`, whose backup at fast engine `f` is up to date at 2 s.
