--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -6,6 +6,7 @@
 //! Servers that report the slowdown of their machines are chosen by [`ServerModel`]: the faster ones
 //! by far more often, but never so often that the calls which leave slow servers overload them.
 
+use crate::failure_rate::FailureRate;
 use crate::names::UpstreamName;
 use crate::server_model::{Estimate, ServerFacts, ServerModel};
 use crate::time::{Millis, Time};
@@ -20,15 +21,6 @@
 /// data sheets.
 const PRIOR_LATENCY_MS: f64 = 30.0;
 
-/// Half-life of the weight of an observed outcome.
-const FAILURE_HALF_LIFE: Millis = Millis(3_000);
-
-/// Weight of the prior failure rate, in calls.
-const PRIOR_CALLS: f64 = 4.0;
-
-/// Failure rate expected of any server; more indicates a problem.
-const PRIOR_FAILURE_RATE: f64 = 0.1;
-
 /// Cost of a certain failure: the callers' timeout.
 const FAILURE_COST_MS: f64 = 1_000.0;
 
@@ -89,10 +81,7 @@
     model: ServerModel,
     outstanding: u32,
     mean_latency_ms: f64,
-    /// Ended calls, and failed ones among them, weighted by age as of `decayed_at`.
-    calls: f64,
-    failures: f64,
-    decayed_at: Time,
+    failures: FailureRate,
     load: Option<(Time, Load)>,
 }
 
@@ -112,25 +101,11 @@
             model: ServerModel::new(now),
             outstanding: 0,
             mean_latency_ms: PRIOR_LATENCY_MS,
-            calls: 0.0,
-            failures: 0.0,
-            decayed_at: now,
+            failures: FailureRate::new(now),
             load: None,
         }
     }
 
-    fn decay(&mut self, now: Time) {
-        let age = now.since(self.decayed_at).0 as f64 / FAILURE_HALF_LIFE.0 as f64;
-        let factor = 0.5_f64.powf(age);
-        self.calls *= factor;
-        self.failures *= factor;
-        self.decayed_at = now;
-    }
-
-    fn failure_rate(&self) -> f64 {
-        (self.failures + PRIOR_CALLS * PRIOR_FAILURE_RATE) / (self.calls + PRIOR_CALLS)
-    }
-
     fn expected_ms(&self, now: Time, slots: u32) -> f64 {
         let fresh = self.load.filter(|(at, _)| now.since(*at) < LOAD_MAX_AGE);
         let reported = fresh.map_or(0, |(_, load)| load.running + load.waiting);
@@ -139,7 +114,7 @@
         // Once all slots are taken, each full round of calls ahead adds one mean latency.
         let rounds = 1.0 + ((ahead + 1.0 - slots) / slots).max(0.0);
         let utilisation = ahead / slots;
-        self.mean_latency_ms * (rounds + 0.5 * utilisation) + self.failure_rate() * FAILURE_COST_MS
+        self.mean_latency_ms * (rounds + 0.5 * utilisation) + self.failures.rate() * FAILURE_COST_MS
     }
 }
 
@@ -209,7 +184,7 @@
         let mut best: Option<(f64, &UpstreamName)> = None;
         for candidate in candidates {
             let server = self.server(now, candidate.name);
-            server.decay(now);
+            server.failures.decay(now);
             let mut score = server.expected_ms(now, candidate.slots);
             score += candidate.domain_ms() + candidate.unreachable_ms();
             score += rng.random_range(0.0..SCORE_JITTER_MS);
@@ -291,20 +266,19 @@
             return;
         };
         let took = now.since(sent_at);
-        server.decay(now);
-        server.calls += 1.0;
         match outcome {
             Outcome::Responded => {
+                server.failures.note_success(now);
                 server.mean_latency_ms +=
                     LATENCY_EWMA_WEIGHT * (took.0 as f64 - server.mean_latency_ms);
                 server.model.responded(now, took);
             }
             Outcome::Error => {
-                server.failures += 1.0;
+                server.failures.note_failure(now);
                 server.model.failed(now, true);
             }
             Outcome::NoResponse => {
-                server.failures += 1.0;
+                server.failures.note_failure(now);
                 server.model.failed(now, false);
                 server.model.given_up(now, took);
             }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dissemination;
 pub mod estimate;
 pub mod evacuations;
+mod failure_rate;
 pub mod fatal_parts;
 pub mod fleet;
 pub mod handover;
--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -14,6 +14,7 @@
 mod relocation;
 mod returns;
 mod room_rate;
+mod run;
 mod sharing;
 mod speed;
 
@@ -37,7 +38,8 @@
 use engine::{Choice, Engine, Loads};
 use handoff::HandoffBudget;
 use queue::Queue;
-use relocation::{PendingMove, Refusals, RefusingTargets, Retries};
+use relocation::{Refusals, RefusingTargets, Retries};
+use run::Run;
 use sharing::Sharing;
 use speed::PoolSpeed;
 use std::cell::RefCell;
@@ -55,11 +57,6 @@
 /// How long an owner's figures about other daemons' runs stay valid.
 const REMOTE_USE_LIFETIME: Millis = Millis(3_000);
 
-/// Time past its expected prefill after which a run without an event is taken to wait for memory
-/// that its engine lacks. Well over the 100 ms of a first event, and short enough that the next run
-/// is not late.
-const STUCK_AFTER: Millis = Millis(400);
-
 /// Expected remaining time from which a run is worth backing up or moving.
 const MIN_TIME_LEFT: Millis = Millis(600);
 
@@ -75,66 +72,6 @@
 
 const MAX_RETRY_AFTER: Millis = Millis(10_000);
 
-#[derive(Clone, Debug)]
-struct Run {
-    holder: HostName,
-    kind: KindName,
-    organisation: OrganisationName,
-    engine: UpstreamName,
-    backup: Option<UpstreamName>,
-    /// The move that the holder was ordered to make, until it ends.
-    pending_move: Option<PendingMove>,
-    /// Target of a move that its holder still reports after the move's time limit.
-    expired_move: Option<UpstreamName>,
-    refusals: Refusals,
-    retries: Retries,
-    footprint: Footprint,
-    placed_at: Time,
-    /// Expected end of its prefill.
-    prefill_due: Time,
-    /// When its holder last reported it; `placed_at` before the first report.
-    confirmed_at: Time,
-    max_pause: Option<Millis>,
-    /// When its holder first reported output.
-    begun_at: Option<Time>,
-}
-
-impl Run {
-    fn tokens(&self, now: Time) -> f64 {
-        self.footprint.tokens(now, STEP_MS)
-    }
-
-    fn remaining_ms(&self, now: Time) -> f64 {
-        self.footprint.expected_residual(now, STEP_MS) * STEP_MS
-    }
-
-    /// Whether it will probably write for a while.
-    fn is_long(&self, now: Time) -> bool {
-        self.remaining_ms(now) >= MIN_TIME_LEFT.0 as f64
-    }
-
-    /// Whether it has begun to write.
-    fn has_begun(&self) -> bool {
-        self.footprint.written > 0.0
-    }
-
-    /// Whether it has no output well after its prefill should be complete.
-    fn is_stuck(&self) -> bool {
-        !self.has_begun()
-            && self.pending_move.is_none()
-            && self.confirmed_at.since(self.prefill_due) > STUCK_AFTER
-    }
-
-    /// Engines with its memory or a copy of it, without duplicates.
-    fn occupied(&self) -> impl Iterator<Item = &UpstreamName> {
-        let target = self.pending_move.as_ref().map(|pending_move| &pending_move.to);
-        let target = target.filter(|to| **to != self.engine);
-        let backup = self.backup.as_ref();
-        let backup = backup.filter(|name| **name != self.engine && target != Some(*name));
-        std::iter::once(&self.engine).chain(target).chain(backup)
-    }
-}
-
 /// The runs and engines of one pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
--- a/core/src/server_model.rs
+++ b/core/src/server_model.rs
@@ -12,6 +12,7 @@
 //!   until it responds to any daemon, and counts for less with time.
 
 use crate::balance::Load;
+use crate::failure_rate::FailureRate;
 use crate::time::{Millis, Time};
 
 /// Time of a call assumed before a server's first response.
@@ -39,15 +40,6 @@
 /// Time after which reported calls ahead say nothing any more: a few times that of a call.
 const QUEUE_VALIDITY: Millis = Millis(150);
 
-/// Half-life of the weight of an observed outcome.
-const FAILURE_HALF_LIFE: Millis = Millis(3_000);
-
-/// Weight of the prior failure rate, in calls.
-const PRIOR_CALLS: f64 = 4.0;
-
-/// Failure rate expected of any server; more indicates a problem.
-const PRIOR_FAILURE_RATE: f64 = 0.1;
-
 /// Cost of a certain failure: the callers' timeout.
 const FAILURE_COST_MS: f64 = 1_000.0;
 
@@ -114,10 +106,7 @@
     load: Option<Reported<Load>>,
     /// When the outstanding calls of this daemon were sent.
     outstanding: Vec<Time>,
-    /// Ended calls, and failed ones among them, weighted by age as of `decayed_at`.
-    calls: f64,
-    failures: f64,
-    decayed_at: Time,
+    failures: FailureRate,
     /// Calls without a response since the last one with a response, and when the last of them ended.
     lost: Reported<u32>,
     silent_since: Option<Time>,
@@ -139,9 +128,7 @@
             usual_ahead: 0.0,
             load: None,
             outstanding: Vec::new(),
-            calls: 0.0,
-            failures: 0.0,
-            decayed_at: now,
+            failures: FailureRate::new(now),
             lost: Reported { at: now, value: 0 },
             silent_since: None,
             responded_at: None,
@@ -177,8 +164,7 @@
 
     /// Records a response without an error, `took` after the call was sent.
     pub fn responded(&mut self, now: Time, took: Millis) {
-        self.decay(now);
-        self.calls += 1.0;
+        self.failures.note_success(now);
         let has_queue = self.load.is_some_and(|load| load.value.waiting > 0);
         if !has_queue {
             self.learn_work(took.0 as f64 / self.slowdown(now));
@@ -197,9 +183,7 @@
 
     /// Records a call that failed; `has_responded` tells whether the server responded.
     pub fn failed(&mut self, now: Time, has_responded: bool) {
-        self.decay(now);
-        self.calls += 1.0;
-        self.failures += 1.0;
+        self.failures.note_failure(now);
         match has_responded {
             true => self.hear(now),
             false => self.lost = Reported { at: now, value: self.lost.value + 1 },
@@ -208,7 +192,7 @@
 
     /// Takes back a failure that was the request's, as it failed elsewhere, too.
     pub fn excuse_failure(&mut self) {
-        self.failures = (self.failures - 1.0).max(0.0);
+        self.failures.forgive();
     }
 
     /// Records the load that the server reported; returns whether other daemons should hear that it is
@@ -342,20 +326,6 @@
         self.deviation_ms += EWMA_WEIGHT * (error.abs() - self.deviation_ms);
     }
 
-    fn decay(&mut self, now: Time) {
-        let age = now.since(self.decayed_at).0 as f64 / FAILURE_HALF_LIFE.0 as f64;
-        let factor = 0.5_f64.powf(age);
-        self.calls *= factor;
-        self.failures *= factor;
-        self.decayed_at = now;
-    }
-
-    /// Failure rate beyond that of any server.
-    fn excess_failure_rate(&self) -> f64 {
-        let failures = self.failures + PRIOR_CALLS * PRIOR_FAILURE_RATE;
-        (failures / (self.calls + PRIOR_CALLS) - PRIOR_FAILURE_RATE).max(0.0)
-    }
-
     /// How likely the server has stopped responding, from the calls that were lost or are overdue and
     /// since which it has not responded to any.
     fn unresponsiveness(&self, now: Time) -> f64 {
@@ -387,7 +357,7 @@
     /// What to expect of a call sent now; `pooled_work_ms` is the mean time of a call at all servers of
     /// the service.
     pub fn estimate(&mut self, now: Time, slots: u32, pooled_work_ms: f64) -> Estimate {
-        self.decay(now);
+        self.failures.decay(now);
         let own_weight = if self.reports_slowdown() { OWN_WORK_WEIGHT } else { 1.0 };
         let work_ms = (pooled_work_ms + own_weight * (self.work_ms - pooled_work_ms)).max(1.0);
         let service_ms = work_ms * self.slowdown(now);
@@ -396,7 +366,7 @@
         // Once all slots are taken, each full round of calls ahead adds one mean time.
         let rounds = 1.0 + ((ahead + 1.0 - slots) / slots).max(0.0);
         let failure_rate =
-            self.excess_failure_rate().max(self.unresponsiveness(now)).max(self.silence(now));
+            self.failures.excess().max(self.unresponsiveness(now)).max(self.silence(now));
         Estimate {
             response_ms: service_ms * (rounds + 0.5 * ahead / slots),
             failure_ms: failure_rate * FAILURE_COST_MS,
