--- a/core/src/pool.rs
+++ b/core/src/pool.rs
@@ -95,7 +95,7 @@
     /// Engine loads at one point in time.
     loads: RefCell<Loads>,
     speed: PoolSpeed,
-    /// Whether prompts are kept away from streams that they would make late.
+    /// Whether prompts are placed by their effect on streams.
     keeps_pauses: bool,
     mixing: MixingCounts,
     handoffs: HandoffBudget,
@@ -125,7 +125,7 @@
         }
     }
 
-    /// The same pool, which keeps prompts away from streams that they would make late if `keeps_pauses`.
+    /// Sets whether prompts are placed by their effect on streams.
     pub fn with_pauses_kept(self, keeps_pauses: bool) -> Self {
         Self { keeps_pauses, ..self }
     }
@@ -135,8 +135,7 @@
         self.config = config;
     }
 
-    /// The same pool, which hands runs to engines that write: so many for each placed run, and so many a
-    /// second besides.
+    /// Sets how many runs may be handed off after their prefill: for each placed run, and for each second.
     pub fn with_handoffs(self, per_placement: f64, per_second: f64) -> Self {
         Self { handoffs: HandoffBudget::new(per_placement, per_second / MILLIS_PER_SECOND), ..self }
     }
--- a/core/src/pool/engine.rs
+++ b/core/src/pool/engine.rs
@@ -139,11 +139,11 @@
     projection: Projection,
     /// Whether a run waits there for memory, so that more is held than the pool knows.
     is_stuck: bool,
-    /// Streams that a prompt read in a slow moment of the machine would make late.
-    sensitive: f64,
-    /// Runs that will probably write for a while.
+    /// Streams at risk: a prefill in a slow moment of the machine would make them late.
+    at_risk: f64,
+    /// Runs that will probably be written for a while.
     streams: f64,
-    /// Shortest of the pauses that the sensitive ones are allowed.
+    /// Shortest pause that those at risk are allowed.
     min_pause: Option<Millis>,
 }
 
@@ -154,7 +154,7 @@
             tokens,
             projection: Projection::new(tokens),
             is_stuck: false,
-            sensitive: 0.0,
+            at_risk: 0.0,
             streams: 0.0,
             min_pause: None,
         }
@@ -223,9 +223,9 @@
     pub(super) tokens: f64,
     /// Whether a run waits there for memory.
     pub(super) is_stuck: bool,
-    /// Other streams there that a prompt read in a slow moment of the machine would make late.
-    pub(super) sensitive: f64,
-    /// Other runs there that will probably write for a while.
+    /// Other streams there that are at risk of becoming late by a prefill.
+    pub(super) at_risk: f64,
+    /// Other runs there that will probably be written for a while.
     pub(super) streams: f64,
 }
 
@@ -251,20 +251,15 @@
             own_peak: projection.peak_within(HEADROOM, added.horizons),
             tokens: base.tokens + added.tokens,
             is_stuck: base.is_stuck,
-            sensitive: base.sensitive,
+            at_risk: base.at_risk,
             streams: base.streams,
         }
     }
 
-    /// Streams at an engine that a prompt read in a slow moment would make late, and the shortest of the
-    /// pauses that they are allowed.
-    pub(super) fn sensitive_streams(
-        &self,
-        now: Time,
-        name: &UpstreamName,
-    ) -> (f64, Option<Millis>) {
+    /// Number of streams at risk at an engine, and the shortest pause that they are allowed.
+    pub(super) fn streams_at_risk(&self, now: Time, name: &UpstreamName) -> (f64, Option<Millis>) {
         let load = self.load_of(now, name);
-        (load.sensitive, load.min_pause)
+        (load.at_risk, load.min_pause)
     }
 
     /// The load of an engine, from the loads cached for `now`.
@@ -302,7 +297,7 @@
                     if is_running && run.is_long(now) {
                         load.streams += 1.0;
                         if let Some(pause) = self.pause_at_risk(run, name) {
-                            load.sensitive += 1.0;
+                            load.at_risk += 1.0;
                             let shortest = load.min_pause.map_or(pause, |least| least.min(pause));
                             load.min_pause = Some(shortest);
                         }
@@ -394,7 +389,7 @@
         }
         let engine = engine.clone();
         let backup = self
-            .choose_writer(now, &engine, &added, request.max_pause)
+            .choose_decode_engine(now, &engine, &added, request.max_pause)
             .or_else(|| self.choose_backup(now, &engine, &added));
         let max_slowdown_percent = self.max_slowdown_percent(now, &engine);
         Choice::Fits(Placement { engine, backup, max_slowdown_percent })
--- a/core/src/pool/handoff.rs
+++ b/core/src/pool/handoff.rs
@@ -1,9 +1,9 @@
-//! Hand-offs of runs to engines that write.
+//! Hand-offs of runs after their prefill.
 //!
-//! A run whose prompt is read at an engine where other prompts would make it late gets its backup at an
-//! engine where they do not: one whose streams bear prompts beside them, or one that only writes. Once
-//! the prompt is read and copied, the run continues there, and the first engine is free for prompts
-//! again. Each hand-off is one more request to the service, so their number is limited.
+//! A run whose engine may make it late while it prefills other prompts gets its backup at an engine that
+//! does not: a faster one, or one that only decodes. Once the prompt is prefilled and copied, the run
+//! continues there, and the first engine is free for prompts again. Each hand-off is another request to
+//! the service, so their rate is limited.
 
 use super::engine::ProjectedRun;
 use super::relocation::PendingMove;
@@ -14,11 +14,11 @@
 /// Fraction of an engine's memory that may be in use with a run handed to it.
 const MAX_FILL: f64 = 0.85;
 
-/// Time after the copy of the prompt is due for what the run has written meanwhile.
+/// Time after the copy of the prompt for copying what the run has written since.
 const COPY_GRACE: Millis = Millis(200);
 
-/// Expected delay of a run at an engine that writes no faster.
-const SAME_SPEED_MS: f64 = 300.0;
+/// Cost of an engine that only decodes, as a delay, against one at which streams are not at risk.
+const DECODE_ONLY_MS: f64 = 300.0;
 
 /// Hand-offs that may be ordered at once after a time without any.
 const MAX_BURST: f64 = 20.0;
@@ -61,8 +61,8 @@
 }
 
 impl Pool {
-    /// The engine at which a run that is placed at `engine` should continue.
-    pub(super) fn choose_writer(
+    /// The engine at which a run placed at `engine` should continue after its prefill.
+    pub(super) fn choose_decode_engine(
         &self,
         now: Time,
         engine: &UpstreamName,
@@ -80,14 +80,15 @@
                 continue;
             }
             let load = self.load_with(now, name, added);
-            if load.peak > self.engine_memory() * MAX_FILL || !self.is_writer(now, name, max_pause)
+            if load.peak > self.engine_memory() * MAX_FILL
+                || !self.is_safe_for_stream(now, name, max_pause)
             {
                 continue;
             }
-            let is_same_speed = self.exceeds_pause(name, max_pause);
+            let is_decode_only = self.exceeds_pause(name, max_pause);
             let Millis(copy) = self.config.copy_time(added.tokens() as u64);
             let score = self.contention_ms(load.peak, load.running)
-                + if is_same_speed { SAME_SPEED_MS } else { 0.0 }
+                + if is_decode_only { DECODE_ONLY_MS } else { 0.0 }
                 + if self.is_cross_domain(engine, name) { copy as f64 } else { 0.0 };
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, name));
@@ -96,18 +97,18 @@
         best.map(|(_, name)| name.clone())
     }
 
-    /// Whether a stream with this limit is safe at an engine: prompts beside it do not exceed the limit,
-    /// or the engine has other such streams and reads no prompt.
-    fn is_writer(&self, now: Time, name: &UpstreamName, max_pause: Millis) -> bool {
+    /// Whether a stream with this limit is safe at an engine: prefills do not exceed the limit there, or the
+    /// engine has other such streams and no prompt to prefill.
+    fn is_safe_for_stream(&self, now: Time, name: &UpstreamName, max_pause: Millis) -> bool {
         if !self.exceeds_pause(name, max_pause) {
             return true;
         }
-        let is_reading = |engine: &super::Engine| engine.prefill_wait(now) > 0.0;
-        let (sensitive, _) = self.sensitive_streams(now, name);
-        sensitive > 0.0 && !self.engines.get(name).is_some_and(is_reading)
+        let is_prefilling = |engine: &super::Engine| engine.prefill_wait(now) > 0.0;
+        let (at_risk, _) = self.streams_at_risk(now, name);
+        at_risk > 0.0 && !self.engines.get(name).is_some_and(is_prefilling)
     }
 
-    /// Orders hand-offs of runs whose prompts have been read and copied.
+    /// Orders hand-offs of runs whose prompts are prefilled and copied.
     pub fn plan_handoffs(&mut self, now: Time) -> Vec<RunMove> {
         if !self.weighs_streams() {
             return Vec::new();
@@ -131,7 +132,7 @@
             && run.is_long(now)
             && self.is_usable(to)
             && self.exceeds_pause(&run.engine, max_pause)
-            && self.is_writer(now, to, max_pause);
+            && self.is_safe_for_stream(now, to, max_pause);
         may_move.then(|| to.clone())
     }
 
--- a/core/src/pool/messages.rs
+++ b/core/src/pool/messages.rs
@@ -75,8 +75,8 @@
     /// Engine that keeps a copy of its memory, if any.
     pub backup: Option<UpstreamName>,
     /// Slowdown of the engine's machine up to which the prompt makes no stream there late, in hundredths
-    /// of the usual time; its holder checks it before it sends the request. `None` if no stream is in
-    /// danger.
+    /// of the usual time. The holder checks the machine before it sends the request; `None` if no stream
+    /// is at risk.
     pub max_slowdown_percent: Option<u32>,
 }
 
@@ -132,7 +132,7 @@
     pub priority: u8,
     /// Target of the move in progress, if any.
     pub moving_to: Option<UpstreamName>,
-    /// Whether its memory is there, so that its copy uses no link any more.
+    /// Whether its memory has arrived there, so that the links are free.
     pub is_copied: bool,
     /// Engines that refused it since it was ordered to move.
     pub refused: Vec<UpstreamName>,
--- a/core/src/pool/mixing.rs
+++ b/core/src/pool/mixing.rs
@@ -1,8 +1,8 @@
-//! Prompts beside running streams.
+//! Placement of prompts beside running streams.
 //!
-//! An engine that reads a prompt makes the streams that run there pause for longer between their events,
-//! in a slow moment of its machine longer than their callers allow. Prompts go where they make no stream
-//! late, as far as they are still on time there.
+//! While an engine prefills a prompt, the streams that it decodes pause for longer between their events; in
+//! a slow moment of its machine for longer than their callers allow. Prompts are placed where they make no
+//! stream late, as long as they are on time there.
 
 use super::engine::{Engine, ProjectedLoad};
 use super::{PERCENT, Placement, PlacementRequest, Pool, Run, STEP_MS};
@@ -10,32 +10,32 @@
 use crate::time::{Millis, Time};
 use serde::{Deserialize, Serialize};
 
-/// Time of a step that also reads a chunk of a prompt, on a machine of the usual speed; from the users'
-/// data sheets.
-const READING_STEP_MS: f64 = 15.5;
+/// Time of a decode step that also prefills a chunk of a prompt, on a machine of the usual speed; from the
+/// users' data sheets.
+const PREFILL_STEP_MS: f64 = 15.5;
 
-/// Streams expected to be late from which a prompt waits for another engine.
+/// Number of streams expected to become late above which a prompt waits for another engine.
 const MAX_EXPECTED_LATE: f64 = 0.05;
 
-/// Time left until the objective up to which a prompt waits, besides that for reading it.
+/// A prompt waits only while it would start this long before it has to, to be on time.
 const WAIT_RESERVE_MS: f64 = 700.0;
 
-/// Weight of the time by which a prompt delays the end of other streams, as of a wait.
+/// Weight of the delay of other streams against that of the prompt itself.
 const DELAY_WEIGHT: f64 = 0.1;
 
-/// Expected delay that a stream made late is worth: any wait after which the prompt is still on time.
+/// Cost of a stream that becomes late, as a delay: more than any wait with which a prompt is on time.
 const LATE_STREAM_MS: f64 = 3_000.0;
 
 /// Prompts placed since the counts were last taken, by what they do to the streams beside them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MixingCounts {
-    /// Prompts at engines where they make no stream late.
+    /// Prompts at engines without a stream at risk.
     pub apart: usize,
-    /// Prompts at engines where they may.
+    /// Prompts at engines with streams at risk.
     pub beside: usize,
-    /// Streams that these are expected to make late.
+    /// Streams expected to become late by these.
     pub expected_late: f64,
-    /// Runs ordered to continue at another engine so that prompts there make them late no more.
+    /// Runs handed off.
     pub handed_off: usize,
 }
 
@@ -55,8 +55,8 @@
         else {
             return;
         };
-        let (sensitive, _) = self.sensitive_streams(now, &placement.engine);
-        let late = self.expected_late(now, engine, sensitive, request);
+        let (at_risk, _) = self.streams_at_risk(now, &placement.engine);
+        let late = self.expected_late(now, engine, at_risk, request);
         match late > 0.0 {
             true => self.mixing.beside += 1,
             false => self.mixing.apart += 1,
@@ -64,8 +64,8 @@
         self.mixing.expected_late += late;
     }
 
-    /// Whether prompts are placed by what they do to streams: that was asked for, and engines report how
-    /// long work takes on their machines.
+    /// Whether prompts are placed by their effect on streams: the settings ask for it, and engines report the
+    /// slowdown of their machines.
     pub(super) fn weighs_streams(&self) -> bool {
         self.keeps_pauses && self.speed.is_reported()
     }
@@ -86,19 +86,19 @@
         }
     }
 
-    /// Time between two events of a stream whose engine also reads a prompt, on a machine of the usual
+    /// Time between two events of a stream while its engine prefills a prompt, on a machine of the usual
     /// speed.
     fn pause_beside_prompt_ms(&self) -> f64 {
-        READING_STEP_MS * f64::from(self.config.tokens_per_event)
+        PREFILL_STEP_MS * f64::from(self.config.tokens_per_event)
     }
 
-    /// The pause that a run is allowed, if a prompt read at `engine` in a slow moment would exceed it.
+    /// The pause that a run is allowed, if a prefill at `engine` in a slow moment would exceed it.
     pub(super) fn pause_at_risk(&self, run: &Run, engine: &UpstreamName) -> Option<Millis> {
         let max_pause = run.max_pause.filter(|_| self.weighs_streams())?;
         self.exceeds_pause(engine, max_pause).then_some(max_pause)
     }
 
-    /// Whether a prompt read at `engine` in a slow moment makes a stream with this limit late.
+    /// Whether a prefill at `engine` in a slow moment makes a stream with this limit late.
     pub(super) fn exceeds_pause(&self, engine: &UpstreamName, max_pause: Millis) -> bool {
         self.engines.get(engine).is_some_and(|engine| {
             let slowdown = self.speed.in_slow_moment(&engine.speed);
@@ -108,12 +108,12 @@
 
     /// The slowdown of an engine's machine up to which a prompt makes no stream there late.
     pub(super) fn max_slowdown_percent(&self, now: Time, engine: &UpstreamName) -> Option<u32> {
-        let (_, min_pause) = self.sensitive_streams(now, engine);
+        let (_, min_pause) = self.streams_at_risk(now, engine);
         min_pause.map(|pause| (PERCENT * pause.0 as f64 / self.pause_beside_prompt_ms()) as u32)
     }
 
-    /// Takes the prompt of a run that was placed before off the backlog of its engine, which did not get
-    /// it.
+    /// Removes the prompt of a run that is placed again from the prefill backlog of the engine that did not
+    /// get it.
     pub(super) fn forget_prefill(&mut self, request: &PlacementRequest) {
         let engine = self.runs.get(&request.run).map(|run| run.engine.clone());
         let Some(engine) = engine.filter(|_| self.weighs_streams()) else {
@@ -126,24 +126,24 @@
         }
     }
 
-    /// Streams that reading the prompt of `request` at `engine`, which runs `sensitive` ones, is expected
-    /// to make late.
+    /// Number of streams expected to become late if the prompt of `request` is prefilled at `engine`, where
+    /// `at_risk` streams are at risk.
     pub(super) fn expected_late(
         &self,
         now: Time,
         engine: &Engine,
-        sensitive: f64,
+        at_risk: f64,
         request: &PlacementRequest,
     ) -> f64 {
-        if sensitive == 0.0 {
+        if at_risk == 0.0 {
             return 0.0;
         }
         let span = Millis((engine.prefill_wait(now) + self.prefill_ms(request, engine)) as u64);
-        sensitive * self.speed.slow_within(now, &engine.speed, span)
+        at_risk * self.speed.slow_within(now, &engine.speed, span)
     }
 
-    /// Whether a request that would make streams late at the best engine waits for another one: it is
-    /// still on time if that takes a while.
+    /// Whether a request that would make streams late at the best engine is to wait for another one, as it
+    /// has time for that.
     pub(super) fn should_wait(
         &self,
         now: Time,
@@ -153,13 +153,13 @@
         let Some(engine) = self.engines.get(name).filter(|_| self.weighs_streams()) else {
             return false;
         };
-        let (sensitive, _) = self.sensitive_streams(now, name);
+        let (at_risk, _) = self.streams_at_risk(now, name);
         let prefill_ms = engine.prefill_wait(now) + self.prefill_ms(request, engine);
-        self.expected_late(now, engine, sensitive, request) > MAX_EXPECTED_LATE
+        self.expected_late(now, engine, at_risk, request) > MAX_EXPECTED_LATE
             && request.is_on_time_after(now, WAIT_RESERVE_MS, prefill_ms)
     }
 
-    /// Expected cost to the runs at `engine` of reading the prompt of `request` there.
+    /// Expected cost of the prompt of `request` to the streams at `engine`, as a delay.
     pub(super) fn mixing_cost_ms(
         &self,
         now: Time,
@@ -170,7 +170,7 @@
         if !self.weighs_streams() {
             return 0.0;
         }
-        let late = self.expected_late(now, engine, load.sensitive, request);
+        let late = self.expected_late(now, engine, load.at_risk, request);
         // About half of the time of a step with a chunk of a prompt is for the chunk.
         let delay_ms = self.prefill_ms(request, engine) / 2.0;
         late * LATE_STREAM_MS + load.streams * delay_ms * DELAY_WEIGHT
--- a/core/src/pool/returns.rs
+++ b/core/src/pool/returns.rs
@@ -59,12 +59,12 @@
     pub(super) due: Time,
 }
 
-/// What is known of the caller of a request.
+/// The caller of a request, as far as promises identify it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Return {
     /// It was not told to come back.
     Newcomer,
-    /// It was told to come back this much later, and does not wait for so long.
+    /// It was told to return this much later, and its patience is shorter.
     Early(Millis),
     /// It returns at its time, or waits for it.
     Returned { caller: ReturnedCaller, first_event_deadline: Time },
@@ -110,7 +110,7 @@
         std::mem::take(&mut self.figures)
     }
 
-    /// What is known of the caller of `request`.
+    /// The caller of `request`.
     pub(super) fn check(&mut self, now: Time, request: &PlacementRequest) -> Return {
         let known = request.fingerprint.and_then(|key| self.by_fingerprint.get_mut(&key));
         let Some(promise) = known else {
--- a/core/src/pool/run.rs
+++ b/core/src/pool/run.rs
@@ -44,7 +44,7 @@
         self.footprint.expected_residual(now, STEP_MS) * STEP_MS
     }
 
-    /// Whether it will probably write for a while.
+    /// Whether it will probably be written for a while.
     pub(super) fn is_long(&self, now: Time) -> bool {
         self.remaining_ms(now) >= MIN_TIME_LEFT.0 as f64
     }
--- a/core/src/pool/speed.rs
+++ b/core/src/pool/speed.rs
@@ -1,15 +1,15 @@
-//! How fast the machine of an engine is: for good, and at the moment.
+//! Slowdown of the machines of engines, lasting and present.
 
 use crate::time::{Millis, Time};
 
-/// Slowdown of an engine that nothing is known about.
+/// Slowdown of a machine of the usual speed.
 const USUAL: f64 = 1.0;
 
 /// Length of the windows whose lowest figures give the lasting slowdown. An engine reports a few figures
 /// a second, and slow moments are shorter.
 const WINDOW: Millis = Millis(5_000);
 
-/// Age from which a figure says nothing about the present.
+/// Age from which a figure does not count as present.
 const MAX_AGE: Millis = Millis(500);
 
 /// Slowdown relative to the lasting one from which a machine counts as slow at the moment.
@@ -66,7 +66,7 @@
     }
 }
 
-/// What is known of all engines of a pool together: how often their machines are slow, and by how much.
+/// Statistics on all engines of a pool: how often their machines are slow, and by how much.
 #[derive(Clone, Debug)]
 pub(super) struct PoolSpeed {
     figures: f64,
--- a/core/src/server_model.rs
+++ b/core/src/server_model.rs
@@ -7,7 +7,7 @@
 //! - A server without a response yet, new or back cold, counts as an average one with a single slot, so
 //!   it gets one call at a time.
 //! - A server that has not responded to anything since a call that is long overdue counts as probably
-//!   gone before that call times out.
+//!   down before that call times out.
 //! - A silent server has not responded to anything since a call that should have ended; it stays so
 //!   until it responds to any daemon, and counts for less with time.
 
@@ -34,7 +34,7 @@
 /// Time after which a reported slowdown says nothing about the present any more.
 pub const SLOWDOWN_VALIDITY: Millis = Millis(600);
 
-/// Part by which a slowdown exceeds the lasting one from which on a server counts as slow.
+/// Excess of a slowdown over the lasting one, as a part of it, from which a server counts as slow.
 const SLOW_PART: f64 = 0.5;
 
 /// Time after which reported calls ahead say nothing any more: a few times that of a call.
@@ -49,7 +49,7 @@
 /// Multiple of that time after which a call is overdue.
 const OVERDUE_MULTIPLE: f64 = 2.0;
 
-/// How likely the server goes on responding after a call that is overdue or lost.
+/// Probability that a server still responds after a call that is overdue or lost.
 const DOUBT: f64 = 0.5;
 
 /// Time without any response after which a server with an outstanding call is silent: more than the
--- a/relay/src/control/servers.rs
+++ b/relay/src/control/servers.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    /// What is known of slow and silent servers, for peers.
+    /// Slow and silent servers that this daemon knows, for peers.
     pub(super) fn server_news(&self, now: Time) -> Vec<ServerNews> {
         let routing = self.shared.routing();
         let age = |at: Time| age_ms(now, at);
--- a/relay/src/runs.rs
+++ b/relay/src/runs.rs
@@ -57,7 +57,7 @@
     /// Engine that keeps a copy of the run's memory.
     pub(crate) backup: Option<Endpoint>,
     /// Slowdown of the engine's machine up to which the prompt makes no stream there late, in hundredths
-    /// of the usual time; `None` if no stream is in danger.
+    /// of the usual time; `None` if no stream is at risk.
     pub(crate) max_slowdown_percent: Option<u32>,
 }
 
