One transfer time for moves and hand-offs

A hand-off computed the slower copy between failure domains again, with the factor as a bare number.

--- a/core/src/pool/handoff.rs
+++ b/core/src/pool/handoff.rs
@@ -122,9 +122,8 @@
 
     fn handoff_target(&self, now: Time, run: &Run) -> Option<UpstreamName> {
         let (to, max_pause, begun_at) = (run.backup.as_ref()?, run.max_pause?, run.begun_at?);
-        let Millis(copy) = self.config.copy_time(run.footprint.prompt as u64);
-        let factor = if self.is_cross_domain(&run.engine, to) { 2 } else { 1 };
-        let is_copied = now.since(begun_at) > Millis(copy * factor + COPY_GRACE.0);
+        let Millis(transfer) = self.transfer_time(&run.engine, to, run.footprint.prompt as u64);
+        let is_copied = now.since(begun_at) > Millis(transfer + COPY_GRACE.0);
         let may_move = is_copied
             && run.pending_move.is_none()
             && !self.draining.contains_key(&run.engine)
--- a/core/src/pool/relocation/links.rs
+++ b/core/src/pool/relocation/links.rs
@@ -53,10 +53,20 @@
 
     /// Time of a run's first copy over free links, with the calls around it.
     pub(super) fn copy_time(&self, now: Time, run: &Run, to: &UpstreamName) -> Millis {
-        let Millis(copy) = self.config.copy_time(run.tokens(now) as u64);
-        let factor =
-            if self.is_cross_domain(&run.engine, to) { CROSS_DOMAIN_COPY_FACTOR } else { 1 };
-        Millis(copy * factor + COPY_RPC_MS)
+        let Millis(transfer) = self.transfer_time(&run.engine, to, run.tokens(now) as u64);
+        Millis(transfer + COPY_RPC_MS)
+    }
+
+    /// Time to transfer the memory of `tokens` between two engines over free links.
+    pub(in crate::pool) fn transfer_time(
+        &self,
+        from: &UpstreamName,
+        to: &UpstreamName,
+        tokens: u64,
+    ) -> Millis {
+        let Millis(copy) = self.config.copy_time(tokens);
+        let factor = if self.is_cross_domain(from, to) { CROSS_DOMAIN_COPY_FACTOR } else { 1 };
+        Millis(copy * factor)
     }
 
     /// Until when a copy that is ordered now keeps others from its links, unless it ends before.
