--- a/core/src/handover/copying.rs
+++ b/core/src/handover/copying.rs
@@ -1,6 +1,6 @@
 //! Copies of a run's memory to the target of a move.
 //!
-//! The run goes on while the first one is made, and stops for the final one. A final copy waits behind
+//! The run is written on during the first one, and stopped for the final one. A final copy waits behind
 //! whatever has come to the link of either engine during the copy before it, so what is new is copied
 //! again until a copy has been short.
 
@@ -10,8 +10,8 @@
 /// rest is for the final one, the attempt to continue and the first step at the target.
 const STOP_PAUSE_DIVISOR: u64 = 3;
 
-/// Copies made while the run goes on, and the time for all of them, before a final one is made even
-/// though others use the link: a leaving engine stops soon.
+/// Limits on the copies of a running run, and on their total time, before the final one is made although
+/// others use the link: a leaving engine stops soon.
 const MAX_ROUNDS: u32 = 4;
 const MAX_ROUNDS_TIME: Millis = Millis(1_000);
 
