Log what clears a fingerprint, checks that show no end, and what a refused request is refused for

The logs of the incident could not tell a refusal that was cleared by a completed run from an end that no check showed, nor whether a refused request was the culprit. No logic changes. Metric fingerprint_cleared.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -129,11 +129,11 @@
         let mut error_response = None;
         let mut reason = String::new();
         let mut retry_cause = None;
-        let mut refused_for = None;
+        let mut quarantined = None;
         'attempts: while fwd.remaining() > MIN_ATTEMPT_TIME {
             // Another upstream may have ended under an equal request since the last attempt.
-            refused_for = self.refused_for(fwd);
-            if refused_for.is_some() {
+            quarantined = self.quarantined(fwd);
+            if quarantined.is_some() {
                 break;
             }
             let Some(chosen) = self.choose_server(fwd, &tried) else {
@@ -198,8 +198,8 @@
         match error_response {
             Some(response) => Ok(response),
             None => {
-                if let Some(left) = refused_for.filter(|_| verdict == Verdict::NotRun) {
-                    return Err(Refusal::Quarantined(left));
+                if let Some(cause) = quarantined.filter(|_| verdict == Verdict::NotRun) {
+                    return Err(Refusal::Quarantined(cause));
                 }
                 let wait = self.wait_if_all_withheld(fwd).unwrap_or(OVERLOADED_RETRY_AFTER);
                 Err(final_refusal(fwd, verdict, reason, wait))
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -71,6 +71,14 @@
         result: Reachability,
     ) {
         let ended = self.crash_detector.checked(now, upstream, result);
+        if ended.is_empty() && self.shared.log_limiter.admits(now) {
+            log::info!(
+                upstream = upstream.name.as_str(),
+                born = upstream.born,
+                result:% = result;
+                "upstream is not known to have ended under a request"
+            );
+        }
         self.note_ended(now, upstream, &ended, "refused");
         self.waiting_for_checks.retain(|(waited_for, _)| waited_for != upstream);
     }
@@ -145,11 +153,15 @@
         let mut is_news = false;
         for fact in facts {
             let fingerprint = fact.fingerprint();
-            if !self.quarantine.apply(now, [fact]) {
+            if !self.quarantine.apply(now, [fact.clone()]) {
                 continue;
             }
             is_news = true;
             self.shared.metrics.count("quarantine_news", source);
+            if matches!(fact, Fact::Completed(..)) {
+                self.shared.metrics.count("fingerprint_cleared", source);
+                log::info!(fingerprint = fingerprint.0, source; "completed run clears its fingerprint");
+            }
             // A request that this daemon has seen complete is not the cause.
             let completed_at = self.shared.completions().last(now, fingerprint);
             if let Some(at) = completed_at {
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -235,8 +235,8 @@
             deadline,
             fingerprint,
         };
-        match self.refused_for(&fwd) {
-            Some(left) => Err(Refusal::Quarantined(left)),
+        match self.quarantined(&fwd) {
+            Some(quarantined) => Err(Refusal::Quarantined(quarantined)),
             None => Ok(fwd),
         }
     }
@@ -289,8 +289,9 @@
         }
         let view = self.shared.view.load();
         let detail = match refusal {
-            Refusal::BadRequest(cause) | Refusal::Lost(cause) => cause.as_str(),
-            _ => "",
+            Refusal::BadRequest(cause) | Refusal::Lost(cause) => cause.clone(),
+            Refusal::Quarantined(quarantined) => quarantined.culprit.to_string(),
+            _ => String::new(),
         };
         log::info!(
             request = run,
@@ -301,7 +302,7 @@
             elapsed_ms = arrived_at.elapsed().as_millis() as u64,
             configuration = view.table.as_ref().map_or(0, |table| table.version()),
             list_age_ms = self.shared.list_age().0,
-            detail;
+            detail = detail.as_str();
             "refused"
         );
     }
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -7,6 +7,7 @@
 use crate::control::{BrokenRequest, Message};
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
+use crate::refusal::{Culprit, Quarantined};
 use crate::runs::Endpoint;
 use crate::shared::Shared;
 use crate::wire::{ResponseInfo, Wire};
@@ -87,8 +88,8 @@
 pub(crate) enum NotPermitted {
     /// The upstream wants none.
     Withheld(Withheld),
-    /// Upstreams have ended under equal requests, which are refused for this time.
-    Quarantined(Millis),
+    /// Upstreams have ended under such requests.
+    Quarantined(Quarantined),
 }
 
 /// Permission to send one request to an upstream.
@@ -138,8 +139,8 @@
 impl<W: Wire> RequestHandler<W> {
     /// Permission to send a request as new work.
     pub(crate) fn permit(&self, fwd: &Forward, to: &Endpoint) -> Result<SendPermit, NotPermitted> {
-        if let Some(left) = self.refused_for(fwd) {
-            return Err(NotPermitted::Quarantined(left));
+        if let Some(quarantined) = self.quarantined(fwd) {
+            return Err(NotPermitted::Quarantined(quarantined));
         }
         let now = self.shared.clock.now();
         let taken = match self.shared.view.load().is_evacuated(&to.name) {
@@ -162,8 +163,8 @@
         fwd: &Forward,
         to: &Endpoint,
     ) -> Result<SendPermit, NotPermitted> {
-        if let Some(left) = self.refused_for(fwd) {
-            return Err(NotPermitted::Quarantined(left));
+        if let Some(quarantined) = self.quarantined(fwd) {
+            return Err(NotPermitted::Quarantined(quarantined));
         }
         let now = self.shared.clock.now();
         let arrived_at = now - Millis(fwd.elapsed_ms());
@@ -183,12 +184,14 @@
         }
     }
 
-    /// How long a request is refused because upstreams have ended under equal ones or engines on a
+    /// Whether a request is refused because upstreams have ended under equal ones or engines on a
     /// part of its prompt; `None` if it may run.
-    pub(crate) fn refused_for(&self, fwd: &Forward) -> Option<Millis> {
+    pub(crate) fn quarantined(&self, fwd: &Forward) -> Option<Quarantined> {
         let (view, now) = (self.shared.view.load(), self.shared.clock.now());
-        let equal = view.refused_for(now, fwd.fingerprint);
-        equal.or_else(|| self.shared.refused_for_parts(&fwd.info.run, &fwd.info.shared_parts))
+        let equal = view
+            .refused_for(now, fwd.fingerprint)
+            .map(|left| Quarantined { left, culprit: Culprit::Fingerprint(fwd.fingerprint) });
+        equal.or_else(|| self.shared.quarantined_part(&fwd.info.run, &fwd.info.shared_parts))
     }
 
     /// Why an upstream gets no new work of this daemon, if it does not; counted and logged.
@@ -435,26 +438,28 @@
         hosts
     }
 
-    /// How long a run is refused because engines end on a part of its prompt.
-    fn refused_for_parts(&self, run: &RunId, parts: &PromptParts) -> Option<Millis> {
+    /// Whether a run is refused because engines end on a part of its prompt.
+    fn quarantined_part(&self, run: &RunId, parts: &PromptParts) -> Option<Quarantined> {
         let view = self.view.load();
         if view.blamed_parts.is_empty() {
             return None;
         }
         let now = self.clock.now();
         let blamed = parts.iter().filter_map(|part| Some((*part, *view.blamed_parts.get(part)?)));
-        let waits = blamed.filter_map(|(part, until)| {
+        let refused = blamed.filter_map(|(part, until)| {
             let running = view.members.iter().filter(|m| m.state == MemberState::Alive);
             let hosts = running.map(|member| member.host.as_str());
-            self.trials().wait(now, part, until, run, self.settings.host.as_str(), hosts)
+            let own = self.settings.host.as_str();
+            let left = self.trials().wait(now, part, until, run, own, hosts)?;
+            Some(Quarantined { left, culprit: Culprit::Part(part) })
         });
-        waits.max()
+        refused.max_by_key(|quarantined| quarantined.left)
     }
 
     /// Waits until engines are known to end on a part of a run's prompt.
     async fn parts_are_refused(&self, run: &RunId, parts: &PromptParts) {
         let mut changes = self.blame_changed.subscribe();
-        while parts.is_empty() || self.refused_for_parts(run, parts).is_none() {
+        while parts.is_empty() || self.quarantined_part(run, parts).is_none() {
             // The sender lives as long as `self`.
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -4,7 +4,10 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use magnoliawinch::prompt_parts::PartId;
+use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::time::Millis;
+use std::fmt;
 use strum::IntoStaticStr;
 
 /// Why a caller gets no response from an upstream. The statuses 429 and 503 guarantee that the
@@ -30,8 +33,8 @@
     Overloaded(Millis),
     /// This host reaches no upstream of the service, and the request was carried to it by another one.
     CutOff,
-    /// Equal requests crashed upstreams before; the caller may retry after this time.
-    Quarantined(Millis),
+    /// Upstreams have ended under such requests.
+    Quarantined(Quarantined),
     /// The deadline passed before the request was sent.
     NotSentInTime,
     /// The request may have run, and the deadline passed without a response.
@@ -40,6 +43,33 @@
     Lost(String),
 }
 
+/// The quarantine of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantined {
+    /// Time after which the caller may retry.
+    pub left: Millis,
+    /// What is refused.
+    pub culprit: Culprit,
+}
+
+/// What requests have in common under which upstreams have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Culprit {
+    /// The requests are equal.
+    Fingerprint(Fingerprint),
+    /// A part of their prompts.
+    Part(PartId),
+}
+
+impl fmt::Display for Culprit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Fingerprint(fingerprint) => write!(f, "fingerprint {}", fingerprint.0),
+            Self::Part(part) => write!(f, "part {part}"),
+        }
+    }
+}
+
 /// Retry delay for a caller of a daemon that is leaving; short, as other hosts accept requests.
 const LEAVING_RETRY_AFTER: Millis = Millis(100);
 
@@ -85,7 +115,9 @@
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
             Self::Leaving => Some(LEAVING_RETRY_AFTER),
-            Self::Overloaded(wait) | Self::Quarantined(wait) => Some(*wait),
+            Self::Overloaded(wait) | Self::Quarantined(Quarantined { left: wait, .. }) => {
+                Some(*wait)
+            }
             _ => None,
         }
     }
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -5,12 +5,12 @@
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
 use crate::outbound::NotPermitted;
+use crate::refusal::Quarantined;
 use crate::run_body::RunBody;
 use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
 use magnoliawinch::names::UpstreamName;
-use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Reuse, SendError};
@@ -74,9 +74,9 @@
     /// The engine wants no requests.
     #[error("{engine} wants no requests: {withheld}")]
     Withheld { engine: UpstreamName, withheld: Withheld },
-    /// Upstreams have ended under equal requests.
-    #[error("equal requests are refused for {0}")]
-    Quarantined(Millis),
+    /// Upstreams have ended under such requests.
+    #[error("requests with {} are refused for {}", .0.culprit, .0.left)]
+    Quarantined(Quarantined),
     /// The host that was to send the request to the engine did not, or broke off.
     #[error("the request was carried to another host: {cause}")]
     Carried { cause: String, verdict: Verdict },
@@ -149,7 +149,7 @@
             NotPermitted::Withheld(withheld) => {
                 ResumeError::Withheld { engine: to.name.clone(), withheld }
             }
-            NotPermitted::Quarantined(left) => ResumeError::Quarantined(left),
+            NotPermitted::Quarantined(quarantined) => ResumeError::Quarantined(quarantined),
         })?;
         let out = Outgoing {
             upstream: &to.name,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -105,8 +105,8 @@
     pub(crate) async fn start_stream(&self, fwd: Arc<Forward>) -> Result<StreamStart<W>, Refusal> {
         let mut avoid = Vec::new();
         loop {
-            if let Some(left) = self.refused_for(&fwd) {
-                return Err(Refusal::Quarantined(left));
+            if let Some(quarantined) = self.quarantined(&fwd) {
+                return Err(Refusal::Quarantined(quarantined));
             }
             let mut assignment = self.assign_engine(&fwd, &avoid).await?;
             let Ok(permit) = self.permit(&fwd, &assignment.engine) else {
