--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -98,6 +98,43 @@
     assert!(!quarantine.record_completion(Time(9_100), Time(9_100), Fingerprint(8)), "unknown");
 }
 
+/// Guards against an upgrade that makes a request fatal which has completed until then.
+#[test]
+fn a_request_that_ends_upstreams_after_it_completed_is_refused() {
+    let mut quarantine = Quarantine::new();
+    record(&mut quarantine, 1_000, "e1", 1);
+    quarantine.record_completion(Time(1_000), Time(900), FINGERPRINT);
+    record(&mut quarantine, 1_040, "e2", 1);
+    assert!(matches!(record(&mut quarantine, 3_000, "e3", 1), QuarantineStatus::Refused(_)));
+    quarantine.record_completion(Time(3_010), Time(3_005), FINGERPRINT);
+    assert_eq!(quarantine.status(Time(3_010), FINGERPRINT), QuarantineStatus::Normal);
+}
+
+/// Guards against ends of one moment, as in the loss of a rack, that count several times for popular
+/// requests, which are in progress everywhere.
+#[test]
+fn ends_of_one_moment_count_once_for_a_request_that_completed_before() {
+    let mut quarantine = Quarantine::new();
+    record(&mut quarantine, 1_000, "e0", 1);
+    quarantine.record_completion(Time(1_000), Time(990), FINGERPRINT);
+    for n in 1..16 {
+        let status = record(&mut quarantine, 1_000 + 60 * n, &format!("e{n}"), 1);
+        assert!(!matches!(status, QuarantineStatus::Refused(_)), "{n} ends");
+    }
+}
+
+/// Guards against forgetting the first moment when many ends of the second one are reported.
+#[test]
+fn many_ends_of_a_second_moment_do_not_lift_the_refusal() {
+    let mut quarantine = Quarantine::new();
+    record(&mut quarantine, 1_000, "e0", 1);
+    quarantine.record_completion(Time(1_000), Time(990), FINGERPRINT);
+    for n in 1..16 {
+        let status = record(&mut quarantine, 4_000 + n, &format!("e{n}"), 1);
+        assert!(matches!(status, QuarantineStatus::Refused(_)), "{n} ends");
+    }
+}
+
 /// Guards against a request that has become fatal and is never refused as it once completed.
 #[test]
 fn a_completed_request_is_a_suspect_again_after_a_time() {
