Error responses of upstreams are no completed runs

What callers saw: the same as before. Cause: a response with status 500 counted as a completed run, on calls of both daemons and for parts of prompts; servers that fail a request before they work on it so cleared each end.

--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -300,7 +300,7 @@
             Ok(answer) => {
                 let result = u64::from(answer.status);
                 job.log(shared, Decision::Ended { result, verdict: Verdict::Ran });
-                if quarantine == QuarantineStatus::Suspect {
+                if quarantine == QuarantineStatus::Suspect && !answer.is_failure() {
                     report_suspect(shared, job.fingerprint, Notice::Completed).await;
                 }
                 return Ok(answer);
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -31,6 +31,8 @@
     pub draining: bool,
     /// Calls run, but their connections are closed before the response is complete.
     pub lose_responses: bool,
+    /// The first call gets an error response.
+    pub fail_first: bool,
     /// Duration of each call.
     pub call_duration: Duration,
 }
@@ -167,6 +169,9 @@
     };
     sleep(faults.call_duration).await;
     let echo = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    if faults.fail_first && run == 1 {
+        return status_response(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+    }
     if echo.contains(CRASH_MARKER) {
         lock(&inner).has_crashed = true;
         crash.send_replace(true);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -56,6 +56,13 @@
     pub(crate) body: Bytes,
 }
 
+impl BufferedResponse {
+    /// Whether the upstream failed the request; it may have done so before it worked on it.
+    pub(crate) fn is_failure(&self) -> bool {
+        self.status.is_server_error()
+    }
+}
+
 /// The outcome of one attempt.
 pub(crate) enum Attempt {
     /// The upstream responded.
@@ -73,7 +80,7 @@
 impl Attempt {
     /// Whether the upstream responded without an error of its own.
     pub(crate) fn is_success(&self) -> bool {
-        matches!(self, Self::Responded(response) if !response.status.is_server_error())
+        matches!(self, Self::Responded(response) if !response.is_failure())
     }
 
     fn invalid(cause: String) -> Self {
@@ -156,7 +163,7 @@
             for (name, attempt) in attempts {
                 let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
                 match attempt {
-                    Attempt::Responded(response) if response.status.is_server_error() => {
+                    Attempt::Responded(response) if response.is_failure() => {
                         if error_response.is_some()
                             && let Some(first) = tried.last()
                         {
@@ -288,7 +295,7 @@
         };
         self.note_run_end(fwd, &upstream.name, &attempt);
         match &attempt {
-            Attempt::Responded(_) => self.shared.note_completed(fwd.fingerprint),
+            Attempt::Responded(response) => self.note_completed(fwd, response),
             Attempt::MayHaveRun { is_broken: true, .. } => {
                 let examined = self.note_broken_connection(fwd, &engine);
                 if may_retry {
@@ -360,9 +367,18 @@
         let (now, run) = (self.shared.clock.now(), &fwd.info.run);
         let mut starts = self.shared.run_starts();
         match attempt {
-            Attempt::Responded(_) => starts.completed(now, run, upstream),
+            Attempt::Responded(response) if !response.is_failure() => {
+                starts.completed(now, run, upstream);
+            }
             Attempt::NotRun { .. } => starts.not_run(run, upstream),
-            Attempt::MayHaveRun { .. } => starts.broke(now, run, upstream),
+            Attempt::Responded(_) | Attempt::MayHaveRun { .. } => starts.broke(now, run, upstream),
+        }
+    }
+
+    /// Notes a response that shows that requests equal to `fwd` do not end upstreams.
+    pub(crate) fn note_completed(&self, fwd: &Forward, response: &BufferedResponse) {
+        if !response.is_failure() {
+            self.shared.note_completed(fwd.fingerprint);
         }
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -128,7 +128,7 @@
                     return Ok(self.event_stream(&fwd, placed_run, response));
                 }
                 Ok(EngineResponse::Other(Attempt::Responded(response))) => {
-                    self.shared.note_completed(fwd.fingerprint);
+                    self.note_completed(&fwd, &response);
                     return Ok(StreamStart::Buffered(response));
                 }
                 Ok(EngineResponse::Other(Attempt::MayHaveRun { cause, is_broken })) => {
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -47,6 +47,13 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Whether the upstream failed the call; it may have done so before it worked on it.
+    pub fn is_failure(&self) -> bool {
+        (500..600).contains(&self.status)
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Debug, Error)]
 pub enum CallError {
--- a/testbed/tests/at_most_once.rs
+++ b/testbed/tests/at_most_once.rs
@@ -171,13 +171,25 @@
 /// Guards against calls that are sent on and on although each upstream that runs them ends.
 #[tokio::test]
 async fn calls_under_which_upstreams_end_are_quarantined_after_two_at_most() {
+    check_that_fatal_calls_are_quarantined(ServiceFaults::default(), 8).await;
+}
+
+/// Guards against taking the error responses of upstreams for completed runs.
+#[tokio::test]
+async fn calls_that_upstreams_fail_before_they_end_are_quarantined_after_two_at_most() {
+    let faults = ServiceFaults { fail_first: true, ..ServiceFaults::default() };
+    check_that_fatal_calls_are_quarantined(faults, 24).await;
+}
+
+async fn check_that_fatal_calls_are_quarantined(faults: ServiceFaults, calls: usize) {
     for (kind, is_order) in [(ORDER_KIND, true), (STOCK_KIND, false)] {
         let testbed =
             Testbed::start(TestbedOptions { plain_upstreams: 6, ..TestbedOptions::default() })
                 .await
                 .expect("the testbed starts");
+        testbed.plain_upstreams.iter().for_each(|upstream| upstream.set_faults(faults));
         let mut last = None;
-        for n in 0..8 {
+        for n in 0..calls {
             let caller = CallerClient::new(&bearer_key(ORGANISATIONS[0]));
             let host = testbed.caller_addresses()[n % 3];
             let key = format!("fatal-{n}");
@@ -192,6 +204,7 @@
             }
             other => panic!("expected a refusal: {other:?}"),
         }
+        testbed.plain_upstreams.iter().for_each(|u| u.set_faults(ServiceFaults::default()));
         place_order(&testbed, 0, "other", "bearing").await.expect("other calls are served");
     }
 }
