A host compares a refused connection with up to four other upstreams, first those not known to be down

Cause: an end counts only if the host reaches another upstream of the service; it tried two at random, which may have ended in the same moment while others live. The end then stayed unknown until another incarnation was listed.

--- a/core/src/reachability.rs
+++ b/core/src/reachability.rs
@@ -3,10 +3,11 @@
 //! A host whose path to an upstream is cut meets with the same as one whose upstream has ended:
 //! connections break, and new ones are refused or do not open. Other hosts tell the two apart.
 
+use crate::fleet::ListedUpstream;
 use crate::membership::{Member, MemberState};
-use crate::names::{FailureDomain, HostName};
+use crate::names::{FailureDomain, HostName, ServiceName, UpstreamName};
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use std::collections::HashMap;
 use strum::{Display, FromRepr, IntoStaticStr};
 
@@ -44,6 +45,29 @@
     }
 }
 
+/// Other upstreams tried by a host that is refused by one. Several of a service may be down at once.
+pub const OTHERS_TRIED: usize = 4;
+
+/// At most `OTHERS_TRIED` of the `listed` upstreams other than `except`, at random: of its `service` if
+/// there are any, and those first that are not `known_down`.
+pub fn choose_others<'a, R: Rng>(
+    listed: impl IntoIterator<Item = &'a ListedUpstream>,
+    service: &ServiceName,
+    except: &UpstreamName,
+    known_down: impl Fn(&ListedUpstream) -> bool,
+    rng: &mut R,
+) -> Vec<&'a ListedUpstream> {
+    let others = listed.into_iter().filter(|listed| listed.name != *except);
+    let (of_service, rest): (Vec<_>, Vec<_>) =
+        others.partition(|listed| listed.service == *service);
+    let candidates = if of_service.is_empty() { rest } else { of_service };
+    let (down, up): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|listed| known_down(listed));
+    let mut chosen = up.into_iter().sample(rng, OTHERS_TRIED);
+    chosen.extend(down.into_iter().sample(rng, OTHERS_TRIED - chosen.len()));
+    chosen
+}
+
 /// At most `WITNESSES` of the running `members`, at random, from as many failure domains as
 /// possible, those other than `own` first: what a host loses, its whole domain may have lost.
 pub fn choose_witnesses<'a, R: Rng>(
--- a/core/tests/reachability.rs
+++ b/core/tests/reachability.rs
@@ -1,10 +1,11 @@
 //! What hosts conclude together about upstreams that one of them cannot reach.
 
 use magnoliawinch::capacity::Capacity;
+use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::membership::{Member, MemberState};
-use magnoliawinch::names::{FailureDomain, HostName};
+use magnoliawinch::names::{FailureDomain, HostName, ServiceName, UpstreamName};
 use magnoliawinch::reachability::Reachability::{Accepted, PathLost, Refused, Unknown};
-use magnoliawinch::reachability::{WITNESSES, choose_witnesses};
+use magnoliawinch::reachability::{OTHERS_TRIED, WITNESSES, choose_others, choose_witnesses};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -62,3 +63,36 @@
         }
     }
 }
+
+fn listed(name: &str, service: &str) -> ListedUpstream {
+    ListedUpstream {
+        name: UpstreamName::new(name),
+        born: 1,
+        service: ServiceName::new(service),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: FailureDomain::new("a"),
+        slots: 6,
+        leaving: false,
+    }
+}
+
+/// Guards against ends that stay unknown because the upstreams that were tried for comparison had
+/// ended, too, while others of the service lived.
+#[test]
+fn upstreams_tried_for_comparison_are_first_those_that_are_not_known_to_be_down() {
+    let mut all: Vec<_> = (0..12).map(|n| listed(&format!("s{n}"), "app")).collect();
+    all.push(listed("e1", "pool"));
+    let known_down = |listed: &ListedUpstream| !["s3", "s7"].contains(&listed.name.as_str());
+    let (service, except) = (ServiceName::new("app"), UpstreamName::new("s0"));
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let chosen = choose_others(&all, &service, &except, known_down, &mut rng);
+        assert_eq!(chosen.len(), OTHERS_TRIED);
+        assert!(chosen.iter().all(|l| l.service == service && l.name != except));
+        let up = chosen.iter().filter(|listed| !known_down(listed)).count();
+        assert_eq!(up, 2);
+    }
+    let (alone, mut rng) = (ServiceName::new("pool"), ChaCha8Rng::seed_from_u64(1));
+    let chosen = choose_others(&all, &alone, &UpstreamName::new("e1"), known_down, &mut rng);
+    assert_eq!(chosen.len(), OTHERS_TRIED, "of another service");
+}
--- a/relay/src/paths.rs
+++ b/relay/src/paths.rs
@@ -4,9 +4,10 @@
 use crate::runs::Endpoint;
 use crate::shared::Shared;
 use futures_util::future::join_all;
+use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::{HostName, ServiceName, UpstreamName};
-use magnoliawinch::reachability::{Reachability, choose_witnesses};
+use magnoliawinch::reachability::{Reachability, choose_others, choose_witnesses};
 use magnoliawinch::service_paths::{ConnectFailure, PROBE_INTERVAL};
 use magnoliawinch_peer::{ReachReply, ReachRequest};
 use rand::seq::IteratorRandom;
@@ -19,9 +20,6 @@
 /// Timeout for the word of another host, which may itself wait for a connection.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Other upstreams tried by a host that is refused by one.
-const MAX_OTHERS_TRIED: usize = 2;
-
 impl Shared {
     /// Notes that a connection to an upstream did not open; has other hosts asked if that is due.
     pub(crate) fn note_connect_failure(
@@ -111,13 +109,13 @@
     /// also if there is no other.
     async fn reaches_others(&self, service: &ServiceName, except: &UpstreamName) -> bool {
         let others: Vec<_> = {
-            let view = self.view.load();
-            let others = view.fleet.all().filter(|listed| listed.name != *except);
-            let (of_service, rest): (Vec<_>, Vec<_>) =
-                others.partition(|listed| listed.service == *service);
-            let candidates = if of_service.is_empty() { rest } else { of_service };
-            let mut routing = self.routing();
-            let chosen = candidates.iter().sample(&mut routing.rng, MAX_OTHERS_TRIED);
+            let (now, view) = (self.clock.now(), self.view.load());
+            let fleet = &view.fleet;
+            let is_down = |listed: &ListedUpstream| {
+                !fleet.is_usable(&listed.name) || fleet.is_unreachable(now, &listed.name)
+            };
+            let rng = &mut self.routing().rng;
+            let chosen = choose_others(fleet.all(), service, except, is_down, rng);
             chosen.into_iter().map(|listed| listed.address).collect()
         };
         let probed = join_all(others.iter().map(|address| self.probe(*address))).await;
