Requests that wait for an upstream are withdrawn once equal ones are refused

Cause: only requests with a refused part were withdrawn. The waiting requests were also woken before the view had changed. Not withdrawn: requests of which a run completed shortly before, as their completion clears the refusal.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -297,6 +297,13 @@
         history.map_or(QuarantineStatus::Normal, |history| history.status(now))
     }
 
+    /// Whether a run with this fingerprint completed shortly before the first end that counts, so that
+    /// one in progress may show that such requests are not the cause.
+    pub fn has_completed_before(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let history = self.histories.get(&fingerprint);
+        history.is_some_and(|history| history.case(now).completed_before)
+    }
+
     /// Fingerprints of which an end counts, each with its status.
     pub fn suspects(&self, now: Time) -> impl Iterator<Item = (Fingerprint, QuarantineStatus)> {
         let all = self.histories.iter();
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -23,7 +23,7 @@
 
 use crate::runs::Assignment;
 use crate::shared::Shared;
-use crate::view::View;
+use crate::view::{SuspectRequests, View};
 use cells::Cells;
 use following::HeldPoll;
 use magnoliawinch::announced_versions::AnnouncedVersions;
@@ -171,7 +171,7 @@
     fleet_view: Arc<Fleet>,
     fleet_view_is_stale: bool,
     /// The quarantine as published in the view.
-    quarantine_view: Arc<HashMap<Fingerprint, Time>>,
+    quarantine_view: Arc<HashMap<Fingerprint, SuspectRequests>>,
     /// The refused parts of prompts as published in the view.
     blamed_view: Arc<HashMap<PartId, Time>>,
     view_is_stale: bool,
@@ -263,7 +263,7 @@
         }
         self.view_published_at = now;
         self.view_is_stale = false;
-        self.shared.view.store(Arc::new(View {
+        let before = self.shared.view.swap(Arc::new(View {
             own: self.membership.own().clone(),
             members: Arc::clone(&self.members),
             cells: self.cells.owners.clone(),
@@ -277,6 +277,11 @@
             blamed_parts: Arc::clone(&self.blamed_view),
             evacuated: Arc::clone(&self.evacuated),
         }));
+        if !Arc::ptr_eq(&before.quarantine, &self.quarantine_view)
+            || !Arc::ptr_eq(&before.blamed_parts, &self.blamed_view)
+        {
+            self.shared.refusals_changed.send_replace(());
+        }
     }
 
     fn update_members(&mut self) {
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -3,6 +3,7 @@
 use super::convert::QuarantineUpdate;
 use super::{Control, Message};
 use crate::runs::Endpoint;
+use crate::view::SuspectRequests;
 use magnoliawinch::crash_detection::{Reachability, Suspicion, UpstreamProcess};
 use magnoliawinch::names::ServiceName;
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
@@ -193,13 +194,15 @@
 
     /// Updates the part of the view; returns whether it has changed.
     fn update_quarantine_view(&mut self, now: Time) -> bool {
-        let until = |status: QuarantineStatus| match status {
-            QuarantineStatus::Refused(left) => now + left,
-            QuarantineStatus::Normal | QuarantineStatus::Suspect => Time(0),
-        };
-        let suspects = self.quarantine.suspects(now);
-        let suspects: HashMap<_, _> =
-            suspects.map(|(fingerprint, status)| (fingerprint, until(status))).collect();
+        let suspects = self.quarantine.suspects(now).map(|(fingerprint, status)| {
+            let refused_until = match status {
+                QuarantineStatus::Refused(left) => now + left,
+                QuarantineStatus::Normal | QuarantineStatus::Suspect => Time(0),
+            };
+            let are_withdrawn = !self.quarantine.has_completed_before(now, fingerprint);
+            (fingerprint, SuspectRequests { refused_until, are_withdrawn })
+        });
+        let suspects: HashMap<_, _> = suspects.collect();
         let has_changed = suspects != *self.quarantine_view;
         if has_changed {
             self.quarantine_view = Arc::new(suspects);
--- a/relay/src/control/fatal_parts.rs
+++ b/relay/src/control/fatal_parts.rs
@@ -125,7 +125,6 @@
             log::info!(part:% = part, source; "requests with a part are no longer refused");
         }
         self.blamed_view = Arc::new(until);
-        self.shared.blame_changed.send_replace(());
         true
     }
 
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -17,6 +17,7 @@
 use magnoliawinch::membership::MemberState;
 use magnoliawinch::names::{HostName, RunId, ServiceName, UpstreamName};
 use magnoliawinch::prompt_parts::PromptParts;
+use magnoliawinch::quarantine::Fingerprint;
 use magnoliawinch::service_paths::ConnectFailure;
 use magnoliawinch::time::Millis;
 use magnoliawinch::upstream_limits::Hosts;
@@ -28,6 +29,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use strum::IntoStaticStr;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
 
@@ -92,6 +94,16 @@
     Quarantined(Quarantined),
 }
 
+/// Why a request is withdrawn from an upstream that has not begun to answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum WithdrawalReason {
+    /// Equal requests are refused.
+    EqualRefused,
+    /// Requests with a part of its prompt are refused.
+    PartRefused,
+}
+
 /// Permission to send one request to an upstream.
 #[derive(Debug)]
 #[must_use]
@@ -100,6 +112,7 @@
     service: ServiceName,
     run: RunId,
     parts: PromptParts,
+    fingerprint: Fingerprint,
     /// Whether the request continues a run, which may also be refused because its copy is not there.
     is_resume: bool,
     outstanding: OutstandingRequest,
@@ -131,6 +144,7 @@
             service: fwd.service.clone(),
             run: fwd.info.run.clone(),
             parts: Arc::clone(&fwd.info.shared_parts),
+            fingerprint: fwd.fingerprint,
             is_resume,
         }
     }
@@ -308,14 +322,14 @@
         reuse: Reuse,
         timeout: Duration,
     ) -> Result<(ClientResponse, ResponseInfo, OutstandingRequest), SendError> {
-        let SendPermit { to, service, run, parts, is_resume, outstanding } = permit;
+        let SendPermit { to, service, run, parts, fingerprint, is_resume, outstanding } = permit;
         let sent_at = self.shared.clock.now();
         self.shared.run_starts().sent(&run, &to.name, to.born, &parts);
-        // An engine that has not begun to answer must not end, too.
+        // An upstream that has not begun to answer must not end, too.
         let result = tokio::select! {
             result = self.shared.upstreams.client.send(to.address, req, reuse, timeout) => result,
-            () = self.shared.parts_are_refused(&run, &parts) => {
-                self.shared.metrics.count("withdrawn", "part_refused");
+            reason = self.shared.withdrawal(fingerprint, &run, &parts) => {
+                self.shared.metrics.count("withdrawn", reason.into());
                 Err(SendError::Withdrawn { address: to.address })
             }
         };
@@ -456,10 +470,22 @@
         refused.max_by_key(|quarantined| quarantined.left)
     }
 
-    /// Waits until engines are known to end on a part of a run's prompt.
-    async fn parts_are_refused(&self, run: &RunId, parts: &PromptParts) {
-        let mut changes = self.blame_changed.subscribe();
-        while parts.is_empty() || self.quarantined_part(run, parts).is_none() {
+    /// Waits until upstreams are known to end under requests with this fingerprint or on a part of a
+    /// run's prompt.
+    async fn withdrawal(
+        &self,
+        fingerprint: Fingerprint,
+        run: &RunId,
+        parts: &PromptParts,
+    ) -> WithdrawalReason {
+        let mut changes = self.refusals_changed.subscribe();
+        loop {
+            if self.view.load().withdraws(self.clock.now(), fingerprint) {
+                return WithdrawalReason::EqualRefused;
+            }
+            if !parts.is_empty() && self.quarantined_part(run, parts).is_some() {
+                return WithdrawalReason::PartRefused;
+            }
             // The sender lives as long as `self`.
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -85,8 +85,8 @@
     paths: Mutex<ServicePaths>,
     /// Changes with the paths.
     pub(crate) paths_changed: watch::Sender<()>,
-    /// Changes with the refused parts of prompts.
-    pub(crate) blame_changed: watch::Sender<()>,
+    /// Changes with the requests and parts of prompts that are refused, after the view.
+    pub(crate) refusals_changed: watch::Sender<()>,
     requests: RequestCounter,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
@@ -141,7 +141,7 @@
             trials: Mutex::default(),
             paths: Mutex::default(),
             paths_changed: watch::Sender::new(()),
-            blame_changed: watch::Sender::new(()),
+            refusals_changed: watch::Sender::new(()),
             requests: RequestCounter::new(),
             state_calls: RequestCounter::new(),
             bodies: Mutex::default(),
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -107,14 +107,23 @@
     pub(crate) fleet: Arc<Fleet>,
     /// Whether `fleet` has all upstreams, not only those of this daemon's cells.
     pub(crate) knows_whole_list: bool,
-    /// Fingerprints of requests under which upstreams have ended, and until when these are refused.
-    pub(crate) quarantine: Arc<HashMap<Fingerprint, Time>>,
+    /// Requests under which upstreams have ended.
+    pub(crate) quarantine: Arc<HashMap<Fingerprint, SuspectRequests>>,
     /// Parts of prompts on which engines end, and until when all requests with them are refused.
     pub(crate) blamed_parts: Arc<HashMap<PartId, Time>>,
     /// Failure domains whose upstreams get no requests.
     pub(crate) evacuated: Arc<BTreeSet<FailureDomain>>,
 }
 
+/// Equal requests under which upstreams have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SuspectRequests {
+    /// Until when new ones are refused.
+    pub(crate) refused_until: Time,
+    /// Whether those in progress are withdrawn meanwhile.
+    pub(crate) are_withdrawn: bool,
+}
+
 impl View {
     pub(crate) fn new(own: Member) -> Self {
         Self {
@@ -153,7 +162,13 @@
 
     /// How long requests with this fingerprint are refused; `None` if they may run.
     pub(crate) fn refused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Millis> {
-        let until = *self.quarantine.get(&fingerprint)?;
+        let until = self.quarantine.get(&fingerprint)?.refused_until;
         (now < until).then(|| until.since(now))
     }
+
+    /// Whether requests with this fingerprint that wait for their upstreams are withdrawn.
+    pub(crate) fn withdraws(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let suspects = self.quarantine.get(&fingerprint);
+        suspects.is_some_and(|suspects| suspects.are_withdrawn && now < suspects.refused_until)
+    }
 }
