All suspects of a large outage are passed on while they are news

Cause: a message has room for 64 facts and always had the same ones, so that a culprit among more suspects was unknown to peers, and each host had to lose upstreams of its own to it. Evidence: all_suspects_of_a_large_outage_are_told_while_they_are_news, 64 of 200 before, 200 now, in 30 messages to three peers.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -50,6 +50,9 @@
 /// fingerprints are passed on for as long as these are refused.
 const PASSED_ON_FOR: Millis = Millis(3_000);
 
+/// Facts whose ages differ by less are passed on with equal urgency.
+const NEWS_AGE_STEP: Millis = Millis(500);
+
 /// Facts in one message.
 const MAX_FACTS: usize = 64;
 
@@ -311,20 +314,21 @@
         all.filter(|(_, status)| *status != QuarantineStatus::Normal)
     }
 
-    /// Facts to pass on: those about refused fingerprints, then what was learned lately, newest
-    /// first.
+    /// Facts to pass on: those about refused fingerprints, then what was learned lately. If there are
+    /// more than a message has room for, each message has other ones.
     pub fn news(&self, now: Time) -> Vec<Fact> {
         let is_refused =
             |history: &History| matches!(history.status(now), QuarantineStatus::Refused(_));
         let is_recent = |history: &History| now.since(history.learned_at) < PASSED_ON_FOR;
+        let salt = rendezvous::hash_bytes(&now.0.to_be_bytes());
         let mut passed_on: Vec<_> = self
             .histories
             .iter()
             .filter(|(_, history)| is_refused(history) || is_recent(history))
             .collect();
         passed_on.sort_by_key(|(fingerprint, history)| {
-            let age = now.since(history.learned_at);
-            (!is_refused(history), age, **fingerprint)
+            let age = now.since(history.learned_at).0 / NEWS_AGE_STEP.0;
+            (!is_refused(history), age, fingerprint.0 ^ salt)
         });
         let facts = passed_on.into_iter().flat_map(|(fingerprint, history)| {
             let crashes = history.crashes.iter().map(|crash| {
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -5,6 +5,7 @@
     Completions, Crash, EXONERATION, FIRST_REFUSAL_DURATION, Fact, Fingerprint, Quarantine,
     QuarantineStatus, REFUSAL_DURATION,
 };
+use magnoliawinch::rendezvous;
 use magnoliawinch::time::{Millis, Time};
 use quickcheck::{Gen, QuickCheck};
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -240,3 +241,28 @@
     let is_told = |fact: &Fact| matches!(fact, Fact::Crashed(c, _) if c.fingerprint == FINGERPRINT);
     assert_eq!(news.iter().filter(|fact| is_told(fact)).count(), 2);
 }
+
+/// Guards against suspects that no peer hears of as more upstreams ended at once than one message tells:
+/// a culprit among them would be refused only after further ends.
+#[test]
+fn all_suspects_of_a_large_outage_are_told_while_they_are_news() {
+    let mut reporter = Quarantine::new();
+    let suspects: Vec<_> =
+        (0..200).map(|n| Fingerprint(rendezvous::hash(&n.to_string()))).collect();
+    for fingerprint in suspects.iter().copied() {
+        reporter.record_crash(Time(0), Time(0), &Crash { fingerprint, ..crash("e1", 1) });
+    }
+    // Three others are told in turn, and tell each other.
+    let mut others = vec![Quarantine::new(); 3];
+    for (n, at) in (0..3_000).step_by(100).enumerate() {
+        let news = reporter.news(Time(at));
+        others[n % 3].apply(Time(at + 5), news);
+        let news = others[n % 3].news(Time(at + 5));
+        others[(n + 1) % 3].apply(Time(at + 10), news);
+    }
+    for other in &others {
+        let status = |fingerprint| other.status(Time(3_000), fingerprint);
+        let known = suspects.iter().filter(|f| status(**f) == QuarantineStatus::Suspect).count();
+        assert_eq!(known, suspects.len());
+    }
+}
