Servers that fall silent under requests are examined like those whose connections break

Cause: a call that timed out, or whose response stopped, was no suspicion, so that a request under which the host of a server loses power was never refused unless some connection broke.

--- a/core/src/crash_detection.rs
+++ b/core/src/crash_detection.rs
@@ -1,9 +1,9 @@
 //! Tells upstreams that ended under requests from those that only failed them.
 //!
-//! A connection that broke before its response was complete shows nothing by itself: connections
-//! are reset and responses are lost or cut while the upstream lives, and a host may lose its paths to
-//! all of them. An upstream counts as ended if it then refuses connections of other hosts, too, or if
-//! it can't be reached and another incarnation is listed at its address.
+//! A connection that broke or fell silent before its response was complete shows nothing by itself:
+//! connections are reset and responses are late, lost or cut while the upstream lives, and a host may
+//! lose its paths to all of them. An upstream counts as ended if it then refuses connections of other
+//! hosts, too, or if it can't be reached and another incarnation is listed at its address.
 
 use crate::names::UpstreamName;
 use crate::quarantine::Fingerprint;
@@ -18,7 +18,7 @@
 
 const MAX_CHECKS: u32 = 2;
 
-/// Time after a broken connection for which another incarnation at the address shows that an
+/// Time after a lost connection for which another incarnation at the address shows that an
 /// unreachable upstream has ended. Longer than an upstream takes to start again and to be listed.
 const SUSPICION_PERIOD: Millis = Millis(6_000);
 
@@ -39,7 +39,7 @@
     pub address: SocketAddr,
 }
 
-/// What is known after a connection to an upstream broke.
+/// What is known after a connection to an upstream was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
     /// The upstream has ended.
@@ -54,9 +54,9 @@
 
 #[derive(Clone, Debug)]
 struct Suspected {
-    /// Requests whose connections broke, until the upstream is known to have ended.
+    /// Requests whose connections were lost, until the upstream is known to have ended.
     requests: Vec<Fingerprint>,
-    broke_at: Time,
+    lost_at: Time,
     checks: u32,
     is_checking: bool,
     next_check: Option<Time>,
@@ -75,8 +75,8 @@
         Self::default()
     }
 
-    /// Records that the connection of a request broke before its response was complete.
-    pub fn connection_broke(
+    /// Records that the connection of a request broke or fell silent before its response was complete.
+    pub fn connection_lost(
         &mut self,
         now: Time,
         process: &UpstreamProcess,
@@ -87,7 +87,7 @@
         }
         let suspected = self.suspected.entry(process.clone()).or_insert_with(|| Suspected {
             requests: Vec::new(),
-            broke_at: now,
+            lost_at: now,
             checks: 0,
             is_checking: false,
             next_check: None,
@@ -97,10 +97,10 @@
             return Suspicion::Ended;
         }
         // A connection that breaks later than the last checks shows that they may be outdated.
-        if now.since(suspected.broke_at) >= SECOND_CHECK_DELAY {
+        if now.since(suspected.lost_at) >= SECOND_CHECK_DELAY {
             suspected.checks = 0;
         }
-        suspected.broke_at = now;
+        suspected.lost_at = now;
         if suspected.requests.len() < MAX_REQUESTS && !suspected.requests.contains(&fingerprint) {
             suspected.requests.push(fingerprint);
         }
@@ -154,9 +154,9 @@
         ended.map(|(process, suspected)| (process.clone(), suspected.end())).collect()
     }
 
-    /// When the last connection to an upstream under suspicion broke.
-    pub fn broke_at(&self, process: &UpstreamProcess) -> Option<Time> {
-        self.suspected.get(process).map(|suspected| suspected.broke_at)
+    /// When the last connection to an upstream under suspicion was lost.
+    pub fn lost_at(&self, process: &UpstreamProcess) -> Option<Time> {
+        self.suspected.get(process).map(|suspected| suspected.lost_at)
     }
 
     /// Whether any upstream is under suspicion.
@@ -166,7 +166,7 @@
 
     /// Returns the upstreams that have to be checked once more; drops old suspicions.
     pub fn tick(&mut self, now: Time) -> Vec<UpstreamProcess> {
-        self.suspected.retain(|_, suspected| now.since(suspected.broke_at) < SUSPICION_PERIOD);
+        self.suspected.retain(|_, suspected| now.since(suspected.lost_at) < SUSPICION_PERIOD);
         let mut due = Vec::new();
         for (process, suspected) in &mut self.suspected {
             if suspected.next_check.take_if(|at| now >= *at).is_some() {
--- a/core/tests/crash_detection.rs
+++ b/core/tests/crash_detection.rs
@@ -17,11 +17,11 @@
 #[test]
 fn an_upstream_that_refuses_connections_has_ended_under_all_its_requests() {
     let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
-    assert_eq!(detector.connection_broke(Time(0), &s1, FIRST), Suspicion::CheckDue);
-    assert_eq!(detector.connection_broke(Time(1), &s1, SECOND), Suspicion::CheckInProgress);
-    assert_eq!(detector.connection_broke(Time(1), &s1, SECOND), Suspicion::CheckInProgress);
+    assert_eq!(detector.connection_lost(Time(0), &s1, FIRST), Suspicion::CheckDue);
+    assert_eq!(detector.connection_lost(Time(1), &s1, SECOND), Suspicion::CheckInProgress);
+    assert_eq!(detector.connection_lost(Time(1), &s1, SECOND), Suspicion::CheckInProgress);
     assert_eq!(detector.checked(Time(3), &s1, Reachability::Refused), [FIRST, SECOND]);
-    assert_eq!(detector.connection_broke(Time(4), &s1, FIRST), Suspicion::Ended);
+    assert_eq!(detector.connection_lost(Time(4), &s1, FIRST), Suspicion::Ended);
 }
 
 /// Guards against taking a reset, a cut or a lost answer for the end of its server.
@@ -29,7 +29,7 @@
 fn an_upstream_that_accepts_connections_has_not_ended() {
     for result in [Reachability::Accepted, Reachability::Unknown] {
         let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
-        detector.connection_broke(Time(0), &s1, FIRST);
+        detector.connection_lost(Time(0), &s1, FIRST);
         assert!(detector.checked(Time(2), &s1, result).is_empty());
         assert!(detector.tick(Time(10)).is_empty(), "not at once");
         assert_eq!(detector.tick(Time(100)), std::slice::from_ref(&s1));
@@ -45,7 +45,7 @@
 #[test]
 fn a_second_check_finds_an_upstream_that_closes_its_listener_late() {
     let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
-    detector.connection_broke(Time(0), &s1, FIRST);
+    detector.connection_lost(Time(0), &s1, FIRST);
     detector.checked(Time(2), &s1, Reachability::Accepted);
     assert_eq!(detector.tick(Time(100)), std::slice::from_ref(&s1));
     assert_eq!(detector.checked(Time(102), &s1, Reachability::Refused), [FIRST]);
@@ -56,7 +56,7 @@
 fn a_new_incarnation_at_the_address_shows_that_an_unreachable_one_has_ended() {
     for (name, born) in [("s1", 2), ("s9", 2)] {
         let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
-        detector.connection_broke(Time(0), &s1, FIRST);
+        detector.connection_lost(Time(0), &s1, FIRST);
         detector.checked(Time(2), &s1, Reachability::Unknown);
         let new = process(name, born);
         let ended = detector.listed(&new.name, new.born, new.address);
@@ -70,10 +70,10 @@
 #[test]
 fn a_later_break_is_checked_again() {
     let (mut detector, s1) = (CrashDetector::new(), process("s1", 1));
-    detector.connection_broke(Time(0), &s1, FIRST);
+    detector.connection_lost(Time(0), &s1, FIRST);
     detector.checked(Time(2), &s1, Reachability::Accepted);
     detector.tick(Time(100));
     detector.checked(Time(102), &s1, Reachability::Accepted);
-    assert_eq!(detector.connection_broke(Time(2_000), &s1, SECOND), Suspicion::CheckDue);
+    assert_eq!(detector.connection_lost(Time(2_000), &s1, SECOND), Suspicion::CheckDue);
     assert_eq!(detector.checked(Time(2_002), &s1, Reachability::Refused), [SECOND]);
 }
--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -307,8 +307,8 @@
             }
             Err(e) => e,
         };
-        // A broken connection alone does not show that the upstream has ended.
-        if e.is_broken_connection() && shared.services.refuses_connections(spec.address).await {
+        // A lost connection alone does not show that the upstream has ended.
+        if e.is_lost_connection() && shared.services.refuses_connections(spec.address).await {
             report_suspect(shared, job.fingerprint, Notice::Crashed(&upstream)).await;
         }
         verdict = verdict.combine(e.verdict());
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -131,9 +131,19 @@
 }
 
 impl SendError {
-    /// Whether the connection broke after the request was sent, before the response was complete.
-    pub fn is_broken_connection(&self) -> bool {
-        matches!(self, Self::NoResponse { .. } | Self::BodyBroken { .. })
+    /// Whether the connection broke or fell silent after the request was sent, before the response was
+    /// complete. The server may have ended.
+    pub fn is_lost_connection(&self) -> bool {
+        match self {
+            Self::NoResponse { .. }
+            | Self::BodyBroken { .. }
+            | Self::Timeout { .. }
+            | Self::Stalled { .. } => true,
+            Self::Connect { .. }
+            | Self::NotSent { .. }
+            | Self::Withdrawn { .. }
+            | Self::BadResponse { .. } => false,
+        }
     }
 
     /// Whether the request may have run.
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -72,8 +72,8 @@
     /// The request may have run, and there is no usable response.
     MayHaveRun {
         cause: String,
-        /// Whether the connection broke before the response was complete.
-        is_broken: bool,
+        /// Whether the connection broke or fell silent before the response was complete.
+        is_lost: bool,
     },
 }
 
@@ -84,13 +84,13 @@
     }
 
     fn invalid(cause: String) -> Self {
-        Self::MayHaveRun { cause, is_broken: false }
+        Self::MayHaveRun { cause, is_lost: false }
     }
 }
 
 impl From<SendError> for Attempt {
     fn from(e: SendError) -> Self {
-        Self::MayHaveRun { cause: e.to_string(), is_broken: e.is_broken_connection() }
+        Self::MayHaveRun { cause: e.to_string(), is_lost: e.is_lost_connection() }
     }
 }
 
@@ -296,8 +296,8 @@
         self.note_run_end(fwd, &upstream.name, &attempt);
         match &attempt {
             Attempt::Responded(response) => self.note_completed(fwd, response),
-            Attempt::MayHaveRun { is_broken: true, .. } => {
-                let examined = self.note_broken_connection(fwd, &engine);
+            Attempt::MayHaveRun { is_lost: true, .. } => {
+                let examined = self.note_lost_connection(fwd, &engine);
                 if may_retry {
                     // The next server must not end as well if that shows that it would.
                     let _ = tokio::time::timeout(CRASH_CHECK_PATIENCE, examined).await;
@@ -342,11 +342,14 @@
         let body = match tokio::time::timeout(timeout, response.bytes(MAX_RESPONSE_BYTES)).await {
             Ok(Ok(body)) => body,
             Ok(Err(e)) => return Attempt::from(e),
-            Err(_) => return Attempt::invalid("the response was not complete in time".to_owned()),
+            Err(_) => {
+                let cause = "the response was not complete in time".to_owned();
+                return Attempt::MayHaveRun { cause, is_lost: true };
+            }
         };
         let ends_with_connection = !is_framed(&headers) && !body.is_empty();
         if ends_with_connection && !self.has_closed_whole_body(fwd, upstream).await {
-            return Attempt::MayHaveRun { cause: UNFRAMED_END.to_owned(), is_broken: true };
+            return Attempt::MayHaveRun { cause: UNFRAMED_END.to_owned(), is_lost: true };
         }
         strip_hop_by_hop_headers(&mut headers);
         self.wire.remove_statements(&mut headers);
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -17,7 +17,7 @@
 mod sharing;
 mod updates;
 
-pub(crate) use crashes::BrokenRequest;
+pub(crate) use crashes::LostRequest;
 pub use evacuations::EvacuationUpdate;
 pub use updates::ListUpdate;
 
@@ -106,8 +106,8 @@
     ServerNews,
     /// A request under which an upstream has ended completed now.
     SuspectCompleted(Fingerprint),
-    /// The connection of a request broke before the response was complete.
-    RequestBroke(BrokenRequest),
+    /// The connection of a request was lost before the response was complete.
+    RequestLost(LostRequest),
     /// A connection to an upstream was opened or failed.
     ProcessChecked { upstream: UpstreamProcess, result: Reachability },
     /// A probe from another daemon.
@@ -345,7 +345,7 @@
             Message::SuspectCompleted(fingerprint) => {
                 self.handle_suspect_completed(now, fingerprint);
             }
-            Message::RequestBroke(broken) => self.handle_broken_request(now, broken),
+            Message::RequestLost(lost) => self.handle_lost_request(now, lost),
             Message::ProcessChecked { upstream, result } => {
                 self.handle_process_checked(now, &upstream, result);
             }
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -14,9 +14,9 @@
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-/// A request whose connection to an upstream broke before the response was complete.
+/// A request whose connection to an upstream was lost before the response was complete.
 #[derive(Debug)]
-pub(crate) struct BrokenRequest {
+pub(crate) struct LostRequest {
     pub(crate) fingerprint: Fingerprint,
     pub(crate) upstream: UpstreamProcess,
     /// Dropped once it is known whether the upstream has ended.
@@ -25,13 +25,13 @@
 
 impl Control {
     /// Has it examined whether the upstream ended, unless that is known.
-    pub(super) fn handle_broken_request(&mut self, now: Time, broken: BrokenRequest) {
-        let BrokenRequest { fingerprint, upstream, reply } = broken;
+    pub(super) fn handle_lost_request(&mut self, now: Time, lost: LostRequest) {
+        let LostRequest { fingerprint, upstream, reply } = lost;
         // An upstream that leaves refuses connections before it ends what it runs.
         if self.fleet.is_known_to_leave(&upstream.name) {
             return;
         }
-        match self.crash_detector.connection_broke(now, &upstream, fingerprint) {
+        match self.crash_detector.connection_lost(now, &upstream, fingerprint) {
             Suspicion::Ended => self.note_ended(now, &upstream, &[fingerprint], "ended_before"),
             Suspicion::CheckDue => {
                 self.waiting_for_checks.push((upstream.clone(), reply));
@@ -116,7 +116,7 @@
         if !requests.is_empty() {
             self.note_suspect_runs(now, upstream);
         }
-        let at = self.crash_detector.broke_at(upstream).unwrap_or(now);
+        let at = self.crash_detector.lost_at(upstream).unwrap_or(now);
         for fingerprint in requests.iter().copied() {
             self.shared.metrics.count("ended_under_request", evidence);
             log::warn!(
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -4,7 +4,7 @@
 //! quarantine hands out.
 //! Orders and health checks need none: they are no work for an upstream.
 
-use crate::control::{BrokenRequest, Message};
+use crate::control::{LostRequest, Message};
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
 use crate::refusal::{Culprit, Quarantined};
@@ -393,16 +393,16 @@
         Ok(response)
     }
 
-    /// Has it examined whether an upstream ended when the connection of a request to it broke; the
-    /// returned future is ready once that is known.
-    pub(crate) fn note_broken_connection(
+    /// Has it examined whether an upstream ended when the connection of a request to it broke or fell
+    /// silent; the returned future is ready once that is known.
+    pub(crate) fn note_lost_connection(
         &self,
         fwd: &Forward,
         to: &Endpoint,
     ) -> impl Future<Output = ()> + use<W> {
         let (reply, examined) = oneshot::channel();
-        let broken = BrokenRequest { fingerprint: fwd.fingerprint, upstream: to.process(), reply };
-        let message = Message::RequestBroke(broken);
+        let lost = LostRequest { fingerprint: fwd.fingerprint, upstream: to.process(), reply };
+        let message = Message::RequestLost(lost);
         if let Err(TrySendError::Full(message)) = self.shared.control.try_send(message) {
             let control = self.shared.control.clone();
             self.shared.traffic.spawn(async move { control.send(message).await });
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -164,8 +164,8 @@
         if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
             self.shared.note_resumption(&fwd.service);
         }
-        if sent.as_ref().is_err_and(SendError::is_broken_connection) {
-            drop(self.note_broken_connection(fwd, to));
+        if sent.as_ref().is_err_and(SendError::is_lost_connection) {
+            drop(self.note_lost_connection(fwd, to));
         }
         let (response, info, _) = sent?;
         let (engine, status) = (to.name.clone(), response.status());
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -131,9 +131,9 @@
                     self.note_completed(&fwd, &response);
                     return Ok(StreamStart::Buffered(response));
                 }
-                Ok(EngineResponse::Other(Attempt::MayHaveRun { cause, is_broken })) => {
-                    if is_broken {
-                        drop(self.note_broken_connection(&fwd, &assignment.engine));
+                Ok(EngineResponse::Other(Attempt::MayHaveRun { cause, is_lost })) => {
+                    if is_lost {
+                        drop(self.note_lost_connection(&fwd, &assignment.engine));
                     }
                     return Err(Refusal::Lost(cause));
                 }
@@ -148,8 +148,8 @@
                 }
                 Err(e) => {
                     self.note_failed_attempt(&fwd, &name, &e.to_string(), Verdict::MayHaveRun);
-                    if e.is_broken_connection() {
-                        drop(self.note_broken_connection(&fwd, &assignment.engine));
+                    if e.is_lost_connection() {
+                        drop(self.note_lost_connection(&fwd, &assignment.engine));
                     }
                     return Err(match fwd.remaining().is_zero() {
                         true => Refusal::TimedOut,
@@ -381,7 +381,7 @@
 
     fn cut_for(&mut self, cause: CutCause) -> Option<Result<Frame<Bytes>, StreamCut>> {
         if cause == CutCause::EngineLost {
-            drop(self.handler.note_broken_connection(&self.fwd, self.handover.source()));
+            drop(self.handler.note_lost_connection(&self.fwd, self.handover.source()));
         }
         self.cut(cause.into())
     }
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -271,7 +271,7 @@
                 reason = cause;
                 "stream broke off"
             );
-            drop(self.handler.note_broken_connection(&self.fwd, self.handover.source()));
+            drop(self.handler.note_lost_connection(&self.fwd, self.handover.source()));
             self.handler.shared.tell(Message::UpstreamUnreachable(upstream));
             self.last_failure = cause.to_owned();
         }
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -83,9 +83,10 @@
         }
     }
 
-    /// Whether the connection broke after the call was sent, before its response was complete.
-    pub fn is_broken_connection(&self) -> bool {
-        matches!(self, Self::Send(e) if e.is_broken_connection())
+    /// Whether the connection broke or fell silent after the call was sent, before its response was
+    /// complete.
+    pub fn is_lost_connection(&self) -> bool {
+        matches!(self, Self::Send(e) if e.is_lost_connection())
     }
 }
 
