What is refused is kept in the store over a restart of all daemons

What callers saw: five of nine engines end in 0.7 s after all hosts were killed, under a request refused before. Cause: what hosts know of ends was in their memories alone. Ruled out: a record for each host (grows with hosts that are gone), facts in the entries of the list of daemons.

--- a/peer/src/lib.rs
+++ b/peer/src/lib.rs
@@ -10,6 +10,7 @@
 mod channels;
 mod convert;
 mod serve;
+mod stored;
 
 pub use channels::{FromChannel, PeerChannels, PeerError};
 pub use convert::{InvalidMember, merge_members};
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -106,6 +106,10 @@
     ServerNews,
     /// A request under which an upstream has ended completed now.
     SuspectCompleted(Fingerprint),
+    /// Asks for what is refused, to be kept in the platform's store.
+    RefusalsToKeep(oneshot::Sender<Vec<u8>>),
+    /// What was kept there.
+    KeptRefusals(Vec<u8>),
     /// The connection of a request was lost before the response was complete.
     RequestLost(LostRequest),
     /// A connection to an upstream was opened or failed.
@@ -345,6 +349,10 @@
             Message::SuspectCompleted(fingerprint) => {
                 self.handle_suspect_completed(now, fingerprint);
             }
+            Message::RefusalsToKeep(reply) => {
+                let _ = reply.send(self.refusals_to_keep(now));
+            }
+            Message::KeptRefusals(record) => self.apply_kept_refusals(now, &record),
             Message::RequestLost(lost) => self.handle_lost_request(now, lost),
             Message::ProcessChecked { upstream, result } => {
                 self.handle_process_checked(now, &upstream, result);
--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -9,7 +9,7 @@
 use magnoliawinch::quarantine::{Crash, Fact, Fingerprint, QuarantineStatus};
 use magnoliawinch::service_paths::ConnectFailure;
 use magnoliawinch::time::Time;
-use magnoliawinch_peer::QuarantineNews;
+use magnoliawinch_peer::{QuarantineNews, StoredQuarantine};
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -145,6 +145,34 @@
         }
     }
 
+    /// What is refused, as a record for the platform's store.
+    pub(super) fn refusals_to_keep(&self, now: Time) -> Vec<u8> {
+        let news = self.quarantine_news(now);
+        StoredQuarantine { written_at_ms: now.0, news }.to_bytes()
+    }
+
+    /// Applies what was refused when all daemons ended.
+    pub(super) fn apply_kept_refusals(&mut self, now: Time, record: &[u8]) {
+        let stored = match StoredQuarantine::from_bytes(record) {
+            Ok(stored) => stored,
+            Err(e) => {
+                log::warn!("cannot read what the store keeps of refused requests: {e}");
+                return;
+            }
+        };
+        let written_at = Time(stored.written_at_ms).min(now);
+        let news = stored.news.unwrap_or_default();
+        let QuarantineUpdate { facts, parts } = QuarantineUpdate::from_proto(written_at, &news);
+        log::info!(
+            age_ms = now.since(written_at).0,
+            facts = facts.len(),
+            parts = parts.len();
+            "read what the store keeps of refused requests"
+        );
+        self.learn_facts(now, facts, "store");
+        self.learn_part_news(now, parts, "store");
+    }
+
     /// Adds facts to the quarantine; puts them in force at once and passes on those that are news.
     fn learn_facts(
         &mut self,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -35,7 +35,7 @@
 pub use events::{EventError, EventReader};
 pub use handler::RequestHandler;
 pub use node::{ControlHandle, Node, StartError, listen};
-pub use refusal::Refusal;
+pub use refusal::{Refusal, Refused};
 pub use settings::{Bounds, Settings};
 pub use wire::{
     CopyRefusal, InvalidHeader, Outgoing, Prompt, RequestInfo, ResponseInfo, Resume, RunCopy, Wire,
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -5,6 +5,7 @@
 use crate::control::{Control, EvacuationUpdate, ListUpdate, Message};
 use crate::handler::RequestHandler;
 use crate::peer_server::RelayService;
+use crate::refusal::Refused;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::wire::Wire;
@@ -125,6 +126,26 @@
         self.send(Message::Seeds(seeds)).await;
     }
 
+    /// Changes with what is refused.
+    pub fn refusals_changed(&self) -> watch::Receiver<()> {
+        self.shared.refusals_changed.subscribe()
+    }
+
+    /// All that is refused at present.
+    pub fn refused(&self) -> Refused {
+        self.shared.view.load().refused(self.shared.clock.now())
+    }
+
+    /// What is refused, as a record for the platform's store; `None` if the control thread has ended.
+    pub async fn refusals_to_keep(&self) -> Option<Vec<u8>> {
+        self.shared.ask(Message::RefusalsToKeep).await
+    }
+
+    /// Passes on such a record, which this daemon or another one wrote.
+    pub async fn apply_kept_refusals(&self, record: Vec<u8>) {
+        self.send(Message::KeptRefusals(record)).await;
+    }
+
     async fn send(&self, message: Message) {
         if self.shared.control.send(message).await.is_err() {
             log::error!("the control thread has ended");
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -6,7 +6,8 @@
 use hyper::{Response, StatusCode};
 use magnoliawinch::prompt_parts::PartId;
 use magnoliawinch::quarantine::Fingerprint;
-use magnoliawinch::time::Millis;
+use magnoliawinch::time::{Millis, Time};
+use std::collections::BTreeMap;
 use std::fmt;
 use strum::IntoStaticStr;
 
@@ -53,7 +54,7 @@
 }
 
 /// What requests have in common under which upstreams have ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Culprit {
     /// The requests are equal.
     Fingerprint(Fingerprint),
@@ -70,6 +71,16 @@
     }
 }
 
+/// All that a daemon refuses, and until when.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Refused(BTreeMap<Culprit, Time>);
+
+impl FromIterator<(Culprit, Time)> for Refused {
+    fn from_iter<I: IntoIterator<Item = (Culprit, Time)>>(refused: I) -> Self {
+        Self(refused.into_iter().collect())
+    }
+}
+
 /// Retry delay for a caller of a daemon that is leaving; short, as other hosts accept requests.
 const LEAVING_RETRY_AFTER: Millis = Millis(100);
 
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -1,5 +1,6 @@
 //! Snapshots of the control state for the traffic thread.
 
+use crate::refusal::{Culprit, Refused};
 use magnoliawinch::cells::{Cell, Layout};
 use magnoliawinch::fleet::Fleet;
 use magnoliawinch::membership::{Member, MemberState};
@@ -166,6 +167,15 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// All that is refused.
+    pub(crate) fn refused(&self, now: Time) -> Refused {
+        let equal = self.quarantine.iter().map(|(fingerprint, suspects)| {
+            (Culprit::Fingerprint(*fingerprint), suspects.refused_until)
+        });
+        let parts = self.blamed_parts.iter().map(|(part, until)| (Culprit::Part(*part), *until));
+        equal.chain(parts).filter(|(_, until)| now < *until).collect()
+    }
+
     /// Whether requests with this fingerprint that wait for their upstreams are withdrawn.
     pub(crate) fn withdraws(&self, now: Time, fingerprint: Fingerprint) -> bool {
         let suspects = self.quarantine.get(&fingerprint);
