Third moment of a request that completed before refuses for ten minutes; names

With a minute between, the third and fourth moments and their second attempts come near the three late retries that the users allow.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -23,16 +23,15 @@
 /// Time for which a fingerprint is refused after further ends.
 pub const REFUSAL_DURATION: Millis = Millis(600_000);
 
-/// The same for the moments that count of a request that completed shortly before: it is more likely to
-/// have run beside the cause.
-const DURATIONS_AFTER_COMPLETION: [Millis; 3] =
-    [Millis(10_000), FIRST_REFUSAL_DURATION, REFUSAL_DURATION];
+/// Time for which a fingerprint is refused after two moments if a run completed shortly before the first:
+/// such a request is more likely to have run beside the cause.
+const REFUSAL_AFTER_COMPLETION: Millis = Millis(10_000);
 
 /// Time for which an end counts.
 const CRASH_RETENTION: Millis = REFUSAL_DURATION;
 
-/// Time after a completed run for which ends of one moment count once.
-pub const EXONERATION: Millis = Millis(60_000);
+/// Time for which a completed run is remembered, and ends of one moment count once after it.
+pub const COMPLETION_RETENTION: Millis = Millis(60_000);
 
 /// Time within which ends of several upstreams belong to one moment.
 const MOMENT: Millis = Millis(1_000);
@@ -148,10 +147,11 @@
     fn case(&self, now: Time) -> Case {
         let counted = self.crashes.iter().filter(|crash| self.counts(now, crash.at));
         let counted: Vec<_> = counted.collect();
-        let first = counted.first().map(|crash| crash.at);
-        let completed_before = self.completed_at.zip(first);
-        let completed_before =
-            completed_before.is_some_and(|(at, first)| first.since(at) < EXONERATION);
+        let first_at = counted.first().map(|crash| crash.at);
+        let completed_before = self
+            .completed_at
+            .zip(first_at)
+            .is_some_and(|(at, first_at)| first_at.since(at) < COMPLETION_RETENTION);
         Case {
             count: if completed_before { count_moments(&counted) } else { counted.len() },
             last_at: counted.last().map(|crash| crash.at),
@@ -185,21 +185,20 @@
         let Some(last_at) = case.last_at else {
             return QuarantineStatus::Normal;
         };
-        let Some(further) = case.count.checked_sub(MAX_CRASHES) else {
-            return QuarantineStatus::Suspect;
+        let duration = match case.count {
+            ..MAX_CRASHES => return QuarantineStatus::Suspect,
+            MAX_CRASHES if case.completed_before => REFUSAL_AFTER_COMPLETION,
+            MAX_CRASHES => FIRST_REFUSAL_DURATION,
+            _ => REFUSAL_DURATION,
         };
-        let durations = match case.completed_before {
-            true => &DURATIONS_AFTER_COMPLETION[..],
-            false => &DURATIONS_AFTER_COMPLETION[1..],
-        };
-        match durations[further.min(durations.len() - 1)] - now.since(last_at) {
+        match duration - now.since(last_at) {
             Millis(0) => QuarantineStatus::Suspect,
             left => QuarantineStatus::Refused(left),
         }
     }
 
     fn is_outdated(&self, now: Time) -> bool {
-        now.since(self.learned_at) >= EXONERATION && self.case(now).count == 0
+        now.since(self.learned_at) >= COMPLETION_RETENTION && self.case(now).count == 0
     }
 }
 
@@ -360,7 +359,7 @@
 }
 
 /// Completed runs that are remembered. A daemon at the target size completes 50 a second, so these
-/// last for the whole time of exoneration.
+/// last for that time.
 const MAX_COMPLETIONS: usize = 4_096;
 
 /// When runs of this daemon last completed, by fingerprint.
@@ -390,9 +389,9 @@
         }
     }
 
-    /// When a run last completed; `None` if none has for the time of exoneration.
+    /// When a run last completed; `None` if none has for that time.
     pub fn last(&self, now: Time, fingerprint: Fingerprint) -> Option<Time> {
         let at = self.last.get(&fingerprint).copied()?;
-        (now.since(at) < EXONERATION).then_some(at)
+        (now.since(at) < COMPLETION_RETENTION).then_some(at)
     }
 }
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -2,8 +2,8 @@
 
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::quarantine::{
-    Completions, Crash, EXONERATION, FIRST_REFUSAL_DURATION, Fact, Fingerprint, Quarantine,
-    QuarantineStatus, REFUSAL_DURATION,
+    COMPLETION_RETENTION, Completions, Crash, FIRST_REFUSAL_DURATION, Fact, Fingerprint,
+    Quarantine, QuarantineStatus, REFUSAL_DURATION,
 };
 use magnoliawinch::rendezvous;
 use magnoliawinch::time::{Millis, Time};
@@ -144,18 +144,18 @@
     let mut quarantine = Quarantine::new();
     record(&mut quarantine, 0, "e1", 1);
     quarantine.record_completion(Time(0), Time(0), FINGERPRINT);
-    let Time(later) = Time(1) + EXONERATION;
+    let Time(later) = Time(1) + COMPLETION_RETENTION;
     record(&mut quarantine, later, "e2", 1);
     assert!(matches!(record(&mut quarantine, later, "e3", 1), QuarantineStatus::Refused(_)));
 }
 
 #[test]
-fn completions_are_remembered_for_the_time_of_exoneration() {
+fn completions_are_remembered_for_a_time() {
     let mut completions = Completions::new();
     completions.record(Time(0), FINGERPRINT);
     completions.record(Time(50), FINGERPRINT);
     assert_eq!(completions.last(Time(60), FINGERPRINT), Some(Time(50)));
-    assert_eq!(completions.last(Time(50) + EXONERATION, FINGERPRINT), None);
+    assert_eq!(completions.last(Time(50) + COMPLETION_RETENTION, FINGERPRINT), None);
     for n in 0..10_000 {
         completions.record(Time(100), Fingerprint(100 + n));
     }
