--- a/relay/src/paths.rs
+++ b/relay/src/paths.rs
@@ -20,6 +20,9 @@
 /// Timeout for the word of another host, which may itself wait for a connection.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Other upstreams tried together by a host that is refused by one; a connection may take a slot there.
+const OTHERS_AT_A_TIME: usize = 2;
+
 impl Shared {
     /// Notes that a connection to an upstream did not open; has other hosts asked if that is due.
     pub(crate) fn note_connect_failure(
@@ -118,8 +121,13 @@
             let chosen = choose_others(fleet.all(), service, except, is_down, rng);
             chosen.into_iter().map(|listed| listed.address).collect()
         };
-        let probed = join_all(others.iter().map(|address| self.probe(*address))).await;
-        probed.is_empty() || probed.contains(&Reachability::Accepted)
+        for tried in others.chunks(OTHERS_AT_A_TIME) {
+            let probed = join_all(tried.iter().map(|address| self.probe(*address))).await;
+            if probed.contains(&Reachability::Accepted) {
+                return true;
+            }
+        }
+        others.is_empty()
     }
 
     /// What this host tells another one about an upstream. A refusal says nothing on a host that
