--- a/relay/src/control/crashes.rs
+++ b/relay/src/control/crashes.rs
@@ -113,10 +113,10 @@
         requests: &[Fingerprint],
         evidence: &'static str,
     ) {
+        let at = self.crash_detector.lost_at(upstream).unwrap_or(now);
         if !requests.is_empty() {
-            self.note_suspect_runs(now, upstream);
+            self.note_suspect_runs(now, upstream, at);
         }
-        let at = self.crash_detector.lost_at(upstream).unwrap_or(now);
         for fingerprint in requests.iter().copied() {
             self.shared.metrics.count("ended_under_request", evidence);
             log::warn!(
--- a/relay/src/control/fatal_parts.rs
+++ b/relay/src/control/fatal_parts.rs
@@ -10,9 +10,8 @@
 use std::sync::Arc;
 
 impl Control {
-    /// Notes the runs of this daemon that may be the cause of an upstream's end.
-    pub(super) fn note_suspect_runs(&mut self, now: Time, upstream: &UpstreamProcess) {
-        let at = self.crash_detector.lost_at(upstream).unwrap_or(now);
+    /// Notes the runs of this daemon that may be the cause of an upstream's end at `at`.
+    pub(super) fn note_suspect_runs(&mut self, now: Time, upstream: &UpstreamProcess, at: Time) {
         let UpstreamProcess { name, born, .. } = upstream.clone();
         let end = EngineEnd { upstream: name, born, at, suspects: Vec::new() };
         if let Some(end) = self.with_own_suspects(end) {
