--- a/review/standin/engine.py
+++ b/review/standin/engine.py
@@ -61,6 +61,7 @@
         self.backups = {}
         # Connections by request, to reset them.
         self.writers = {}
+        self.open_writers = set()
         self.handles = itertools.count(1)
         self.is_answer_of_next_resume_lost = False
         self.tasks = []
@@ -128,6 +129,27 @@
         self.state = "draining"
         self.write_entry()
 
+    def crash(self):
+        """Ends as a process that is killed: all its connections are closed, and it sends nothing more."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        self.listener.close()
+        for run in list(self.runs.values()):
+            run.finish("engine crashed")
+        self.runs.clear()
+        self.backups.clear()
+        for writer in self.open_writers:
+            writer.close()
+        self.open_writers.clear()
+
+    def start_again(self):
+        """Starts again at the same address, without any memory."""
+        self.listener = socket.create_server(self.address, backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.tasks += [asyncio.create_task(self.accept()), asyncio.create_task(self.check_in())]
+
     async def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -136,6 +158,7 @@
             self.listener.close()
 
     async def serve(self, reader, writer):
+        self.open_writers.add(writer)
         try:
             while (head := await http1.read_head(reader)) is not None:
                 body = await http1.read_body(reader, head)
@@ -144,6 +167,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.open_writers.discard(writer)
             writer.close()
 
     def with_statements(self, headers):
@@ -241,7 +265,12 @@
 
         work = asyncio.create_task(self.work(run, send))
         left = asyncio.create_task(reader.read(1))
-        await asyncio.wait([work, left], return_when=asyncio.FIRST_COMPLETED)
+        try:
+            await asyncio.wait([work, left], return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            work.cancel()
+            left.cancel()
+            raise
         if not work.done():
             work.cancel()
             run.finish("channel closed")
