--- a/review/standin/engine.py
+++ b/review/standin/engine.py
@@ -54,6 +54,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.listener = None
+        self.accepting = None
         self.accepts = asyncio.Event()
         self.fillers = []
         self.address = None
@@ -71,7 +72,11 @@
         self.listener.setblocking(False)
         self.address = self.listener.getsockname()
         self.accepts.set()
-        self.tasks += [asyncio.create_task(self.accept()), asyncio.create_task(self.check_in())]
+        self.start_tasks()
+
+    def start_tasks(self):
+        self.accepting = asyncio.create_task(self.accept())
+        self.tasks += [self.accepting, asyncio.create_task(self.check_in())]
 
     async def accept(self):
         loop = asyncio.get_running_loop()
@@ -129,12 +134,14 @@
         self.state = "draining"
         self.write_entry()
 
-    def crash(self):
+    async def crash(self):
         """Ends as a process that is killed: all its connections are closed, and it sends nothing more."""
+        self.accepting.cancel()
+        await asyncio.gather(self.accepting, return_exceptions=True)
+        self.listener.close()
         for task in self.tasks:
             task.cancel()
         self.tasks.clear()
-        self.listener.close()
         for run in list(self.runs.values()):
             run.finish("engine crashed")
         self.runs.clear()
@@ -148,7 +155,7 @@
         self.listener = socket.create_server(self.address, backlog=BACKLOG)
         self.listener.setblocking(False)
         self.born, self.sequence = int(time.time() * 1000), 0
-        self.tasks += [asyncio.create_task(self.accept()), asyncio.create_task(self.check_in())]
+        self.start_tasks()
 
     async def stop(self):
         for task in self.tasks:
