--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 
 import http1
 from deployment import HOST, KEY, configuration, run_case
-from plain import PlainServer
+from processes import ServerProcess
 from server import BODY
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -25,7 +25,7 @@
 
 
 async def case(platform):
-    servers = [PlainServer(platform, f"s-{n:08x}", "order-app", f"zone-{zone}") for n, zone in enumerate("abc", 1)]
+    servers = [ServerProcess(platform, f"s-{n:08x}", "order-app", f"zone-{zone}") for n, zone in enumerate("abc", 1)]
     await platform.start(servers, configuration())
     daemon = platform.daemons[0]
     first = await http1.request(daemon.address, "POST", "/order/1", headers("a7f3c0de00000001"), b"x" * 600)
@@ -33,11 +33,12 @@
     if first.status != 200 or first.body != BODY:
         raise RuntimeError(f"an order failed before the disruption: {first}")
 
-    def crash(server):
-        asyncio.get_running_loop().call_later(CRASH_AFTER_S, server.kill)
+    def crash(server, word):
+        if word == "began":
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, server.kill)
 
     for server in servers:
-        server.on_begin = crash if TROUBLE else None
+        server.on_word = crash if TROUBLE else None
     request = "a7f3c0de00000002"
     answer = await http1.request(daemon.address, "POST", "/order/1", headers(request), b"x" * 600)
     platform.note(f"client: {answer} seal={answer.headers.get('response-seal')}")
--- a/review/standin/plain.py
+++ b/review/standin/processes.py
@@ -1,4 +1,4 @@
-"""Servers of a plain service, each a process, and their entries in the store."""
+"""Servers that are a process each, and their entries in the store."""
 
 import asyncio
 import signal
@@ -9,23 +9,24 @@
 from engine import HEARTBEAT_S, text
 
 
-class PlainServer:
-    def __init__(self, platform, name, service, zone):
+class ServerProcess:
+    def __init__(self, platform, name, service, zone, kind="whole"):
         self.platform = platform
-        self.name, self.service, self.zone = name, service, zone
+        self.name, self.service, self.zone, self.kind = name, service, zone, kind
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.process = None
         self.address = None
         # Requests that it began to work on, and ended.
         self.began, self.ended = [], []
-        self.on_begin = None
+        # Called with the server and the word that it tells.
+        self.on_word = None
         self.tasks = []
 
     async def start(self, ip):
         program = Path(__file__).resolve().parent / "server.py"
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(program), self.name, ip, stdout=asyncio.subprocess.PIPE
+            sys.executable, str(program), self.name, ip, self.kind, stdout=asyncio.subprocess.PIPE
         )
         line = await self.process.stdout.readline()
         self.address = (ip, int(line.split()[1]))
@@ -33,14 +34,14 @@
 
     async def listen(self):
         while line := await self.process.stdout.readline():
-            word, request, *_ = line.decode().split()
-            self.platform.note(f"{self.name} {line.decode().strip()}")
+            word, request = line.decode().split()
+            self.platform.note(f"{self.name} {word} {request}")
             if word == "began":
                 self.began.append(request)
-                if self.on_begin is not None:
-                    self.on_begin(self)
-            else:
+            elif word == "ended":
                 self.ended.append(request)
+            if self.on_word is not None:
+                self.on_word(self, word)
 
     async def check_in(self):
         while self.process.returncode is None:
@@ -52,8 +53,9 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def kill(self):
-        self.platform.note(f"{self.name} is killed")
-        self.process.send_signal(signal.SIGKILL)
+        if self.process.returncode is None:
+            self.platform.note(f"{self.name} is killed")
+            self.process.send_signal(signal.SIGKILL)
 
     async def stop(self):
         for task in self.tasks:
