--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -236,11 +236,13 @@
     not run."""
     platform = Platform(folder)
     code, verdict = 2, "not run"
+    # Ended from outside, it still ends what it has started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(limit_s):
             broken = await case(platform)
         code, verdict = (1, f"broken: {broken}") if broken else (0, "held")
-    except Exception as e:
+    except (Exception, asyncio.CancelledError) as e:
         verdict = f"not run: {type(e).__name__} {e}"
     finally:
         await platform.end(verdict)
