Review case 5: an odd entry in the list of engines ends all daemons

Rule Fault: processes end by themselves three times on two machines or more; no request is served. Disturbance: entries of another writer in the list of engines, which can't be read.

--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -124,7 +124,7 @@
     def engine_at(self, address):
         return next((engine for engine in self.engines if text(engine.address) == address), None)
 
-    async def start(self, engines, configuration, daemon_count=3, memory_mb=110):
+    async def start(self, engines, configuration, daemon_count=3, memory_mb=110, waits=True):
         await self.store.start(self.next_ip())
         self.store.put("keyed.op", "config", configuration)
         for engine in engines:
@@ -134,7 +134,8 @@
         self.daemons = [Daemon(self, n, seeds, memory_mb) for n in range(daemon_count)]
         for daemon in self.daemons:
             daemon.spawn()
-        await self.wait_until_ready()
+        if waits:
+            await self.wait_until_ready()
 
     async def wait_until_ready(self, timeout_s=15):
         deadline = now() + timeout_s
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -8,6 +8,11 @@
 
 import http1
 
+# Limits of a page.
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
+READ_KB = 1024
+
 
 class Store:
     def __init__(self):
@@ -48,10 +53,11 @@
         topic = query.get("topic", "")
         era = {"Store-Era": 1}
         if (method, parts.path) == ("GET", "/log-newest"):
-            data = json.dumps(self.newest(topic)).encode()
+            data = json.dumps(self.newest(topic, query.get("after"))).encode()
             return http1.response(200, {**era, "Content-Type": "application/json"}, data)
         if (method, parts.path) == ("GET", "/log-read"):
-            data = await self.read(topic, int(query["from"]), int(query.get("waitMs", 0)))
+            max_bytes = 1024 * int(query.get("maxKb", READ_KB))
+            data = await self.read(topic, int(query["from"]), int(query.get("waitMs", 0)), max_bytes)
             return http1.response(410 if data is None else 200, era, data or b"")
         if (method, parts.path) == ("POST", "/log-append"):
             offset = len(self.topics.get(topic, []))
@@ -61,17 +67,22 @@
             return http1.response(200, {**era, "Content-Type": "application/json"}, data)
         return http1.response(404, era)
 
-    def newest(self, topic):
+    def newest(self, topic, after):
+        """A page of the newest record of each key, in the order of the keys."""
         records = self.topics.get(topic, [])
         newest = {key: (value, offset) for offset, (key, value) in enumerate(records)}
-        items = [
-            {"key": key.decode(), "value": base64.b64encode(value).decode(), "offset": offset}
-            for key, (value, offset) in sorted(newest.items())
-            if value
-        ]
-        return {"items": items, "hasMore": False, "endOffset": len(records)}
+        left = [key for key in sorted(newest) if newest[key][0] and (after is None or key > after.encode())]
+        items, size = [], 0
+        for key in left[:PAGE_ITEMS]:
+            value, offset = newest[key]
+            size += len(value)
+            if items and size > PAGE_BYTES:
+                break
+            value = base64.b64encode(value).decode()
+            items.append({"key": key.decode(), "value": value, "offset": offset})
+        return {"items": items, "hasMore": len(items) < len(left), "endOffset": len(records)}
 
-    async def read(self, topic, start, wait_ms):
+    async def read(self, topic, start, wait_ms, max_bytes):
         deadline = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
             records = self.topics.get(topic, [])
@@ -81,7 +92,10 @@
             if start < len(records) or left <= 0:
                 data = struct.pack(">QQ", len(records), 0)
                 for key, value in records[start:]:
-                    data += struct.pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
+                    record = struct.pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
+                    if len(data) + len(record) > max_bytes:
+                        break
+                    data += record
                 return data
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
