Stop a run at an engine whose answer to its continuation was lost

Cause: Handover::on_resume handled an attempt that may have run like one without effect. The copy was dropped, the source written on, and later moves went on from it, while the engine with the lost answer ran the request.

Change: the holder tells that engine to stop the run for a copy. Stopped: the run continues from what it keeps. No such run, also 150 ms after the attempt, or ended: the source writes on. Until then no other copy is used and no move starts; 300 ms after the attempt the source is left. A success with another request's id counts as an answer lost. An engine's own failure of the attempt shows that it does not work on it.

Ruled out: GET /report (its runs are some 100 ms old); closing the connection (engines may run on).

--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -3,18 +3,26 @@
 //! A step that provably had no effect changes nothing: a stream is read as long as its source, the
 //! engine that writes it, may write it. It ends early only if its source has stopped and no copy of
 //! the run's memory is left to continue from, or its caller is expected to have left.
+//!
+//! An engine whose answer to an attempt to continue the run was lost may run it. It is told to stop, and
+//! until it has replied, no other copy is used; the source is left before both have worked on the run
+//! for too long.
 
 mod copying;
 mod steps;
+mod unanswered;
 
 pub use steps::{
-    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ResumeOutcome, ResumePoint, Stop,
+    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ReclaimOutcome, ResumeOutcome, ResumePoint,
+    Stop,
 };
+pub use unanswered::SHARED_WORK_LIMIT;
 
 use crate::pool::MoveMethod;
 use crate::time::{Millis, Time};
 use copying::{Copying, stop_limit};
 use std::collections::VecDeque;
+use unanswered::{Settled, Unanswered};
 
 /// Time without data after which the source is checked, or left if the run may have stopped.
 pub const SILENCE: Millis = Millis(600);
@@ -59,6 +67,11 @@
     /// Where the run can continue, in the order of attempts.
     points: Vec<ResumePoint<E>>,
     resuming: Option<ResumePoint<E>>,
+    /// Engines that may run the request although their answers were lost: one of them at most does, as all
+    /// were to use the same copy.
+    unanswered: Vec<Unanswered<E>>,
+    /// Whether it has stopped, so that the run continues from the memory that it keeps.
+    is_reclaimed: bool,
     /// Attempts left to use the backup although the source still writes.
     backup_attempts: u32,
     retry_at: Time,
@@ -92,6 +105,8 @@
             copied_to: None,
             points: backup.into_iter().collect(),
             resuming: None,
+            unanswered: Vec::new(),
+            is_reclaimed: false,
             backup_attempts: 0,
             retry_at: now,
             retry_pause: RETRY_PAUSE,
@@ -144,6 +159,16 @@
         self.backup_point().map(|point| &point.engine)
     }
 
+    /// Whether the source may write while the run is continued elsewhere.
+    pub fn may_be_written(&self) -> bool {
+        self.is_reading() && self.stop != Stop::Certain
+    }
+
+    /// Whether an engine may run the request although its answer was lost.
+    pub fn is_unanswered(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
     /// Number of places where the run can continue.
     pub fn points_left(&self) -> usize {
         self.points.len()
@@ -156,6 +181,8 @@
             && self.stop != Stop::Certain
             && self.copying.is_none()
             && self.resuming.is_none()
+            && !self.is_unanswered()
+            && !self.is_reclaimed
             && self.backup_attempts == 0
     }
 
@@ -252,8 +279,15 @@
                 self.backup_attempts = attempts_left;
             }
             // The other engine of a copy refuses it if it has been used.
-            ResumeOutcome::Refused | ResumeOutcome::MayHaveRun => {
+            ResumeOutcome::Refused => {
+                self.points.retain(|other| *other != point);
+                self.is_reclaimed = false;
+            }
+            ResumeOutcome::MayHaveRun { sent_at } => {
                 self.points.retain(|other| *other != point);
+                self.is_reclaimed = false;
+                self.unanswered.push(Unanswered::new(now, sent_at, point, was_ordered));
+                return;
             }
         }
         if was_ordered && self.backup_attempts == 0 {
@@ -262,6 +296,27 @@
         }
     }
 
+    /// Handles the reply to [`Action::Reclaim`].
+    pub fn on_reclaim(&mut self, now: Time, outcome: ReclaimOutcome) {
+        let Some(index) = self.unanswered.iter().position(Unanswered::is_asked) else {
+            return;
+        };
+        match self.unanswered[index].on_reply(now, outcome) {
+            Settled::Open => {}
+            Settled::NotRunning => {
+                if self.unanswered.remove(index).was_ordered {
+                    self.failed_moves.push_back(None);
+                }
+            }
+            Settled::Stopped { engine, handle } => {
+                self.unanswered.clear();
+                self.is_reclaimed = true;
+                let copy = KeptCopy::Moved { source: engine.clone(), handle };
+                self.points.insert(0, ResumePoint { engine, copy });
+            }
+        }
+    }
+
     /// Handles the result of a check of the source.
     pub fn on_check(&mut self, now: Time, is_alive: bool) {
         self.is_checking = false;
@@ -290,10 +345,17 @@
             self.is_over = true;
             return Some(Action::Cut(cause));
         }
+        if self.leaves_source(now) {
+            self.end = Some(BodyEnd::Broken);
+            return Some(Action::LeaveSource);
+        }
         if let Some(point) = self.next_point(now) {
             self.resuming = Some(point.clone());
             return Some(Action::Resume(point));
         }
+        if let Some(action) = self.next_reclaim(now) {
+            return Some(action);
+        }
         if let Some(copying) = self.copying.as_mut().filter(|copying| copying.started_at.is_none())
         {
             copying.start(now);
@@ -316,6 +378,7 @@
             self.last_data_at + self.patience,
         ];
         let times = times.into_iter().chain(self.final_copy_expires_at());
+        let times = times.chain(self.unanswered.iter().flat_map(Unanswered::wakeups));
         times.filter(|at| *at > now).fold(self.deadline, Time::min)
     }
 
@@ -366,6 +429,7 @@
         let source = point.engine;
         self.points.retain(|point| point.copy == KeptCopy::Backup && point.engine != source);
         self.source = source;
+        (self.unanswered, self.is_reclaimed) = (Vec::new(), false);
         (self.end, self.stop, self.copying) = (None, Stop::Excluded, None);
         (self.is_suspect, self.is_checking) = (false, false);
         self.retry_pause = RETRY_PAUSE;
@@ -388,9 +452,10 @@
         if !has_stopped || self.resuming.is_some() || self.is_final_copy_pending() {
             return None;
         }
-        let is_exhausted = self.end.is_some() && self.points.is_empty();
+        let is_exhausted = self.end.is_some() && self.points.is_empty() && !self.is_unanswered();
         let is_abandoned = now >= self.last_data_at + self.patience;
         let cause = match self.stop {
+            _ if self.is_unanswered() => CutCause::AnswerLost,
             Stop::Excluded => CutCause::EngineLost,
             Stop::InDoubt | Stop::Certain => CutCause::MoveFailed,
         };
@@ -403,7 +468,7 @@
             return false;
         }
         match self.stop {
-            _ if self.end.is_some() || self.is_suspect => true,
+            _ if self.end.is_some() || self.is_suspect || self.is_reclaimed => true,
             Stop::Certain => true,
             Stop::InDoubt => now >= self.last_data_at + SILENCE,
             Stop::Excluded => false,
@@ -414,6 +479,12 @@
         if self.resuming.is_some() || now < self.retry_at {
             return None;
         }
+        if let Some(unanswered) = self.unanswered.first() {
+            // Only one engine can use a copy.
+            let has_same_copy = |point: &&ResumePoint<E>| point.copy == unanswered.point.copy;
+            let has_stopped = self.stop == Stop::Certain;
+            return self.points.iter().find(has_same_copy).filter(|_| has_stopped).cloned();
+        }
         if self.needs_resume(now) {
             let point = self.points.first().cloned()?;
             if self.copying.take().is_some() {
@@ -424,6 +495,24 @@
         self.backup_point().filter(|_| self.backup_attempts > 0).cloned()
     }
 
+    /// Whether the source and an engine whose answer was lost may have worked on the run for too long.
+    fn leaves_source(&self, now: Time) -> bool {
+        self.may_be_written() && self.unanswered.iter().any(|other| now >= other.leave_at())
+    }
+
+    fn next_reclaim(&mut self, now: Time) -> Option<Action<E>> {
+        if self.resuming.is_some() || self.unanswered.iter().any(Unanswered::is_asked) {
+            return None;
+        }
+        let index = self.unanswered.iter().position(|other| now >= other.ask_at())?;
+        let from = self.unanswered[index].point.engine.clone();
+        // Its memory has to be copied to some other engine.
+        let others = [Some(&self.source), self.copied_to.as_ref(), self.backup()];
+        let to = others.into_iter().flatten().find(|engine| **engine != from)?.clone();
+        self.unanswered[index].ask();
+        Some(Action::Reclaim { from, to })
+    }
+
     fn is_check_due(&self, now: Time) -> bool {
         self.is_reading()
             && self.has_events
@@ -431,6 +520,7 @@
             && !self.is_final_copy_pending()
             && !self.points.is_empty()
             && self.resuming.is_none()
+            && !self.is_unanswered()
             && !self.is_suspect
             && !self.is_checking
             && now >= self.last_data_at.max(self.checked_at) + SILENCE
--- a/core/src/handover/steps.rs
+++ b/core/src/handover/steps.rs
@@ -1,5 +1,6 @@
 //! Steps of a run's moves and how they end.
 
+use crate::time::Time;
 use strum::{Display, IntoStaticStr};
 
 /// Whether the source has stopped the run for a copy.
@@ -65,10 +66,30 @@
     Started,
     /// The engine was not reached.
     NotSent,
-    /// The engine did not run the request and cannot use the copy.
+    /// The engine does not work on the run and cannot use the copy.
     Refused,
-    /// The engine may have used the copy.
-    MayHaveRun,
+    /// The engine may have used the copy and run the request since.
+    MayHaveRun {
+        /// When the request was sent, at the earliest.
+        sent_at: Time,
+    },
+}
+
+/// What an engine whose answer was lost replies when told to stop the run.
+#[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReclaimOutcome {
+    /// It has stopped the run and keeps its memory.
+    Stopped {
+        /// Handle of the memory there.
+        handle: String,
+    },
+    /// It does not have the run, but may not have begun it.
+    NoRun,
+    /// It has ended.
+    Ended,
+    /// It may have acted.
+    Unknown,
 }
 
 /// How the response body of the source ended.
@@ -90,6 +111,8 @@
     EngineLost,
     /// It was stopped for a move and continues nowhere.
     MoveFailed,
+    /// It may continue at an engine whose answer was lost.
+    AnswerLost,
     /// Its deadline has passed.
     Timeout,
 }
@@ -107,6 +130,15 @@
     /// Send the request to the engine of the point. Once it has started, the body of the former
     /// source is to be closed.
     Resume(ResumePoint<E>),
+    /// Have the engine `from`, whose answer was lost, stop the run and copy its memory to `to`.
+    Reclaim {
+        /// The engine that may run the request.
+        from: E,
+        /// Target of the copy.
+        to: E,
+    },
+    /// Close the body of the source, as another engine may run the request.
+    LeaveSource,
     /// Check whether the source is alive.
     CheckSource,
     /// Report that the ordered move failed.
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -2,8 +2,8 @@
 //! copies, attempts to continue, ends and silence.
 
 use magnoliawinch::handover::{
-    Action, BodyEnd, CopyOutcome, Handover, KeptCopy, ResumeOutcome, ResumePoint, SILENCE,
-    SOUND_SILENCE, Stop, caller_patience,
+    Action, BodyEnd, CopyOutcome, CutCause, Handover, KeptCopy, ReclaimOutcome, ResumeOutcome,
+    ResumePoint, SHARED_WORK_LIMIT, SILENCE, SOUND_SILENCE, Stop, caller_patience,
 };
 use magnoliawinch::pool::MoveMethod;
 use magnoliawinch::time::{Millis, Time};
@@ -19,6 +19,15 @@
 /// Bounds of the relay on a copy, an attempt to continue and a check.
 const STEP_LIMIT: Millis = Millis(2_500);
 
+/// The same on an attempt while the source may write.
+const SHARED_STEP_LIMIT: Millis = Millis(250);
+
+/// Time for which two engines may work on a run.
+const MAX_SHARED_WORK: Millis = Millis(400);
+
+/// Longest time after an attempt was sent at which its engine begins the run.
+const MAX_START: u64 = 100;
+
 /// Longest pause between attempts to continue.
 const RETRY_PAUSE: Millis = Millis(400);
 
@@ -29,6 +38,7 @@
     /// The copy in progress ends.
     Copy(u8),
     Resume(u8),
+    Reclaim(u8),
     Check(bool),
     /// The body ends, unframed if set.
     End(bool),
@@ -41,7 +51,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let number = u8::arbitrary(g);
         let flag = bool::arbitrary(g);
-        match u8::arbitrary(g) % 16 {
+        match u8::arbitrary(g) % 18 {
             0..=3 => Self::Data,
             4..=5 => Self::Order(number % 4, flag),
             6..=8 => Self::Copy(number),
@@ -49,6 +59,7 @@
             12 => Self::Check(flag),
             13 if number < 60 => Self::End(flag),
             14 if number < 100 => Self::Break,
+            15..=16 => Self::Reclaim(number),
             _ => Self::Wait(number),
         }
     }
@@ -70,10 +81,19 @@
     ForgetsTimers,
     /// Failed moves are not reported.
     KeepsFailedMoves,
+    /// An attempt that may have run counts as refused.
+    IgnoresLostAnswers,
 }
 
 type Point = ResumePoint<u8>;
 
+/// An engine that runs the request although its answer was lost.
+#[derive(Clone, Debug)]
+struct OtherRun {
+    point: Point,
+    begins_at: Time,
+}
+
 struct World {
     variant: Variant,
     now: Time,
@@ -83,7 +103,10 @@
     end: Option<BodyEnd>,
     last_data_at: Time,
     copying: Option<(u8, bool, Time)>,
-    resuming: Option<(Point, Time)>,
+    /// The attempt in progress, when it was sent, and its limit.
+    resuming: Option<(Point, Time, Millis)>,
+    other_run: Option<OtherRun>,
+    reclaiming: Option<(u8, Time)>,
     checking: Option<Time>,
     /// Places where the run can continue, as far as responses have shown.
     usable: Vec<Point>,
@@ -109,6 +132,8 @@
             last_data_at: now,
             copying: None,
             resuming: None,
+            other_run: None,
+            reclaiming: None,
             checking: None,
             usable: vec![ResumePoint { engine: 1, copy: KeptCopy::Backup }],
             has_open_order: false,
@@ -188,18 +213,27 @@
     }
 
     fn end_resume(&mut self, choice: u8) {
-        let Some((point, _)) = self.resuming.take() else {
+        let Some((point, sent_at, _)) = self.resuming.take() else {
             return;
         };
         self.resumed_at = Some(self.now);
+        let other = self.other_run.as_ref().filter(|other| other.point.copy == point.copy);
+        let is_used_up = other.is_some_and(|other| self.now >= other.begins_at);
         let outcome = match choice % 6 {
+            _ if is_used_up => ResumeOutcome::Refused,
             0 => ResumeOutcome::Started,
             1..=3 => ResumeOutcome::NotSent,
             4 => ResumeOutcome::Refused,
-            _ => ResumeOutcome::MayHaveRun,
+            _ => ResumeOutcome::MayHaveRun { sent_at },
         };
+        if matches!(outcome, ResumeOutcome::MayHaveRun { .. }) && choice > 60 {
+            let begins_at = sent_at + Millis(u64::from(choice) % MAX_START);
+            self.other_run = Some(OtherRun { point: point.clone(), begins_at });
+        }
         match outcome {
             ResumeOutcome::Started => {
+                self.other_run = None;
+                self.reclaiming = None;
                 self.usable
                     .retain(|other| other.copy == KeptCopy::Backup && other.engine != point.engine);
                 (self.has_stopped, self.end, self.copying) = (false, None, None);
@@ -208,18 +242,52 @@
             }
             ResumeOutcome::NotSent => {}
             // An engine refuses a copy that another one has used.
-            ResumeOutcome::Refused | ResumeOutcome::MayHaveRun => {
+            ResumeOutcome::Refused | ResumeOutcome::MayHaveRun { .. } => {
                 self.usable.retain(|other| *other != point);
             }
         }
         let outcome = match (self.variant, outcome) {
-            (Variant::UsesUpUnsent, ResumeOutcome::NotSent) => ResumeOutcome::MayHaveRun,
-            (Variant::ReusesCopies, ResumeOutcome::MayHaveRun) => ResumeOutcome::NotSent,
+            (Variant::UsesUpUnsent, ResumeOutcome::NotSent) => ResumeOutcome::Refused,
+            (Variant::ReusesCopies, ResumeOutcome::MayHaveRun { .. }) => ResumeOutcome::NotSent,
+            (Variant::IgnoresLostAnswers, ResumeOutcome::MayHaveRun { .. }) => {
+                ResumeOutcome::Refused
+            }
             (_, outcome) => outcome,
         };
         self.handover.on_resume(self.now, outcome);
     }
 
+    fn end_reclaim(&mut self, choice: u8) {
+        let Some((engine, _)) = self.reclaiming.take() else {
+            return;
+        };
+        let other = self.other_run.as_ref().filter(|other| other.point.engine == engine);
+        let is_running = other.is_some_and(|other| self.now >= other.begins_at);
+        let outcome = match choice % 4 {
+            0 => ReclaimOutcome::Unknown,
+            1 if other.is_none() => ReclaimOutcome::Ended,
+            _ if is_running => ReclaimOutcome::Stopped { handle: format!("kept at {engine}") },
+            _ => ReclaimOutcome::NoRun,
+        };
+        if let ReclaimOutcome::Stopped { handle } = &outcome {
+            self.other_run = None;
+            let copy = KeptCopy::Moved { source: engine, handle: handle.clone() };
+            self.usable.push(ResumePoint { engine, copy });
+        }
+        self.handover.on_reclaim(self.now, outcome);
+    }
+
+    fn check_shared_work(&self) -> Result<(), String> {
+        let is_written = self.end.is_none() && !self.has_stopped;
+        let is_long = |other: &OtherRun| self.now > other.begins_at + MAX_SHARED_WORK;
+        match &self.other_run {
+            Some(other) if is_written && is_long(other) => {
+                Err(format!("two engines work on the run: {other:?}"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn step(&mut self, step: Step) -> Result<(), String> {
         match step {
             Step::Data if self.end.is_none() && !self.has_stopped => {
@@ -234,6 +302,7 @@
             }
             Step::Copy(choice) => self.end_copy(choice),
             Step::Resume(choice) => self.end_resume(choice),
+            Step::Reclaim(choice) => self.end_reclaim(choice),
             Step::Check(is_alive) if self.checking.take().is_some() => {
                 let is_long = self.now >= self.last_data_at + SOUND_SILENCE;
                 self.has_failed_check |= !is_alive && is_long;
@@ -264,17 +333,22 @@
             }
             let limits = [
                 self.copying.as_ref().map(|(.., at)| *at + STEP_LIMIT),
-                self.resuming.as_ref().map(|(_, at)| *at + STEP_LIMIT),
+                self.resuming.as_ref().map(|(_, at, limit)| *at + *limit),
+                self.reclaiming.as_ref().map(|(_, at)| *at + STEP_LIMIT),
                 self.checking.map(|at| at + STEP_LIMIT),
             ];
             let limit = limits.into_iter().flatten().min().unwrap_or(until);
             self.now = wakeup.min(limit).min(until);
+            self.check_shared_work()?;
             if self.copying.as_ref().is_some_and(|(.., at)| *at + STEP_LIMIT <= self.now) {
                 self.end_copy(6);
             }
-            if self.resuming.as_ref().is_some_and(|(_, at)| *at + STEP_LIMIT <= self.now) {
+            if self.resuming.as_ref().is_some_and(|(_, at, limit)| *at + *limit <= self.now) {
                 self.end_resume(5);
             }
+            if self.reclaiming.is_some_and(|(_, at)| at + STEP_LIMIT <= self.now) {
+                self.end_reclaim(0);
+            }
             if self.checking.take_if(|at| *at + STEP_LIMIT <= self.now).is_some() {
                 self.has_failed_check |= self.now >= self.last_data_at + SOUND_SILENCE;
                 self.handover.on_check(self.now, false);
@@ -293,6 +367,16 @@
                     self.copying = Some((to, is_final, self.now));
                 }
                 Action::Resume(point) => self.check_resume(point)?,
+                Action::Reclaim { from, to } => {
+                    assert_ne!(from, to);
+                    self.reclaiming = Some((from, self.now));
+                }
+                Action::LeaveSource => {
+                    if !self.handover.is_unanswered() {
+                        return Err("leaves an engine that alone writes the stream".to_owned());
+                    }
+                    self.end = Some(BodyEnd::Broken);
+                }
                 Action::CheckSource => self.checking = Some(self.now),
                 Action::ReportFailedMove { .. } => {
                     self.has_open_order = self.variant == Variant::KeepsFailedMoves;
@@ -314,9 +398,17 @@
         if self.resuming.is_some() {
             return Err("continues at two engines".to_owned());
         }
-        self.resuming = Some((point, self.now));
+        if let Some(other) = &self.other_run
+            && other.point.copy != point.copy
+        {
+            return Err(format!("continues at {point:?} beside {other:?}"));
+        }
         let is_written = self.end.is_none() && self.handover.stop() == Stop::Excluded;
-        self.ordered_attempts += u32::from(is_written && !self.has_failed_check);
+        let uses_backup = point.copy == KeptCopy::Backup;
+        self.ordered_attempts += u32::from(is_written && uses_backup && !self.has_failed_check);
+        let may_be_written = self.end.is_none() && !self.has_stopped;
+        let limit = if may_be_written { SHARED_STEP_LIMIT } else { STEP_LIMIT };
+        self.resuming = Some((point, self.now, limit));
         if self.ordered_attempts > 2 {
             return Err("tries the backup again and again".to_owned());
         }
@@ -349,7 +441,10 @@
         if self.has_open_order && self.handover.accepts_orders() {
             return Err("a move has ended unreported".to_owned());
         }
-        let is_idle = self.copying.is_none() && self.resuming.is_none();
+        let is_idle = self.copying.is_none()
+            && self.resuming.is_none()
+            && self.reclaiming.is_none()
+            && !self.handover.is_unanswered();
         if self.end.is_some() && is_idle && self.now >= self.last_data_at + PATIENCE {
             return Err("waits for nothing".to_owned());
         }
@@ -400,6 +495,7 @@
         Variant::IgnoresDoubt,
         Variant::ForgetsTimers,
         Variant::KeepsFailedMoves,
+        Variant::IgnoresLostAnswers,
     ] {
         println!("{variant:?}");
         check_detects(|steps: &[Step]| run(variant, steps));
@@ -484,3 +580,109 @@
         assert!(now < start + PATIENCE, "an engine that stays silent loses its run");
     }
 }
+
+/// A run whose source 0 writes, and whose attempt to continue from the backup at 1, sent at `sent_at`, has
+/// lost its answer.
+fn with_lost_answer(sent_at: Time) -> Handover<u8> {
+    let mut handover = Handover::new(sent_at, 0, Some(1), PATIENCE, DEADLINE);
+    handover.on_data(sent_at, true);
+    handover.on_order(true, 1, MoveMethod::Backup);
+    let backup = ResumePoint { engine: 1, copy: KeptCopy::Backup };
+    assert_eq!(handover.next_action(sent_at), Some(Action::Resume(backup)));
+    handover.on_resume(sent_at + Millis(2), ResumeOutcome::MayHaveRun { sent_at });
+    handover
+}
+
+const RECLAIM: Action<u8> = Action::Reclaim { from: 1, to: 0 };
+
+/// Guards against two engines that work on one run after an answer was lost (TWICE): the other engine is
+/// told to stop, and the run continues from what it keeps.
+#[test]
+fn an_engine_whose_answer_was_lost_is_told_to_stop() {
+    let sent_at = Time(1_000);
+    let mut handover = with_lost_answer(sent_at);
+    let now = sent_at + Millis(2);
+    assert_eq!(handover.next_action(now), Some(RECLAIM));
+    assert_eq!(handover.next_action(now), None);
+    assert!(!handover.accepts_orders(), "the run may not be moved from its source");
+    let now = now + Millis(60);
+    handover.on_reclaim(now, ReclaimOutcome::Stopped { handle: "h".to_owned() });
+    let copy = KeptCopy::Moved { source: 1, handle: "h".to_owned() };
+    assert_eq!(handover.next_action(now), Some(Action::Resume(ResumePoint { engine: 1, copy })));
+    handover.on_resume(now, ResumeOutcome::Started);
+    assert_eq!(handover.next_action(now), None);
+    assert_eq!(*handover.source(), 1);
+}
+
+/// Guards against the same where the other engine does not reply: its source is left in time.
+#[test]
+fn a_source_is_left_while_an_engine_whose_answer_was_lost_may_run_the_request() {
+    let sent_at = Time(1_000);
+    let mut handover = with_lost_answer(sent_at);
+    let mut now = sent_at + Millis(2);
+    let mut left_at = None;
+    let cut = loop {
+        match handover.next_action(now) {
+            Some(Action::Reclaim { .. }) => handover.on_reclaim(now, ReclaimOutcome::Unknown),
+            Some(Action::LeaveSource) => left_at = Some(now),
+            Some(Action::Cut(cause)) => break cause,
+            Some(action) => panic!("{action:?}"),
+            None => now = handover.next_wakeup(now),
+        }
+        assert!(now < DEADLINE);
+    };
+    assert_eq!(left_at, Some(sent_at + SHARED_WORK_LIMIT));
+    assert_eq!((cut, now), (CutCause::AnswerLost, sent_at + PATIENCE));
+}
+
+/// Guards against leaving a sound source because of an attempt that never reached its engine.
+#[test]
+fn a_source_is_read_on_if_the_other_engine_does_not_have_the_run() {
+    let sent_at = Time(1_000);
+    let mut handover = with_lost_answer(sent_at);
+    let mut now = sent_at + Millis(2);
+    let mut asked = 0;
+    let report = loop {
+        match handover.next_action(now) {
+            Some(RECLAIM) => {
+                asked += 1;
+                handover.on_reclaim(now, ReclaimOutcome::NoRun);
+            }
+            Some(action) => break action,
+            None => now = handover.next_wakeup(now),
+        }
+    };
+    assert_eq!(report, Action::ReportFailedMove { refused_by: None });
+    assert_eq!(asked, 2, "it may begin the run after the first reply");
+    assert!(now < sent_at + SHARED_WORK_LIMIT);
+    let later = sent_at + SHARED_WORK_LIMIT + SHARED_WORK_LIMIT;
+    handover.on_data(later, true);
+    assert_eq!(handover.next_action(later), None);
+    assert!(handover.is_reading() && handover.accepts_orders());
+}
+
+/// Guards against a third run of a request beside one whose answer was lost (TWICE): no other copy is used.
+#[test]
+fn no_other_copy_is_used_while_an_engine_may_run_the_request() {
+    let now = Time(1_000);
+    let mut handover = Handover::new(now, 0, Some(1), PATIENCE, DEADLINE);
+    handover.on_order(true, 2, MoveMethod::Copy);
+    for _ in 0..2 {
+        assert!(matches!(handover.next_action(now), Some(Action::StartCopy { .. })));
+        handover.on_copy(now, CopyOutcome::Copied { handle: "h".to_owned() });
+    }
+    let moved = |engine| {
+        let copy = KeptCopy::Moved { source: 0, handle: "h".to_owned() };
+        Some(Action::Resume(ResumePoint { engine, copy }))
+    };
+    assert_eq!(handover.next_action(now), moved(2));
+    handover.on_resume(now, ResumeOutcome::MayHaveRun { sent_at: now });
+    // Only one engine can use the copy.
+    assert_eq!(handover.next_action(now), moved(0));
+    handover.on_resume(now, ResumeOutcome::Refused);
+    assert_eq!(handover.next_action(now), Some(Action::Reclaim { from: 2, to: 0 }));
+    assert_eq!(handover.next_action(now), None);
+    handover.on_reclaim(now, ReclaimOutcome::Ended);
+    let backup = ResumePoint { engine: 1, copy: KeptCopy::Backup };
+    assert_eq!(handover.next_action(now), Some(Action::Resume(backup)));
+}
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -12,7 +12,7 @@
 use crate::forward::Forward;
 use crate::handler::{CallerResponse, RequestHandler};
 use crate::refusal::Refusal;
-use crate::relocate::ResumeError;
+use crate::relocate::{ResumeAttempt, ResumeError};
 use crate::run_body::RunBody;
 use crate::runs::Endpoint;
 use crate::shared::Shared;
@@ -35,7 +35,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tonic::Streaming;
 
 /// Hosts tried for one request.
@@ -167,34 +167,47 @@
         fwd: &Forward,
         to: &Endpoint,
         resume: &Resume,
-    ) -> Result<RunBody, ResumeError> {
+        timeout: Duration,
+    ) -> ResumeAttempt {
         let failed = |cause: String, verdict| ResumeError::Carried { cause, verdict };
         let mut last = failed("no host is known to reach it".to_owned(), Verdict::NotRun);
+        let mut sent_at = Instant::now();
         for host in self.shared.carrying_hosts(&fwd.service) {
+            sent_at = Instant::now();
             let resume = carried_resume(to, resume);
             let request = CarriedRequest { resume: Some(resume), ..carried_request(fwd) };
-            let result = self.send_to_host(&host, fwd, request).await;
+            let result = self.send_to_host(&host, fwd, request, timeout).await;
             self.note_carried(fwd, &host, &result);
-            match result {
+            last = match result {
                 Ok((parts, head)) if head.is_stream => {
-                    return Ok(RunBody::Carried(Box::new(self.carried_stream(parts))));
+                    let body = RunBody::Carried(Box::new(self.carried_stream(parts)));
+                    return ResumeAttempt { sent_at, result: Ok(body) };
                 }
                 Ok((_, CarriedHead { status, not_run, .. })) => {
                     let status = u16::try_from(status).ok();
                     let status = status.and_then(|status| StatusCode::from_u16(status).ok());
                     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-                    return Err(ResumeError::Refused { engine: to.name.clone(), status, not_run });
+                    let result = match status {
+                        // The host got no answer.
+                        StatusCode::SERVICE_UNAVAILABLE if !not_run => {
+                            let cause = format!("{} has not answered it", host.host);
+                            Err(failed(cause, Verdict::MayHaveRun))
+                        }
+                        _ => Err(ResumeError::Refused { engine: to.name.clone(), status, not_run }),
+                    };
+                    return ResumeAttempt { sent_at, result };
                 }
                 Err(CarryError::NotRun(cause)) => {
                     self.shared.paths().did_not_serve(&fwd.service, &host.host);
-                    last = failed(cause, Verdict::NotRun);
+                    failed(cause, Verdict::NotRun)
                 }
                 Err(CarryError::MayHaveRun(cause)) => {
-                    return Err(failed(cause, Verdict::MayHaveRun));
+                    let result = Err(failed(cause, Verdict::MayHaveRun));
+                    return ResumeAttempt { sent_at, result };
                 }
-            }
+            };
         }
-        Err(last)
+        ResumeAttempt { sent_at, result: Err(last) }
     }
 
     fn carried_stream(&self, parts: Streaming<CarriedPart>) -> CarriedStream {
@@ -207,6 +220,7 @@
         host: &Member,
         fwd: &Forward,
         request: CarriedRequest,
+        head_timeout: Duration,
     ) -> Result<(Streaming<CarriedPart>, CarriedHead), CarryError> {
         let not_run = |cause: String| CarryError::NotRun(cause);
         let may_have_run = |cause: &str| CarryError::MayHaveRun(cause.to_owned());
@@ -226,7 +240,8 @@
         if tx.send(request).await.is_err() {
             return Err(not_run("the connection to the host broke".to_owned()));
         }
-        let head = match timeout(fwd.remaining(), parts.message()).await {
+        let head_timeout = fwd.remaining().min(head_timeout);
+        let head = match timeout(head_timeout, parts.message()).await {
             Ok(Ok(Some(CarriedPart { head: Some(head), .. }))) => head,
             Ok(Ok(_)) => return Err(may_have_run("the host sent no response")),
             Ok(Err(status)) => return Err(may_have_run(&status.to_string())),
@@ -244,7 +259,8 @@
         fwd: &Forward,
     ) -> Result<CallerResponse<W>, CarryError> {
         let may_have_run = |cause: &str| CarryError::MayHaveRun(cause.to_owned());
-        let (mut parts, head) = self.send_to_host(host, fwd, carried_request(fwd)).await?;
+        let request = carried_request(fwd);
+        let (mut parts, head) = self.send_to_host(host, fwd, request, fwd.remaining()).await?;
         let (status, headers) = response_head(&head).ok_or_else(|| may_have_run("invalid head"))?;
         if head.is_stream {
             let mut response = Response::new(());
--- a/relay/src/carry/receive.rs
+++ b/relay/src/carry/receive.rs
@@ -3,7 +3,7 @@
 use super::{carried_headers, header_map};
 use crate::handler::{CallerResponse, Origin, RequestHandler};
 use crate::refusal::Refusal;
-use crate::relocate::ResumeError;
+use crate::relocate::{ResumeError, resume_timeout};
 use crate::runs::Endpoint;
 use crate::wire::{Resume, Wire};
 use bytes::Bytes;
@@ -141,7 +141,7 @@
             Ok(fwd) => fwd,
             Err(refusal) => return send_refusal(parts, &refusal).await,
         };
-        let mut body = match self.resume_run(&fwd, to, resume).await {
+        let mut body = match self.resume_run(&fwd, to, resume, resume_timeout(false)).await {
             Ok(body) => body,
             Err(ResumeError::NoResponse(e)) if e.verdict() == Verdict::NotRun => {
                 return send_refusal(parts, &Refusal::CutOff).await;
@@ -149,7 +149,11 @@
             Err(e) => {
                 log::info!(request = fwd.info.run.as_str(); "carried run did not go on: {e}");
                 let not_run = e.verdict() == Verdict::NotRun;
-                let head = head(StatusCode::SERVICE_UNAVAILABLE, &HeaderMap::new());
+                let status = match e {
+                    ResumeError::Refused { status, .. } => status,
+                    _ => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                let head = head(status, &HeaderMap::new());
                 return send_whole(parts, CarriedHead { not_run, ..head }, Bytes::new()).await;
             }
         };
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -10,14 +10,16 @@
 use crate::runs::Endpoint;
 use crate::wire::{CopyRefusal, Outgoing, Resume, RunCopy, Wire};
 use hyper::StatusCode;
+use magnoliawinch::handover::{ReclaimOutcome, SHARED_WORK_LIMIT};
 use magnoliawinch::names::UpstreamName;
+use magnoliawinch::reachability::Reachability;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::{Reuse, SendError};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Timeout of one copy, with its whole response. A leaving engine takes connections for some seconds;
 /// a copy that hangs must leave time for another.
@@ -26,6 +28,12 @@
 /// Timeout for the response headers of an engine where a run continues.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// The same while the engine before may write: both may be at work until the response.
+const SHARED_RESUME_TIMEOUT: Duration = Duration::from_millis(250);
+
+// The engine whose answer was lost has to be asked before the one before it is left.
+const _: () = assert!(SHARED_RESUME_TIMEOUT.as_millis() < SHARED_WORK_LIMIT.0 as u128);
+
 /// Timeout of the check of an engine's machine before a prompt is sent there: some round trips.
 const MACHINE_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -63,7 +71,7 @@
     /// The engine did not respond.
     #[error("{0}")]
     NoResponse(#[from] SendError),
-    /// The engine responded with an error.
+    /// The engine responded to the request with an error; it does not work on it.
     #[error("{engine} did not resume the run: {status}")]
     Refused {
         engine: UpstreamName,
@@ -99,6 +107,19 @@
     }
 }
 
+/// An attempt to continue a run.
+#[derive(Debug)]
+pub(crate) struct ResumeAttempt {
+    /// When the request was sent, at the earliest.
+    pub(crate) sent_at: Instant,
+    pub(crate) result: Result<RunBody, ResumeError>,
+}
+
+/// Timeout for the response headers of an engine where a run continues.
+pub(crate) fn resume_timeout(may_be_written: bool) -> Duration {
+    if may_be_written { SHARED_RESUME_TIMEOUT } else { RESUME_TIMEOUT }
+}
+
 impl<W: Wire> RequestHandler<W> {
     /// Copies the memory of the run of `fwd` from the engine `from` to that at `to`; with `is_final`
     /// the run stops first.
@@ -120,22 +141,59 @@
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
+    /// Has the engine `from`, whose answer was lost, stop the run of `fwd` and copy its memory to that at
+    /// `to`.
+    pub(crate) async fn reclaim_run(
+        &self,
+        fwd: &Forward,
+        from: &Endpoint,
+        to: SocketAddr,
+    ) -> ReclaimOutcome {
+        let result = self.copy_run(fwd, from, to, true).await;
+        let problem = result.as_ref().err().map_or_else(String::new, ToString::to_string);
+        let outcome = match result {
+            Ok(RunCopy { handle, .. }) => ReclaimOutcome::Stopped { handle },
+            Err(CopyError::Refused(CopyRefusal::TargetUnavailable { kept: Some(handle) })) => {
+                ReclaimOutcome::Stopped { handle }
+            }
+            Err(CopyError::Refused(CopyRefusal::NoRun)) => ReclaimOutcome::NoRun,
+            Err(CopyError::NoResponse(SendError::Connect { .. }))
+                if self.shared.examine(&fwd.service, from).await == Reachability::Refused =>
+            {
+                ReclaimOutcome::Ended
+            }
+            Err(_) => ReclaimOutcome::Unknown,
+        };
+        let name: &'static str = (&outcome).into();
+        self.shared.metrics.count("move_step", &format!("reclaim_{name}"));
+        log::info!(
+            request = fwd.info.run.as_str(),
+            upstream = from.name.as_str(),
+            outcome = name,
+            problem;
+            "engine whose answer was lost told to stop the run"
+        );
+        outcome
+    }
+
     /// Has the engine `to` continue a run from a copy, by way of another host if this one is cut off
-    /// from its service.
+    /// from its service. `timeout` applies until the head of the response arrives.
     pub(crate) async fn continue_run(
         &self,
         fwd: &Forward,
         to: &Endpoint,
         resume: &Resume,
-    ) -> Result<RunBody, ResumeError> {
+        timeout: Duration,
+    ) -> ResumeAttempt {
         if !self.shared.is_cut_off(&fwd.service) {
-            let result = self.resume_run(fwd, to, resume).await;
+            let sent_at = Instant::now();
+            let result = self.resume_run(fwd, to, resume, timeout).await;
             let was_not_sent = matches!(&result, Err(ResumeError::NoResponse(e)) if e.verdict() == Verdict::NotRun);
             if !was_not_sent || !self.shared.is_found_cut_off(&fwd.service).await {
-                return result;
+                return ResumeAttempt { sent_at, result };
             }
         }
-        self.carry_resume(fwd, to, resume).await
+        self.carry_resume(fwd, to, resume, timeout).await
     }
 
     /// Sends the request of a run to the engine `to`, which continues it from a copy.
@@ -144,6 +202,7 @@
         fwd: &Forward,
         to: &Endpoint,
         resume: &Resume,
+        timeout: Duration,
     ) -> Result<RunBody, ResumeError> {
         let permit = self.permit_resume(fwd, to).map_err(|reason| match reason {
             NotPermitted::Withheld(withheld) => {
@@ -159,7 +218,7 @@
             resume: Some(resume),
         };
         let req = fwd.request(&*self.wire, &out);
-        let timeout = fwd.remaining().min(RESUME_TIMEOUT);
+        let timeout = fwd.remaining().min(timeout);
         let sent = self.send(permit, req, Reuse::Never, timeout).await;
         if !matches!(&sent, Err(e) if e.verdict() == Verdict::NotRun) {
             self.shared.note_resumption(&fwd.service);
@@ -169,16 +228,14 @@
         }
         let (response, info, _) = sent?;
         let (engine, status) = (to.name.clone(), response.status());
+        if let Some(problem) = response_problem(fwd, status, &info) {
+            return Err(ResumeError::Invalid { engine, status, problem });
+        }
         if !status.is_success() || info.not_run {
             return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
         }
-        match response_problem(fwd, status, &info) {
-            Some(problem) => Err(ResumeError::Invalid { engine, status, problem }),
-            None => {
-                let is_framed = is_framed(response.headers());
-                Ok(RunBody::Direct { body: response.into_body(), is_framed })
-            }
-        }
+        let is_framed = is_framed(response.headers());
+        Ok(RunBody::Direct { body: response.into_body(), is_framed })
     }
 
     /// Whether the machine of an engine is slower at the moment than `max_percent`, in hundredths of the
--- a/relay/src/run_body.rs
+++ b/relay/src/run_body.rs
@@ -22,6 +22,8 @@
     },
     /// By way of a host that reaches the engine, which tells the end of a complete stream.
     Carried(Box<CarriedStream>),
+    /// The connection was closed before the end.
+    Closed,
 }
 
 impl RunBody {
@@ -34,6 +36,7 @@
             Self::Carried(stream) => stream.next_data().await.map(|data| {
                 data.map_err(|_| BodyBroken("the host broke off the stream".to_owned()))
             }),
+            Self::Closed => None,
         }
     }
 
@@ -42,6 +45,7 @@
         match self {
             Self::Direct { is_framed, .. } => *is_framed,
             Self::Carried(_) => true,
+            Self::Closed => false,
         }
     }
 }
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -2,13 +2,14 @@
 
 use super::EventStream;
 use crate::control::Message;
-use crate::relocate::{CopyError, ResumeError};
+use crate::relocate::{CopyError, ResumeAttempt, ResumeError, resume_timeout};
 use crate::run_body::RunBody;
 use crate::runs::{Assignment, Endpoint, MoveOrder};
 use crate::wire::{CopyRefusal, Resume, RunCopy, Wire};
 use magnoliawinch::handover::{
-    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ResumeOutcome, ResumePoint,
+    Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ReclaimOutcome, ResumeOutcome, ResumePoint,
 };
+use magnoliawinch::time::Time;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use std::time::Duration;
@@ -17,8 +18,6 @@
 
 type CopyResult = Result<RunCopy, CopyError>;
 
-type ResumeResult = Result<RunBody, ResumeError>;
-
 /// How a stream ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StreamEnd {
@@ -29,7 +28,8 @@
 /// The end of a step in progress.
 pub(super) enum TaskResult {
     Copy(Result<CopyResult, JoinError>),
-    Resume(Result<ResumeResult, JoinError>),
+    Resume(Result<ResumeAttempt, JoinError>),
+    Reclaim(Result<ReclaimOutcome, JoinError>),
     Check(Result<bool, JoinError>),
 }
 
@@ -56,9 +56,10 @@
 #[derive(Debug, Default)]
 pub(super) struct MoveTasks {
     copy: Option<Task<CopyResult>>,
-    resume: Option<Task<ResumeResult>>,
+    resume: Option<Task<ResumeAttempt>>,
     /// Last attempt to continue the run.
     resume_target: Option<Endpoint>,
+    reclaim: Option<Task<ReclaimOutcome>>,
     check: Option<Task<bool>>,
 }
 
@@ -68,6 +69,7 @@
         tokio::select! {
             result = finish(&mut self.copy) => TaskResult::Copy(result),
             result = finish(&mut self.resume) => TaskResult::Resume(result),
+            result = finish(&mut self.reclaim) => TaskResult::Reclaim(result),
             result = finish(&mut self.check) => TaskResult::Check(result),
         }
     }
@@ -87,6 +89,8 @@
             match action {
                 Action::StartCopy { to, is_final } => self.start_copy(&to, is_final),
                 Action::Resume(point) => self.start_resume(point),
+                Action::Reclaim { from, to } => self.start_reclaim(from, &to),
+                Action::LeaveSource => self.leave_source(),
                 Action::CheckSource => self.start_check(),
                 Action::ReportFailedMove { refused_by } => {
                     self.report_failed_move(refused_by.as_ref());
@@ -135,11 +139,29 @@
         };
         let resume = Resume { address, handle, last_event: self.events.last_id() };
         let to = point.engine.clone();
-        let send = async move { handler.continue_run(&fwd, &to, &resume).await };
+        let timeout = resume_timeout(self.handover.may_be_written());
+        let send = async move { handler.continue_run(&fwd, &to, &resume, timeout).await };
         self.tasks.resume = Some(Task::new(self.handler.shared.traffic.spawn(send)));
         self.tasks.resume_target = Some(point.engine);
     }
 
+    fn start_reclaim(&mut self, from: Endpoint, to: &Endpoint) {
+        let (handler, fwd, to) = (self.handler.clone(), self.fwd.clone(), to.address);
+        let reclaim = async move { handler.reclaim_run(&fwd, &from, to).await };
+        self.tasks.reclaim = Some(Task::new(self.handler.shared.traffic.spawn(reclaim)));
+    }
+
+    fn leave_source(&mut self) {
+        self.body = RunBody::Closed;
+        self.count_step("leave", Verdict::MayHaveRun);
+        log::info!(
+            request = self.fwd.info.run.as_str(),
+            upstream = self.handover.source().name.as_str(),
+            events = self.events.count();
+            "engine left, as another one may run the request"
+        );
+    }
+
     fn start_check(&mut self) {
         let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
         let source = self.handover.source().clone();
@@ -161,6 +183,14 @@
                     self.handle_resume_result(to, result, took);
                 }
             }
+            TaskResult::Reclaim(result) => {
+                self.tasks.reclaim = None;
+                let outcome = result.unwrap_or_else(|e| {
+                    log::warn!("telling an engine to stop a run failed: {e}");
+                    ReclaimOutcome::Unknown
+                });
+                self.handover.on_reclaim(self.now(), outcome);
+            }
             TaskResult::Check(result) => {
                 self.tasks.check = None;
                 let is_alive = result.unwrap_or(false);
@@ -206,27 +236,33 @@
     fn handle_resume_result(
         &mut self,
         to: Endpoint,
-        result: Result<ResumeResult, JoinError>,
+        result: Result<ResumeAttempt, JoinError>,
         took: Duration,
     ) {
+        let may_have_run = |since: Duration| {
+            let sent_at = Time(self.now().0.saturating_sub(since.as_millis() as u64));
+            ResumeOutcome::MayHaveRun { sent_at }
+        };
         let outcome = match result {
-            Ok(Ok(body)) => return self.continue_at(to, body, took),
-            Ok(Err(e)) => {
+            Ok(ResumeAttempt { result: Ok(body), .. }) => return self.continue_at(to, body, took),
+            Ok(ResumeAttempt { result: Err(e), sent_at }) => {
+                let may_have_run = may_have_run(sent_at.elapsed());
                 self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
                 match &e {
-                    ResumeError::Refused { not_run: true, .. }
+                    ResumeError::Refused { .. }
                     | ResumeError::Quarantined(_)
                     | ResumeError::Withheld {
                         withheld: Withheld::Leaving { .. } | Withheld::Evacuated,
                         ..
                     } => ResumeOutcome::Refused,
                     e if e.verdict() == Verdict::NotRun => ResumeOutcome::NotSent,
-                    _ => ResumeOutcome::MayHaveRun,
+                    _ => may_have_run,
                 }
             }
             Err(e) => {
+                let may_have_run = may_have_run(took);
                 self.note_failed_resume(&to, Verdict::MayHaveRun, e.to_string(), took);
-                ResumeOutcome::MayHaveRun
+                may_have_run
             }
         };
         self.handover.on_resume(self.now(), outcome);
@@ -255,7 +291,7 @@
         self.body = body;
         self.events.discard_partial_event();
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
-        (self.tasks.copy, self.tasks.check) = (None, None);
+        (self.tasks.copy, self.tasks.check, self.tasks.reclaim) = (None, None, None);
         let backup = self.handover.backup().cloned();
         self.run.set_assignment(Assignment::new(to, backup));
     }
