Let the holder of a run judge the unmarked end of a carried stream

Cause: an engine that is told to stop a run closes its stream without the end. Without a length or chunks, the carrying host sees the end of a connection to an engine that lives, and reported it as the end of the stream; the holder, which had ordered the stop, took all ends of carried streams for marked ones and passed by its check of moves in progress.

Change: CarriedPart.is_marked_end. An unmarked end is judged by the holder's handover like one of its own connections. Missing from an older host, it reads as unmarked.

Ruled out: requests carried as a whole (run and moves are one host's), carried calls (read completely by the host that made them).

--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -66,6 +66,7 @@
 pub(crate) struct CarriedStream {
     parts: Streaming<CarriedPart>,
     is_over: bool,
+    has_marked_end: bool,
     _in_progress: InProgressGuard,
 }
 
@@ -82,7 +83,7 @@
         }
         match self.parts.message().await {
             Ok(Some(part)) if part.is_end => {
-                self.is_over = true;
+                (self.is_over, self.has_marked_end) = (true, part.is_marked_end);
                 None
             }
             Ok(Some(part)) => Some(Ok(part.data)),
@@ -94,6 +95,14 @@
     }
 }
 
+impl CarriedStream {
+    /// Whether the upstream marked the end that was read. The host only knows that it lived when it
+    /// closed the connection; whether it had stopped the run, the holder of the run knows.
+    pub(crate) fn has_marked_end(&self) -> bool {
+        self.has_marked_end
+    }
+}
+
 impl Shared {
     /// Whether a service is cut off from this host while others reach it.
     pub(crate) fn is_cut_off(&self, service: &ServiceName) -> bool {
@@ -211,7 +220,12 @@
     }
 
     fn carried_stream(&self, parts: Streaming<CarriedPart>) -> CarriedStream {
-        CarriedStream { parts, is_over: false, _in_progress: self.shared.track_request() }
+        CarriedStream {
+            parts,
+            is_over: false,
+            has_marked_end: false,
+            _in_progress: self.shared.track_request(),
+        }
     }
 
     /// Sends a request to another host; returns the head of its response and what follows.
--- a/relay/src/carry/receive.rs
+++ b/relay/src/carry/receive.rs
@@ -121,7 +121,7 @@
                         send(&parts, CarriedPart { data, ..CarriedPart::default() }).await?;
                     }
                 }
-                send_end(&parts).await
+                send_end(&parts, true).await
             }
             Ok(CallerResponse::Carried(..)) => Ok(()),
             Err(refusal) => send_refusal(&parts, &refusal).await,
@@ -166,8 +166,9 @@
             };
             send(parts, CarriedPart { data, ..CarriedPart::default() }).await?;
         }
-        if body.is_framed() || self.has_closed_whole_body(&fwd, to).await {
-            send_end(parts).await?;
+        let is_marked_end = body.has_marked_end();
+        if is_marked_end || self.has_closed_whole_body(&fwd, to).await {
+            send_end(parts, is_marked_end).await?;
         }
         Ok(())
     }
@@ -214,8 +215,8 @@
     send(parts, CarriedPart { head: Some(head), ..CarriedPart::default() }).await
 }
 
-async fn send_end(parts: &mpsc::Sender<CarriedPart>) -> Result<(), HostLeft> {
-    send(parts, CarriedPart { is_end: true, ..CarriedPart::default() }).await
+async fn send_end(parts: &mpsc::Sender<CarriedPart>, is_marked_end: bool) -> Result<(), HostLeft> {
+    send(parts, CarriedPart { is_end: true, is_marked_end, ..CarriedPart::default() }).await
 }
 
 async fn send_whole(
@@ -228,5 +229,5 @@
         let data = body.split_to(body.len().min(MAX_PART_BYTES));
         send(parts, CarriedPart { data, ..CarriedPart::default() }).await?;
     }
-    send_end(parts).await
+    send_end(parts, true).await
 }
--- a/relay/src/run_body.rs
+++ b/relay/src/run_body.rs
@@ -20,7 +20,7 @@
         /// lost connection.
         is_framed: bool,
     },
-    /// By way of a host that reaches the engine, which tells the end of a complete stream.
+    /// By way of a host that reaches the engine.
     Carried(Box<CarriedStream>),
     /// The connection was closed before the end.
     Closed,
@@ -40,11 +40,11 @@
         }
     }
 
-    /// Whether the end of the stream is distinguishable from a lost connection.
-    pub(crate) fn is_framed(&self) -> bool {
+    /// Whether the engine marked the end that was read. Otherwise it closed the connection.
+    pub(crate) fn has_marked_end(&self) -> bool {
         match self {
             Self::Direct { is_framed, .. } => *is_framed,
-            Self::Carried(_) => true,
+            Self::Carried(stream) => stream.has_marked_end(),
             Self::Closed => false,
         }
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -318,17 +318,13 @@
                 Step::Chunk(None) if self.events.has_partial_event() => {
                     self.end_body(BodyEnd::Broken, "the stream ended within an event");
                 }
-                Step::Chunk(None) if self.body.is_framed() => self.end_body(BodyEnd::Whole, ""),
-                Step::Chunk(None) if self.handover.may_end_early() => {
-                    self.end_body(BodyEnd::Unframed, "the connection was closed");
-                }
-                Step::Chunk(None) => {
-                    let source = self.handover.source().clone();
-                    match self.handler.has_closed_whole_body(&self.fwd, &source).await {
-                        true => self.end_body(BodyEnd::Unframed, "the connection was closed"),
-                        false => self.end_body(BodyEnd::Broken, UNFRAMED_END),
-                    }
+                Step::Chunk(None) if self.body.has_marked_end() => {
+                    self.end_body(BodyEnd::Whole, "");
                 }
+                Step::Chunk(None) => match self.may_have_closed_whole_body().await {
+                    true => self.end_body(BodyEnd::Unframed, "the connection was closed"),
+                    false => self.end_body(BodyEnd::Broken, UNFRAMED_END),
+                },
                 Step::Order(order) => self.handle_order(order),
                 Step::Task(result) => self.handle_result(result),
                 Step::Timer => {}
@@ -336,6 +332,16 @@
         }
     }
 
+    /// Whether an end that the engine did not mark may be that of the whole stream.
+    async fn may_have_closed_whole_body(&self) -> bool {
+        // The handover decides on the end of a run that may have been stopped; the host that carried a
+        // stream has asked whether the engine lives.
+        let is_decided_elsewhere =
+            self.handover.may_end_early() || matches!(self.body, RunBody::Carried(_));
+        let source = self.handover.source();
+        is_decided_elsewhere || self.handler.has_closed_whole_body(&self.fwd, source).await
+    }
+
     fn note_progress(&mut self) {
         let (now, source) = (self.now(), &self.handover.source().name);
         let mut starts = self.handler.shared.run_starts();
