Believe what a response states only if it names the request

What callers see: 503, "not run", for look-ups that their server runs, after it has written an earlier refusal once more on a kept connection (REFUSED); orders and streams sent to a second upstream while the first one runs them, if its refusal names another request (TWICE).

Cause: RequestHandler::send and read_response took "not run" and the other statements from a response before comparing its id. In magnoliawinchd, whose responses carry no id, starts of generations, orders and idempotent calls reused connections.

Change: a response without the request's id states nothing; the request may have run. magnoliawinchd opens a connection for each start, order and call.

Tests that failed before: requests_whose_upstream_refuses_another_one_may_ have_run (503), earlier_refusals_on_kept_connections_are_not_those_of_later_ requests (503, 200, 503, ...), kept_connections of engine (Refused, not run) and service (the answer to the first call).

Ruled out: kept connections after a refusal; its body isn't read, so the connection is closed.

--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -390,7 +390,6 @@
         request_id: &job.request_id,
         idempotency_key: job.idempotency_key.as_deref(),
         body: job.body.clone(),
-        idempotent: job.access.kind.idempotent,
     };
     let timeout = job.time_left(shared).into();
     shared.routing().router.note_start(upstream);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -144,7 +144,9 @@
         timeout: Duration,
     ) -> Result<Started, EngineError> {
         let req = json_request(Method::POST, "/generations", Some(start));
-        let response = self.client.send(address, req, Reuse::Recent, timeout).await?;
+        // A response names no request. On a kept connection an earlier refusal, written once more, would
+        // be taken for that of this start.
+        let response = self.client.send(address, req, Reuse::Never, timeout).await?;
         let load = response.header(LOAD_HEADER).and_then(|text| serde_json::from_str(text).ok());
         Ok(Started { events: events(response, &start.generation).await?, load })
     }
@@ -182,7 +184,7 @@
     /// Orders the engine to load a model. Engines that check fencing numbers refuse outdated ones.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<(), EngineError> {
         let req = json_request(Method::POST, "/orders", Some(order));
-        let response = self.client.send(address, req, Reuse::Recent, ORDER_TIMEOUT).await?;
+        let response = self.client.send(address, req, Reuse::Never, ORDER_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => {
                 response.bytes(MAX_RESPONSE_BYTES).await?;
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -326,6 +326,7 @@
         if let Some(load) = info.load.filter(|_| !fwd.is_pooled) {
             self.shared.note_load(&upstream.name, load);
         }
+        // As stated in a response to this request: `send` drops what others state.
         if info.not_run {
             if status == StatusCode::MISDIRECTED_REQUEST {
                 self.shared.tell(Message::UpstreamLeaving(upstream.incarnation(&fwd.service)));
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -352,7 +352,14 @@
             }
         };
         self.shared.paths().connected(&service);
-        let info = self.note_statements(&service, &to, &response);
+        let info = self.wire.parse_response_headers(response.headers());
+        // Only its id tells a response to this request from one to an earlier request; what the others
+        // state, a refusal too, is not about this one.
+        let info = match info.run.as_ref() == Some(&run) {
+            true => info,
+            false => self.note_foreign_response(&run, &to, info),
+        };
+        self.note_statements(&service, &to, &response, &info);
         match info.not_run {
             true => self.shared.run_starts().not_run(&run, &to.name),
             false => self.shared.run_starts().begun(now, &run, &to.name),
@@ -383,7 +390,8 @@
         let client = &self.shared.upstreams.client;
         let sent_at = self.shared.clock.now();
         let response = client.send(to.address, req, Reuse::Never, timeout).await?;
-        let info = self.note_statements(service, to, &response);
+        let info = self.wire.parse_response_headers(response.headers());
+        self.note_statements(service, to, &response, &info);
         // Only a response to a request shows that a limit is over.
         let upstream = to.incarnation(service);
         let terms = self.shared.terms(&upstream, info.limit_per_second, info.max_rejections);
@@ -418,8 +426,8 @@
         service: &ServiceName,
         to: &Endpoint,
         response: &ClientResponse,
-    ) -> ResponseInfo {
-        let info = self.wire.parse_response_headers(response.headers());
+        info: &ResponseInfo,
+    ) {
         let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         let retry_after = info.retry_after.filter(|_| refused);
         // Another upstream may have responded.
@@ -431,7 +439,26 @@
             let upstream = to.incarnation(service);
             self.shared.note_statements(&upstream, info.is_leaving, retry_after);
         }
-        info
+    }
+
+    /// Notes a response that does not name the request; returns what is left of its headers.
+    fn note_foreign_response(
+        &self,
+        run: &RunId,
+        to: &Endpoint,
+        info: ResponseInfo,
+    ) -> ResponseInfo {
+        self.shared
+            .metrics
+            .count("foreign_response", if info.not_run { "refusal" } else { "other" });
+        log::warn!(
+            request = run.as_str(),
+            upstream = to.name.as_str(),
+            named = info.run.as_ref().map_or("", RunId::as_str),
+            not_run = info.not_run;
+            "response to another request"
+        );
+        ResponseInfo { run: info.run, ..ResponseInfo::default() }
     }
 }
 
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -34,8 +34,6 @@
     pub idempotency_key: Option<&'a str>,
     /// Request body.
     pub body: Bytes,
-    /// Whether the call may safely run more than once.
-    pub idempotent: bool,
 }
 
 /// Response of a plain service.
@@ -116,8 +114,9 @@
         timeout: Duration,
     ) -> Result<Answer, CallError> {
         let deadline = Instant::now() + timeout;
-        let reuse = if call.idempotent { Reuse::Recent } else { Reuse::Never };
-        let response = self.client.send(address, request(call), reuse, timeout).await?;
+        // A response names no call. On a kept connection one to an earlier call, written once more, would
+        // be taken for that of this call.
+        let response = self.client.send(address, request(call), Reuse::Never, timeout).await?;
         let status = response.status().as_u16();
         let verdict = response.header(VERDICT_HEADER).and_then(|v| v.parse().ok());
         if verdict == Some(Verdict::NotRun) {
