--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -14,12 +14,13 @@
 //! A response with the header `x-verdict: not_run` states that the engine did no work for the
 //! request.
 
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
 use magnoliawinch::admission::LoadReport;
 use magnoliawinch::delivery::EngineEvent;
 use magnoliawinch::placement::{ModelStatus, Order};
 use magnoliawinch::verdict::Verdict;
-use magnoliawinch_http::client::json_request;
+use magnoliawinch_http::client::{json_request, parse_path};
 use magnoliawinch_http::{Client, ClientResponse, JsonLines, Reuse, SendError};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -143,7 +144,8 @@
         start: &StartGeneration,
         timeout: Duration,
     ) -> Result<Started, EngineError> {
-        let req = json_request(Method::POST, "/generations", Some(start));
+        let req =
+            json_request(Method::POST, PathAndQuery::from_static("/generations"), Some(start));
         // A response names no request. On a kept connection an earlier refusal, written once more, would
         // be taken for that of this start.
         let response = self.client.send(address, req, Reuse::Never, timeout).await?;
@@ -161,7 +163,7 @@
         timeout: Duration,
     ) -> Result<Events, EngineError> {
         let path = format!("/generations/{generation}?from={from}");
-        let req = json_request(Method::GET, &path, None::<&()>);
+        let req = json_request(Method::GET, parse_path(&path)?, None::<&()>);
         let response = self.client.send(address, req, Reuse::Never, timeout).await?;
         events(response, generation).await
     }
@@ -175,7 +177,7 @@
         only_unwatched: bool,
     ) -> Result<(), EngineError> {
         let path = format!("/generations/{generation}?unwatched={}", u8::from(only_unwatched));
-        let req = json_request(Method::DELETE, &path, None::<&()>);
+        let req = json_request(Method::DELETE, parse_path(&path)?, None::<&()>);
         let response = self.client.send(address, req, Reuse::Recent, CANCEL_TIMEOUT).await?;
         response.bytes(MAX_RESPONSE_BYTES).await?;
         Ok(())
@@ -183,7 +185,7 @@
 
     /// Orders the engine to load a model. Engines that check fencing numbers refuse outdated ones.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<(), EngineError> {
-        let req = json_request(Method::POST, "/orders", Some(order));
+        let req = json_request(Method::POST, PathAndQuery::from_static("/orders"), Some(order));
         let response = self.client.send(address, req, Reuse::Never, ORDER_TIMEOUT).await?;
         match response.status() {
             StatusCode::OK => {
--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -6,7 +6,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, HeaderMap};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::http::uri::{InvalidUri, PathAndQuery};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use magnoliawinch::verdict::Verdict;
@@ -72,6 +73,14 @@
         /// Whether there was no response at all.
         timed_out: bool,
     },
+    /// The request has an invalid path, and was not sent.
+    #[error("invalid path \"{path}\" of a request: {reason}")]
+    InvalidPath {
+        /// The path.
+        path: String,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The connection closed before the request was written.
     #[error("{address} closed the connection before the request was sent")]
     NotSent {
@@ -140,6 +149,7 @@
             | Self::Timeout { .. }
             | Self::Stalled { .. } => true,
             Self::Connect { .. }
+            | Self::InvalidPath { .. }
             | Self::NotSent { .. }
             | Self::Withdrawn { .. }
             | Self::BadResponse { .. } => false,
@@ -149,7 +159,9 @@
     /// Whether the request may have run.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::Connect { .. } | Self::NotSent { .. } => Verdict::NotRun,
+            Self::Connect { .. } | Self::InvalidPath { .. } | Self::NotSent { .. } => {
+                Verdict::NotRun
+            }
             Self::NoResponse { .. }
             | Self::BodyBroken { .. }
             | Self::Timeout { .. }
@@ -323,7 +335,7 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<T, SendError> {
-        let req = json_request(method, path, body);
+        let req = json_request(method, parse_path(path)?, body);
         let exchange = async {
             let response = self.send(address, req, Reuse::Recent, timeout).await?;
             response.json(max_bytes).await
@@ -335,18 +347,30 @@
     }
 }
 
+/// The path and query of a request.
+pub fn parse_path(path: &str) -> Result<PathAndQuery, SendError> {
+    let parsed = path.parse();
+    parsed.map_err(|e: InvalidUri| SendError::InvalidPath {
+        path: path.to_owned(),
+        reason: e.to_string(),
+    })
+}
+
 /// A request with a JSON body, or without a body.
 pub fn json_request(
     method: Method,
-    path: &str,
+    path: PathAndQuery,
     body: Option<&impl Serialize>,
 ) -> Request<Full<Bytes>> {
     let bytes = body.map(|b| serde_json::to_vec(b).unwrap_or_default()).unwrap_or_default();
-    let mut builder = Request::builder().method(method).uri(path).header("host", "magnoliawinch");
+    let mut req = Request::new(Full::new(Bytes::from(bytes)));
+    (*req.method_mut(), *req.uri_mut()) = (method, path.into());
+    let headers = req.headers_mut();
+    headers.insert(HOST, HeaderValue::from_static("magnoliawinch"));
     if body.is_some() {
-        builder = builder.header("content-type", "application/json");
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
-    builder.body(Full::new(Bytes::from(bytes))).unwrap_or_default()
+    req
 }
 
 fn no_response(address: SocketAddr, e: &hyper::Error) -> SendError {
--- a/operator/src/client.rs
+++ b/operator/src/client.rs
@@ -6,7 +6,7 @@
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use magnoliawinch::catalogue::{Change, Offset};
-use magnoliawinch_http::client::json_request;
+use magnoliawinch_http::client::{json_request, parse_path};
 use magnoliawinch_http::{Client, Reuse, SendError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -57,7 +57,7 @@
         path: &str,
         body: Option<&impl Serialize>,
     ) -> Result<T, OperatorError> {
-        let mut req: Request<Full<Bytes>> = json_request(method, path, body);
+        let mut req: Request<Full<Bytes>> = json_request(method, parse_path(path)?, body);
         if let Ok(value) = HeaderValue::from_str(&format!("Bearer {}", self.key)) {
             req.headers_mut().insert(AUTHORIZATION, value);
         }
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -269,9 +269,10 @@
     async fn ask_slowdown(&self, fwd: &Forward, engine: &Endpoint) -> Option<u32> {
         let view = self.shared.view.load();
         let path = view.table.as_ref()?.service(fwd.service.as_str())?.health_path.as_deref()?;
-        let req = self.wire.load_request(path);
+        let note = |e: &SendError| log::debug!("machine check failed: {e}");
+        let req = self.wire.load_request(path).inspect_err(note).ok()?;
         let sent = self.send_order(&fwd.service, engine, req, MACHINE_CHECK_TIMEOUT);
-        let response = sent.await.inspect_err(|e| log::debug!("machine check failed: {e}")).ok()?;
+        let response = sent.await.inspect_err(note).ok()?;
         self.wire.parse_response_headers(response.headers()).load?.slowdown_percent
     }
 
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -8,6 +8,7 @@
 use magnoliawinch::names::{RunId, UpstreamName};
 use magnoliawinch::prompt_parts::PromptParts;
 use magnoliawinch::time::Millis;
+use magnoliawinch_http::SendError;
 use std::net::SocketAddr;
 use thiserror::Error;
 
@@ -157,5 +158,5 @@
     fn health_check_request(&self) -> Request<Full<Bytes>>;
 
     /// Builds a request for the current load of an upstream with health checks at `path`.
-    fn load_request(&self, path: &str) -> Request<Full<Bytes>>;
+    fn load_request(&self, path: &str) -> Result<Request<Full<Bytes>>, SendError>;
 }
