--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -108,7 +108,7 @@
 
     fn expected_ms(&self, now: Time, slots: u32) -> f64 {
         let fresh = self.load.filter(|(at, _)| now.since(*at) < LOAD_MAX_AGE);
-        let reported = fresh.map_or(0, |(_, load)| load.running + load.waiting);
+        let reported = fresh.map_or(0, |(_, load)| load.running.saturating_add(load.waiting));
         let ahead = f64::from(self.outstanding.max(reported));
         let slots = f64::from(slots.max(1));
         // Once all slots are taken, each full round of calls ahead adds one mean latency.
--- a/core/src/server_model.rs
+++ b/core/src/server_model.rs
@@ -378,7 +378,7 @@
 
 /// Calls at a server apart from the one in whose response it reported its load.
 fn calls_ahead(load: Load) -> f64 {
-    f64::from((load.running + load.waiting).saturating_sub(1))
+    f64::from(load.running.saturating_add(load.waiting).saturating_sub(1))
 }
 
 /// What to expect of a call to a server.
