Ask the upstream after a body without a length

Cause: a body without a length ends with its connection, and a server that accepted a new connection was taken for alive. The listener of a killed process outlives its connections. Which process accepted was not asked.

Change: the upstream has to answer a health check on a new connection, and what it states as its name and start has to be what is listed.

Ruled out: a second connection after 60 ms as the crash detection makes it; a process that takes longer to end passes it.

--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! Requests whose response is read completely before it is forwarded.
 
+use crate::body_end::{UNFRAMED_END, is_framed};
 use crate::control::Message;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
@@ -7,12 +8,11 @@
 use crate::runs::Endpoint;
 use crate::wire::{Outgoing, ResponseInfo, Wire};
 use bytes::Bytes;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, StatusCode};
 use magnoliawinch::balance::{Candidate, Outcome};
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::UpstreamName;
-use magnoliawinch::reachability::Reachability;
 use magnoliawinch::retry::RepeatCause;
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::{Millis, Time};
@@ -358,14 +358,6 @@
         Attempt::Responded(BufferedResponse { status, headers, body })
     }
 
-    /// Whether an upstream that has closed the connection of a response with neither a length nor chunks
-    /// did so at the end of the body. One that has ended closes its connections, too.
-    pub(crate) async fn has_closed_whole_body(&self, fwd: &Forward, upstream: &Endpoint) -> bool {
-        let result = self.shared.examine(&fwd.service, upstream).await;
-        self.shared.metrics.count("unframed_end", result.into());
-        result == Reachability::Accepted
-    }
-
     /// Notes how a run ended whose response was to be read completely.
     pub(crate) fn note_run_end(&self, fwd: &Forward, upstream: &UpstreamName, attempt: &Attempt) {
         let (now, run) = (self.shared.clock.now(), &fwd.info.run);
@@ -408,16 +400,6 @@
     }
 }
 
-/// Cause of a failure.
-pub(crate) const UNFRAMED_END: &str =
-    "the connection was closed and the upstream is not known to live";
-
-/// Whether a response has a length or is chunked, so that its end is distinguishable from a lost
-/// connection.
-pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
 /// Returns why a response cannot be forwarded; `None` if it can.
 pub(crate) fn response_problem(
     fwd: &Forward,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! thread serves requests from snapshots of that state. The wire format of requests is defined by
 //! an implementation of [`Wire`].
 
+mod body_end;
 mod call;
 mod carry;
 mod clock;
@@ -38,5 +39,6 @@
 pub use refusal::{Refusal, Refused};
 pub use settings::{Bounds, Settings};
 pub use wire::{
-    CopyRefusal, InvalidHeader, Outgoing, Prompt, RequestInfo, ResponseInfo, Resume, RunCopy, Wire,
+    CopyRefusal, InvalidHeader, Outgoing, ProcessInfo, Prompt, RequestInfo, ResponseInfo, Resume,
+    RunCopy, Wire,
 };
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -1,7 +1,8 @@
 //! Requests to engines: copies of a run's memory to another engine, attempts to continue a run, and
 //! health checks.
 
-use crate::call::{is_framed, response_problem};
+use crate::body_end::is_framed;
+use crate::call::response_problem;
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
 use crate::outbound::NotPermitted;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,7 +6,8 @@
 mod moving;
 
 use self::moving::{MoveTasks, StreamEnd, TaskResult};
-use crate::call::{Attempt, BufferedResponse, UNFRAMED_END, is_framed, response_problem};
+use crate::body_end::{UNFRAMED_END, is_framed};
+use crate::call::{Attempt, BufferedResponse, response_problem};
 use crate::control::Message;
 use crate::events::EventReader;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -99,6 +99,15 @@
     pub max_rejections: Option<u32>,
 }
 
+/// What the process that responds to a health check states about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProcessInfo {
+    /// Its name, if stated.
+    pub name: Option<UpstreamName>,
+    /// When it started, in milliseconds since 1970 by its own clock, if stated.
+    pub born: Option<u64>,
+}
+
 /// A copy of a run's memory at another engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunCopy {
@@ -157,6 +166,9 @@
     /// A request to which any engine that is alive responds at once.
     fn health_check_request(&self) -> Request<Full<Bytes>>;
 
+    /// Parses the response to a health check, or to a request for the load.
+    fn parse_process(&self, headers: &HeaderMap, body: &[u8]) -> ProcessInfo;
+
     /// Builds a request for the current load of an upstream with health checks at `path`.
     fn load_request(&self, path: &str) -> Result<Request<Full<Bytes>>, SendError>;
 }
