Check the end of empty bodies without a length, too

Cause: read_response asked whether the server lives only if something of the body had arrived. Change: it asks unless the response can have no body (HEAD, 204, 304).

Test: answers_to_calls_are_not_empty_because_their_server_ended failed before (200, Content-Length 0). Streams had no such exception.

--- a/relay/src/body_end.rs
+++ b/relay/src/body_end.rs
@@ -8,8 +8,8 @@
 use crate::handler::RequestHandler;
 use crate::runs::Endpoint;
 use crate::wire::{ProcessInfo, Wire};
-use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Method, StatusCode};
 use magnoliawinch_http::SendError;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -31,6 +31,12 @@
     headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
 }
 
+/// Whether a response to a request with this method can have a body.
+pub(crate) fn may_have_body(method: &Method, status: StatusCode) -> bool {
+    let has_none = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    *method != Method::HEAD && !has_none
+}
+
 impl<W: Wire> RequestHandler<W> {
     /// Whether an upstream that has closed the connection of a body with neither a length nor chunks did
     /// so at the end of the body: the same process lives on.
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is read completely before it is forwarded.
 
-use crate::body_end::{UNFRAMED_END, is_framed};
+use crate::body_end::{UNFRAMED_END, is_framed, may_have_body};
 use crate::control::Message;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
@@ -348,7 +348,7 @@
                 return Attempt::MayHaveRun { cause, is_lost: true };
             }
         };
-        let ends_with_connection = !is_framed(&headers) && !body.is_empty();
+        let ends_with_connection = !is_framed(&headers) && may_have_body(&fwd.method, status);
         if ends_with_connection && !self.has_closed_whole_body(fwd, upstream).await {
             return Attempt::MayHaveRun { cause: UNFRAMED_END.to_owned(), is_lost: true };
         }
