Limit the memory of all bodies of callers' requests together

Cause: read_body limited each body, and nothing limited them together.

Change: they share request_buffer_mb, half of memory_mb by default; a request that finds no memory is refused at once (no_memory, 503, 200 ms), and may be carried to another host. A complete body is no longer copied.

--- a/http/src/body_budget.rs
+++ b/http/src/body_budget.rs
@@ -1,4 +1,4 @@
-//! A limit for the memory of all response bodies that are buffered at the same time.
+//! A limit for the memory of all bodies that are buffered at the same time.
 
 use bytes::Bytes;
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 
 /// The bodies buffered at present take all memory that they may.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("the responses being read take all of the {max_bytes} bytes that they may")]
+#[error("the bodies being read take all of the {max_bytes} bytes that they may")]
 pub struct BudgetExceeded {
     max_bytes: usize,
 }
--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::refusal::Refusal;
 use crate::wire::{Outgoing, RequestInfo, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
@@ -16,6 +16,8 @@
 use magnoliawinch::rendezvous;
 use magnoliawinch::route_table::{Organisation, Route};
 use magnoliawinch::time::Millis;
+use magnoliawinch_http::{BudgetShare, BufferedBody};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -137,19 +139,37 @@
         .sum()
 }
 
-/// Reads a body of at most `max_bytes` before the deadline.
+/// Reads a body of at most `max_bytes` before the deadline; it takes its memory from `share`.
 pub(crate) async fn read_body<B>(
     body: B,
     max_bytes: usize,
+    share: BudgetShare,
     deadline: Instant,
 ) -> Result<Bytes, Refusal>
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
 {
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(e)) => Err(Refusal::BadRequest(format!("failed to read the body: {e}"))),
-        Err(_) => Err(Refusal::NotSentInTime),
+    let mut body = pin!(body);
+    let mut received = BufferedBody::new(share);
+    loop {
+        let frame = match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(e))) => {
+                let e: Box<dyn std::error::Error + Send + Sync> = e.into();
+                return Err(Refusal::BadRequest(format!("failed to read the body: {e}")));
+            }
+            Ok(None) => return Ok(received.freeze()),
+            Err(_) => return Err(Refusal::NotSentInTime),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if received.len() + data.len() > max_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        if let Err(e) = received.push(&data, max_bytes) {
+            log::debug!("{e}");
+            return Err(Refusal::NoMemory);
+        }
     }
 }
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -215,7 +215,8 @@
         }
         let timeout = info.timeout.map_or(route.timeout, |requested| requested.min(route.timeout));
         let deadline = arrived_at + Duration::from(timeout);
-        let body = read_body(body, table.limits().body_bytes, deadline).await?;
+        let share = self.shared.request_budget.share();
+        let body = read_body(body, table.limits().body_bytes, share, deadline).await?;
         let service = route.destination(info.run.as_str()).ok_or(Refusal::NoRoute)?.clone();
         let is_pooled = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
         let (method, uri, headers) = forwarded_parts(parts);
--- a/relay/src/refusal.rs
+++ b/relay/src/refusal.rs
@@ -30,6 +30,8 @@
     HeadersTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
+    /// Bodies of other requests take the memory that this one needs.
+    NoMemory,
     /// No upstream has capacity; the caller may retry after this time.
     Overloaded(Millis),
     /// This host reaches no upstream of the service, and the request was carried to it by another one.
@@ -84,6 +86,9 @@
 /// Retry delay for a caller of a daemon that is leaving; short, as other hosts accept requests.
 const LEAVING_RETRY_AFTER: Millis = Millis(100);
 
+/// Retry delay for a caller whose request finds no memory: some requests have ended by then.
+const NO_MEMORY_RETRY_AFTER: Millis = Millis(200);
+
 /// Retry delay for a caller of a daemon without a configuration: a daemon gets one within about a
 /// second of its start, and most callers retry only once.
 const NOT_READY_RETRY_AFTER: Millis = Millis(1_000);
@@ -103,6 +108,7 @@
             Self::Lost(_) => StatusCode::BAD_GATEWAY,
             Self::NotReady
             | Self::Leaving
+            | Self::NoMemory
             | Self::Overloaded(_)
             | Self::CutOff
             | Self::Quarantined(_)
@@ -112,7 +118,7 @@
 
     /// Whether another host may serve the request, which has not run.
     pub(crate) fn is_of_this_host(&self) -> bool {
-        matches!(self, Self::NotReady | Self::Leaving | Self::CutOff)
+        matches!(self, Self::NotReady | Self::Leaving | Self::NoMemory | Self::CutOff)
     }
 
     /// Whether the status guarantees that the request has not run.
@@ -126,6 +132,7 @@
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
             Self::Leaving => Some(LEAVING_RETRY_AFTER),
+            Self::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
             Self::Overloaded(wait) | Self::Quarantined(Quarantined { left: wait, .. }) => {
                 Some(*wait)
             }
--- a/relay/src/settings.rs
+++ b/relay/src/settings.rs
@@ -66,6 +66,8 @@
     pub memory_mb: u64,
     /// Memory for all responses of upstreams that are being read, in megabytes.
     pub response_buffer_mb: u64,
+    /// Memory for all bodies of callers' requests in progress, in megabytes.
+    pub request_buffer_mb: u64,
     /// Longest time for which an upstream gets no requests because it said so in a refusal.
     pub max_retry_after: Millis,
 }
@@ -73,8 +75,17 @@
 impl Bounds {
     /// Memory for all responses of upstreams that are being read, in bytes.
     pub fn response_buffer_bytes(&self) -> usize {
-        usize::try_from(self.response_buffer_mb * BYTES_PER_MB).unwrap_or(usize::MAX)
+        bytes_of_mb(self.response_buffer_mb)
     }
+
+    /// Memory for all bodies of callers' requests in progress, in bytes.
+    pub fn request_buffer_bytes(&self) -> usize {
+        bytes_of_mb(self.request_buffer_mb)
+    }
+}
+
+fn bytes_of_mb(mb: u64) -> usize {
+    usize::try_from(mb * BYTES_PER_MB).unwrap_or(usize::MAX)
 }
 
 const BYTES_PER_MB: u64 = 1_000_000;
@@ -84,6 +95,9 @@
 /// Part of the memory limit that responses being read take by default.
 const RESPONSE_BUFFER_DIVISOR: u64 = 4;
 
+/// Part of the memory limit that bodies of requests take by default.
+const REQUEST_BUFFER_DIVISOR: u64 = 2;
+
 /// Limits of the memory limit, in megabytes.
 const MEMORY_MB: RangeInclusive<u64> = 16..=1_048_576;
 
@@ -128,6 +142,7 @@
         let peer_address = daemon.required("peer_address")?;
         let memory_mb = bounds.number_or("memory_mb", 256, MEMORY_MB)?;
         let response_buffer_mb = memory_mb / RESPONSE_BUFFER_DIVISOR;
+        let request_buffer_mb = memory_mb / REQUEST_BUFFER_DIVISOR;
         let settings = Self {
             host: HostName::from(daemon.name("host")?),
             failure_domain: FailureDomain::from(daemon.name("failure_domain")?),
@@ -155,6 +170,11 @@
                     response_buffer_mb,
                     1..=memory_mb,
                 )?,
+                request_buffer_mb: bounds.number_or(
+                    "request_buffer_mb",
+                    request_buffer_mb,
+                    1..=memory_mb,
+                )?,
                 max_retry_after: seconds_or(
                     &mut bounds,
                     "max_retry_after_s",
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -74,6 +74,8 @@
     /// Requests that other hosts carry to this one.
     pub(crate) carried: mpsc::Sender<CarriedCall>,
     pub(crate) upstreams: Upstreams,
+    /// The memory that bodies of callers' requests share.
+    pub(crate) request_budget: BodyBudget,
     pub(crate) runs: Runs,
     pub(crate) metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
@@ -121,6 +123,7 @@
         };
         let own_hash = rendezvous::hash(own.host.as_str());
         let body_budget = BodyBudget::new(settings.bounds.response_buffer_bytes());
+        let request_budget = BodyBudget::new(settings.bounds.request_buffer_bytes());
         let sharing_hosts = Hosts::new(clock.now(), own.host.clone());
         Self {
             settings,
@@ -131,6 +134,7 @@
             carriers: PeerChannels::new(),
             carried,
             upstreams: Upstreams::new(sharing_hosts, body_budget),
+            request_budget,
             runs: Runs::new(),
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(clock.now()),
--- a/relay/tests/settings.rs
+++ b/relay/tests/settings.rs
@@ -61,6 +61,8 @@
         ("memory_mb = 110", "memory_mb = 110\nmax_retry_after_s = long"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 0"),
         ("memory_mb = 110", "memory_mb = 110\nresponse_buffer_mb = 111"),
+        ("memory_mb = 110", "memory_mb = 110\nrequest_buffer_mb = 0"),
+        ("memory_mb = 110", "memory_mb = 110\nrequest_buffer_mb = 111"),
         ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pauses = perhaps"),
         ("memory_mb = 110", "memory_mb = 110\n[scheduling]\nkeep_pause = true"),
         ("[host]", "server_model = sometimes\n[host]"),
