--- a/core/tests/copy_rounds.rs
+++ b/core/tests/copy_rounds.rs
@@ -83,7 +83,8 @@
 /// target and ordered the run there again.
 #[test]
 fn a_run_that_returns_to_its_source_reports_the_target() {
-    for lost in [ResumeOutcome::NotSent, ResumeOutcome::Refused, ResumeOutcome::MayHaveRun] {
+    let may_have_run = ResumeOutcome::MayHaveRun { sent_at: START };
+    for lost in [ResumeOutcome::NotSent, ResumeOutcome::Refused, may_have_run] {
         let (mut handover, mut now) = (ordered(), START);
         let is_final = [20, 10].map(|ms| copy(&mut handover, &mut now, Millis(ms)));
         assert_eq!(is_final, [false, true]);
