Take answers of plain services without a length for lost ones

What callers of magnoliawinchd see: a part of an answer, or none, as a success, if the service ends while it writes an answer with neither a length nor chunks.

Change: such a response is an error, the call may have run; the protocol of plain services asks for a length or chunks. is_framed moves to the HTTP crate, where both clients use it.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -6,7 +6,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::http::uri::{InvalidUri, PathAndQuery};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -377,6 +379,19 @@
     SendError::NoResponse { address, reason: e.to_string() }
 }
 
+/// Whether a response has a length or is chunked, so that its end is distinguishable from a lost
+/// connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Whether the end of the body of a response to a request with this method is distinguishable from a lost
+/// connection: the body is framed, or there is none.
+pub fn has_known_end(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    *method == Method::HEAD || has_no_body || is_framed(headers)
+}
+
 /// A response with an unread body.
 #[derive(Debug)]
 pub struct ClientResponse {
--- a/relay/src/body_end.rs
+++ b/relay/src/body_end.rs
@@ -8,8 +8,6 @@
 use crate::handler::RequestHandler;
 use crate::runs::Endpoint;
 use crate::wire::{ProcessInfo, Wire};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, StatusCode};
 use magnoliawinch_http::SendError;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -25,18 +23,6 @@
 pub(crate) const UNFRAMED_END: &str =
     "the connection was closed and the upstream is not known to live";
 
-/// Whether a response has a length or is chunked, so that its end is distinguishable from a lost
-/// connection.
-pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
-/// Whether a response to a request with this method can have a body.
-pub(crate) fn may_have_body(method: &Method, status: StatusCode) -> bool {
-    let has_none = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    *method != Method::HEAD && !has_none
-}
-
 impl<W: Wire> RequestHandler<W> {
     /// Whether an upstream that has closed the connection of a body with neither a length nor chunks did
     /// so at the end of the body: the same process lives on.
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests whose response is read completely before it is forwarded.
 
-use crate::body_end::{UNFRAMED_END, is_framed, may_have_body};
+use crate::body_end::UNFRAMED_END;
 use crate::control::Message;
 use crate::forward::{Forward, strip_hop_by_hop_headers};
 use crate::handler::RequestHandler;
@@ -17,6 +17,7 @@
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::client::has_known_end;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -348,8 +349,8 @@
                 return Attempt::MayHaveRun { cause, is_lost: true };
             }
         };
-        let ends_with_connection = !is_framed(&headers) && may_have_body(&fwd.method, status);
-        if ends_with_connection && !self.has_closed_whole_body(fwd, upstream).await {
+        let has_known_end = has_known_end(&fwd.method, status, &headers);
+        if !has_known_end && !self.has_closed_whole_body(fwd, upstream).await {
             return Attempt::MayHaveRun { cause: UNFRAMED_END.to_owned(), is_lost: true };
         }
         strip_hop_by_hop_headers(&mut headers);
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -1,7 +1,6 @@
 //! Requests to engines: copies of a run's memory to another engine, attempts to continue a run, and
 //! health checks.
 
-use crate::body_end::is_framed;
 use crate::call::response_problem;
 use crate::forward::Forward;
 use crate::handler::RequestHandler;
@@ -16,6 +15,7 @@
 use magnoliawinch::reachability::Reachability;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::client::is_framed;
 use magnoliawinch_http::{Reuse, SendError};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,7 +6,7 @@
 mod moving;
 
 use self::moving::{MoveTasks, StreamEnd, TaskResult};
-use crate::body_end::{UNFRAMED_END, is_framed};
+use crate::body_end::UNFRAMED_END;
 use crate::call::{Attempt, BufferedResponse, response_problem};
 use crate::control::Message;
 use crate::events::EventReader;
@@ -25,6 +25,7 @@
 use magnoliawinch::names::{KindName, OrganisationName, UpstreamName};
 use magnoliawinch::time::{Millis, Time};
 use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::client::is_framed;
 use magnoliawinch_http::{ClientResponse, Reuse, SendError};
 use magnoliawinch_runtime::InProgressGuard;
 use std::sync::Arc;
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -1,12 +1,14 @@
 //! Client of plain services.
 //!
 //! A plain service handles `POST /calls/KIND`. A response with the header `x-verdict: not_run`
-//! states that the service did no work for the call.
+//! states that the service did no work for the call. Every response has a length or is chunked: without
+//! that, the end of its body can't be told from the end of the service.
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use magnoliawinch::verdict::Verdict;
+use magnoliawinch_http::client::has_known_end;
 use magnoliawinch_http::{Client, Reuse, SendError};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -123,6 +125,12 @@
             let draining = response.header(DRAINING_HEADER) == Some("true");
             return Err(CallError::Refused { address, status, verdict: Verdict::NotRun, draining });
         }
+        if !has_known_end(&Method::POST, response.status(), response.headers()) {
+            let reason = "it has neither a length nor chunks".to_owned();
+            return Err(
+                SendError::BadResponse { address, status: response.status(), reason }.into()
+            );
+        }
         match timeout_at(deadline, response.bytes(MAX_ANSWER_BYTES)).await {
             Ok(body) => Ok(Answer { status, body: body? }),
             Err(_) => Err(SendError::Timeout { address, after: timeout }.into()),
