Refuse requests that a leaving daemon may not answer before its end

Callers saw calls cut without an answer at the end of a planned stop, orders among them (LOST): taken late in the grace period, begun by a server, and cut when the daemon stopped 7.8 s after SIGTERM.

Cause: admission looked at whether the daemon leaves for streams alone, and calls were accepted until the moment of the stop, whatever their deadline. The stop at 7.5 s took no account of what had been accepted.

Change: core/src/planned_stop.rs has the schedule of a stop. A request is accepted while a daemon leaves only if its deadline is before the time at which answers are due; any other one is refused at once as not run, with a short Retry-After. That holds for calls, streams and requests carried by other hosts alike, so that short streams are still served at the beginning of a stop. The schedule is set when the signal is handled, not when the control thread has published its view.

Ruled out: calls that arrive in the moment of the stop on kept connections (an idle connection is closed unread, one with a request counts as in progress).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod names;
 pub mod ownership;
 pub mod placement;
+pub mod planned_stop;
 pub mod pool;
 pub mod prompt_parts;
 pub mod quarantine;
--- a/relay/src/clock.rs
+++ b/relay/src/clock.rs
@@ -1,8 +1,9 @@
 //! The clock of a daemon.
 
-use magnoliawinch::time::Time;
+use magnoliawinch::time::{Millis, Time};
 use rustix::time::{ClockId, clock_gettime};
 use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 const NANOS_PER_MILLI: u64 = 1_000_000;
@@ -30,6 +31,11 @@
         Time(self.started_at.0 + uptime_ms().saturating_sub(self.uptime_at_start_ms))
     }
 
+    /// The time at `at`, which is not in the past.
+    pub(crate) fn time_of(&self, at: Instant) -> Time {
+        self.now() + Millis(at.saturating_duration_since(Instant::now()).as_millis() as u64)
+    }
+
     /// When the daemon started; also its incarnation.
     pub(crate) fn started_at(&self) -> Time {
         self.started_at
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -89,10 +89,7 @@
     ) -> Response<impl Body<Data = Bytes, Error = BoxError> + Send + 'static> {
         let in_progress = self.shared.track_request();
         let arrived_at = Instant::now();
-        // Closes the connection after a chunked body: the bytes after it could be parsed as another
-        // request.
         let is_chunked = req.headers().contains_key(TRANSFER_ENCODING);
-        let closes_connection = is_chunked || self.shared.view.load().is_leaving();
         let result = self.respond(arrived_at, req, Origin::Caller).await;
         let mut response = match result {
             Ok(CallerResponse::Buffered(buffered)) => {
@@ -111,7 +108,8 @@
             }
             Err(refusal) => refusal.response().map(Either::Left),
         };
-        if closes_connection || self.shared.view.load().is_leaving() {
+        // The bytes after a chunked body could be parsed as another request.
+        if is_chunked || self.shared.is_stopping() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         drop(in_progress);
@@ -207,14 +205,14 @@
         let route = table.route(&info.host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
         route_name.clone_from(&route.name);
         let organisation = authenticate(&table, route, &info)?;
-        if view.is_leaving() && route.delivery == Delivery::Stream {
-            return Err(Refusal::Leaving);
-        }
         if header_bytes(&parts.headers) > table.limits().header_bytes {
             return Err(Refusal::HeadersTooLarge);
         }
         let timeout = info.timeout.map_or(route.timeout, |requested| requested.min(route.timeout));
         let deadline = arrived_at + Duration::from(timeout);
+        if !self.shared.accepts(deadline) {
+            return Err(Refusal::Leaving);
+        }
         let share = self.shared.request_budget.share();
         let body = read_body(body, table.limits().body_bytes, share, deadline).await?;
         let service = route.destination(info.run.as_str()).ok_or(Refusal::NoRoute)?.clone();
--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -26,7 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// Messages that may be queued for the control thread.
 const CONTROL_QUEUE_LEN: usize = 4_096;
@@ -40,9 +40,6 @@
 /// Interval of checks for requests in progress while the daemon is leaving.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time before the kill at which the daemon stops, even with requests in progress.
-const KILL_MARGIN: Millis = Millis(500);
-
 /// How long a leaving daemon waits for callers with outdated addresses: some cache addresses for
 /// three times as long as allowed.
 const STALE_ADDRESS_PERIOD: Millis = Millis(3_000);
@@ -332,18 +329,18 @@
         self.stop.subscribe()
     }
 
-    /// Shuts down gracefully: announces that this daemon leaves, keeps serving requests, and
-    /// returns when none is in progress or the grace period is nearly over.
+    /// Shuts down gracefully: announces that this daemon leaves and serves the requests that are due
+    /// before its end. Returns when none is in progress or all answers are due.
     pub async fn leave(&self) {
-        let started_at = Instant::now();
+        let stop = self.shared.begin_stop();
+        let clock = self.shared.clock;
+        let min_drain_end = clock.now() + STALE_ADDRESS_PERIOD;
         log::info!(in_progress = self.shared.in_progress(); "daemon is leaving");
         if self.shared.control.send(Message::Leave).await.is_err() {
             log::error!("the control thread has ended");
         }
-        let max_drain = Duration::from(self.shared.settings.bounds.grace - KILL_MARGIN);
-        let min_drain = Duration::from(STALE_ADDRESS_PERIOD).min(max_drain);
-        while started_at.elapsed() < max_drain {
-            if started_at.elapsed() >= min_drain && self.shared.in_progress() == 0 {
+        while clock.now() < stop.answers_due() {
+            if clock.now() >= min_drain_end && self.shared.in_progress() == 0 {
                 break;
             }
             sleep(DRAIN_POLL_INTERVAL).await;
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -14,6 +14,7 @@
 use magnoliawinch::fatal_parts::Trials;
 use magnoliawinch::membership::Member;
 use magnoliawinch::names::ServiceName;
+use magnoliawinch::planned_stop::PlannedStop;
 use magnoliawinch::quarantine::{Completions, Fingerprint};
 use magnoliawinch::rendezvous;
 use magnoliawinch::retry::{RepeatCause, RepeatUses, SharedRetryBudget};
@@ -36,6 +37,7 @@
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use tonic::transport::Channel;
 
 /// Time after the last chunk for which a daemon waits for a transfer from a peer instead of reading
@@ -90,6 +92,8 @@
     /// Changes with the requests and parts of prompts that are refused, after the view.
     pub(crate) refusals_changed: watch::Sender<()>,
     requests: RequestCounter,
+    /// The planned stop, once it has begun.
+    planned_stop: watch::Sender<Option<PlannedStop>>,
     /// Polls and state requests without a reply.
     state_calls: RequestCounter,
     bodies: Mutex<ServedBodies>,
@@ -147,6 +151,7 @@
             paths_changed: watch::Sender::new(()),
             refusals_changed: watch::Sender::new(()),
             requests: RequestCounter::new(),
+            planned_stop: watch::Sender::new(None),
             state_calls: RequestCounter::new(),
             bodies: Mutex::default(),
             receives_until: AtomicU64::new(0),
@@ -420,6 +425,24 @@
         self.reads_configuration.load(Ordering::Acquire) && self.reads_list.load(Ordering::Acquire)
     }
 
+    /// Begins the planned stop.
+    pub(crate) fn begin_stop(&self) -> PlannedStop {
+        let stop = PlannedStop::new(self.clock.now(), self.settings.bounds.grace);
+        self.planned_stop.send_replace(Some(stop));
+        stop
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.planned_stop.borrow().is_some()
+    }
+
+    /// Whether a request that is due at `deadline` gets its answer before a planned stop that has begun.
+    pub(crate) fn accepts(&self, deadline: Instant) -> bool {
+        let stop = *self.planned_stop.borrow();
+        stop.is_none_or(|stop| stop.admits(self.clock.time_of(deadline)))
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.requests.in_progress()
--- a/relay/src/view.rs
+++ b/relay/src/view.rs
@@ -148,10 +148,6 @@
         self.table.is_some() && self.fleet.has_been_read() && self.own.state == MemberState::Alive
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.own.state == MemberState::Leaving
-    }
-
     /// Whether an upstream is in a failure domain that is evacuated.
     pub(crate) fn is_evacuated(&self, upstream: &UpstreamName) -> bool {
         if self.evacuated.is_empty() {
