Answer what waits or is being read before a planned stop

Callers whose requests a leaving daemon had accepted before the signal got no answer if it stopped first: the connection of a request whose body was still arriving was cut 7.8 s after SIGTERM, without the word that it had not run, and runs that waited for an engine were refused only at the stop, as the control thread ended under them.

Cause: the stop did nothing about requests that had been accepted with a deadline beyond it; they ended with the process.

Change: from the signal on, a request that may not be answered before the end is refused at once as not run while its body is read and while it waits for an engine, so that its caller can go elsewhere with its time. Any other one that still has no response when answers are due gets its final answer then: not run if it was never about to be sent to an upstream or another host, else a 502, which promises nothing.

Streams whose engine writes when the process ends are still cut: the grace period is shorter than they are.

--- a/relay/src/forward.rs
+++ b/relay/src/forward.rs
@@ -19,6 +19,7 @@
 use magnoliawinch_http::{BudgetShare, BufferedBody};
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -69,9 +70,16 @@
     pub(crate) deadline: Instant,
     /// What equal requests of one organisation share.
     pub(crate) fingerprint: Fingerprint,
+    /// Whether it may have been sent to an upstream or to another host.
+    pub(crate) may_be_sent: AtomicBool,
 }
 
 impl Forward {
+    /// Notes that the request is about to be sent.
+    pub(crate) fn note_sent(&self) {
+        self.may_be_sent.store(true, Ordering::Relaxed);
+    }
+
     /// Time left until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -19,6 +19,7 @@
 use magnoliawinch::route_table::{CallerLimits, Delivery, Organisation, Route, RouteTable};
 use magnoliawinch::time::Millis;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -134,7 +135,7 @@
         let mut route_name = String::new();
         let result = self.admit(arrived_at, info, parts, body, &mut route_name).await;
         let result = match result {
-            Ok(fwd) => self.serve(Arc::new(fwd), origin).await,
+            Ok(fwd) => self.serve_until_stop(Arc::new(fwd), origin).await,
             Err(refusal) => Err(refusal),
         };
         match &result {
@@ -214,7 +215,10 @@
             return Err(Refusal::Leaving);
         }
         let share = self.shared.request_budget.share();
-        let body = read_body(body, table.limits().body_bytes, share, deadline).await?;
+        let body = tokio::select! {
+            body = read_body(body, table.limits().body_bytes, share, deadline) => body?,
+            () = self.shared.outlives_daemon(deadline) => return Err(Refusal::Leaving),
+        };
         let service = route.destination(info.run.as_str()).ok_or(Refusal::NoRoute)?.clone();
         let is_pooled = table.service(service.as_str()).is_some_and(|s| s.engine.is_some());
         let (method, uri, headers) = forwarded_parts(parts);
@@ -233,6 +237,7 @@
             arrived_at,
             deadline,
             fingerprint,
+            may_be_sent: AtomicBool::new(false),
         };
         match self.quarantined(&fwd) {
             Some(quarantined) => Err(Refusal::Quarantined(quarantined)),
@@ -240,6 +245,21 @@
         }
     }
 
+    /// Serves a request; if its daemon stops before it is due, it gets its final answer then.
+    async fn serve_until_stop(
+        &self,
+        fwd: Arc<Forward>,
+        origin: Origin,
+    ) -> Result<CallerResponse<W>, Refusal> {
+        tokio::select! {
+            result = self.serve(Arc::clone(&fwd), origin) => result,
+            () = self.shared.answers_due() => Err(match fwd.may_be_sent.load(Ordering::Relaxed) {
+                true => Refusal::Lost("the daemon stops".to_owned()),
+                false => Refusal::Leaving,
+            }),
+        }
+    }
+
     /// Sends a request to an upstream of its service, or to a host that reaches one if this host does
     /// not.
     async fn serve(&self, fwd: Arc<Forward>, origin: Origin) -> Result<CallerResponse<W>, Refusal> {
@@ -254,7 +274,10 @@
             }
         }
         match origin {
-            Origin::Caller => self.carry(&fwd).await,
+            Origin::Caller => {
+                fwd.note_sent();
+                self.carry(&fwd).await
+            }
             Origin::Host { .. } => Err(Refusal::CutOff),
         }
     }
--- a/relay/src/outbound.rs
+++ b/relay/src/outbound.rs
@@ -166,7 +166,10 @@
                 self.note_withheld(fwd, &to.name, withheld);
                 Err(NotPermitted::Withheld(withheld))
             }
-            Ok(()) => Ok(SendPermit::new(&self.shared, fwd, to, false)),
+            Ok(()) => {
+                fwd.note_sent();
+                Ok(SendPermit::new(&self.shared, fwd, to, false))
+            }
         }
     }
 
--- a/relay/src/placement.rs
+++ b/relay/src/placement.rs
@@ -62,12 +62,24 @@
         millis_until(fwd.arrived_at + Duration::from(fwd.route.objective))
     }
 
-    /// Assigns a run to an engine other than those in `avoid`; repeats the request until the owner
-    /// has decided.
+    /// Assigns a run to an engine other than those in `avoid`, unless this daemon stops before the run
+    /// is due.
     pub(crate) async fn place(
         &self,
         fwd: &Forward,
         avoid: &[UpstreamName],
+    ) -> Result<Assignment, Refusal> {
+        tokio::select! {
+            assignment = self.place_when_decided(fwd, avoid) => assignment,
+            () = self.shared.outlives_daemon(fwd.deadline) => Err(Refusal::Leaving),
+        }
+    }
+
+    /// Repeats the request for an engine until the owner has decided.
+    async fn place_when_decided(
+        &self,
+        fwd: &Forward,
+        avoid: &[UpstreamName],
     ) -> Result<Assignment, Refusal> {
         // A run waits in the queue of one cell only.
         let cell = self.choose_cell();
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -31,13 +31,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use tonic::transport::Channel;
 
 /// Time after the last chunk for which a daemon waits for a transfer from a peer instead of reading
@@ -443,6 +444,37 @@
         stop.is_none_or(|stop| stop.admits(self.clock.time_of(deadline)))
     }
 
+    /// Completes when a planned stop has begun before whose end a request that is due at `deadline` may
+    /// get no answer.
+    pub(crate) async fn outlives_daemon(&self, deadline: Instant) {
+        let stop = self.stop_begins().await;
+        if stop.admits(self.clock.time_of(deadline)) {
+            pending::<()>().await;
+        }
+    }
+
+    /// Completes when a planned stop has begun and all answers are due.
+    pub(crate) async fn answers_due(&self) {
+        let stop = self.stop_begins().await;
+        loop {
+            let left = stop.answers_due().since(self.clock.now());
+            if left == Millis(0) {
+                return;
+            }
+            sleep(left.into()).await;
+        }
+    }
+
+    /// Completes when a planned stop begins, or has begun.
+    async fn stop_begins(&self) -> PlannedStop {
+        let mut stop = self.planned_stop.subscribe();
+        match stop.wait_for(Option::is_some).await.map(|stop| *stop) {
+            Ok(Some(stop)) => stop,
+            // The sender lives as long as `self`.
+            Ok(None) | Err(_) => pending().await,
+        }
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.requests.in_progress()
