Let callers read their answers until the end of a planned stop

Callers that read slowly got a part of an answer that was complete: 11.2 of 15 MB, cut 0.3 s after the daemon found nothing in progress.

Cause: a request counts as in progress until its response is built. When none was, the daemon stopped and gave open connections 300 ms, though the kill was up to 5 s away.

--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -330,8 +330,9 @@
     }
 
     /// Shuts down gracefully: announces that this daemon leaves and serves the requests that are due
-    /// before its end. Returns when none is in progress or all answers are due.
-    pub async fn leave(&self) {
+    /// before its end. Returns when none is in progress or all answers are due, with the time that is
+    /// left for callers to read their answers.
+    pub async fn leave(&self) -> Duration {
         let stop = self.shared.begin_stop();
         let clock = self.shared.clock;
         let min_drain_end = clock.now() + STALE_ADDRESS_PERIOD;
@@ -348,6 +349,7 @@
         log::info!(in_progress = self.shared.in_progress(); "daemon stops");
         // Fails only if there are no receivers left to notify.
         let _ = self.stop.send(true);
+        stop.ends_at().since(clock.now()).into()
     }
 }
 
