Log requests that end without an answer

What ended a request without an answer could not be told by the logs: whether it was being read, waited or had been sent, and whether its caller had left or the daemon stopped.

--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -131,13 +131,18 @@
         let info = self.parse(&parts, origin);
         let info = info.inspect_err(|refusal| self.note_refusal("", "", arrived_at, refusal))?;
         let run = info.run.clone();
-        let waiting = WaitingRequest { shared: &self.shared, run: &run };
+        let mut waiting = WaitingRequest::new(&self.shared, &run);
         let mut route_name = String::new();
         let result = self.admit(arrived_at, info, parts, body, &mut route_name).await;
         let result = match result {
-            Ok(fwd) => self.serve_until_stop(Arc::new(fwd), origin).await,
+            Ok(fwd) => {
+                let fwd = Arc::new(fwd);
+                waiting.fwd = Some(Arc::clone(&fwd));
+                self.serve_until_stop(fwd, origin).await
+            }
             Err(refusal) => Err(refusal),
         };
+        waiting.end = WaitEnd::Answered;
         match &result {
             Ok(CallerResponse::Buffered(buffered)) => {
                 self.shared.metrics.time("answer", &route_name, arrived_at.elapsed());
@@ -152,8 +157,7 @@
                 }
             }
             Ok(CallerResponse::Stream(..) | CallerResponse::Carried(..)) => {
-                // The stream takes over.
-                std::mem::forget(waiting);
+                waiting.end = WaitEnd::Streaming;
                 self.shared.metrics.time("stream_head", &route_name, arrived_at.elapsed());
             }
             Err(refusal) => self.note_refusal(run.as_str(), &route_name, arrived_at, refusal),
@@ -334,10 +338,55 @@
 struct WaitingRequest<'a> {
     shared: &'a Shared,
     run: &'a RunId,
+    arrived_at: Instant,
+    /// `None` until the request has been read.
+    fwd: Option<Arc<Forward>>,
+    end: WaitEnd,
+}
+
+/// How the wait for a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitEnd {
+    /// The connection has ended or the daemon stops.
+    Dropped,
+    Answered,
+    /// The stream takes over.
+    Streaming,
+}
+
+impl<'a> WaitingRequest<'a> {
+    fn new(shared: &'a Shared, run: &'a RunId) -> Self {
+        Self { shared, run, arrived_at: Instant::now(), fwd: None, end: WaitEnd::Dropped }
+    }
+
+    /// Notes that the request ends without an answer.
+    fn note_dropped(&self) {
+        let state = match &self.fwd {
+            None => "reading",
+            Some(fwd) if fwd.may_be_sent.load(Ordering::Relaxed) => "sent",
+            Some(_) => "waiting",
+        };
+        self.shared.metrics.count("dropped", state);
+        if self.shared.log_limiter.admits(self.shared.clock.now()) {
+            log::info!(
+                request = self.run.as_str(),
+                kind = self.fwd.as_ref().map_or("", |fwd| fwd.route.name.as_str()),
+                state,
+                elapsed_ms = self.arrived_at.elapsed().as_millis() as u64,
+                is_stopping = self.shared.is_stopping();
+                "request dropped without an answer"
+            );
+        }
+    }
 }
 
 impl Drop for WaitingRequest<'_> {
     fn drop(&mut self) {
+        match self.end {
+            WaitEnd::Dropped => self.note_dropped(),
+            WaitEnd::Answered => {}
+            WaitEnd::Streaming => return,
+        }
         self.shared.run_starts().dropped(self.shared.clock.now(), self.run);
     }
 }
--- a/relay/src/shared.rs
+++ b/relay/src/shared.rs
@@ -438,6 +438,12 @@
         self.planned_stop.borrow().is_some()
     }
 
+    /// Whether a planned stop has got to the time at which all answers are due.
+    pub(crate) fn are_answers_due(&self) -> bool {
+        let stop = *self.planned_stop.borrow();
+        stop.is_some_and(|stop| stop.answers_due() <= self.clock.now())
+    }
+
     /// Whether a request that is due at `deadline` gets its answer before a planned stop that has begun.
     pub(crate) fn accepts(&self, deadline: Instant) -> bool {
         let stop = *self.planned_stop.borrow();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -415,7 +415,9 @@
 
 impl<W: Wire> Drop for EventStream<W> {
     fn drop(&mut self) {
-        let outcome = self.outcome.unwrap_or("caller_left");
+        let ends_with_daemon = self.handler.shared.are_answers_due();
+        let outcome =
+            self.outcome.unwrap_or(if ends_with_daemon { "daemon_stopped" } else { "caller_left" });
         let (now, run) = (self.now(), &self.fwd.info.run);
         let mut starts = self.handler.shared.run_starts();
         if outcome == "complete" {
