Await late calls that may be repeated instead of giving them up after 350 ms

Callers of calls that may be repeated saw 502 after 351 ms with 650 ms of their second left, though a server was at work, or an answer of a second server that began anew although the first was nearly done.

Cause: RETRYABLE_ATTEMPT_TIMEOUT ended the attempt, body included, before it was known whether a second server might be asked. Without one, or without a retry in the budget, nothing was left to wait for.

Now silence ends no attempt; the caller's deadline does. attempt_unless_late asks a further server when a response is late: by the model of its server as before, or 350 ms after it was sent plus the 30 ms in which it is learned whether the server has ended, on any server. That spends a retry (the same part of the budget as the retry after the timeout did) and counts against the route's limit of attempts. It also asks one at once when one of several attempts fails. The first success is the answer and all others are dropped, as they are when the caller leaves. At 350 ms the server counts as failing in the balancer and is examined, as after the timeout.

platform/tests/late_calls.rs: four of its eight tests failed before: - no other server: 502 after 351 ms (left: 502, right: 200) - retry budget spent: "r3 after 353.722305ms", 502 - two late servers: answer of the second "after 954.514181ms" - a body that arrives slowly: (502, "lost") after 357 ms The other four hold on both and guard what the timeout was for: a silent first server, a late one that fails, later calls that avoid a silent server, and a caller who leaves.

Costs: no further requests to servers (the second attempt was made before, too), but where the first attempt would have been cut, two servers now work on the call until the first answer. A second server is asked up to 30 ms later if the examination was quicker. Reports of silent servers leave at 350 ms instead of 300 ms where no second server was asked.

--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -300,6 +300,12 @@
         server.model.record_load(now, load)
     }
 
+    /// Records that a response is late. That counts as a failure, also if the call is withdrawn before
+    /// its end.
+    pub fn note_late(&mut self, now: Time, name: &UpstreamName) {
+        self.server(now, name).failures.note_failure(now);
+    }
+
     /// Records that another server responded to a request first, `waited` after it was sent to this one.
     pub fn overtaken(&mut self, now: Time, name: &UpstreamName, waited: Millis) {
         self.server(now, name).model.given_up(now, waited);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -25,16 +25,12 @@
 /// Largest response body that is accepted, in bytes; typical ones are a few kilobytes.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 16_777_216;
 
-/// Timeout of an attempt that may be retried; the longest processing time that users specify is
-/// 220 ms.
-const RETRYABLE_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(350);
-
 /// Remaining time below which no attempt is started.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(8);
+pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(8);
 
 /// Time for which a retry waits to learn whether the server before has ended under the request: some
 /// round trips to a server and to the control thread.
-const CRASH_CHECK_PATIENCE: Duration = Duration::from_millis(30);
+pub(crate) const CRASH_CHECK_PATIENCE: Duration = Duration::from_millis(30);
 
 /// Time since its arrival for which a request waits until this host's part of the room of a brittle
 /// server is free; the work of a call takes 30 ms in the mean.
@@ -84,6 +80,17 @@
         matches!(self, Self::Responded(response) if !response.is_failure())
     }
 
+    /// Why the request is sent again after a failed attempt; `None` if it did not reach an upstream.
+    pub(crate) fn repeat_cause(&self) -> Option<RepeatCause> {
+        match self {
+            Self::Responded(_) => Some(RepeatCause::Error),
+            Self::NotRun { reached_upstream: false } => None,
+            Self::NotRun { reached_upstream: true } | Self::MayHaveRun { .. } => {
+                Some(RepeatCause::NoResponse)
+            }
+        }
+    }
+
     fn invalid(cause: String) -> Self {
         Self::MayHaveRun { cause, is_lost: false }
     }
@@ -155,16 +162,20 @@
             if retry_cause.is_some_and(|cause| !self.spend_retry(fwd, &chosen, cause)) {
                 break;
             }
-            let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
-            let attempts = self.attempt_unless_late(fwd, chosen, may_retry, &tried).await;
+            let max_runs = if idempotent { fwd.route.max_upstreams - runs } else { 1 };
+            let result = self.attempt_unless_late(fwd, chosen, max_runs, &tried).await;
             if let Some(cause) = retry_cause {
-                let has_helped = attempts.iter().any(|(_, attempt)| attempt.is_success());
-                self.shared.note_repeat(&fwd.service, cause, has_helped);
+                self.shared.note_repeat(&fwd.service, cause, result.is_ok());
             }
-            for (name, attempt) in attempts {
+            let failed = match result {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
+            for (name, attempt) in failed {
                 let may_retry = idempotent && runs + 1 < fwd.route.max_upstreams;
+                retry_cause = attempt.repeat_cause();
                 match attempt {
-                    Attempt::Responded(response) if response.is_failure() => {
+                    Attempt::Responded(response) => {
                         if error_response.is_some()
                             && let Some(first) = tried.last()
                         {
@@ -179,16 +190,13 @@
                         let status = response.status.as_str();
                         self.note_failed_attempt(fwd, &name, status, Verdict::Ran);
                         error_response = Some(response);
-                        retry_cause = Some(RepeatCause::Error);
                     }
-                    Attempt::Responded(response) => return Ok(response),
-                    Attempt::NotRun { reached_upstream } => {
+                    Attempt::NotRun { .. } => {
                         attempts_not_run += 1;
                         let is_cut_off = self.shared.is_cut_off(&fwd.service);
                         if attempts_not_run >= MAX_ATTEMPTS_NOT_RUN || is_cut_off {
                             break 'attempts;
                         }
-                        retry_cause = reached_upstream.then_some(RepeatCause::NoResponse);
                     }
                     Attempt::MayHaveRun { cause, .. } => {
                         verdict = verdict.combine(Verdict::MayHaveRun);
@@ -197,7 +205,6 @@
                         if !may_retry {
                             break 'attempts;
                         }
-                        retry_cause = Some(RepeatCause::NoResponse);
                     }
                 }
                 tried.push(name);
@@ -242,7 +249,13 @@
         Some(ChosenServer { server, late_after: choice.late_after })
     }
 
-    fn spend_retry(&self, fwd: &Forward, chosen: &ChosenServer, cause: RepeatCause) -> bool {
+    /// Spends one retry for a call; returns whether the budget allows it.
+    pub(crate) fn spend_retry(
+        &self,
+        fwd: &Forward,
+        chosen: &ChosenServer,
+        cause: RepeatCause,
+    ) -> bool {
         match chosen.late_after {
             Some(_) => self.shared.spend_repeat(&fwd.service, cause),
             None => self.shared.spend_retry(&fwd.service),
@@ -267,10 +280,8 @@
             resume: None,
         };
         let req = fwd.request(&*self.wire, &out);
-        let timeout = match may_retry {
-            true => fwd.remaining().min(RETRYABLE_ATTEMPT_TIMEOUT),
-            false => fwd.remaining(),
-        };
+        // Silence alone does not end an attempt.
+        let timeout = fwd.remaining();
         // A reused connection may have gone silent or carry a stray response. That costs an
         // idempotent request a retry, but any other request its only attempt.
         let reuse = match fwd.route.delivery {
