Count a carried request as in progress until its reply is taken

What callers saw: an answer lost (502, "lost") at a host that was not stopped. It had the request carried to a host with a planned stop, whose process ended 3 s after SIGTERM while up to four parts of the reply, 256 KB, were still queued for the other host.

Cause: the request counted from the moment the handler took it until the last part was queued, not until it was taken. `Node::leave` found nothing in progress and stopped.

Why this works: the guard is part of the reply, which the gRPC server drops once it has taken the last part or the other host has gone. It is taken before the daemon says that it is there, so the time until the request arrives (1 s at most) and that in the queue count as well.

Ruled out: that this time, before the request counted, could be the cause of a loss. After the notice a daemon takes no carried requests, those before it arrive within 1 s, and the daemon serves for 3 s at least, or until the end of the drain.

--- a/relay/src/carry/receive.rs
+++ b/relay/src/carry/receive.rs
@@ -14,6 +14,7 @@
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_peer::{CarriedHead, CarriedPart, CarriedRequest, CarriedResume};
+use magnoliawinch_runtime::InProgressGuard;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -35,17 +36,20 @@
     pub(crate) parts: mpsc::Sender<CarriedPart>,
 }
 
-/// The parts of a reply.
+/// The parts of a reply. The request is in progress until the last one has been taken.
 #[derive(Debug)]
-pub(crate) struct CarriedParts(mpsc::Receiver<CarriedPart>);
+pub(crate) struct CarriedParts {
+    parts: mpsc::Receiver<CarriedPart>,
+    _in_progress: InProgressGuard,
+}
 
 impl CarriedParts {
     /// A reply that begins with the word that this host is there.
-    pub(crate) fn new() -> (mpsc::Sender<CarriedPart>, Self) {
-        let (tx, rx) = mpsc::channel(PART_QUEUE_LEN);
+    pub(crate) fn new(in_progress: InProgressGuard) -> (mpsc::Sender<CarriedPart>, Self) {
+        let (tx, parts) = mpsc::channel(PART_QUEUE_LEN);
         // The queue is empty.
         let _ = tx.try_send(CarriedPart::default());
-        (tx, Self(rx))
+        (tx, Self { parts, _in_progress: in_progress })
     }
 }
 
@@ -53,7 +57,7 @@
     type Item = Result<CarriedPart, Status>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx).map(|part| part.map(Ok))
+        self.parts.poll_recv(cx).map(|part| part.map(Ok))
     }
 }
 
@@ -77,7 +81,6 @@
         while let Some(call) = calls.recv().await {
             let handler = self.clone();
             self.shared.traffic.spawn(async move {
-                let _in_progress = handler.shared.track_request();
                 let parts = call.parts.clone();
                 tokio::select! {
                     sent = handler.reply(call) => if sent.is_err() {
--- a/relay/src/peer_server.rs
+++ b/relay/src/peer_server.rs
@@ -74,10 +74,12 @@
         &self,
         req: Request<Streaming<CarriedRequest>>,
     ) -> Result<Response<CarriedParts>, Status> {
+        // From before the other host may send a request, which arrives later.
+        let in_progress = self.shared.track_request();
         if !self.shared.view.load().is_ready() {
             return Err(Status::unavailable("the daemon takes no requests"));
         }
-        let (parts, reply) = CarriedParts::new();
+        let (parts, reply) = CarriedParts::new(in_progress);
         let (carried, mut requests) = (self.shared.carried.clone(), req.into_inner());
         self.shared.traffic.spawn(async move {
             let request = timeout(CARRIED_REQUEST_TIMEOUT, requests.message()).await;
