Wait for the peers' server when a daemon stops

What callers saw: a stream cut, or 502 ("lost"), from a host that was not stopped, for what the stopped host would still have finished for a caller of its own: it came after the end of the drain and before the end of the time that the callers' server has.

Cause: the task of the peers' server was not kept. With no connections of callers left the process ended at once, with all replies to other hosts that had not been sent.

Why this works: the peers' server ends when its calls have ended, and the daemon waits for it as it does for the callers' server, at the same time and for no longer.

--- a/relay/src/node.rs
+++ b/relay/src/node.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// Messages that may be queued for the control thread.
@@ -92,6 +93,8 @@
 pub struct Node {
     shared: Arc<Shared>,
     stop: watch::Sender<bool>,
+    /// Ends once the daemon stops and replies to other hosts have been sent.
+    peer_server: JoinHandle<()>,
     /// Taken by the first handler.
     carried: Mutex<Option<mpsc::Receiver<CarriedCall>>>,
 }
@@ -292,7 +295,7 @@
         let (stop, stopped) = watch::channel(false);
         let control = Control::new(Arc::clone(&shared), own);
         start_control(control, control_rx, stopped.clone()).map_err(StartError::Control)?;
-        tokio::spawn(serve_peers(Arc::clone(&shared), peers, stopped));
+        let peer_server = tokio::spawn(serve_peers(Arc::clone(&shared), peers, stopped));
         tokio::spawn(probe_seeds_periodically(Arc::clone(&shared)));
         log::info!(
             host = shared.settings.host.as_str(),
@@ -300,7 +303,7 @@
             incarnation = shared.clock.started_at().0;
             "daemon started"
         );
-        Ok(Self { shared, stop, carried: Mutex::new(Some(carried_rx)) })
+        Ok(Self { shared, stop, peer_server, carried: Mutex::new(Some(carried_rx)) })
     }
 
     /// Faults on this daemon's paths to upstreams, for tests.
@@ -329,6 +332,13 @@
         self.stop.subscribe()
     }
 
+    /// Waits until replies to other hosts have been sent, once the daemon stops.
+    pub async fn replies_sent(&mut self) {
+        if let Err(e) = (&mut self.peer_server).await {
+            log::error!("the server for peers failed: {e}");
+        }
+    }
+
     /// Shuts down gracefully: announces that this daemon leaves and serves the requests that are due
     /// before its end. Returns when none is in progress or all answers are due.
     pub async fn leave(&self) {
