Move runs off a host that passes them on and is leaving

What callers saw: a stream cut midway at a host that was not stopped. Its run had gone on by way of another host after the path to the engine was lost for a moment; that path was sound again, and the other host had a planned stop.

Cause: the run stays with the host that passes it on until its end. A host that is leaving serves on and then cuts what it passes on, and the holder of the run, which could have moved it, does not hear of the stop.

Once the holder reaches the service, it asks the owner for another engine and handles that like an order to move the run. Copy, final copy and continuing are those of any move, so no two engines work on the run; an attempt that fails is repeated after 400 ms while the host lasts.

Why the owner's figures hold: it takes the run for placed at the target until the holder's next report, which has it at its engine, and again at the target when it has moved.

Ruled out: taking the end of the host for a broken body and continuing then, as the copy of the run has been used and its engine stops when the connection closes.

--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -67,6 +67,7 @@
     parts: Streaming<CarriedPart>,
     is_over: bool,
     has_marked_end: bool,
+    is_host_leaving: bool,
     _in_progress: InProgressGuard,
 }
 
@@ -86,7 +87,10 @@
                 (self.is_over, self.has_marked_end) = (true, part.is_marked_end);
                 None
             }
-            Ok(Some(part)) => Some(Ok(part.data)),
+            Ok(Some(part)) => {
+                self.is_host_leaving |= part.is_leaving;
+                Some(Ok(part.data))
+            }
             Ok(None) | Err(_) => {
                 self.is_over = true;
                 Some(Err(StreamCut))
@@ -101,6 +105,11 @@
     pub(crate) fn has_marked_end(&self) -> bool {
         self.has_marked_end
     }
+
+    /// Whether the host that passes the stream on is leaving.
+    pub(crate) fn is_host_leaving(&self) -> bool {
+        self.is_host_leaving
+    }
 }
 
 impl Shared {
@@ -224,6 +233,7 @@
             parts,
             is_over: false,
             has_marked_end: false,
+            is_host_leaving: false,
             _in_progress: self.shared.track_request(),
         }
     }
--- a/relay/src/carry/receive.rs
+++ b/relay/src/carry/receive.rs
@@ -167,7 +167,8 @@
             let Ok(data) = chunk else {
                 return Ok(());
             };
-            send(parts, CarriedPart { data, ..CarriedPart::default() }).await?;
+            let is_leaving = self.shared.is_stopping();
+            send(parts, CarriedPart { data, is_leaving, ..CarriedPart::default() }).await?;
         }
         let is_marked_end = body.has_marked_end();
         if is_marked_end || self.has_closed_whole_body(&fwd, to).await {
--- a/relay/src/run_body.rs
+++ b/relay/src/run_body.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Whether the stream comes by way of a host that is leaving.
+    pub(crate) fn is_host_leaving(&self) -> bool {
+        match self {
+            Self::Carried(stream) => stream.is_host_leaving(),
+            Self::Direct { .. } | Self::Closed => false,
+        }
+    }
+
     /// Whether the engine marked the end that was read. Otherwise it closed the connection.
     pub(crate) fn has_marked_end(&self) -> bool {
         match self {
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -2,6 +2,7 @@
 
 use super::EventStream;
 use crate::control::Message;
+use crate::refusal::Refusal;
 use crate::relocate::{CopyError, ResumeAttempt, ResumeError, resume_timeout};
 use crate::run_body::RunBody;
 use crate::runs::{Assignment, Endpoint, MoveOrder};
@@ -9,6 +10,7 @@
 use magnoliawinch::handover::{
     Action, BodyEnd, CopyOutcome, CutCause, KeptCopy, ReclaimOutcome, ResumeOutcome, ResumePoint,
 };
+use magnoliawinch::pool::MoveMethod;
 use magnoliawinch::time::Time;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
@@ -16,6 +18,9 @@
 use tokio::task::{JoinError, JoinHandle};
 use tokio::time::Instant;
 
+/// Time between two attempts to have a run moved that comes by way of a host that is leaving.
+const HOST_LEAVING_RETRY: Duration = Duration::from_millis(400);
+
 type CopyResult = Result<RunCopy, CopyError>;
 
 /// How a stream ends.
@@ -31,6 +36,7 @@
     Resume(Result<ResumeAttempt, JoinError>),
     Reclaim(Result<ReclaimOutcome, JoinError>),
     Check(Result<bool, JoinError>),
+    Placement(Result<Result<Endpoint, Refusal>, JoinError>),
 }
 
 /// A step in progress, which is cancelled when dropped.
@@ -61,6 +67,9 @@
     resume_target: Option<Endpoint>,
     reclaim: Option<Task<ReclaimOutcome>>,
     check: Option<Task<bool>>,
+    /// Asks for an engine for a run that has to reach this host in another way.
+    placement: Option<Task<Result<Endpoint, Refusal>>>,
+    placed_at: Option<Instant>,
 }
 
 impl MoveTasks {
@@ -71,6 +80,7 @@
             result = finish(&mut self.resume) => TaskResult::Resume(result),
             result = finish(&mut self.reclaim) => TaskResult::Reclaim(result),
             result = finish(&mut self.check) => TaskResult::Check(result),
+            result = finish(&mut self.placement) => TaskResult::Placement(result),
         }
     }
 }
@@ -102,9 +112,51 @@
         if self.handover.copying().is_none() {
             self.tasks.copy = None;
         }
+        self.leave_host();
         None
     }
 
+    /// Has a run moved that comes by way of a host that is leaving, once this host reaches its service
+    /// again.
+    fn leave_host(&mut self) {
+        let is_due = self.tasks.placed_at.is_none_or(|at| at.elapsed() >= HOST_LEAVING_RETRY);
+        if !self.body.is_host_leaving()
+            || !is_due
+            || self.tasks.placement.is_some()
+            || !self.handover.accepts_orders()
+            || self.handler.shared.is_served_elsewhere(&self.fwd.service)
+        {
+            return;
+        }
+        let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+        let avoid = [self.handover.source().name.clone()];
+        let place = async move { handler.place(&fwd, &avoid).await.map(|placed| placed.engine) };
+        self.tasks.placement = Some(Task::new(self.handler.shared.traffic.spawn(place)));
+        self.tasks.placed_at = Some(Instant::now());
+    }
+
+    fn handle_placement(&mut self, result: Result<Result<Endpoint, Refusal>, JoinError>) {
+        let problem = match result {
+            Ok(Ok(to)) => {
+                log::info!(
+                    request = self.fwd.info.run.as_str(),
+                    from = self.handover.source().name.as_str(),
+                    to = to.name.as_str();
+                    "run moves, as the host that passes it on is leaving"
+                );
+                let from = self.handover.source().name.clone();
+                return self.handle_order(MoveOrder { from, to, way: MoveMethod::Copy });
+            }
+            Ok(Err(refusal)) => <&str>::from(&refusal).to_owned(),
+            Err(e) => e.to_string(),
+        };
+        log::info!(
+            request = self.fwd.info.run.as_str(),
+            problem;
+            "no engine for a run whose host is leaving"
+        );
+    }
+
     /// Hands an ordered move on unless its target wants no requests.
     pub(super) fn handle_order(&mut self, order: MoveOrder) {
         if self.handler.withheld(&self.fwd, &order.to.name, order.to.born).is_some() {
@@ -199,6 +251,10 @@
                 }
                 self.handover.on_check(self.now(), is_alive);
             }
+            TaskResult::Placement(result) => {
+                self.tasks.placement = None;
+                self.handle_placement(result);
+            }
         }
     }
 
@@ -292,6 +348,7 @@
         self.events.discard_partial_event();
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
         (self.tasks.copy, self.tasks.check, self.tasks.reclaim) = (None, None, None);
+        self.tasks.placement = None;
         let backup = self.handover.backup().cloned();
         self.run.set_assignment(Assignment::new(to, backup));
     }
