Server: notice a stop while the connection limit is reached

Callers saw kept connections that stayed open after the stop, and the process hung: the accept loop waited for a permit before it looked at `shutdown`, so with `max_connections` open connections (idle ones of callers that keep them) a stop was noticed only when one of them ended.

Evidence: `http/tests/server_stop.rs`, a_server_at_its_connection_limit_stops, failed before with "left: Err(WouldBlock), right: Ok(0)": the kept connection was not closed within 5 s of the stop.

The wait for a permit and the accept are now one future, which the stop cancels. Dropping it returns the permit; `accept` loses no connection when cancelled.

idle_connections_are_closed_at_once passed before, too: it holds that callers that do not close their idle connections do not hold up the stop.

--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -15,8 +15,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// A streamed body was aborted before its end.
 #[derive(Clone, Copy, Debug, Error)]
@@ -100,13 +100,10 @@
     let permits = Arc::new(Semaphore::new(max_connections));
     let graceful = GracefulShutdown::new();
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            break;
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => continue,
+        let (stream, permit) = tokio::select! {
+            accepted = accept(&listener, &permits) => match accepted {
+                Some(accepted) => accepted,
+                None => continue,
             },
             _ = shutdown.wait_for(|stop| *stop) => break,
         };
@@ -128,6 +125,16 @@
     graceful.shutdown().await;
 }
 
+/// Accepts a connection as soon as there may be one more.
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    let (stream, _) = listener.accept().await.ok()?;
+    Some((stream, permit))
+}
+
 fn builder(limits: ServerLimits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
