Server: let refusals reach callers that still send their bodies

Callers that stop at the first failed write never see the refusal.

The stream that hyper writes to now closes in two steps: it ends its own side and discards what arrives until the caller ends its side, for at most 2 s and 8 MiB. A connection that was idle when the server stopped is closed without that wait, as its caller awaits nothing. For that, a connection knows whether a request is in progress: until its response's body has been written to the connection's buffer. It takes the place of hyper-util's GracefulShutdown, which has no such notion.

--- /dev/null
+++ b/http/src/caller_stream.rs
@@ -0,0 +1,150 @@
+//! A caller's connection, closed so that the caller can read the last response.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// Time for which data of the caller is read and discarded before the connection is closed.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum data that is discarded before the connection is closed, in bytes.
+const MAX_DRAIN_BYTES: usize = 8_388_608;
+
+/// Size of the buffer for discarded data, in bytes.
+const DRAIN_BUF_BYTES: usize = 8_192;
+
+/// What a connection's server and its [`CallerStream`] tell each other.
+#[derive(Debug, Default)]
+pub(crate) struct Activity {
+    /// Whether a request is handled or its response is not yet written to the connection's buffer.
+    in_progress: AtomicBool,
+    /// Whether the connection is being closed.
+    closing: AtomicBool,
+    /// Whether the connection was idle when the server stopped, so that its caller awaits nothing.
+    closed_idle: AtomicBool,
+}
+
+impl Activity {
+    /// Marks a request as in progress until the returned guard is dropped.
+    pub(crate) fn start_request(self: &Arc<Self>) -> ActivityGuard {
+        self.in_progress.store(true, Ordering::Relaxed);
+        ActivityGuard { activity: Arc::clone(self) }
+    }
+
+    /// Called when the server stops.
+    pub(crate) fn stop(&self) {
+        let is_idle =
+            !self.in_progress.load(Ordering::Relaxed) && !self.closing.load(Ordering::Relaxed);
+        self.closed_idle.store(is_idle, Ordering::Relaxed);
+    }
+}
+
+/// Marks a request as in progress until dropped.
+#[derive(Debug)]
+pub(crate) struct ActivityGuard {
+    activity: Arc<Activity>,
+}
+
+impl Drop for ActivityGuard {
+    fn drop(&mut self) {
+        self.activity.in_progress.store(false, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose shutdown waits until the caller has closed it, too, and discards what the caller
+/// sends meanwhile. Closing with unread data resets a connection, and the caller may then lose the
+/// response.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    /// Whether the caller has closed its side.
+    read_eof: bool,
+    drain: Option<Drain>,
+}
+
+/// Progress of discarding data before the close.
+#[derive(Debug)]
+struct Drain {
+    timeout: Pin<Box<Sleep>>,
+    bytes: usize,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        Self { stream, activity, read_eof: false, drain: None }
+    }
+
+    /// Discards data until the caller closes its side or a limit is reached.
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let drain = self
+            .drain
+            .get_or_insert_with(|| Drain { timeout: Box::pin(sleep(DRAIN_TIMEOUT)), bytes: 0 });
+        let mut data = [0; DRAIN_BUF_BYTES];
+        while !self.read_eof && drain.bytes < MAX_DRAIN_BYTES {
+            let mut buf = ReadBuf::new(&mut data);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if buf.filled().is_empty() => self.read_eof = true,
+                Poll::Ready(Ok(())) => drain.bytes += buf.filled().len(),
+                Poll::Ready(Err(_)) => return Poll::Ready(()),
+                Poll::Pending if self.activity.closed_idle.load(Ordering::Relaxed) => {
+                    return Poll::Ready(());
+                }
+                Poll::Pending => return drain.timeout.as_mut().poll(cx),
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.read_eof |= buf.filled().len() == filled;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.closing.store(true, Ordering::Relaxed);
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        self.poll_drain(cx).map(Ok)
+    }
+}
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! server with limits.
 
 pub mod body_budget;
+mod caller_stream;
 pub mod client;
 pub mod lines;
 pub mod path_faults;
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -1,17 +1,18 @@
 //! HTTP server with limits on connections, header size and header time.
 
+use crate::caller_stream::{Activity, CallerStream};
 use bytes::Bytes;
 use http_body_util::channel::Channel;
-use http_body_util::{Either, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
@@ -98,7 +99,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let permits = Arc::new(Semaphore::new(max_connections));
-    let graceful = GracefulShutdown::new();
+    let (stop, _) = watch::channel(false);
     loop {
         let (stream, permit) = tokio::select! {
             accepted = accept(&listener, &permits) => match accepted {
@@ -107,22 +108,58 @@
             },
             _ = shutdown.wait_for(|stop| *stop) => break,
         };
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |req| {
-            let response = handler(req);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let connection = builder(limits()).serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
+        let connection = serve_connection(stream, limits(), stop.subscribe(), handler.clone());
         tokio::spawn(async move {
-            // A client that breaks its own connection is not an error of this server.
-            let _ = connection.await;
+            connection.await;
             drop(permit);
         });
     }
     drop(listener);
-    graceful.shutdown().await;
+    let _ = stop.send(true);
+    // Each connection holds a receiver.
+    stop.closed().await;
+}
+
+/// Serves one connection until it is closed, or until its request in progress has ended after
+/// `stopped` turned true.
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    mut stopped: Shutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let activity = Arc::new(Activity::default());
+    let service_activity = Arc::clone(&activity);
+    let service = service_fn(move |req| {
+        let in_progress = service_activity.start_request();
+        let response = handler(req);
+        async move {
+            // The body holds the guard until it has been written or dropped.
+            let hold_guard = |body: B| {
+                body.map_err(move |e| {
+                    let _ = &in_progress;
+                    e
+                })
+            };
+            Ok::<_, Infallible>(response.await.map(hold_guard))
+        }
+    });
+    let io = TokioIo::new(CallerStream::new(stream, Arc::clone(&activity)));
+    let mut connection = pin!(builder(limits).serve_connection(io, service));
+    tokio::select! {
+        // A client that breaks its own connection is not an error of this server.
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+    activity.stop();
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// Accepts a connection as soon as there may be one more.
