Server: answer requests that have arrived on kept connections when it stops

Callers with a kept connection lost requests that were in the socket when the server stopped: the connection ended without an answer, and a caller cannot know that the request did not run. hyper closes a kept connection that has no whole head parsed; data in the socket was not read, and a head of which a part was read was dropped. On a first request, though, a part of a head held up the stop for the header timeout.

Evidence: `http/tests/server_stop.rs` failed before: a_request_that_arrived_on_a_kept_connection_is_answered and a_request_of_which_a_part_was_read_is_answered with "the connection ended after []", a_request_that_is_never_complete_does_not_hold_up_the_stop with "the server stops: Elapsed(())" (2 s).

At the stop, each connection first reads what has arrived, straight from the socket, as the runtime may not know yet that it is readable. A request that is whole is run and answered with "connection: close".

--- a/http/src/caller_stream.rs
+++ b/http/src/caller_stream.rs
@@ -1,7 +1,8 @@
 //! A caller's connection, closed so that the caller can read the last response.
 
+use socket2::SockRef;
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +26,10 @@
 pub(crate) struct Activity {
     /// Whether a request is handled or its response is not yet written to the connection's buffer.
     in_progress: AtomicBool,
+    /// Whether bytes were read since the last request started.
+    has_read: AtomicBool,
+    /// Whether the server stops.
+    stopping: AtomicBool,
     /// Whether the connection is being closed.
     closing: AtomicBool,
     /// Whether the connection was idle when the server stopped, so that its caller awaits nothing.
@@ -35,14 +40,27 @@
     /// Marks a request as in progress until the returned guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> ActivityGuard {
         self.in_progress.store(true, Ordering::Relaxed);
+        self.has_read.store(false, Ordering::Relaxed);
         ActivityGuard { activity: Arc::clone(self) }
     }
 
-    /// Called when the server stops.
+    /// From now on, reads return all that has arrived.
     pub(crate) fn stop(&self) {
-        let is_idle =
-            !self.in_progress.load(Ordering::Relaxed) && !self.closing.load(Ordering::Relaxed);
-        self.closed_idle.store(is_idle, Ordering::Relaxed);
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a part of a request's head has been read.
+    pub(crate) fn is_reading_head(&self) -> bool {
+        self.has_read.load(Ordering::Relaxed) && !self.is_busy()
+    }
+
+    /// If the connection is idle, it is closed without waiting for its caller.
+    pub(crate) fn close_if_idle(&self) {
+        self.closed_idle.store(!self.is_busy(), Ordering::Relaxed);
+    }
+
+    fn is_busy(&self) -> bool {
+        self.in_progress.load(Ordering::Relaxed) || self.closing.load(Ordering::Relaxed)
     }
 }
 
@@ -54,6 +72,8 @@
 
 impl Drop for ActivityGuard {
     fn drop(&mut self) {
+        // What was read after the head belongs to the request's body.
+        self.activity.has_read.store(false, Ordering::Relaxed);
         self.activity.in_progress.store(false, Ordering::Relaxed);
     }
 }
@@ -67,37 +87,50 @@
     activity: Arc<Activity>,
     /// Whether the caller has closed its side.
     read_eof: bool,
-    drain: Option<Drain>,
-}
-
-/// Progress of discarding data before the close.
-#[derive(Debug)]
-struct Drain {
-    timeout: Pin<Box<Sleep>>,
-    bytes: usize,
+    drained_bytes: usize,
+    drain_timeout: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity, read_eof: false, drain: None }
+        Self { stream, activity, read_eof: false, drained_bytes: 0, drain_timeout: None }
+    }
+
+    /// Reads what has arrived. The runtime may not know yet that the socket has data.
+    fn poll_arrived(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if result.is_ready() || !self.activity.stopping.load(Ordering::Relaxed) {
+            return result;
+        }
+        match (&*SockRef::from(&self.stream)).read(buf.initialize_unfilled()) {
+            Ok(count) => buf.advance(count),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Poll::Pending,
+            Err(e) => return Poll::Ready(Err(e)),
+        }
+        Poll::Ready(Ok(()))
     }
 
     /// Discards data until the caller closes its side or a limit is reached.
     fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let drain = self
-            .drain
-            .get_or_insert_with(|| Drain { timeout: Box::pin(sleep(DRAIN_TIMEOUT)), bytes: 0 });
         let mut data = [0; DRAIN_BUF_BYTES];
-        while !self.read_eof && drain.bytes < MAX_DRAIN_BYTES {
+        while !self.read_eof && self.drained_bytes < MAX_DRAIN_BYTES {
             let mut buf = ReadBuf::new(&mut data);
-            match Pin::new(&mut self.stream).poll_read(cx, &mut buf) {
+            match self.poll_arrived(cx, &mut buf) {
                 Poll::Ready(Ok(())) if buf.filled().is_empty() => self.read_eof = true,
-                Poll::Ready(Ok(())) => drain.bytes += buf.filled().len(),
+                Poll::Ready(Ok(())) => self.drained_bytes += buf.filled().len(),
                 Poll::Ready(Err(_)) => return Poll::Ready(()),
                 Poll::Pending if self.activity.closed_idle.load(Ordering::Relaxed) => {
                     return Poll::Ready(());
                 }
-                Poll::Pending => return drain.timeout.as_mut().poll(cx),
+                Poll::Pending => {
+                    let timeout =
+                        self.drain_timeout.get_or_insert_with(|| Box::pin(sleep(DRAIN_TIMEOUT)));
+                    return timeout.as_mut().poll(cx);
+                }
             }
         }
         Poll::Ready(())
@@ -111,8 +144,11 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.read_eof |= buf.filled().len() == filled;
+        ready!(self.poll_arrived(cx, buf))?;
+        match buf.filled().len() == filled {
+            true => self.read_eof = true,
+            false => self.activity.has_read.store(true, Ordering::Relaxed),
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -11,13 +11,15 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 
 /// A streamed body was aborted before its end.
 #[derive(Clone, Copy, Debug, Error)]
@@ -45,6 +47,9 @@
 /// Smallest buffer that hyper accepts.
 const MIN_BUF_BYTES: usize = 8_192;
 
+/// Time that callers have to complete a head that they had begun to send when the server stopped.
+const HEAD_GRACE: Duration = Duration::from_millis(200);
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -120,6 +125,14 @@
     stop.closed().await;
 }
 
+/// What became of a connection while it read what had arrived at the stop.
+enum Arrived {
+    /// The connection was closed.
+    Closed,
+    /// All requests of which a part had arrived have been read.
+    All,
+}
+
 /// Serves one connection until it is closed, or until its request in progress has ended after
 /// `stopped` turned true.
 async fn serve_connection<H, F, B>(
@@ -158,6 +171,18 @@
         _ = stopped.wait_for(|stop| *stop) => {}
     }
     activity.stop();
+    // A request that has arrived is answered, also if its connection looks idle.
+    let read_arrived = poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(_) => Poll::Ready(Arrived::Closed),
+        Poll::Pending if activity.is_reading_head() => Poll::Pending,
+        Poll::Pending => Poll::Ready(Arrived::All),
+    });
+    match timeout(HEAD_GRACE, read_arrived).await {
+        Ok(Arrived::All) => {}
+        // The request has not been read and is not run.
+        Ok(Arrived::Closed) | Err(_) => return,
+    }
+    activity.close_if_idle();
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/http/tests/server_stop.rs
+++ b/http/tests/server_stop.rs
@@ -108,3 +108,49 @@
     assert_closed(idle).await;
     assert_closed(used).await;
 }
+
+/// Guards against a reset of a kept connection with a request that the server has not read yet.
+#[tokio::test]
+async fn a_request_that_arrived_on_a_kept_connection_is_answered() {
+    let server = TestServer::start(ServerLimits::default(), Duration::from_millis(50)).await;
+    let mut stream = server.connect();
+    stream.write_all(REQUEST).unwrap();
+    let (_, mut stream) = read_response(stream, "/").await;
+    stream
+        .write_all(b"POST /second HTTP/1.1\r\nhost: test\r\ncontent-length: 2\r\n\r\nab")
+        .unwrap();
+    server.stop.send(true).unwrap();
+    let (head, stream) = read_response(stream, "/second").await;
+    assert!(head.contains("connection: close"), "{head}");
+    assert_closed(stream).await;
+    server.assert_stops().await;
+}
+
+/// Guards against closing a kept connection in the middle of a request's head.
+#[tokio::test]
+async fn a_request_of_which_a_part_was_read_is_answered() {
+    let server = TestServer::start(ServerLimits::default(), Duration::ZERO).await;
+    let mut stream = server.connect();
+    stream.write_all(REQUEST).unwrap();
+    let (_, mut stream) = read_response(stream, "/").await;
+    let (start, end) = REQUEST.split_at(10);
+    stream.write_all(start).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    server.stop.send(true).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    stream.write_all(end).unwrap();
+    let (_, stream) = read_response(stream, "/").await;
+    assert_closed(stream).await;
+    server.assert_stops().await;
+}
+
+/// Guards against a stop that waits for a caller that never completes its request's head.
+#[tokio::test]
+async fn a_request_that_is_never_complete_does_not_hold_up_the_stop() {
+    let server = TestServer::start(ServerLimits::default(), Duration::ZERO).await;
+    let mut stream = server.connect();
+    stream.write_all(&REQUEST[..10]).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    server.stop.send(true).unwrap();
+    server.assert_stops().await;
+}
