Server: answer requests of connections not yet accepted when it stops

Callers whose connections the kernel had taken, but the server had not, were reset when the listener closed, though they may have sent a whole request; at the connection limit, all that waited for a permit.

Evidence: `http/tests/server_stop.rs` failed before: requests_of_connections_not_yet_accepted_are_answered with "the connection failed after []: Connection reset by peer (os error 104)", requests_of_connections_beyond_the_limit_are_answered with "the connection failed after []: Resource temporarily unavailable (os error 11)" (no answer in 5 s, as the stop was not noticed).

At the stop, the server accepts what is in the listener's queue until it is empty, at most 1,024 connections, and closes the listener then. They read what has arrived like kept connections, so that those without a request are closed at once; they may exceed the connection limit. What arrives between the last accept and the close is still reset; nothing in the process can tell the kernel to stop taking connections first.

--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
+use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 use std::task::Poll;
@@ -50,6 +51,10 @@
 /// Time that callers have to complete a head that they had begun to send when the server stopped.
 const HEAD_GRACE: Duration = Duration::from_millis(200);
 
+/// Maximum number of connections that are accepted while the server stops; the length of the
+/// listener's queue.
+const MAX_WAITING_CONNECTIONS: usize = 1_024;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -119,7 +124,9 @@
             drop(permit);
         });
     }
-    drop(listener);
+    for stream in accept_waiting(listener) {
+        tokio::spawn(serve_connection(stream, limits(), stop.subscribe(), handler.clone()));
+    }
     let _ = stop.send(true);
     // Each connection holds a receiver.
     stop.closed().await;
@@ -197,6 +204,30 @@
     Some((stream, permit))
 }
 
+/// Closes the listener and returns the connections that it had not accepted; they would be reset.
+/// Their number may exceed the connection limit: they end with their first request.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let result = listener.into_std().and_then(|listener| {
+        while streams.len() < MAX_WAITING_CONNECTIONS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    streams.push(TcpStream::from_std(stream)?);
+                }
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    });
+    if let Err(e) = result {
+        log::warn!("failed to accept the connections that wait while the server stops: {e}");
+    }
+    streams
+}
+
 fn builder(limits: ServerLimits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
--- a/http/tests/server_stop.rs
+++ b/http/tests/server_stop.rs
@@ -154,3 +154,38 @@
     server.stop.send(true).unwrap();
     server.assert_stops().await;
 }
+
+/// Guards against a reset of connections that the server has not accepted when it stops.
+#[tokio::test]
+async fn requests_of_connections_not_yet_accepted_are_answered() {
+    let server = TestServer::start(ServerLimits::default(), Duration::from_millis(50)).await;
+    let mut streams: Vec<_> = (0..20).map(|_| server.connect()).collect();
+    for stream in &mut streams {
+        stream.write_all(REQUEST).unwrap();
+    }
+    server.stop.send(true).unwrap();
+    for stream in streams {
+        let (head, stream) = read_response(stream, "/").await;
+        assert!(head.contains("connection: close"), "{head}");
+        assert_closed(stream).await;
+    }
+    server.assert_stops().await;
+}
+
+/// Guards against a reset of connections that wait for others to end when the server stops.
+#[tokio::test]
+async fn requests_of_connections_beyond_the_limit_are_answered() {
+    let limits = ServerLimits { max_connections: 1, ..ServerLimits::default() };
+    let server = TestServer::start(limits, Duration::from_millis(50)).await;
+    let mut first = server.connect();
+    first.write_all(REQUEST).unwrap();
+    let (_, first) = read_response(first, "/").await;
+    let mut second = server.connect();
+    second.write_all(REQUEST).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    server.stop.send(true).unwrap();
+    let (_, second) = read_response(second, "/").await;
+    assert_closed(first).await;
+    assert_closed(second).await;
+    server.assert_stops().await;
+}
