magnoliawinchd: refuse new work before a planned stop

Operators saw a daemon that left but never stopped: it took new generations and calls until the moment at which none was in progress, which callers that stay with the host (kept connections, fixed addresses) can put off for ever. What then kills the process cuts whatever is in progress.

Once the directory responses that name the host have expired, generations, resumptions and calls are refused as not run (`not_ready`, with the addresses of other hosts), and responses close their connections. What is in progress ends by its own deadline. The servers stop when nothing was in progress for 200 ms, so that a caller that sends its next request at once gets a refusal instead of a connection that closes.

--- a/caller/src/error.rs
+++ b/caller/src/error.rs
@@ -34,7 +34,7 @@
     Overloaded,
     /// No upstream is available.
     NoUpstream,
-    /// The daemon has no configuration yet.
+    /// The daemon has no configuration yet, or is about to stop.
     NotReady,
     /// The platform's log is unavailable, and the call must not run without it.
     LogUnavailable,
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -43,6 +43,10 @@
 /// Interval of checks for requests in progress while the daemon drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time without a request in progress before the servers stop: callers that send their next request
+/// as soon as they have an answer get a refusal instead of a closed connection.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(200);
+
 /// Why a daemon failed to start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -169,15 +173,21 @@
     }
 
     /// Shuts down without interrupting requests: announces that this daemon leaves, serves until
-    /// all directory responses that may name this host have expired, and stops when no request is
-    /// in progress.
+    /// all directory responses that may name this host have expired, refuses new work from then on,
+    /// and stops when no request is in progress.
     pub async fn leave(self) {
         let _ = self.shared.control.send(Message::Leave).await;
-        let lifetime = Duration::from_millis(self.shared.settings.directory_lifetime_ms);
-        let expiry = Instant::now() + lifetime;
         log::info!("daemon of host {} is leaving", self.shared.settings.host);
-        while Instant::now() < expiry || self.shared.in_progress() > 0 {
+        sleep(Duration::from_millis(self.shared.settings.directory_lifetime_ms)).await;
+        self.shared.refuse_work();
+        let in_progress = self.shared.in_progress();
+        log::info!("new requests are refused; {in_progress} in progress");
+        let mut idle_since = Instant::now();
+        while idle_since.elapsed() < MIN_IDLE_TIME {
             sleep(DRAIN_POLL_INTERVAL).await;
+            if self.shared.in_progress() > 0 {
+                idle_since = Instant::now();
+            }
         }
         self.stop_servers().await;
     }
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -21,6 +21,7 @@
 use magnoliawinch_service::ServiceClient;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
@@ -45,6 +46,7 @@
     pub(crate) traffic: Handle,
     routing: Mutex<Routing>,
     requests: RequestCounter,
+    refuses_work: AtomicBool,
 }
 
 /// Routing state of the traffic threads.
@@ -88,6 +90,7 @@
             traffic: parts.traffic,
             routing: Mutex::new(routing),
             requests: RequestCounter::new(),
+            refuses_work: AtomicBool::new(false),
             settings,
         }
     }
@@ -137,6 +140,16 @@
         retry_delay(self.clock.now(), history, &mut self.routing().retry_budget)
     }
 
+    /// From now on, requests for new work are refused.
+    pub(crate) fn refuse_work(&self) {
+        self.refuses_work.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether requests for new work are refused, as the daemon is about to stop.
+    pub(crate) fn refuses_work(&self) -> bool {
+        self.refuses_work.load(Ordering::SeqCst)
+    }
+
     /// Number of requests in progress.
     pub(crate) fn in_progress(&self) -> u64 {
         self.requests.in_progress()
--- a/daemon/src/traffic.rs
+++ b/daemon/src/traffic.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use magnoliawinch::directory;
 use magnoliawinch::names::OrganisationName;
@@ -37,6 +37,9 @@
     if let Ok(value) = HeaderValue::from_str(&request_id) {
         response.headers_mut().insert(REQUEST_ID, value);
     }
+    if shared.refuses_work() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
@@ -57,21 +60,32 @@
     match (req.method(), segments) {
         (&Method::GET, [Some("v1"), Some("hosts"), None, ..]) => list_hosts(shared, &req),
         (&Method::POST, [Some("v1"), Some("generations"), Some(service), Some(kind), None]) => {
+            accept_work(shared)?;
             generations::start(shared, request_id, service, kind, req).await
         }
         (&Method::GET, [Some("v1"), Some("generations"), Some(id), None, _]) => {
+            accept_work(shared)?;
             resume::resume(shared, request_id, &parse_id(id)?, &req).await
         }
         (&Method::DELETE, [Some("v1"), Some("generations"), Some(id), None, _]) => {
             resume::cancel(shared, &parse_id(id)?, &req).await
         }
         (&Method::POST, [Some("v1"), Some("calls"), Some(service), Some(kind), None]) => {
+            accept_work(shared)?;
             calls::call(shared, request_id, service, kind, req).await
         }
         _ => Err(not_found(&path)),
     }
 }
 
+/// Refuses new work if this daemon is about to stop.
+fn accept_work(shared: &Shared) -> Result<(), ErrorBody> {
+    match shared.refuses_work() {
+        true => Err(ErrorBody::new(Code::NotReady, "this host is leaving; use another one")),
+        false => Ok(()),
+    }
+}
+
 fn not_found(path: &str) -> ErrorBody {
     ErrorBody::new(Code::NotFound, format!("path \"{path}\" does not exist"))
 }
--- a/testbed/tests/leaving.rs
+++ b/testbed/tests/leaving.rs
@@ -1,6 +1,10 @@
 //! Tests that no request fails while upstreams or hosts leave.
 
-use magnoliawinch_fakes::engine::EngineFaults;
+use magnoliawinch::verdict::Verdict;
+use magnoliawinch_caller::client::{CallerClient, CallerError};
+use magnoliawinch_caller::sse::Event;
+use magnoliawinch_caller::{Code, GenerationRequest};
+use magnoliawinch_fakes::engine::{EngineFaults, prompt_for};
 use magnoliawinch_testbed::deployment::{
     GENERATION_SERVICE, ORDER_KIND, ORGANISATIONS, PLAIN_SERVICE, STREAM_KIND, bearer_key,
 };
@@ -9,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Maximum time until a leaving upstream gets no new work.
 const MAX_LEAVING_DELAY: Duration = Duration::from_secs(3);
@@ -98,3 +102,48 @@
     let runs = testbed.run_counts.all();
     assert!(runs.values().all(|count| *count == 1), "no order ran twice");
 }
+
+/// Time that a leaving daemon has to stop while callers go on sending requests to it.
+const MAX_STOP_TIME: Duration = Duration::from_secs(10);
+
+/// Sends generations to one host until it refuses them; returns the number of complete ones.
+async fn generate_until_refused(host: SocketAddr, index: usize) -> usize {
+    let caller = CallerClient::new(&bearer_key(ORGANISATIONS[index % 3]));
+    for number in 0.. {
+        let prompt = prompt_for(&format!("caller {index} request {number}"), 30);
+        let request = GenerationRequest { prompt, max_tokens: None };
+        let started = caller.generate(host, GENERATION_SERVICE, STREAM_KIND, &request).await;
+        let mut stream = match started {
+            Ok(stream) => stream,
+            Err(CallerError::Api(e)) => {
+                assert_eq!((e.code, e.verdict), (Code::NotReady, Verdict::NotRun), "{e:?}");
+                assert!(!e.hosts.is_empty() && e.hosts.iter().all(|h| h.address != host), "{e:?}");
+                return number;
+            }
+            Err(e) => panic!("request {number} of caller {index} got no answer: {e}"),
+        };
+        loop {
+            match stream.next().await.expect("the stream is not cut") {
+                Event::Token { .. } => {}
+                Event::End(_) => break,
+                Event::Error(e) => panic!("request {number} of caller {index}: {e:?}"),
+            }
+        }
+    }
+    unreachable!("the caller goes on until it is refused")
+}
+
+/// Guards against a stop that never ends because callers go on sending requests to the host.
+#[tokio::test]
+async fn a_leaving_daemon_refuses_requests_of_callers_that_do_not_go_elsewhere() {
+    let mut testbed = Testbed::start(TestbedOptions::default()).await.expect("the testbed starts");
+    let host = testbed.caller_addresses()[0];
+    let callers: Vec<_> =
+        (0..8).map(|index| tokio::spawn(generate_until_refused(host, index))).collect();
+    sleep(Duration::from_millis(500)).await;
+    let drain = testbed.drain_daemon(0).expect("the daemon is running");
+    timeout(MAX_STOP_TIME, drain).await.expect("the daemon stops").expect("the daemon ends");
+    for caller in callers {
+        assert!(caller.await.expect("the caller task completes") > 0);
+    }
+}
