Server: give up a response that nobody reads when the server stops

Operators saw a planned stop that never ended though no request was in progress: a response that its caller does not read stays in the connection, and the server waits for it without a limit. The kill that follows cuts other callers that still read theirs.

Evidence: `http/tests/server_stop.rs`, a_caller_that_never_reads_its_response_does_not_hold_up_the_stop (50 MB, paused clock), failed before with "the server stops: Elapsed(())" (60 s).

Once the server stops, a connection whose caller accepts no byte for 30 s is closed. Before the stop nothing changes: a caller may pause its reading for as long as the handler allows.

--- a/http/src/caller_stream.rs
+++ b/http/src/caller_stream.rs
@@ -18,6 +18,9 @@
 /// Maximum data that is discarded before the connection is closed, in bytes.
 const MAX_DRAIN_BYTES: usize = 8_388_608;
 
+/// Time without progress after which a response is given up once the server stops.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Size of the buffer for discarded data, in bytes.
 const DRAIN_BUF_BYTES: usize = 8_192;
 
@@ -89,11 +92,20 @@
     read_eof: bool,
     drained_bytes: usize,
     drain_timeout: Option<Pin<Box<Sleep>>>,
+    /// Runs while the server stops and the caller accepts no data.
+    write_timeout: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity, read_eof: false, drained_bytes: 0, drain_timeout: None }
+        Self {
+            stream,
+            activity,
+            read_eof: false,
+            drained_bytes: 0,
+            drain_timeout: None,
+            write_timeout: None,
+        }
     }
 
     /// Reads what has arrived. The runtime may not know yet that the socket has data.
@@ -114,6 +126,21 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Fails a write that makes no progress while the server stops.
+    fn limit_stall(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() || !self.activity.stopping.load(Ordering::Relaxed) {
+            self.write_timeout = None;
+            return result;
+        }
+        let timeout =
+            self.write_timeout.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
+        timeout.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Discards data until the caller closes its side or a limit is reached.
     fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let mut data = [0; DRAIN_BUF_BYTES];
@@ -159,7 +186,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.limit_stall(cx, result)
     }
 
     fn poll_write_vectored(
@@ -167,7 +195,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.limit_stall(cx, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/http/tests/server_stop.rs
+++ b/http/tests/server_stop.rs
@@ -189,3 +189,20 @@
     assert_closed(second).await;
     server.assert_stops().await;
 }
+
+/// Guards against a stop that waits for ever for a caller that does not read its response.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_never_reads_its_response_does_not_hold_up_the_stop() {
+    const RESPONSE_BYTES: usize = 50_000_000;
+    const MAX_STALL: Duration = Duration::from_secs(60);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, |_| async {
+        Response::new(full_body(vec![b'x'; RESPONSE_BYTES]))
+    }));
+    sleep(Duration::from_millis(50)).await;
+    stop.send(true).unwrap();
+    timeout(MAX_STALL, task).await.expect("the server stops").unwrap();
+}
