--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -1,22 +1,26 @@
 //! HTTP server with limits on connections, header size and header time.
 
+use crate::caller_stream::{Activity, CallerStream};
 use bytes::Bytes;
 use http_body_util::channel::Channel;
-use http_body_util::{Either, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 
 /// A streamed body was aborted before its end.
 #[derive(Clone, Copy, Debug, Error)]
@@ -44,6 +48,13 @@
 /// Smallest buffer that hyper accepts.
 const MIN_BUF_BYTES: usize = 8_192;
 
+/// Time that callers have to complete a head that they had begun to send when the server stopped.
+const HEAD_GRACE: Duration = Duration::from_millis(200);
+
+/// Maximum number of connections that are accepted while the server stops; the length of the
+/// listener's queue.
+const MAX_WAITING_CONNECTIONS: usize = 1_024;
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -98,34 +109,123 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let permits = Arc::new(Semaphore::new(max_connections));
-    let graceful = GracefulShutdown::new();
+    let (stop, _) = watch::channel(false);
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            break;
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(_) => continue,
+        let (stream, permit) = tokio::select! {
+            accepted = accept(&listener, &permits) => match accepted {
+                Some(accepted) => accepted,
+                None => continue,
             },
             _ = shutdown.wait_for(|stop| *stop) => break,
         };
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |req| {
-            let response = handler(req);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let connection = builder(limits()).serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
+        let connection = serve_connection(stream, limits(), stop.subscribe(), handler.clone());
         tokio::spawn(async move {
-            // A client that breaks its own connection is not an error of this server.
-            let _ = connection.await;
+            connection.await;
             drop(permit);
         });
     }
-    drop(listener);
-    graceful.shutdown().await;
+    for stream in accept_waiting(listener) {
+        tokio::spawn(serve_connection(stream, limits(), stop.subscribe(), handler.clone()));
+    }
+    let _ = stop.send(true);
+    // Each connection holds a receiver.
+    stop.closed().await;
+}
+
+/// What became of a connection while it read what had arrived at the stop.
+enum Arrived {
+    /// The connection was closed.
+    Closed,
+    /// All requests of which a part had arrived have been read.
+    All,
+}
+
+/// Serves one connection until it is closed, or until its request in progress has ended after
+/// `stopped` turned true.
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    mut stopped: Shutdown,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let activity = Arc::new(Activity::default());
+    let service_activity = Arc::clone(&activity);
+    let service = service_fn(move |req| {
+        let in_progress = service_activity.start_request();
+        let response = handler(req);
+        async move {
+            // The body holds the guard until it has been written or dropped.
+            let hold_guard = |body: B| {
+                body.map_err(move |e| {
+                    let _ = &in_progress;
+                    e
+                })
+            };
+            Ok::<_, Infallible>(response.await.map(hold_guard))
+        }
+    });
+    let io = TokioIo::new(CallerStream::new(stream, Arc::clone(&activity)));
+    let mut connection = pin!(builder(limits).serve_connection(io, service));
+    tokio::select! {
+        // A client that breaks its own connection is not an error of this server.
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stop| *stop) => {}
+    }
+    activity.stop();
+    // A request that has arrived is answered, also if its connection looks idle.
+    let read_arrived = poll_fn(|cx| match connection.as_mut().poll(cx) {
+        Poll::Ready(_) => Poll::Ready(Arrived::Closed),
+        Poll::Pending if activity.is_reading_head() => Poll::Pending,
+        Poll::Pending => Poll::Ready(Arrived::All),
+    });
+    match timeout(HEAD_GRACE, read_arrived).await {
+        Ok(Arrived::All) => {}
+        // The request has not been read and is not run.
+        Ok(Arrived::Closed) | Err(_) => return,
+    }
+    activity.close_if_idle();
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Accepts a connection as soon as there may be one more.
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    let (stream, _) = listener.accept().await.ok()?;
+    Some((stream, permit))
+}
+
+/// Closes the listener and returns the connections that it had not accepted; they would be reset.
+/// Their number may exceed the connection limit: they end with their first request.
+fn accept_waiting(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    let result = listener.into_std().and_then(|listener| {
+        while streams.len() < MAX_WAITING_CONNECTIONS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    streams.push(TcpStream::from_std(stream)?);
+                }
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    });
+    if let Err(e) = result {
+        log::warn!("failed to accept the connections that wait while the server stops: {e}");
+    }
+    streams
 }
 
 fn builder(limits: ServerLimits) -> http1::Builder {
