Pass on entries of the list with every position that stands for them

A daemon removed upstreams whose entries had been written again after the store returned from an older copy.

Cause: a daemon logs the entries in which an update differs from what it knows, and tells a peer at an earlier position of these. It has nothing to log, and tells the peer to go on to its position without entries, if 1. it kept entries that the copy lacks, and reads the list only when they are written again; 2. it kept an entry that the copy has in an older form (ready instead of draining), which is then written again; 3. an entry was removed and written again between its reads of the whole list, and the peer read in between; 4. the same with changes that it got from another daemon.

Change: ChangeLog decides what a peer has missed, for relay and tests alike. Every position before the first read of an era gets the whole list. Positions between two reads of the whole list are a gap: at these a peer gets the whole list, at earlier ones the changes and the gap. Entries of which the store may have another form count as changed when the store confirms them. Entries that a peer sends are logged though they are not new. When a daemon begins to track more cells, it no longer claims to know what changed in them before. An empty list from a daemon of an earlier version is not believed across eras. 16 gaps at most are kept, older ones are merged. The new field of ListMessage has a default and is left out if empty; older builds ignore it.

The model of rewinds passes changes on as daemons do; it passed whole lists only, so that it could not see this.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -61,6 +61,15 @@
     Removed(UpstreamName),
 }
 
+impl Change {
+    fn name(&self) -> &UpstreamName {
+        match self {
+            Self::Put(listed) => &listed.name,
+            Self::Removed(name) => name,
+        }
+    }
+}
+
 /// Where an update of the list comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -77,6 +86,9 @@
     /// When it counts as removed unless its entry returns; set if that expired around an outage of
     /// the list.
     removal_at: Option<Time>,
+    /// Whether the store may have another entry at the position that is applied: this one was kept
+    /// although the store's copy has an older one, by this daemon or by the peer that passed it on.
+    is_unconfirmed: bool,
 }
 
 /// Evidence that an incarnation of an upstream leaves or has left.
@@ -181,7 +193,11 @@
             self.upstreams.keys().filter(|name| !is_listed(name)).cloned().collect();
         let changes = missing.into_iter().map(Change::Removed);
         let changes: Vec<_> = changes.chain(all.into_iter().map(Change::Put)).collect();
-        self.apply(now, position, origin, changes)
+        let leaving = self.apply(now, position, origin, changes);
+        if matches!(origin, Origin::Peer(_)) {
+            self.upstreams.values_mut().for_each(|upstream| upstream.is_unconfirmed = true);
+        }
+        leaving
     }
 
     /// Names of entries that `changes` add, modify or remove.
@@ -201,11 +217,13 @@
         removed.chain(differing).map(|listed| listed.name.clone()).collect()
     }
 
-    /// Whether peers have to hear of an entry: also of one that is renewed, as they may know it as
-    /// expired.
+    /// Whether peers have to hear of an entry: also of one that is renewed or confirmed, as they may
+    /// know it as expired or in an older form.
     fn differs(&self, listed: &ListedUpstream) -> bool {
         let known = self.upstreams.get(&listed.name);
-        known.is_none_or(|known| known.listed != *listed || known.removal_at.is_some())
+        known.is_none_or(|known| {
+            known.listed != *listed || known.removal_at.is_some() || known.is_unconfirmed
+        })
     }
 
     /// Drops the upstreams that `is_kept` rejects: this daemon no longer needs to know them.
@@ -235,7 +253,8 @@
             self.cancel_removal(&name);
         }
         self.brought_back.remove(&name);
-        self.upstreams.insert(name.clone(), Upstream { listed, removal_at: None });
+        self.upstreams
+            .insert(name.clone(), Upstream { listed, removal_at: None, is_unconfirmed: false });
         (was_usable && leaves).then_some(name)
     }
 
@@ -255,6 +274,7 @@
             }
             // Renewed or not, the entry is there.
             known.removal_at = None;
+            known.is_unconfirmed = known.listed != listed;
             return None;
         }
         let has_left = self.leaving.get(&name).is_some_and(|leaving| leaving.born >= listed.born);
@@ -262,7 +282,7 @@
             return self.put(now, listed);
         }
         self.brought_back.insert(name.clone(), now + COPY_EXPIRY);
-        self.upstreams.insert(name, Upstream { listed, removal_at: None });
+        self.upstreams.insert(name, Upstream { listed, removal_at: None, is_unconfirmed: false });
         None
     }
 
@@ -384,18 +404,98 @@
 /// Changes that are kept: with a few hundred upstreams, several minutes of normal operation.
 const MAX_LOGGED_CHANGES: usize = 512;
 
+/// Gaps that are kept; with more, the oldest ones are merged.
+const MAX_GAPS: usize = 16;
+
+/// Positions between two reads of the whole list, neither included.
+///
+/// Entries that were removed and written again in between are in no change, though a daemon that read
+/// the list at one of these positions may know them as removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gap {
+    /// Position before the read.
+    pub after: StorePosition,
+    /// Position of the read.
+    pub before: StorePosition,
+}
+
+impl Gap {
+    fn contains(self, position: StorePosition) -> bool {
+        self.after < position && position < self.before
+    }
+
+    fn is_empty(self) -> bool {
+        let has_same_era = self.after.era == self.before.era;
+        self.before <= self.after || (has_same_era && self.before.offset - self.after.offset == 1)
+    }
+}
+
+/// What a peer has missed since some position.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missed<'a> {
+    /// Nothing.
+    Nothing,
+    /// Changes of these entries, and gaps in what is known of the time since.
+    Changes(BTreeSet<&'a UpstreamName>, Vec<Gap>),
+    /// It is not known what has changed: the peer needs the whole list.
+    Unknown,
+}
+
 /// Latest changed entries with their positions, so that peers receive only what they missed.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     changes: VecDeque<(StorePosition, UpstreamName)>,
-    /// Every change after this position is held; earlier ones may be missing.
+    /// Every change after this position is held, except for those in gaps; earlier ones may be missing.
     complete_after: StorePosition,
+    gaps: VecDeque<Gap>,
 }
 
 impl ChangeLog {
     /// Creates a log of changes after `position`.
     pub fn new(position: StorePosition) -> Self {
-        Self { changes: VecDeque::new(), complete_after: position }
+        Self { complete_after: position, ..Self::default() }
+    }
+
+    /// Records changes that are about to be applied to `fleet`; returns whether there are any.
+    pub fn record_changes(
+        &mut self,
+        fleet: &Fleet,
+        end: StorePosition,
+        origin: &Origin,
+        changes: &[Change],
+    ) -> bool {
+        if end < fleet.position() {
+            return false;
+        }
+        let changed = fleet.names_changed_by(changes);
+        let is_changed = !changed.is_empty();
+        match origin {
+            Origin::Store => self.record(end, changed),
+            // A daemon that has read the list since may differ in entries in which this one does not.
+            Origin::Peer(_) => self.record(end, changes.iter().map(|change| change.name().clone())),
+        }
+        is_changed
+    }
+
+    /// Records that the whole list is about to replace the one of `fleet`; returns whether entries differ.
+    pub fn record_whole(
+        &mut self,
+        fleet: &Fleet,
+        end: StorePosition,
+        entries: &[ListedUpstream],
+    ) -> bool {
+        if end < fleet.position() {
+            return false;
+        }
+        if !fleet.has_been_read() || end.is_rewound_since(fleet.position()) {
+            // What peers know may have been lost.
+            *self = Self::new(end);
+        }
+        self.record_gap(Gap { after: fleet.position(), before: end });
+        let changed = fleet.names_differing_from(entries);
+        let is_changed = !changed.is_empty();
+        self.record(end, changed);
+        is_changed
     }
 
     /// Adds entries changed at or before `position`.
@@ -410,11 +510,43 @@
                 self.complete_after = self.complete_after.max(position);
             }
         }
+        let complete_after = self.complete_after;
+        self.gaps.retain(|gap| gap.before > complete_after);
+    }
+
+    /// Adds a gap, which this daemon or the peer that passed the list on has.
+    pub fn record_gap(&mut self, gap: Gap) {
+        if gap.is_empty() || gap.before <= self.complete_after || self.gaps.contains(&gap) {
+            return;
+        }
+        self.gaps.push_back(gap);
+        if self.gaps.len() > MAX_GAPS
+            && let Some(oldest) = self.gaps.pop_front()
+            && let Some(next) = self.gaps.front_mut()
+        {
+            next.after = next.after.min(oldest.after);
+            next.before = next.before.max(oldest.before);
+        }
     }
 
-    /// Entries changed after `position`; `None` if the log does not reach back that far.
-    pub fn since(&self, position: StorePosition) -> Option<BTreeSet<&UpstreamName>> {
+    /// Whether a peer that has the list up to `position` may have missed anything.
+    pub fn has_news_after(&self, position: StorePosition) -> bool {
+        let newest = self.changes.back().map_or(self.complete_after, |(at, _)| *at);
+        position < newest.max(self.complete_after)
+            || self.gaps.iter().any(|gap| position < gap.before)
+    }
+
+    /// What a peer that has the list up to `position` has missed.
+    pub fn since(&self, position: StorePosition) -> Missed<'_> {
+        if !self.has_news_after(position) {
+            return Missed::Nothing;
+        }
+        let is_known = position >= self.complete_after;
+        if !is_known || self.gaps.iter().any(|gap| gap.contains(position)) {
+            return Missed::Unknown;
+        }
         let newer = self.changes.iter().filter(|(changed_at, _)| *changed_at > position);
-        (position >= self.complete_after).then(|| newer.map(|(_, name)| name).collect())
+        let gaps = self.gaps.iter().filter(|gap| gap.before > position);
+        Missed::Changes(newer.map(|(_, name)| name).collect(), gaps.copied().collect())
     }
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! A daemon's view of the upstreams, and its log of changes.
 
-use magnoliawinch::fleet::{Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream, Origin};
+use magnoliawinch::fleet::{
+    Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream, Missed, Origin,
+};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
@@ -149,7 +151,11 @@
     log.record(at(12), [name("e1"), name("e2")]);
     log.record(at(15), [name("e2"), name("e3")]);
     let names = |offset: u64| -> Option<Vec<String>> {
-        Some(log.since(at(offset))?.into_iter().map(ToString::to_string).collect())
+        match log.since(at(offset)) {
+            Missed::Nothing => Some(Vec::new()),
+            Missed::Changes(names, _) => Some(names.into_iter().map(ToString::to_string).collect()),
+            Missed::Unknown => None,
+        }
     };
     assert_eq!(names(9), None, "older than the log");
     assert_eq!(names(10).unwrap(), ["e1", "e2", "e3"]);
@@ -163,8 +169,8 @@
     for offset in 1..=600 {
         log.record(at(offset), [UpstreamName::new("e")]);
     }
-    assert_eq!(log.since(at(10)), None);
-    assert_eq!(log.since(at(590)).unwrap().len(), 1);
+    assert_eq!(log.since(at(10)), Missed::Unknown);
+    assert!(matches!(log.since(at(590)), Missed::Changes(names, _) if names.len() == 1));
 }
 
 /// Guards against a follower that drops an upstream for good: it was told that the entry had expired,
--- a/core/tests/store_rewind.rs
+++ b/core/tests/store_rewind.rs
@@ -1,7 +1,9 @@
 //! The list of upstreams while the store returns from copies that are some seconds old, under
 //! random interleavings of rewinds, lost and late responses, several readers and restarted daemons.
 
-use magnoliawinch::fleet::{Change, EXPIRY_GRACE, Fleet, ListedUpstream, Origin};
+use magnoliawinch::fleet::{
+    Change, ChangeLog, EXPIRY_GRACE, Fleet, ListedUpstream, Missed, Origin,
+};
 use magnoliawinch::names::{FailureDomain, ServiceName, UpstreamName};
 use magnoliawinch::store_position::{EraTracker, OutdatedEra, StorePosition};
 use magnoliawinch::time::{Millis, Time};
@@ -109,6 +111,7 @@
 #[derive(Clone, Debug, Default)]
 struct Reader {
     fleet: Fleet,
+    log: ChangeLog,
     eras: EraTracker,
     from: Option<StorePosition>,
     held: Option<(StorePosition, Response)>,
@@ -148,12 +151,22 @@
         if end >= self.fleet.position() {
             self.seen_draining.extend(seen);
         }
-        match response {
-            Response::Whole(all) => self.fleet.replace(now, end, &Origin::Store, all),
-            Response::Changes(changes) => self.fleet.apply(now, end, &Origin::Store, changes),
-        };
+        self.update(now, end, &Origin::Store, response);
         self.from = Some(end);
     }
+
+    fn update(&mut self, now: Time, end: StorePosition, origin: &Origin, response: Response) {
+        match response {
+            Response::Whole(all) => {
+                self.log.record_whole(&self.fleet, end, &all);
+                self.fleet.replace(now, end, origin, all);
+            }
+            Response::Changes(changes) => {
+                self.log.record_changes(&self.fleet, end, origin, &changes);
+                self.fleet.apply(now, end, origin, changes);
+            }
+        }
+    }
 }
 
 struct World {
@@ -301,11 +314,34 @@
         if from == to || !self.readers[from].fleet.has_been_read() {
             return;
         }
-        let source = &self.readers[from].fleet;
-        let expiring = source.expiring().map(|(name, at)| (name.clone(), at.since(self.now)));
-        let origin = Origin::Peer(expiring.collect());
-        let (position, all) = (source.position(), source.all().cloned().collect());
-        self.readers[to].fleet.replace(self.now, position, &origin, all);
+        let position = self.readers[to].fleet.position();
+        let source = &self.readers[from];
+        let (end, fleet) = (source.fleet.position(), &source.fleet);
+        let expiring = fleet.expiring().map(|(name, at)| (name.clone(), at.since(self.now)));
+        let expiring: Vec<_> = expiring.collect();
+        let missed = match position {
+            StorePosition::START => Missed::Unknown,
+            position => source.log.since(position),
+        };
+        let (expiring, response, gaps) = match missed {
+            Missed::Nothing => (Vec::new(), Response::Changes(Vec::new()), Vec::new()),
+            Missed::Changes(names, gaps) => {
+                let changes = names.into_iter().map(|name| match fleet.get(name) {
+                    Some(listed) => Change::Put(listed.clone()),
+                    None => Change::Removed(name.clone()),
+                });
+                (expiring, Response::Changes(changes.collect()), gaps)
+            }
+            Missed::Unknown => {
+                (expiring, Response::Whole(fleet.all().cloned().collect()), Vec::new())
+            }
+        };
+        if end < position {
+            return;
+        }
+        let target = &mut self.readers[to];
+        target.update(self.now, end, &Origin::Peer(expiring), response);
+        gaps.into_iter().for_each(|gap| target.log.record_gap(gap));
     }
 
     /// Lets time pass in which all daemons read regularly.
@@ -317,6 +353,16 @@
         }
     }
 
+    /// Lets time pass in which `followers` take the list from the first daemon, which alone reads it.
+    fn settle_without_reads_of(&mut self, followers: &[usize]) {
+        let until = self.now + Millis(15_000);
+        while self.now < until {
+            self.step(Action::Wait(230));
+            self.read(0);
+            followers.iter().for_each(|follower| self.pass(0, *follower));
+        }
+    }
+
     fn usable(&self, reader: usize) -> BTreeSet<String> {
         let usable = self.readers[reader].fleet.usable("guide");
         usable.map(|listed| listed.name.to_string()).collect()
@@ -398,6 +444,64 @@
     assert_eq!(world.usable(0).len(), ENGINES, "written again in time");
 }
 
+/// Guards against a daemon that drops upstreams whose entries were written again (seed 1338): the peer
+/// from which it takes its position in the list kept them all the time, and has no change to pass on.
+#[test]
+fn entries_written_again_arrive_from_a_daemon_that_kept_them() {
+    let mut world = World::new(true);
+    world.step(Action::Rewind(3));
+    world.read(0);
+    assert_eq!(world.readers[0].fleet.expiring().count(), 3);
+    world.step(Action::Wait(REWRITE.0));
+    world.read(1);
+    world.pass(1, 0);
+    assert_eq!(world.readers[0].fleet.position(), world.store.end());
+    world.step(Action::Wait(EXPIRY_GRACE.0));
+    assert_eq!(world.usable(0).len(), ENGINES);
+}
+
+/// The same without a rewind: an entry is removed and written again between two reads of the daemon that
+/// is asked, or of the one that it follows.
+#[test]
+fn an_entry_written_again_between_two_reads_arrives() {
+    let arrives = |reads_whole_list: bool, source: usize| {
+        let mut world = World::new(true);
+        world.store.records.push((1, None));
+        world.read(0);
+        assert_eq!(world.usable(0).len(), ENGINES - 1);
+        world.step(Action::Wait(REWRITE.0));
+        if reads_whole_list {
+            world.readers[1].from = None;
+        }
+        world.read(1);
+        world.pass(1, 2);
+        world.pass(source, 0);
+        assert_eq!(world.readers[0].fleet.position(), world.store.end());
+        world.usable(0).len() == ENGINES
+    };
+    for (reads_whole_list, source) in [(true, 1), (true, 2), (false, 1), (false, 2)] {
+        assert!(arrives(reads_whole_list, source), "{reads_whole_list} {source}");
+    }
+}
+
+/// Daemons that only hear of each other's changes, and read the whole list now and then.
+#[test]
+fn daemons_that_take_changes_from_each_other_agree_with_the_store() {
+    for seed in 0..600 {
+        let mut world = World::new(true);
+        for action in random_actions(seed) {
+            // A daemon that waited for its turn reads the whole list.
+            if let Action::Read(reader) = action {
+                world.readers[reader].from = None;
+            }
+            world.step(action);
+        }
+        world.settle_without_reads_of(&[1, 2]);
+        let usable = [0, 1, 2].map(|reader| world.usable(reader));
+        assert!(usable.iter().all(|other| *other == usable[0]), "seed {seed}: {usable:?}");
+    }
+}
+
 #[test]
 fn an_engine_that_left_is_not_brought_back_by_the_copy() {
     let mut world = World::new(true);
--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -144,7 +144,6 @@
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
     /// Position in the list of the last change that concerns this daemon.
-    fleet_changed_at: StorePosition,
     list_log: ChangeLog,
     pools: Pools,
     /// Use in the cells of a divided system, kept by readers of the list.
@@ -190,7 +189,6 @@
             rng: ChaCha8Rng::seed_from_u64(rand::random()),
             table: None,
             fleet: Fleet::new(),
-            fleet_changed_at: StorePosition::START,
             list_log: ChangeLog::default(),
             pools: Pools::new(now),
             cell_figures: CellFigures::new(),
--- a/relay/src/control/updates.rs
+++ b/relay/src/control/updates.rs
@@ -3,7 +3,7 @@
 use super::{Control, Message};
 use magnoliawinch::cells::{Cell, CellSet};
 use magnoliawinch::dissemination::{KnownRead, Reader};
-use magnoliawinch::fleet::{Change, ChangeLog, ListedUpstream, Origin};
+use magnoliawinch::fleet::{Change, ChangeLog, Gap, ListedUpstream, Missed, Origin};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::store_position::StorePosition;
 use magnoliawinch::time::{Millis, Time};
@@ -53,6 +53,9 @@
     removed: Vec<UpstreamName>,
     /// Expired entries, each with the time after which it is removed unless it returns.
     expiring: Vec<(UpstreamName, Millis)>,
+    /// Gaps in what the sender knows of the changes; older builds know of none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    gaps: Vec<Gap>,
 }
 
 /// Entries without those of a form that only a newer build knows.
@@ -105,21 +108,19 @@
                 (Vec::new(), false)
             }
             ListUpdate::Changes { end, origin, changes } => {
-                let changed = self.fleet.names_changed_by(&changes);
-                let leaving = self.fleet.apply(now, end, &origin, changes);
-                (leaving, self.record_changes(end, changed))
+                let has_changes = self.list_log.record_changes(&self.fleet, end, &origin, &changes);
+                (self.fleet.apply(now, end, &origin, changes), has_changes)
             }
             ListUpdate::Snapshot { end, origin, entries } => {
-                let changed = self.fleet.names_differing_from(&entries);
-                if !was_read || end.is_rewound_since(self.fleet.position()) {
-                    // Peers get the whole list, as what they know may have been lost.
-                    self.list_log = ChangeLog::new(end);
-                }
                 if end >= self.fleet.position() {
+                    if !self.cells.covers_needed() {
+                        // Nothing is known of earlier changes to upstreams that were not tracked.
+                        self.list_log = ChangeLog::new(end);
+                    }
                     self.cells.covered = self.cells.needed.clone();
                 }
-                let leaving = self.fleet.replace(now, end, &origin, entries);
-                (leaving, self.record_changes(end, changed))
+                let has_changes = self.list_log.record_whole(&self.fleet, end, &entries);
+                (self.fleet.replace(now, end, &origin, entries), has_changes)
             }
         };
         if has_changes || !was_read {
@@ -158,16 +159,6 @@
         }
     }
 
-    /// Records the entries that changed; returns whether there are any.
-    fn record_changes(&mut self, end: StorePosition, changed: Vec<UpstreamName>) -> bool {
-        if changed.is_empty() {
-            return false;
-        }
-        self.fleet_changed_at = self.fleet_changed_at.max(end);
-        self.list_log.record(end, changed);
-        true
-    }
-
     /// Notes the configuration version that a peer has.
     pub(super) fn note_peer_version(
         &mut self,
@@ -267,7 +258,7 @@
 
     fn has_changes_after(&self, position: StorePosition, cells: &CellSet) -> bool {
         let is_covered = self.fleet.has_been_read() && self.cells.covered.covers(cells);
-        is_covered && position < self.fleet_changed_at
+        is_covered && self.list_log.has_news_after(position)
     }
 
     /// Whether the list has changes for the sender of `req`.
@@ -286,10 +277,13 @@
         let now = self.shared.clock.now();
         let expiring = self.fleet.expiring().map(|(name, at)| (name.clone(), at.since(now)));
         let expiring = expiring.collect();
-        let names =
-            (position > StorePosition::START).then(|| self.list_log.since(position)).flatten();
-        let message = match names {
-            Some(names) => {
+        let missed = match position {
+            StorePosition::START => Missed::Unknown,
+            position => self.list_log.since(position),
+        };
+        let message = match missed {
+            Missed::Nothing => return String::new(),
+            Missed::Changes(names, gaps) => {
                 let (put, removed): (Vec<_>, Vec<_>) =
                     names.into_iter().partition(|name| self.fleet.get(name).is_some());
                 let put = put.into_iter().filter_map(|name| self.fleet.get(name));
@@ -298,13 +292,15 @@
                     put: put.filter(is_wanted).cloned().collect(),
                     removed: removed.into_iter().cloned().collect(),
                     expiring,
+                    gaps,
                 }
             }
-            None => ListMessage {
+            Missed::Unknown => ListMessage {
                 is_whole: true,
                 put: self.fleet.all().filter(is_wanted).cloned().collect(),
                 removed: Vec::new(),
                 expiring,
+                gaps: Vec::new(),
             },
         };
         to_json(&message)
@@ -366,8 +362,12 @@
         self.shared.metrics.add("bytes_received", "list", list.len());
         let read_at = now - Millis(u64::from(age_ms));
         if list.is_empty() {
-            // The peer has read up to a later offset and found no change.
-            if position >= self.fleet_changed_at && self.fleet.has_been_read() {
+            // The peer has read up to a later offset and found no change. Older builds also send
+            // nothing for an older era, of which they may not know all entries.
+            let is_known = self.fleet.has_been_read()
+                && !position.is_rewound_since(self.fleet.position())
+                && !self.list_log.has_news_after(position);
+            if is_known {
                 let update = ListUpdate::Changes {
                     end: position,
                     origin: Origin::Peer(Vec::new()),
@@ -378,7 +378,11 @@
             return;
         }
         match serde_json::from_str::<ListMessage>(list) {
-            Ok(message) => self.apply_list(read_at, message.into_update(position), scope),
+            Ok(mut message) => {
+                let gaps = std::mem::take(&mut message.gaps);
+                self.apply_list(read_at, message.into_update(position), scope);
+                gaps.into_iter().for_each(|gap| self.list_log.record_gap(gap));
+            }
             Err(e) => log::warn!("failed to parse a peer's list of upstreams: {e}"),
         }
     }
