--- a/http/tests/server_stop.rs
+++ b/http/tests/server_stop.rs
@@ -206,3 +206,33 @@
     stop.send(true).unwrap();
     timeout(MAX_STALL, task).await.expect("the server stops").unwrap();
 }
+
+/// Guards against a stop that cuts a response that its caller reads slowly.
+#[tokio::test]
+async fn a_response_that_is_read_slowly_is_written_whole() {
+    const RESPONSE_BYTES: usize = 20_000_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(serve(listener, ServerLimits::default(), stopped, |_| async {
+        Response::new(full_body(vec![b'x'; RESPONSE_BYTES]))
+    }));
+    sleep(Duration::from_millis(100)).await;
+    stop.send(true).unwrap();
+    let read = spawn_blocking(move || {
+        const READ_BYTES: usize = 1_000_000;
+        let mut buf = vec![0; READ_BYTES];
+        let mut length = 0;
+        loop {
+            std::thread::sleep(Duration::from_millis(10));
+            match stream.read(&mut buf) {
+                Ok(0) => return length,
+                Ok(count) => length += buf[..count].iter().filter(|byte| **byte == b'x').count(),
+                Err(e) => panic!("the connection failed after {length} bytes: {e}"),
+            }
+        }
+    });
+    assert_eq!(read.await.unwrap(), RESPONSE_BYTES);
+    timeout(STOP_TIMEOUT, task).await.expect("the server stops").unwrap();
+}
--- a/testbed/tests/leaving.rs
+++ b/testbed/tests/leaving.rs
@@ -12,6 +12,8 @@
 use magnoliawinch_testbed::{Testbed, TestbedOptions};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -147,3 +149,27 @@
         assert!(caller.await.expect("the caller task completes") > 0);
     }
 }
+
+/// Guards against a stop that cuts a request whose body the daemon is reading.
+#[tokio::test]
+async fn a_request_whose_body_arrives_while_the_daemon_leaves_is_answered() {
+    const BODY: &str = "bearing";
+    let mut testbed = Testbed::start(TestbedOptions::default()).await.expect("the testbed starts");
+    let mut stream = TcpStream::connect(testbed.caller_addresses()[0]).await.expect("it accepts");
+    let key = bearer_key(ORGANISATIONS[0]);
+    let length = BODY.len();
+    let head = format!(
+        "POST /v1/calls/{PLAIN_SERVICE}/{ORDER_KIND} HTTP/1.1\r\nhost: test\r\n\
+         authorization: Bearer {key}\r\nidempotency-key: slow-body\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("the head is taken");
+    sleep(Duration::from_millis(200)).await;
+    let drain = testbed.drain_daemon(0).expect("the daemon is running");
+    // Longer than directory responses are valid.
+    sleep(Duration::from_millis(1_500)).await;
+    stream.write_all(BODY.as_bytes()).await.expect("the body is taken");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.expect("the connection is not reset");
+    assert!(response.starts_with("HTTP/1.1 200 OK\r\n"), "{response}");
+    timeout(MAX_STOP_TIME, drain).await.expect("the daemon stops").expect("the daemon ends");
+}
