--- a/relay/src/control.rs
+++ b/relay/src/control.rs
@@ -143,7 +143,7 @@
     rng: ChaCha8Rng,
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
-    /// Position in the list of the last change that concerns this daemon.
+    /// Changes of the list that concern this daemon.
     list_log: ChangeLog,
     pools: Pools,
     /// Use in the cells of a divided system, kept by readers of the list.
