Send followers nothing when a daemon that had the list from a peer reads the store

Only a store that has returned from a copy lacks entries or has older ones, so the mark is needed from its first return on alone.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -194,7 +194,8 @@
         let changes = missing.into_iter().map(Change::Removed);
         let changes: Vec<_> = changes.chain(all.into_iter().map(Change::Put)).collect();
         let leaving = self.apply(now, position, origin, changes);
-        if matches!(origin, Origin::Peer(_)) {
+        // Only entries that a rewound store lacks or has in an older form are kept against it.
+        if matches!(origin, Origin::Peer(_)) && position.era > 0 {
             self.upstreams.values_mut().for_each(|upstream| upstream.is_unconfirmed = true);
         }
         leaving
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -192,3 +192,18 @@
     assert_eq!(expired().names_changed_by(&[Change::Put(e1())]), names);
     assert_eq!(expired().names_differing_from(&[e1(), listed("e2", 1, false)]), names);
 }
+
+/// Guards against sending the whole list to all followers each time another daemon becomes the reader.
+#[test]
+fn a_reader_that_had_the_list_from_a_peer_has_no_news_of_entries_that_stay() {
+    let at = |offset: u64| StorePosition { era: 0, offset };
+    for count in [400, 3_000] {
+        let entries: Vec<_> = (0..count).map(|n| listed(&format!("e{n}"), 1, false)).collect();
+        let (mut fleet, mut log) = (Fleet::new(), ChangeLog::default());
+        log.record_whole(&fleet, at(10), &entries);
+        fleet.replace(Time(0), at(10), &Origin::Peer(Vec::new()), entries.clone());
+        assert!(!log.record_whole(&fleet, at(11), &entries), "{count} entries");
+        fleet.replace(Time(1_000), at(11), &Origin::Store, entries);
+        assert_eq!(log.since(at(10)), Missed::Nothing, "{count} entries");
+    }
+}
