--- a/http/src/caller_stream.rs
+++ b/http/src/caller_stream.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Activity {
     /// Whether a request is handled or its response is not yet written to the connection's buffer.
     in_progress: AtomicBool,
+    /// Whether the caller has yet to accept a part of a response.
+    unwritten: AtomicBool,
     /// Whether bytes were read since the last request started.
     has_read: AtomicBool,
     /// Whether the server stops.
@@ -63,7 +65,8 @@
     }
 
     fn is_busy(&self) -> bool {
-        self.in_progress.load(Ordering::Relaxed) || self.closing.load(Ordering::Relaxed)
+        let flags = [&self.in_progress, &self.unwritten, &self.closing];
+        flags.iter().any(|flag| flag.load(Ordering::Relaxed))
     }
 }
 
@@ -132,6 +135,7 @@
         cx: &mut Context<'_>,
         result: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        self.activity.unwritten.store(result.is_pending(), Ordering::Relaxed);
         if result.is_ready() || !self.activity.stopping.load(Ordering::Relaxed) {
             self.write_timeout = None;
             return result;
--- a/http/tests/early_refusals.rs
+++ b/http/tests/early_refusals.rs
@@ -117,3 +117,35 @@
     let e = timeout(READ_TIMEOUT, e).await.expect("the server gives up").unwrap();
     assert!(matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe), "{e}");
 }
+
+/// Guards against a reset that cuts a response which is being written when the server stops, while its
+/// caller still sends the body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_long_response_to_a_caller_that_still_sends_outlasts_the_stop() {
+    const RESPONSE_BYTES: usize = 20_000_000;
+    let (mut stream, stop) = connect(RESPONSE_BYTES).await;
+    let mut writer = stream.try_clone().unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 3000000\r\n\r\n";
+    writer.write_all(head.as_bytes()).unwrap();
+    sleep(PAUSE * 10);
+    stop.send(true).unwrap();
+    let write = spawn_blocking(move || {
+        for _ in 0..300 {
+            if writer.write_all(&PIECE).is_err() {
+                break;
+            }
+            sleep(PAUSE);
+        }
+    });
+    let read = spawn_blocking(move || {
+        let (mut received, mut buf) = (0, vec![0; 100_000]);
+        while let Ok(count @ 1..) = stream.read(&mut buf) {
+            received += buf[..count].iter().filter(|byte| **byte == b'y').count();
+            sleep(PAUSE / 2);
+        }
+        received
+    });
+    let received = timeout(READ_TIMEOUT * 4, read).await.expect("the response ends").unwrap();
+    assert_eq!(received, RESPONSE_BYTES);
+    write.await.unwrap();
+}
