--- a/relay/src/handler.rs
+++ b/relay/src/handler.rs
@@ -256,6 +256,7 @@
         origin: Origin,
     ) -> Result<CallerResponse<W>, Refusal> {
         tokio::select! {
+            biased;
             result = self.serve(Arc::clone(&fwd), origin) => result,
             () = self.shared.answers_due() => Err(match fwd.may_be_sent.load(Ordering::Relaxed) {
                 true => Refusal::Lost("the daemon stops".to_owned()),
