--- a/review/harness-2/engines.rs
+++ b/review/harness-2/engines.rs
@@ -1,6 +1,6 @@
 //! Model engines that share a pool: streams, copies of a run's memory, backups.
 
-use crate::http::{Message, is_closed, respond, serve, write_chunk};
+use crate::http::{Gate, Message, is_closed, respond, serve_gated, write_chunk};
 use crate::site::Record;
 use std::collections::HashMap;
 use std::io::{self, Write};
@@ -19,6 +19,9 @@
 /// Time for which a copy is kept after its last part.
 const HANDLE_TTL: Duration = Duration::from_secs(5);
 
+/// Time between the last call that a leaving engine answers and its end.
+const EXIT_TIME: Duration = Duration::from_millis(100);
+
 /// Interval at which a run's memory is sent to its backup.
 const BACKUP_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -41,6 +44,11 @@
     /// Whether it works on when the channel of a request closes. Most engines drop the request.
     works_on: bool,
     silent_until: Option<Instant>,
+    gate: Gate,
+    leaves_at: Option<Instant>,
+    has_exited: bool,
+    /// The channels of its requests.
+    channels: Vec<TcpStream>,
 }
 
 #[derive(Debug)]
@@ -85,17 +93,21 @@
     /// Silence that begins with the next final copy, which fails without effect.
     silence_at_final_copy: Option<Duration>,
     handles: u32,
+    /// Whether answers have neither a length nor chunks.
+    is_unframed: bool,
 }
 
 #[derive(Clone)]
 pub struct Pool {
     inner: Arc<Mutex<Inner>>,
     record: Arc<Record>,
+    /// Channels that fill the queues of engines.
+    waiting: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Pool {
     pub fn new(record: Arc<Record>) -> Self {
-        Self { inner: Arc::default(), record }
+        Self { inner: Arc::default(), record, waiting: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -106,9 +118,20 @@
     pub fn add(&self, name: &str, works_on: bool) -> io::Result<SocketAddr> {
         let index = self.lock().engines.len();
         let own = self.clone();
-        let address = serve(move |stream, request| own.handle(index, stream, &request))?;
-        let engine =
-            Engine { name: name.to_owned(), address, leaving: false, works_on, silent_until: None };
+        let gate = Gate::default();
+        let address =
+            serve_gated(&gate, move |stream, request| own.handle(index, stream, &request))?;
+        let engine = Engine {
+            name: name.to_owned(),
+            address,
+            leaving: false,
+            works_on,
+            silent_until: None,
+            gate,
+            leaves_at: None,
+            has_exited: false,
+            channels: Vec::new(),
+        };
         self.lock().engines.push(engine);
         Ok(address)
     }
@@ -117,6 +140,51 @@
         change(&mut self.lock().losses)
     }
 
+    /// Has answers end with their channels.
+    pub fn set_unframed(&self) {
+        self.lock().is_unframed = true;
+    }
+
+    /// Has an engine end after a copy that it makes at `at` or later; until then, other engines have no room
+    /// for copies of its runs.
+    pub fn set_exit(&self, name: &str, at: Instant) {
+        let mut inner = self.lock();
+        inner
+            .engines
+            .iter_mut()
+            .filter(|engine| engine.name == name)
+            .for_each(|engine| engine.leaves_at = Some(at));
+    }
+
+    pub fn has_exited(&self, name: &str) -> bool {
+        self.lock().engines.iter().any(|engine| engine.name == name && engine.has_exited)
+    }
+
+    /// Ends an engine: its listener is closed, then its channels.
+    pub fn exit(&self, name: &str) {
+        let index = self.lock().engines.iter().position(|engine| engine.name == name);
+        if let Some(index) = index {
+            let gate = self.lock().engines[index].gate.clone();
+            gate.close();
+            self.close_channels(index);
+        }
+    }
+
+    fn is_due_to_exit(&self, index: usize) -> bool {
+        self.lock().engines[index].leaves_at.is_some_and(|at| Instant::now() >= at)
+    }
+
+    fn close_channels(&self, index: usize) {
+        let mut inner = self.lock();
+        let engine = &mut inner.engines[index];
+        engine.has_exited = true;
+        for channel in engine.channels.drain(..) {
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+        let name = engine.name.clone();
+        self.record.note(&format!("{name} has ended"));
+    }
+
     pub fn set_leaving(&self, name: &str) {
         let mut inner = self.lock();
         inner
@@ -239,6 +307,13 @@
                 return Ok(false);
             }
         }
+        let is_full =
+            !is_final && self.lock().engines[index].leaves_at.is_some_and(|at| Instant::now() < at);
+        if is_full {
+            // The other engine has no room yet.
+            respond(stream, "503 Service Unavailable", &json, b"{}")?;
+            return Ok(true);
+        }
         let (found, name) = {
             let mut inner = self.lock();
             let name = inner.engines[index].name.clone();
@@ -272,6 +347,17 @@
             Some((_, copied)) => 4 * (events - copied),
             None => 3_000 + 4 * events,
         };
+        // The second copy of a run, which is a short one, is the last call that a leaving engine answers.
+        let ends = !is_final && known.is_some() && self.is_due_to_exit(index);
+        let gate = self.lock().engines[index].gate.clone();
+        if ends {
+            let waiting = gate.stop_accepting()?;
+            self.record.note(&format!(
+                "{name} takes no more channels; its queue is full with {}",
+                waiting.len()
+            ));
+            self.waiting.lock().unwrap().extend(waiting);
+        }
         sleep(Duration::from_secs_f64(new_tokens as f64 * MILLIS_PER_TOKEN_COPIED / 1_000.0));
         let handle = {
             let mut inner = self.lock();
@@ -288,6 +374,13 @@
             handle
         };
         let body = format!("{{\"handle\":\"{handle}\",\"created\":{events}}}");
+        if ends {
+            respond(stream, "200 OK", &json, body.as_bytes())?;
+            sleep(EXIT_TIME);
+            self.close_channels(index);
+            gate.close();
+            return Ok(false);
+        }
         respond(stream, "200 OK", &json, body.as_bytes())?;
         Ok(true)
     }
@@ -352,9 +445,10 @@
             return Ok(false);
         }
         let work = self.begin(index, &attempt, first, total, memory.is_some());
-        let mut head = String::from(
-            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-type: text/event-stream\r\n",
-        );
+        let is_unframed = self.lock().is_unframed;
+        let framing = if is_unframed { "connection: close" } else { "transfer-encoding: chunked" };
+        let mut head =
+            format!("HTTP/1.1 200 OK\r\n{framing}\r\ncontent-type: text/event-stream\r\n");
         for (field, value) in
             own.iter().chain(&[("response-seal", "3e1b.07"), ("weight-versions", "1")])
         {
@@ -363,12 +457,18 @@
         head.push_str("\r\n");
         let mut channel = Some(stream.try_clone()?);
         stream.write_all(head.as_bytes())?;
+        let kept = stream.try_clone()?;
+        self.lock().engines[index].channels.push(kept);
         let loses_answer = self.loses_answer(&name, total);
         let backup = request.header("kv-backup").map(str::to_owned);
         let how =
             self.generate(index, &name, &attempt, first, total, loses_answer, backup, &mut channel);
         self.end(index, &attempt, work, how);
         match (channel, how) {
+            (Some(_), "complete") if is_unframed => {
+                let _ = stream.shutdown(Shutdown::Write);
+                Ok(false)
+            }
             (Some(_), "complete") => {
                 stream.write_all(b"0\r\n\r\n")?;
                 Ok(true)
@@ -450,7 +550,7 @@
                     self.lock().losses.lost.push(attempt.to_owned());
                     let _ = stream.shutdown(Shutdown::Both);
                     *channel = None;
-                } else if is_closed(stream) || write_chunk(stream, &events).is_err() {
+                } else if is_closed(stream) || self.write_events(stream, &events).is_err() {
                     self.record.note(&format!("{name} finds the channel of {attempt} closed"));
                     *channel = None;
                     if !works_on {
@@ -468,7 +568,7 @@
         }
         self.wait_while_silent(index);
         if let Some(stream) = channel.as_mut().filter(|_| !held_back.is_empty()) {
-            let _ = write_chunk(stream, &held_back);
+            let _ = self.write_events(stream, &held_back);
         }
         if let Some(backup) = &backup {
             self.drop_backup(backup, attempt);
@@ -476,6 +576,11 @@
         "complete"
     }
 
+    fn write_events(&self, stream: &mut TcpStream, events: &[u8]) -> io::Result<()> {
+        let is_unframed = self.lock().is_unframed;
+        if is_unframed { stream.write_all(events) } else { write_chunk(stream, events) }
+    }
+
     fn back_up(&self, target: &str, attempt: &str, events: u64, total: u64) {
         let mut inner = self.lock();
         let holder = inner.engines.iter().position(|engine| engine.address.to_string() == target);
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -2,7 +2,9 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -163,6 +165,89 @@
     Ok(address)
 }
 
+/// The listener of a server, which can stop accepting channels and can be closed.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    listener: Arc<Mutex<Option<TcpListener>>>,
+    stops: Arc<AtomicBool>,
+}
+
+impl Gate {
+    /// Accepts no more channels. The queue of new ones is full; further ones are not opened.
+    pub fn stop_accepting(&self) -> io::Result<Vec<TcpStream>> {
+        let locked = self.listener.lock().unwrap();
+        let Some(listener) = &*locked else {
+            return Ok(Vec::new());
+        };
+        self.stops.store(true, Ordering::SeqCst);
+        // SAFETY: the descriptor is that of a listener, which is open.
+        unsafe { listen(listener.as_raw_fd(), 0) };
+        let address = listener.local_addr()?;
+        let mut waiting = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(8)) {
+            waiting.push(stream);
+        }
+        Ok(waiting)
+    }
+
+    /// Closes the listener.
+    pub fn close(&self) {
+        self.stops.store(true, Ordering::SeqCst);
+        *self.listener.lock().unwrap() = None;
+    }
+}
+
+unsafe extern "C" {
+    fn listen(fd: i32, backlog: i32) -> i32;
+}
+
+/// Like [`serve`], until the gate is closed.
+pub fn serve_gated<H>(gate: &Gate, handle: H) -> io::Result<SocketAddr>
+where
+    H: Fn(&mut TcpStream, Message) -> io::Result<bool> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    listener.set_nonblocking(true)?;
+    *gate.listener.lock().unwrap() = Some(listener);
+    let (handle, gate) = (Arc::new(handle), gate.clone());
+    thread::spawn(move || {
+        while !gate.stops.load(Ordering::SeqCst) {
+            let accepted = {
+                let locked = gate.listener.lock().unwrap();
+                // Not accepted since the gate has stopped meanwhile.
+                match &*locked {
+                    Some(listener) if !gate.stops.load(Ordering::SeqCst) => listener.accept(),
+                    _ => break,
+                }
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    serve_connection(stream, Arc::clone(&handle));
+                }
+                Err(_) => thread::sleep(Duration::from_micros(500)),
+            }
+        }
+    });
+    Ok(address)
+}
+
+fn serve_connection<H>(stream: TcpStream, handle: Arc<H>)
+where
+    H: Fn(&mut TcpStream, Message) -> io::Result<bool> + Send + Sync + 'static,
+{
+    thread::spawn(move || {
+        let mut stream = stream;
+        let _ = stream.set_nodelay(true);
+        while let Ok(Some(request)) = read_request(&mut stream) {
+            if !matches!(handle(&mut stream, request), Ok(true)) {
+                break;
+            }
+        }
+    });
+}
+
 pub fn serve_on<H>(listener: TcpListener, handle: H)
 where
     H: Fn(&mut TcpStream, Message) -> io::Result<bool> + Send + Sync + 'static,
--- a/review/harness-2/scenarios.rs
+++ b/review/harness-2/scenarios.rs
@@ -19,6 +19,7 @@
 pub fn run(scenario: &str, has_trouble: bool, record: Arc<Record>) -> io::Result<Vec<String>> {
     match scenario {
         "lost-stream" => lost_stream(has_trouble, record),
+        "ended-engine" => ended_engine(has_trouble, record),
         "planned-move" => planned_move(has_trouble, record),
         "doubted-stop" => doubted_stop(has_trouble, record),
         "failed-after-run" => failed_after_run(has_trouble, record),
@@ -259,3 +260,101 @@
     }
     Ok(found)
 }
+
+/// Engines that leave end; their streams have no length.
+fn ended_engine(has_trouble: bool, record: Arc<Record>) -> io::Result<Vec<String>> {
+    let site = Site::start(3)?;
+    let pool = Pool::new(Arc::clone(&record));
+    pool.set_unframed();
+    let names: Vec<_> = (1..=12).map(|n| format!("i-{n:08x}")).collect();
+    let mut servers = Vec::new();
+    for name in &names {
+        servers.push((name.clone(), pool.add(name, false)?));
+    }
+    let listed = Arc::new(Mutex::new(names[..4].to_vec()));
+    let leaving: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (own_listed, own_leaving, store, own_servers) =
+        (Arc::clone(&listed), Arc::clone(&leaving), site.store.clone(), servers.clone());
+    let mut sequence = 1;
+    let mut write = move || {
+        for (n, (name, address)) in own_servers.iter().enumerate() {
+            if own_listed.lock().unwrap().contains(name) {
+                let is_leaving = own_leaving.lock().unwrap().contains(name);
+                put_entry(
+                    &store,
+                    "perito",
+                    3 * n,
+                    name,
+                    *address,
+                    if is_leaving { "draining" } else { "ready" },
+                    sequence,
+                );
+            }
+        }
+        sequence += 1;
+    };
+    write();
+    every(Duration::from_millis(400), write);
+    site.publish(1, "huka270");
+    check_ready(&site)?;
+    if has_trouble {
+        let (own, own_record, store) = (pool.clone(), Arc::clone(&record), site.store.clone());
+        thread::spawn(move || {
+            sleep(Duration::from_secs(6));
+            for n in 0..8 {
+                listed.lock().unwrap().push(names[n + 4].clone());
+                sleep(Duration::from_millis(1_200));
+                let name = own.busiest();
+                own_record.note(&format!("{name} leaves"));
+                own.set_exit(&name, Instant::now() + Duration::from_millis(2_300));
+                own.set_leaving(&name);
+                leaving.lock().unwrap().push(name.clone());
+                sleep(Duration::from_millis(5_000));
+                if !own.has_exited(&name) {
+                    own_record.note("no copy late enough");
+                    own.exit(&name);
+                }
+                listed.lock().unwrap().retain(|other| *other != name);
+                store.put("keyed.servers", &name, "");
+            }
+        });
+    }
+    let found: Arc<Mutex<Vec<String>>> = Arc::default();
+    let (until, mut clients) = (Instant::now() + Duration::from_secs(60), Vec::new());
+    let mut n: u32 = 0;
+    while Instant::now() < until {
+        let address = site.daemons[n as usize % site.daemons.len()].callers;
+        let (record, found, total) = (Arc::clone(&record), Arc::clone(&found), 300 + n % 12);
+        clients.push(thread::spawn(move || {
+            let id = format!("report-{n:04}");
+            let answer = attempt(
+                address,
+                "POST",
+                &format!("/report/{n}"),
+                &id,
+                39_000,
+                Some(&format!("3000,{}", 4 * total)),
+            );
+            note_answer(&record, &id, &answer);
+            let last = answer
+                .body
+                .lines()
+                .filter_map(|line| line.strip_prefix("id: ")?.parse::<u32>().ok())
+                .last();
+            if answer.status == 200 && answer.is_whole && last != Some(total) {
+                found
+                    .lock()
+                    .unwrap()
+                    .push(format!("{id}: complete after event {last:?} of {total}"));
+            }
+        }));
+        n += 1;
+        sleep(Duration::from_millis(400));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    site.keep_logs();
+    let found = found.lock().unwrap().clone();
+    Ok(found)
+}
--- a/review/harness-2/site.rs
+++ b/review/harness-2/site.rs
@@ -4,7 +4,7 @@
 use crate::store::Store;
 use std::fs::{self, File};
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -58,9 +58,12 @@
     }
 }
 
+/// Addresses with ports that are free. The loopback address is that of this process alone, so that no other
+/// connection takes a port before the daemon does.
 fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: Result<Vec<_>, _> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = IpAddr::from([127, 1 + high % 250, low, 1]);
+    let listeners: Result<Vec<_>, _> = (0..count).map(|_| TcpListener::bind((ip, 0))).collect();
     listeners?.iter().map(TcpListener::local_addr).collect()
 }
 
