Answer orders that may have run with 502 instead of an unproven promise

Callers of orders and streams got an upstream's 408, 421, 429 or 503 after it had run them.

Cause: read_response passed on every response that names its request and does not state "not run", whatever its status; an attempt to continue a run counted any error as proof that its engine does not work on it.

Change: core/src/response.rs decides what a response proves from status, statement and kind of request, for calls, streams, attempts to continue, responses by way of other hosts and magnoliawinchd. Requests that may be repeated are tried again after 408, 421 and 429, too. Log line and metric.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod quarantine;
 pub mod reachability;
 pub mod rendezvous;
+pub mod response;
 pub mod retry;
 pub mod route_table;
 pub mod routing;
--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -14,6 +14,8 @@
 use magnoliawinch::ledger::{Claim, ClaimDecision, Claimant, Outcome};
 use magnoliawinch::names::{FailureDomain, UpstreamName};
 use magnoliawinch::quarantine::{Fingerprint, QuarantineStatus};
+use magnoliawinch::response::ResponseClass;
+use magnoliawinch::route_table::Delivery;
 use magnoliawinch::routing::RoutingCriteria;
 use magnoliawinch::service_file::{ServiceType, UpstreamSpec, key_digest};
 use magnoliawinch::time::{Millis, Time};
@@ -395,7 +397,21 @@
     shared.routing().router.note_start(upstream);
     let result = shared.services.call(spec.address, &call, timeout).await;
     shared.routing().router.note_end(upstream);
-    result
+    let answer = result?;
+    let class = ResponseClass::new(answer.status, false);
+    let delivery = match job.access.kind.idempotent {
+        true => Delivery::Idempotent,
+        false => Delivery::AtMostOnce,
+    };
+    if !class.may_be_forwarded(delivery) {
+        return Err(CallError::Refused {
+            address: spec.address,
+            status: answer.status,
+            verdict: class.verdict(),
+            draining: false,
+        });
+    }
+    Ok(answer)
 }
 
 /// Logs a failed attempt; reports it to the router and the control thread.
--- a/fakes/src/service.rs
+++ b/fakes/src/service.rs
@@ -33,6 +33,8 @@
     pub lose_responses: bool,
     /// The first call gets an error response.
     pub fail_first: bool,
+    /// Calls run and get status 503, without a verdict.
+    pub fail_with_promise: bool,
     /// Duration of each call.
     pub call_duration: Duration,
 }
@@ -172,6 +174,9 @@
     if faults.fail_first && run == 1 {
         return status_response(StatusCode::INTERNAL_SERVER_ERROR, "failed");
     }
+    if faults.fail_with_promise {
+        return status_response(StatusCode::SERVICE_UNAVAILABLE, "failed");
+    }
     if echo.contains(CRASH_MARKER) {
         lock(&inner).has_crashed = true;
         crash.send_replace(true);
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -13,6 +13,7 @@
 use magnoliawinch::balance::{Candidate, Outcome};
 use magnoliawinch::fleet::ListedUpstream;
 use magnoliawinch::names::UpstreamName;
+use magnoliawinch::response::ResponseClass;
 use magnoliawinch::retry::RepeatCause;
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::{Millis, Time};
@@ -56,7 +57,7 @@
 impl BufferedResponse {
     /// Whether the upstream failed the request; it may have done so before it worked on it.
     pub(crate) fn is_failure(&self) -> bool {
-        self.status.is_server_error()
+        ResponseClass::new(self.status.as_u16(), false).is_failure()
     }
 }
 
@@ -339,7 +340,9 @@
             self.shared.note_load(&upstream.name, load);
         }
         // As stated in a response to this request: `send` drops what others state.
-        if info.not_run {
+        let class = ResponseClass::new(status.as_u16(), info.not_run);
+        self.note_response_class(fwd, upstream, status, class);
+        if class == ResponseClass::NotRun {
             if status == StatusCode::MISDIRECTED_REQUEST {
                 self.shared.tell(Message::UpstreamLeaving(upstream.incarnation(&fwd.service)));
             }
@@ -351,6 +354,12 @@
                 upstream.name
             ));
         }
+        if !class.may_be_forwarded(fwd.route.delivery) {
+            return Attempt::invalid(format!(
+                "{} responded with status {status} and does not state that the request did not run",
+                upstream.name
+            ));
+        }
         let mut headers = response.headers().clone();
         let body = match tokio::time::timeout(timeout, response.bytes(MAX_RESPONSE_BYTES)).await {
             Ok(Ok(body)) => body,
@@ -370,6 +379,31 @@
         Attempt::Responded(BufferedResponse { status, headers, body })
     }
 
+    /// Counts and logs a response by what it proves, unless it is a success.
+    pub(crate) fn note_response_class(
+        &self,
+        fwd: &Forward,
+        upstream: &Endpoint,
+        status: StatusCode,
+        class: ResponseClass,
+    ) {
+        if class == ResponseClass::Success {
+            return;
+        }
+        let name: &'static str = class.into();
+        self.shared.metrics.count("response", &format!("{name}_{}", status.as_u16()));
+        if self.shared.log_limiter.admits(self.shared.clock.now()) {
+            log::info!(
+                request = fwd.info.run.as_str(),
+                upstream = upstream.name.as_str(),
+                status = status.as_u16(),
+                class = name,
+                verdict:% = class.verdict();
+                "upstream responded with an error"
+            );
+        }
+    }
+
     /// Notes how a run ended whose response was to be read completely.
     pub(crate) fn note_run_end(&self, fwd: &Forward, upstream: &UpstreamName, attempt: &Attempt) {
         let (now, run) = (self.shared.clock.now(), &fwd.info.run);
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -25,6 +25,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use magnoliawinch::membership::{Member, MemberState};
 use magnoliawinch::names::{HostName, ServiceName};
+use magnoliawinch::response::ResponseClass;
 use magnoliawinch::route_table::Delivery;
 use magnoliawinch::time::Millis;
 use magnoliawinch::verdict::Verdict;
@@ -286,6 +287,11 @@
         let request = carried_request(fwd);
         let (mut parts, head) = self.send_to_host(host, fwd, request, fwd.remaining()).await?;
         let (status, headers) = response_head(&head).ok_or_else(|| may_have_run("invalid head"))?;
+        // Earlier builds pass on whatever their upstreams respond.
+        let class = ResponseClass::new(status.as_u16(), head.not_run);
+        if !head.not_run && !class.may_be_forwarded(fwd.route.delivery) {
+            return Err(may_have_run("the upstream does not state that the request did not run"));
+        }
         if head.is_stream {
             let mut response = Response::new(());
             (*response.status_mut(), *response.headers_mut()) = (status, headers);
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -13,6 +13,7 @@
 use magnoliawinch::handover::{ReclaimOutcome, SHARED_WORK_LIMIT};
 use magnoliawinch::names::UpstreamName;
 use magnoliawinch::reachability::Reachability;
+use magnoliawinch::response::ResponseClass;
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::client::is_framed;
@@ -72,7 +73,7 @@
     /// The engine did not respond.
     #[error("{0}")]
     NoResponse(#[from] SendError),
-    /// The engine responded to the request with an error; it does not work on it.
+    /// The engine responded to the request with an error; it works on it no more, if it did.
     #[error("{engine} did not resume the run: {status}")]
     Refused {
         engine: UpstreamName,
@@ -232,7 +233,9 @@
         if let Some(problem) = response_problem(fwd, status, &info) {
             return Err(ResumeError::Invalid { engine, status, problem });
         }
-        if !status.is_success() || info.not_run {
+        let class = ResponseClass::new(status.as_u16(), info.not_run);
+        self.note_response_class(fwd, to, status, class);
+        if class != ResponseClass::Success {
             return Err(ResumeError::Refused { engine, status, not_run: info.not_run });
         }
         let is_framed = is_framed(response.headers());
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -305,7 +305,7 @@
                 let may_have_run = may_have_run(sent_at.elapsed());
                 self.note_failed_resume(&to, e.verdict(), e.to_string(), took);
                 match &e {
-                    ResumeError::Refused { .. }
+                    ResumeError::Refused { not_run: true, .. }
                     | ResumeError::Quarantined(_)
                     | ResumeError::Withheld {
                         withheld: Withheld::Leaving { .. } | Withheld::Evacuated,
--- a/service/src/lib.rs
+++ b/service/src/lib.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
+use magnoliawinch::response::ResponseClass;
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::client::has_known_end;
 use magnoliawinch_http::{Client, Reuse, SendError};
@@ -50,7 +51,7 @@
 impl Answer {
     /// Whether the upstream failed the call; it may have done so before it worked on it.
     pub fn is_failure(&self) -> bool {
-        (500..600).contains(&self.status)
+        ResponseClass::new(self.status, false).is_failure()
     }
 }
 
@@ -60,7 +61,7 @@
     /// Sending failed or no valid response arrived.
     #[error(transparent)]
     Send(#[from] SendError),
-    /// Refused by the upstream before any work.
+    /// Refused by the upstream, before any work if it states so.
     #[error("the upstream at {address} refused with status {status}")]
     Refused {
         /// Upstream address.
--- a/testbed/tests/at_most_once.rs
+++ b/testbed/tests/at_most_once.rs
@@ -102,6 +102,22 @@
     assert_eq!(testbed.run_counts.of("lost-answer"), 1);
 }
 
+/// Guards against a 503 for an order that ran, and against storing it for later requests with the same key.
+#[tokio::test]
+async fn an_order_that_ran_and_failed_with_503_may_have_run() {
+    let testbed = start_testbed().await;
+    let set =
+        |faults| testbed.plain_upstreams.iter().for_each(|upstream| upstream.set_faults(faults));
+    set(ServiceFaults { fail_with_promise: true, ..ServiceFaults::default() });
+    for host in [0, 1] {
+        let error = place_order(&testbed, host, "failed", "bearing").await.expect_err("it failed");
+        assert_eq!((error.code, error.verdict), (Code::UpstreamFailed, Verdict::MayHaveRun));
+        set(ServiceFaults::default());
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(testbed.run_counts.of("failed"), 1);
+}
+
 #[tokio::test]
 async fn an_order_refused_by_one_upstream_runs_at_another() {
     let testbed = start_testbed().await;
