Tell engines to stop a run before it goes on elsewhere

Cause: the handover took a closed connection or a short silence for the end of the engine's work, and judged an end without a mark by a later state.

Change: engines that may work on the run are kept in one list; each is told to stop until it has replied, can't be reached or has been silent for longer than sound engines are. An end without a mark stays open until it has been checked, and the engine asked whether it still has the run. Both faults are in one state machine, so their mends are one commit.

--- a/core/src/handover/steps.rs
+++ b/core/src/handover/steps.rs
@@ -75,7 +75,7 @@
     },
 }
 
-/// What an engine whose answer was lost replies when told to stop the run.
+/// What an engine that may work on the run replies when told to stop it.
 #[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum ReclaimOutcome {
@@ -83,12 +83,20 @@
     Stopped {
         /// Handle of the memory there.
         handle: String,
+        /// Whether the other engine has a copy.
+        is_copied: bool,
     },
+    /// It has stopped the run and still copies its memory.
+    Stopping,
     /// It does not have the run, but may not have begun it.
     NoRun,
     /// It has ended.
     Ended,
-    /// It may have acted.
+    /// No connection to it could be opened.
+    Unreachable,
+    /// It lives, but its reply does not tell.
+    Failed,
+    /// It has not replied, and may have acted.
     Unknown,
 }
 
@@ -99,6 +107,9 @@
     Whole,
     /// With its connection, which is also how a complete body without a length ends.
     Unframed,
+    /// The same, and the engine was found to have outlived the connection. It may have lost its answer and
+    /// work on.
+    Outlived,
     /// Before its end.
     Broken,
 }
@@ -130,17 +141,30 @@
     /// Send the request to the engine of the point. Once it has started, the body of the former
     /// source is to be closed.
     Resume(ResumePoint<E>),
-    /// Have the engine `from`, whose answer was lost, stop the run and copy its memory to `to`.
+    /// Have the engine `from`, which may work on the run, stop it and copy its memory to `to`.
     Reclaim {
-        /// The engine that may run the request.
+        /// The engine.
         from: E,
         /// Target of the copy.
         to: E,
+        /// Whether the engine was told so before.
+        is_repeated: bool,
+        /// Whether the run continues from the copy; otherwise only the stop matters.
+        needs_copy: bool,
+    },
+    /// Have `engine` drop a copy that is not needed.
+    DropCopy {
+        /// The engine that made the copy.
+        engine: E,
+        /// Its handle there.
+        handle: String,
     },
     /// Close the body of the source, as another engine may run the request.
     LeaveSource,
     /// Check whether the source is alive.
     CheckSource,
+    /// Check whether the source outlived the connection with which its body has ended.
+    CheckEnd,
     /// Report that the ordered move failed.
     ReportFailedMove {
         /// The engine that refused the run or could not be reached.
--- a/core/tests/handover.rs
+++ b/core/tests/handover.rs
@@ -42,8 +42,12 @@
     Check(bool),
     /// The body ends, unframed if set.
     End(bool),
-    /// The connection to the source breaks.
-    Break,
+    /// The engine ends, and its body with its connection.
+    Crash,
+    /// The body ends unframed, as the engine has lost its answer and works on.
+    LoseAnswer,
+    /// The connection to the source breaks; the engine works on if set.
+    Break(bool),
     Wait(u8),
 }
 
@@ -58,7 +62,9 @@
             9..=11 => Self::Resume(number),
             12 => Self::Check(flag),
             13 if number < 60 => Self::End(flag),
-            14 if number < 100 => Self::Break,
+            13 if number < 80 => Self::Crash,
+            13 if number < 100 => Self::LoseAnswer,
+            14 if number < 100 => Self::Break(flag),
             15..=16 => Self::Reclaim(number),
             _ => Self::Wait(number),
         }
@@ -83,15 +89,33 @@
     KeepsFailedMoves,
     /// An attempt that may have run counts as refused.
     IgnoresLostAnswers,
+    /// A closed connection counts as the end of an engine's work.
+    TrustsClosedConnections,
+    /// An end without a mark counts as that of a complete stream.
+    TrustsUncheckedEnds,
 }
 
 type Point = ResumePoint<u8>;
 
-/// An engine that runs the request although its answer was lost.
+/// An engine other than the source that works on the run.
 #[derive(Clone, Debug)]
-struct OtherRun {
-    point: Point,
+struct Worker {
+    engine: u8,
+    /// The attempt of which the answer was lost; `None` for a former source.
+    attempt: Option<Point>,
     begins_at: Time,
+    silent_since: Time,
+    is_unreachable: bool,
+    /// Whether it was told to stop.
+    was_told: bool,
+}
+
+impl Worker {
+    /// Whether the rule on shared work leaves the engine out: this host does not reach it, or it has been
+    /// silent for longer than sound engines are.
+    fn is_excused(&self, now: Time) -> bool {
+        self.is_unreachable || now >= self.silent_since + SOUND_SILENCE
+    }
 }
 
 struct World {
@@ -105,9 +129,17 @@
     copying: Option<(u8, bool, Time)>,
     /// The attempt in progress, when it was sent, and its limit.
     resuming: Option<(Point, Time, Millis)>,
-    other_run: Option<OtherRun>,
-    reclaiming: Option<(u8, Time)>,
+    workers: Vec<Worker>,
+    /// Engines that are told to stop, the targets of their copies, and when they were told.
+    reclaiming: Vec<(u8, u8, Time)>,
     checking: Option<Time>,
+    /// Whether the end of the body is being checked, and whether the engine has outlived it.
+    checking_end: Option<bool>,
+    has_crashed: bool,
+    /// When the source began to write.
+    began_at: Time,
+    /// Copies that are not needed.
+    dropped: Vec<String>,
     /// Places where the run can continue, as far as responses have shown.
     usable: Vec<Point>,
     has_open_order: bool,
@@ -132,9 +164,13 @@
             last_data_at: now,
             copying: None,
             resuming: None,
-            other_run: None,
-            reclaiming: None,
+            workers: Vec::new(),
+            reclaiming: Vec::new(),
             checking: None,
+            checking_end: None,
+            has_crashed: false,
+            began_at: now,
+            dropped: Vec::new(),
             usable: vec![ResumePoint { engine: 1, copy: KeptCopy::Backup }],
             has_open_order: false,
             ordered_attempts: 0,
@@ -153,6 +189,45 @@
         ResumePoint { engine, copy }
     }
 
+    /// Whether the source works on the run, whatever has become of its body.
+    fn source_works(&self) -> bool {
+        self.end.is_none() && !self.has_stopped
+    }
+
+    /// Notes that the source goes on working although its connection is closed.
+    fn add_former_source(&mut self) {
+        let engine = self.source();
+        self.workers.push(Worker {
+            engine,
+            attempt: None,
+            begins_at: self.began_at,
+            silent_since: self.last_data_at,
+            is_unreachable: false,
+            // A final copy stops the run, too.
+            was_told: self.reclaiming.iter().any(|(told, ..)| *told == engine)
+                || self.copying.is_some_and(|(_, is_final, _)| is_final),
+        });
+    }
+
+    /// Notes that an engine whose answer was lost runs the request, unless another one uses its copy.
+    fn add_attempt(&mut self, point: &Point, sent_at: Time, begins_at: Time) {
+        let has_same_copy = |worker: &Worker| {
+            worker.attempt.as_ref().is_some_and(|attempt| attempt.copy == point.copy)
+        };
+        if self.workers.iter().any(|w| has_same_copy(w) && w.begins_at <= begins_at) {
+            return;
+        }
+        self.workers.retain(|worker| !has_same_copy(worker));
+        self.workers.push(Worker {
+            engine: point.engine,
+            attempt: Some(point.clone()),
+            begins_at,
+            silent_since: sent_at,
+            is_unreachable: false,
+            was_told: false,
+        });
+    }
+
     fn end(&mut self, end: BodyEnd) {
         self.end = Some(end);
         self.handover.on_end(match (self.variant, end) {
@@ -201,6 +276,10 @@
             }
             _ => {}
         }
+        if self.has_stopped {
+            let source = self.source();
+            self.workers.retain(|worker| worker.attempt.is_some() || worker.engine != source);
+        }
         let is_doubtful =
             matches!(outcome, CopyOutcome::Unknown | CopyOutcome::NoRoom { kept: None });
         self.handover.on_copy(
@@ -217,7 +296,10 @@
             return;
         };
         self.resumed_at = Some(self.now);
-        let other = self.other_run.as_ref().filter(|other| other.point.copy == point.copy);
+        let has_same_copy = |worker: &&Worker| {
+            worker.attempt.as_ref().is_some_and(|attempt| attempt.copy == point.copy)
+        };
+        let other = self.workers.iter().find(has_same_copy);
         let is_used_up = other.is_some_and(|other| self.now >= other.begins_at);
         let outcome = match choice % 6 {
             _ if is_used_up => ResumeOutcome::Refused,
@@ -227,18 +309,24 @@
             _ => ResumeOutcome::MayHaveRun { sent_at },
         };
         if matches!(outcome, ResumeOutcome::MayHaveRun { .. }) && choice > 60 {
-            let begins_at = sent_at + Millis(u64::from(choice) % MAX_START);
-            self.other_run = Some(OtherRun { point: point.clone(), begins_at });
+            self.add_attempt(&point, sent_at, sent_at + Millis(u64::from(choice) % MAX_START));
         }
         match outcome {
             ResumeOutcome::Started => {
-                self.other_run = None;
-                self.reclaiming = None;
+                if self.source_works() && choice > 90 {
+                    self.add_former_source();
+                }
+                // An attempt that has not begun does not find its copy any longer.
+                self.workers.retain(|worker| {
+                    worker.attempt.as_ref().is_none_or(|attempt| attempt.copy != point.copy)
+                });
+                self.workers.retain(|worker| worker.engine != point.engine);
                 self.usable
                     .retain(|other| other.copy == KeptCopy::Backup && other.engine != point.engine);
                 (self.has_stopped, self.end, self.copying) = (false, None, None);
-                (self.checking, self.has_open_order) = (None, false);
-                self.last_data_at = self.now;
+                (self.checking, self.checking_end, self.has_open_order) = (None, None, false);
+                self.has_crashed = false;
+                (self.last_data_at, self.began_at) = (self.now, self.now);
             }
             ResumeOutcome::NotSent => {}
             // An engine refuses a copy that another one has used.
@@ -257,35 +345,87 @@
         self.handover.on_resume(self.now, outcome);
     }
 
+    /// The engine that was told to stop first replies, or never does.
     fn end_reclaim(&mut self, choice: u8) {
-        let Some((engine, _)) = self.reclaiming.take() else {
+        if self.reclaiming.is_empty() {
             return;
-        };
-        let other = self.other_run.as_ref().filter(|other| other.point.engine == engine);
-        let is_running = other.is_some_and(|other| self.now >= other.begins_at);
-        let outcome = match choice % 4 {
+        }
+        let (engine, to, _) = self.reclaiming.remove(0);
+        let is_source = engine == self.source() && self.source_works();
+        let index = self.workers.iter().position(|worker| worker.engine == engine);
+        let is_working =
+            is_source || index.is_some_and(|index| self.now >= self.workers[index].begins_at);
+        let is_pending = index.is_some() && !is_working;
+        let handle = format!("kept at {engine} at {}", self.now.0);
+        let outcome = match choice % 8 {
             0 => ReclaimOutcome::Unknown,
-            1 if other.is_none() => ReclaimOutcome::Ended,
-            _ if is_running => ReclaimOutcome::Stopped { handle: format!("kept at {engine}") },
+            1 => ReclaimOutcome::Unreachable,
+            2 => ReclaimOutcome::Failed,
+            3 if is_working => ReclaimOutcome::Stopping,
+            4 | 5 if is_working => ReclaimOutcome::Stopped { handle, is_copied: false },
+            _ if is_working => ReclaimOutcome::Stopped { handle, is_copied: true },
+            3 if !is_pending => ReclaimOutcome::Ended,
             _ => ReclaimOutcome::NoRun,
         };
-        if let ReclaimOutcome::Stopped { handle } = &outcome {
-            self.other_run = None;
+        let outcome = match outcome {
+            // A source that writes is reached.
+            ReclaimOutcome::Unreachable if is_source => ReclaimOutcome::Unknown,
+            outcome => outcome,
+        };
+        if let Some(index) = index {
+            let worker = &mut self.workers[index];
+            worker.is_unreachable = outcome == ReclaimOutcome::Unreachable;
+            if outcome == ReclaimOutcome::Failed {
+                worker.silent_since = self.now;
+            }
+        }
+        let has_stopped =
+            matches!(outcome, ReclaimOutcome::Stopped { .. } | ReclaimOutcome::Stopping);
+        if let ReclaimOutcome::Stopped { handle, is_copied } = &outcome {
             let copy = KeptCopy::Moved { source: engine, handle: handle.clone() };
-            self.usable.push(ResumePoint { engine, copy });
+            let is_attempt = index.is_some_and(|index| self.workers[index].attempt.is_some());
+            let is_needed = is_source || is_attempt || !self.handover.may_be_written();
+            if is_needed {
+                let copied_to = is_copied.then_some(to).filter(|_| !is_attempt);
+                let engines = [Some(engine), copied_to].into_iter().flatten();
+                self.usable
+                    .extend(engines.map(|engine| ResumePoint { engine, copy: copy.clone() }));
+            } else {
+                self.dropped.push(handle.clone());
+            }
         }
-        self.handover.on_reclaim(self.now, outcome);
+        if has_stopped && is_source {
+            self.has_stopped = true;
+        }
+        if has_stopped && let Some(index) = index {
+            self.workers.remove(index);
+        }
+        self.handover.on_reclaim(self.now, &engine, outcome);
     }
 
     fn check_shared_work(&self) -> Result<(), String> {
-        let is_written = self.end.is_none() && !self.has_stopped;
-        let is_long = |other: &OtherRun| self.now > other.begins_at + MAX_SHARED_WORK;
-        match &self.other_run {
-            Some(other) if is_written && is_long(other) => {
-                Err(format!("two engines work on the run: {other:?}"))
+        let is_long = |from: Time| self.now > from + MAX_SHARED_WORK;
+        let mut working: Vec<_> = self.workers.iter().filter(|w| !w.is_excused(self.now)).collect();
+        working.retain(|worker| self.now >= worker.begins_at);
+        for (n, worker) in working.iter().enumerate() {
+            let beside_source = self.source_works() && worker.engine != self.source();
+            if beside_source && is_long(worker.begins_at.max(self.began_at)) {
+                return Err(format!("an engine works on beside the source: {worker:?}"));
+            }
+            // Of two engines that are both told to stop and do not, none can be stopped in another way.
+            let is_shared = |other: &&&Worker| {
+                // It is told as soon as the check of its end is over.
+                let is_checked =
+                    |w: &Worker| w.engine == self.source() && self.checking_end.is_some();
+                let was_told = |w: &Worker| w.was_told || is_checked(w);
+                let were_told = was_told(worker) && was_told(other);
+                !were_told && is_long(worker.begins_at.max(other.begins_at))
+            };
+            if let Some(other) = working[n + 1..].iter().find(is_shared) {
+                return Err(format!("two engines work on the run: {worker:?}, {other:?}"));
             }
-            _ => Ok(()),
         }
+        Ok(())
     }
 
     fn step(&mut self, step: Step) -> Result<(), String> {
@@ -316,7 +456,20 @@
                     (false, false) => BodyEnd::Whole,
                 });
             }
-            Step::Break if self.end.is_none() => self.end(BodyEnd::Broken),
+            Step::Crash if self.end.is_none() => {
+                self.has_crashed = true;
+                self.end(BodyEnd::Unframed);
+            }
+            Step::LoseAnswer if self.end.is_none() && !self.has_stopped => {
+                self.add_former_source();
+                self.end(BodyEnd::Unframed);
+            }
+            Step::Break(works_on) if self.end.is_none() => {
+                if works_on && !self.has_stopped {
+                    self.add_former_source();
+                }
+                self.end(BodyEnd::Broken);
+            }
             Step::Wait(ms) => return self.wait(Millis(u64::from(ms) * 4)),
             _ => {}
         }
@@ -334,8 +487,9 @@
             let limits = [
                 self.copying.as_ref().map(|(.., at)| *at + STEP_LIMIT),
                 self.resuming.as_ref().map(|(_, at, limit)| *at + *limit),
-                self.reclaiming.as_ref().map(|(_, at)| *at + STEP_LIMIT),
+                self.reclaiming.first().map(|(.., at)| *at + STEP_LIMIT),
                 self.checking.map(|at| at + STEP_LIMIT),
+                self.checking_end.map(|_| self.now + Millis(5)),
             ];
             let limit = limits.into_iter().flatten().min().unwrap_or(until);
             self.now = wakeup.min(limit).min(until);
@@ -346,9 +500,13 @@
             if self.resuming.as_ref().is_some_and(|(_, at, limit)| *at + *limit <= self.now) {
                 self.end_resume(5);
             }
-            if self.reclaiming.is_some_and(|(_, at)| at + STEP_LIMIT <= self.now) {
+            if self.reclaiming.first().is_some_and(|(.., at)| *at + STEP_LIMIT <= self.now) {
                 self.end_reclaim(0);
             }
+            if let Some(has_outlived) = self.checking_end.take() {
+                let has_outlived = has_outlived || self.variant == Variant::TrustsUncheckedEnds;
+                self.handover.on_end_checked(has_outlived);
+            }
             if self.checking.take_if(|at| *at + STEP_LIMIT <= self.now).is_some() {
                 self.has_failed_check |= self.now >= self.last_data_at + SOUND_SILENCE;
                 self.handover.on_check(self.now, false);
@@ -367,17 +525,39 @@
                     self.copying = Some((to, is_final, self.now));
                 }
                 Action::Resume(point) => self.check_resume(point)?,
-                Action::Reclaim { from, to } => {
+                Action::Reclaim { from, to, .. } => {
                     assert_ne!(from, to);
-                    self.reclaiming = Some((from, self.now));
+                    if self.resuming.as_ref().is_some_and(|(point, ..)| point.engine == from) {
+                        return Err("stops the run where it is to continue".to_owned());
+                    }
+                    let told = self.workers.iter_mut().filter(|worker| worker.engine == from);
+                    told.for_each(|worker| worker.was_told = true);
+                    let is_former = from != self.source()
+                        && self.workers.iter().all(|w| w.engine != from || w.attempt.is_none());
+                    if self.variant == Variant::TrustsClosedConnections && is_former {
+                        self.handover.on_reclaim(self.now, &from, ReclaimOutcome::NoRun);
+                    } else {
+                        self.reclaiming.push((from, to, self.now));
+                    }
+                }
+                Action::DropCopy { handle, .. } => {
+                    let Some(index) = self.dropped.iter().position(|known| *known == handle) else {
+                        return Err(format!("drops a copy that is needed: {handle}"));
+                    };
+                    self.dropped.remove(index);
                 }
                 Action::LeaveSource => {
-                    if !self.handover.is_unanswered() {
+                    if self.handover.others().all(|engine| *engine == self.source()) {
                         return Err("leaves an engine that alone writes the stream".to_owned());
                     }
+                    if !self.has_stopped {
+                        // The engine works on although its connection is closed.
+                        self.add_former_source();
+                    }
                     self.end = Some(BodyEnd::Broken);
                 }
                 Action::CheckSource => self.checking = Some(self.now),
+                Action::CheckEnd => self.checking_end = Some(!self.has_crashed),
                 Action::ReportFailedMove { .. } => {
                     self.has_open_order = self.variant == Variant::KeepsFailedMoves;
                 }
@@ -398,9 +578,11 @@
         if self.resuming.is_some() {
             return Err("continues at two engines".to_owned());
         }
-        if let Some(other) = &self.other_run
-            && other.point.copy != point.copy
-        {
+        let other = self.workers.iter().find(|worker| {
+            let has_same_copy = worker.attempt.as_ref().is_some_and(|at| at.copy == point.copy);
+            worker.engine != self.source() && !worker.is_excused(self.now) && !has_same_copy
+        });
+        if let Some(other) = other {
             return Err(format!("continues at {point:?} beside {other:?}"));
         }
         let is_written = self.end.is_none() && self.handover.stop() == Stop::Excluded;
@@ -417,7 +599,14 @@
 
     fn check_outcome(&mut self, action: Action<u8>) -> Result<(), String> {
         let is_whole = self.end == Some(BodyEnd::Whole);
-        let has_ended_well = self.end == Some(BodyEnd::Unframed) && !self.has_stopped;
+        let works_on = |worker: &Worker| {
+            let is_former = worker.attempt.is_none() && worker.engine == self.source();
+            is_former && !worker.is_excused(self.now)
+        };
+        let has_ended_well = self.end == Some(BodyEnd::Unframed)
+            && !self.has_stopped
+            && !self.has_crashed
+            && !self.workers.iter().any(works_on);
         let is_late = self.now >= self.last_data_at + PATIENCE;
         match &action {
             Action::Complete if !is_whole && !has_ended_well => {
@@ -425,7 +614,7 @@
             }
             Action::Cut(_) if self.now >= DEADLINE => {}
             Action::Cut(_) if is_whole => return Err("cut a run that ended well".to_owned()),
-            Action::Cut(_) if self.end.is_none() && !self.has_stopped => {
+            Action::Cut(_) if self.source_works() => {
                 return Err("cut a stream that its engine writes".to_owned());
             }
             Action::Cut(_) if !is_late && !self.usable.is_empty() => {
@@ -443,8 +632,9 @@
         }
         let is_idle = self.copying.is_none()
             && self.resuming.is_none()
-            && self.reclaiming.is_none()
-            && !self.handover.is_unanswered();
+            && self.reclaiming.is_empty()
+            && self.checking_end.is_none()
+            && self.handover.others().next().is_none();
         if self.end.is_some() && is_idle && self.now >= self.last_data_at + PATIENCE {
             return Err("waits for nothing".to_owned());
         }
@@ -454,6 +644,7 @@
             return Err("a final copy outlasts the caller".to_owned());
         }
         let is_due = match self.handover.stop() {
+            _ if self.end.is_some() => true,
             Stop::Excluded => false,
             Stop::InDoubt => self.now >= self.last_data_at + SILENCE,
             Stop::Certain => true,
@@ -496,6 +687,8 @@
         Variant::ForgetsTimers,
         Variant::KeepsFailedMoves,
         Variant::IgnoresLostAnswers,
+        Variant::TrustsClosedConnections,
+        Variant::TrustsUncheckedEnds,
     ] {
         println!("{variant:?}");
         check_detects(|steps: &[Step]| run(variant, steps));
@@ -593,7 +786,9 @@
     handover
 }
 
-const RECLAIM: Action<u8> = Action::Reclaim { from: 1, to: 0 };
+fn reclaim(from: u8, to: u8) -> Action<u8> {
+    Action::Reclaim { from, to, is_repeated: false, needs_copy: true }
+}
 
 /// Guards against two engines that work on one run after an answer was lost (TWICE): the other engine is
 /// told to stop, and the run continues from what it keeps.
@@ -602,16 +797,18 @@
     let sent_at = Time(1_000);
     let mut handover = with_lost_answer(sent_at);
     let now = sent_at + Millis(2);
-    assert_eq!(handover.next_action(now), Some(RECLAIM));
+    assert_eq!(handover.next_action(now), Some(reclaim(1, 0)));
     assert_eq!(handover.next_action(now), None);
     assert!(!handover.accepts_orders(), "the run may not be moved from its source");
     let now = now + Millis(60);
-    handover.on_reclaim(now, ReclaimOutcome::Stopped { handle: "h".to_owned() });
+    let stopped = ReclaimOutcome::Stopped { handle: "h".to_owned(), is_copied: false };
+    handover.on_reclaim(now, &1, stopped);
     let copy = KeptCopy::Moved { source: 1, handle: "h".to_owned() };
     assert_eq!(handover.next_action(now), Some(Action::Resume(ResumePoint { engine: 1, copy })));
     handover.on_resume(now, ResumeOutcome::Started);
     assert_eq!(handover.next_action(now), None);
     assert_eq!(*handover.source(), 1);
+    assert!(handover.others().eq([&0]), "the former source is told to stop, too");
 }
 
 /// Guards against the same where the other engine does not reply: its source is left in time.
@@ -623,7 +820,9 @@
     let mut left_at = None;
     let cut = loop {
         match handover.next_action(now) {
-            Some(Action::Reclaim { .. }) => handover.on_reclaim(now, ReclaimOutcome::Unknown),
+            Some(Action::Reclaim { from, .. }) => {
+                handover.on_reclaim(now, &from, ReclaimOutcome::Unknown);
+            }
             Some(Action::LeaveSource) => left_at = Some(now),
             Some(Action::Cut(cause)) => break cause,
             Some(action) => panic!("{action:?}"),
@@ -644,9 +843,9 @@
     let mut asked = 0;
     let report = loop {
         match handover.next_action(now) {
-            Some(RECLAIM) => {
+            Some(Action::Reclaim { from: 1, to: 0, .. }) => {
                 asked += 1;
-                handover.on_reclaim(now, ReclaimOutcome::NoRun);
+                handover.on_reclaim(now, &1, ReclaimOutcome::NoRun);
             }
             Some(action) => break action,
             None => now = handover.next_wakeup(now),
@@ -680,9 +879,9 @@
     // Only one engine can use the copy.
     assert_eq!(handover.next_action(now), moved(0));
     handover.on_resume(now, ResumeOutcome::Refused);
-    assert_eq!(handover.next_action(now), Some(Action::Reclaim { from: 2, to: 0 }));
+    assert_eq!(handover.next_action(now), Some(reclaim(2, 0)));
     assert_eq!(handover.next_action(now), None);
-    handover.on_reclaim(now, ReclaimOutcome::Ended);
+    handover.on_reclaim(now, &2, ReclaimOutcome::Ended);
     let backup = ResumePoint { engine: 1, copy: KeptCopy::Backup };
     assert_eq!(handover.next_action(now), Some(Action::Resume(backup)));
 }
--- a/relay/src/relocate.rs
+++ b/relay/src/relocate.rs
@@ -18,15 +18,33 @@
 use magnoliawinch::verdict::Verdict;
 use magnoliawinch_http::client::is_framed;
 use magnoliawinch_http::{Reuse, SendError};
+use std::future::pending;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, timeout};
+use tokio::task::JoinError;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Timeout of one copy, with its whole response. A leaving engine takes connections for some seconds;
 /// a copy that hangs must leave time for another.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time without a response after which an engine that is told to stop a run is told so once more: it refuses
+/// that while it copies the memory of the run that it has stopped.
+const STOP_PATIENCE: Duration = Duration::from_millis(60);
+
+/// Time in which both calls would be refused if another copy of the run were in progress.
+const REFUSAL_TIME: Duration = Duration::from_millis(10);
+
+/// How often an engine is told to stop a run that has ended for its caller, and the pause in between, which
+/// grows by itself each time.
+const MAX_STOPS_OF_LEFT_RUN: u32 = 6;
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+/// Timeout of a call to drop a copy.
+const DROP_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Timeout for the response headers of an engine where a run continues.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -143,41 +161,162 @@
         Ok(self.wire.parse_copy_response(status, &body)?)
     }
 
-    /// Has the engine `from`, whose answer was lost, stop the run of `fwd` and copy its memory to that at
-    /// `to`.
+    /// Has the engine `from`, which may work on the run of `fwd`, stop it and copy its memory to that at
+    /// `to`. With `needs_copy` the copy is awaited, otherwise only the stop.
     pub(crate) async fn reclaim_run(
         &self,
-        fwd: &Forward,
+        fwd: &Arc<Forward>,
         from: &Endpoint,
         to: SocketAddr,
+        is_repeated: bool,
+        needs_copy: bool,
     ) -> ReclaimOutcome {
-        let result = self.copy_run(fwd, from, to, true).await;
-        let problem = result.as_ref().err().map_or_else(String::new, ToString::to_string);
-        let outcome = match result {
-            Ok(RunCopy { handle, .. }) => ReclaimOutcome::Stopped { handle },
-            Err(CopyError::Refused(CopyRefusal::TargetUnavailable { kept: Some(handle) })) => {
-                ReclaimOutcome::Stopped { handle }
+        let started_at = Instant::now();
+        let (outcome, problem) = match self.has_ended(fwd, from) {
+            true => (ReclaimOutcome::Ended, String::new()),
+            false if needs_copy => {
+                let result = self.copy_run(fwd, from, to, true).await;
+                self.reclaim_outcome(fwd, from, is_repeated, result).await
             }
-            Err(CopyError::Refused(CopyRefusal::NoRun)) => ReclaimOutcome::NoRun,
-            Err(CopyError::NoResponse(SendError::Connect { .. }))
-                if self.shared.examine(&fwd.service, from).await == Reachability::Refused =>
-            {
-                ReclaimOutcome::Ended
-            }
-            Err(_) => ReclaimOutcome::Unknown,
+            false => self.stop_run(fwd, from, to, is_repeated).await,
         };
         let name: &'static str = (&outcome).into();
         self.shared.metrics.count("move_step", &format!("reclaim_{name}"));
-        log::info!(
-            request = fwd.info.run.as_str(),
-            upstream = from.name.as_str(),
-            outcome = name,
-            problem;
-            "engine whose answer was lost told to stop the run"
-        );
+        if !is_repeated || outcome != ReclaimOutcome::Unreachable {
+            log::info!(
+                request = fwd.info.run.as_str(),
+                upstream = from.name.as_str(),
+                outcome = name,
+                took_ms = started_at.elapsed().as_millis() as u64,
+                problem;
+                "engine that may work on a run told to stop it"
+            );
+        }
         outcome
     }
 
+    /// Tells an engine to stop a run that has ended for its caller, some times if need be.
+    pub(crate) async fn stop_left_run(&self, fwd: &Arc<Forward>, from: &Endpoint, to: SocketAddr) {
+        for attempt in 0..MAX_STOPS_OF_LEFT_RUN {
+            let is_repeated = attempt > 0;
+            match self.reclaim_run(fwd, from, to, is_repeated, false).await {
+                ReclaimOutcome::Stopped { handle, .. } => {
+                    return self.drop_copy(fwd, from, &handle).await;
+                }
+                ReclaimOutcome::Stopping | ReclaimOutcome::NoRun | ReclaimOutcome::Ended => return,
+                ReclaimOutcome::Unreachable | ReclaimOutcome::Failed | ReclaimOutcome::Unknown => {
+                    sleep(STOP_PAUSE * (attempt + 1)).await;
+                }
+            }
+        }
+    }
+
+    /// Whether the list shows another incarnation of the engine.
+    fn has_ended(&self, fwd: &Forward, engine: &Endpoint) -> bool {
+        let view = self.shared.view.load();
+        let listed = view.fleet.get(&engine.name);
+        listed.is_some_and(|listed| listed.service == fwd.service && listed.born > engine.born)
+    }
+
+    /// Tells an engine to stop a run without awaiting the copy of its memory, which is dropped once it is
+    /// there.
+    async fn stop_run(
+        &self,
+        fwd: &Arc<Forward>,
+        from: &Endpoint,
+        to: SocketAddr,
+        is_repeated: bool,
+    ) -> (ReclaimOutcome, String) {
+        let (handler, own_fwd, own_from) = (self.clone(), Arc::clone(fwd), from.clone());
+        let mut first = self
+            .shared
+            .traffic
+            .spawn(async move { handler.copy_run(&own_fwd, &own_from, to, true).await });
+        let of_first = |result: Result<_, JoinError>| async {
+            match result {
+                Ok(result) => self.reclaim_outcome(fwd, from, is_repeated, result).await,
+                Err(e) => (ReclaimOutcome::Unknown, e.to_string()),
+            }
+        };
+        if let Ok(result) = timeout(STOP_PATIENCE, &mut first).await {
+            return of_first(result).await;
+        }
+        let is_in_progress = async {
+            match self.copy_run(fwd, from, to, true).await {
+                Err(CopyError::Refused(CopyRefusal::Busy | CopyRefusal::NoRun)) => {
+                    sleep(REFUSAL_TIME).await;
+                }
+                // Its outcome is that of the first call.
+                Ok(_) | Err(_) => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            result = &mut first => of_first(result).await,
+            () = is_in_progress => {
+                let (handler, fwd, from) = (self.clone(), Arc::clone(fwd), from.clone());
+                self.shared.traffic.spawn(async move {
+                    if let Ok(Ok(RunCopy { handle, .. })) = first.await {
+                        handler.drop_copy(&fwd, &from, &handle).await;
+                    }
+                });
+                (ReclaimOutcome::Stopping, String::new())
+            }
+        }
+    }
+
+    async fn reclaim_outcome(
+        &self,
+        fwd: &Forward,
+        from: &Endpoint,
+        is_repeated: bool,
+        result: Result<RunCopy, CopyError>,
+    ) -> (ReclaimOutcome, String) {
+        let problem = result.as_ref().err().map_or_else(String::new, ToString::to_string);
+        let outcome = match result {
+            Ok(RunCopy { handle, .. }) => ReclaimOutcome::Stopped { handle, is_copied: true },
+            Err(CopyError::Refused(refusal)) => match refusal {
+                CopyRefusal::TargetUnavailable { kept: Some(handle) } => {
+                    ReclaimOutcome::Stopped { handle, is_copied: false }
+                }
+                CopyRefusal::NoRun => ReclaimOutcome::NoRun,
+                CopyRefusal::TargetUnavailable { kept: None }
+                | CopyRefusal::Busy
+                | CopyRefusal::Other { .. } => ReclaimOutcome::Failed,
+            },
+            // Asking other hosts takes longer than a run that continues should wait.
+            Err(CopyError::NoResponse(SendError::Connect { timed_out: false, .. }))
+                if is_repeated =>
+            {
+                match self.shared.examine(&fwd.service, from).await {
+                    Reachability::Refused => ReclaimOutcome::Ended,
+                    Reachability::Accepted => ReclaimOutcome::Unknown,
+                    Reachability::Unknown | Reachability::PathLost => ReclaimOutcome::Unreachable,
+                }
+            }
+            Err(CopyError::NoResponse(SendError::Connect { .. })) => ReclaimOutcome::Unreachable,
+            Err(CopyError::NoResponse(_)) => ReclaimOutcome::Unknown,
+        };
+        (outcome, problem)
+    }
+
+    /// Has an engine drop a copy that it made of a run's memory.
+    pub(crate) async fn drop_copy(&self, fwd: &Forward, engine: &Endpoint, handle: &str) {
+        let sent = match self.wire.drop_copy_request(handle) {
+            Ok(req) => self.send_order(&fwd.service, engine, req, DROP_TIMEOUT).await.map(drop),
+            Err(e) => Err(e),
+        };
+        self.shared.metrics.count("copy_dropped", if sent.is_ok() { "sent" } else { "failed" });
+        if let Err(e) = sent {
+            // It expires by itself.
+            log::info!(
+                request = fwd.info.run.as_str(),
+                upstream = engine.name.as_str();
+                "a copy that is not needed was not dropped: {e}"
+            );
+        }
+    }
+
     /// Has the engine `to` continue a run from a copy, by way of another host if this one is cut off
     /// from its service. `timeout` applies until the head of the response arrives.
     pub(crate) async fn continue_run(
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,7 +6,6 @@
 mod moving;
 
 use self::moving::{MoveTasks, StreamEnd, TaskResult};
-use crate::body_end::UNFRAMED_END;
 use crate::call::{Attempt, BufferedResponse, response_problem};
 use crate::control::Message;
 use crate::events::EventReader;
@@ -323,10 +322,11 @@
                 Step::Chunk(None) if self.body.has_marked_end() => {
                     self.end_body(BodyEnd::Whole, "");
                 }
-                Step::Chunk(None) => match self.may_have_closed_whole_body().await {
-                    true => self.end_body(BodyEnd::Unframed, "the connection was closed"),
-                    false => self.end_body(BodyEnd::Broken, UNFRAMED_END),
-                },
+                // The host that carries a stream has asked whether the engine lives.
+                Step::Chunk(None) if matches!(self.body, RunBody::Carried(_)) => {
+                    self.end_body(BodyEnd::Outlived, "");
+                }
+                Step::Chunk(None) => self.end_body(BodyEnd::Unframed, ""),
                 Step::Order(order) => self.handle_order(order),
                 Step::Task(result) => self.handle_result(result),
                 Step::Timer => {}
@@ -334,16 +334,6 @@
         }
     }
 
-    /// Whether an end that the engine did not mark may be that of the whole stream.
-    async fn may_have_closed_whole_body(&self) -> bool {
-        // The handover decides on the end of a run that may have been stopped; the host that carried a
-        // stream has asked whether the engine lives.
-        let is_decided_elsewhere =
-            self.handover.may_end_early() || matches!(self.body, RunBody::Carried(_));
-        let source = self.handover.source();
-        is_decided_elsewhere || self.handler.has_closed_whole_body(&self.fwd, source).await
-    }
-
     fn note_progress(&mut self) {
         let (now, source) = (self.now(), &self.handover.source().name);
         let mut starts = self.handler.shared.run_starts();
@@ -415,6 +405,7 @@
 
 impl<W: Wire> Drop for EventStream<W> {
     fn drop(&mut self) {
+        self.stop_others();
         let ends_with_daemon = self.handler.shared.are_answers_due();
         let outcome =
             self.outcome.unwrap_or(if ends_with_daemon { "daemon_stopped" } else { "caller_left" });
--- a/relay/src/stream/moving.rs
+++ b/relay/src/stream/moving.rs
@@ -1,6 +1,7 @@
 //! Performs the steps that [`Handover`](magnoliawinch::handover::Handover) decides on.
 
 use super::EventStream;
+use crate::body_end::UNFRAMED_END;
 use crate::control::Message;
 use crate::refusal::Refusal;
 use crate::relocate::{CopyError, ResumeAttempt, ResumeError, resume_timeout};
@@ -15,7 +16,7 @@
 use magnoliawinch::upstream_notices::Withheld;
 use magnoliawinch::verdict::Verdict;
 use std::time::Duration;
-use tokio::task::{JoinError, JoinHandle};
+use tokio::task::{JoinError, JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 /// Time between two attempts to have a run moved that comes by way of a host that is leaving.
@@ -34,8 +35,9 @@
 pub(super) enum TaskResult {
     Copy(Result<CopyResult, JoinError>),
     Resume(Result<ResumeAttempt, JoinError>),
-    Reclaim(Result<ReclaimOutcome, JoinError>),
+    Reclaim(Result<(Endpoint, ReclaimOutcome), JoinError>),
     Check(Result<bool, JoinError>),
+    EndCheck(Result<bool, JoinError>),
     Placement(Result<Result<Endpoint, Refusal>, JoinError>),
 }
 
@@ -65,8 +67,10 @@
     resume: Option<Task<ResumeAttempt>>,
     /// Last attempt to continue the run.
     resume_target: Option<Endpoint>,
-    reclaim: Option<Task<ReclaimOutcome>>,
+    /// Orders to stop the run, with the engines that get them.
+    reclaims: JoinSet<(Endpoint, ReclaimOutcome)>,
     check: Option<Task<bool>>,
+    end_check: Option<Task<bool>>,
     /// Asks for an engine for a run that has to reach this host in another way.
     placement: Option<Task<Result<Endpoint, Refusal>>>,
     placed_at: Option<Instant>,
@@ -78,8 +82,9 @@
         tokio::select! {
             result = finish(&mut self.copy) => TaskResult::Copy(result),
             result = finish(&mut self.resume) => TaskResult::Resume(result),
-            result = finish(&mut self.reclaim) => TaskResult::Reclaim(result),
+            Some(result) = self.reclaims.join_next() => TaskResult::Reclaim(result),
             result = finish(&mut self.check) => TaskResult::Check(result),
+            result = finish(&mut self.end_check) => TaskResult::EndCheck(result),
             result = finish(&mut self.placement) => TaskResult::Placement(result),
         }
     }
@@ -99,9 +104,13 @@
             match action {
                 Action::StartCopy { to, is_final } => self.start_copy(&to, is_final),
                 Action::Resume(point) => self.start_resume(point),
-                Action::Reclaim { from, to } => self.start_reclaim(from, &to),
+                Action::Reclaim { from, to, is_repeated, needs_copy } => {
+                    self.start_reclaim(from, &to, is_repeated, needs_copy);
+                }
+                Action::DropCopy { engine, handle } => self.drop_copy(engine, handle),
                 Action::LeaveSource => self.leave_source(),
                 Action::CheckSource => self.start_check(),
+                Action::CheckEnd => self.start_end_check(),
                 Action::ReportFailedMove { refused_by } => {
                     self.report_failed_move(refused_by.as_ref());
                 }
@@ -197,10 +206,43 @@
         self.tasks.resume_target = Some(point.engine);
     }
 
-    fn start_reclaim(&mut self, from: Endpoint, to: &Endpoint) {
+    fn start_reclaim(
+        &mut self,
+        from: Endpoint,
+        to: &Endpoint,
+        is_repeated: bool,
+        needs_copy: bool,
+    ) {
         let (handler, fwd, to) = (self.handler.clone(), self.fwd.clone(), to.address);
-        let reclaim = async move { handler.reclaim_run(&fwd, &from, to).await };
-        self.tasks.reclaim = Some(Task::new(self.handler.shared.traffic.spawn(reclaim)));
+        let reclaim = async move {
+            let outcome = handler.reclaim_run(&fwd, &from, to, is_repeated, needs_copy).await;
+            (from, outcome)
+        };
+        self.tasks.reclaims.spawn_on(reclaim, &self.handler.shared.traffic);
+    }
+
+    /// Goes on telling engines to stop that may work on the run, which this host no longer holds.
+    pub(super) fn stop_others(&self) {
+        let source = self.handover.source();
+        for engine in self.handover.others().filter(|engine| *engine != source) {
+            let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+            let (engine, to) = (engine.clone(), source.address);
+            let stop = async move { handler.stop_left_run(&fwd, &engine, to).await };
+            self.handler.shared.traffic.spawn(stop);
+        }
+    }
+
+    fn drop_copy(&self, engine: Endpoint, handle: String) {
+        let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+        let drop_copy = async move { handler.drop_copy(&fwd, &engine, &handle).await };
+        self.handler.shared.traffic.spawn(drop_copy);
+    }
+
+    fn start_end_check(&mut self) {
+        let (handler, fwd) = (self.handler.clone(), self.fwd.clone());
+        let source = self.handover.source().clone();
+        let check = async move { handler.has_closed_whole_body(&fwd, &source).await };
+        self.tasks.end_check = Some(Task::new(self.handler.shared.traffic.spawn(check)));
     }
 
     fn leave_source(&mut self) {
@@ -235,13 +277,19 @@
                     self.handle_resume_result(to, result, took);
                 }
             }
-            TaskResult::Reclaim(result) => {
-                self.tasks.reclaim = None;
-                let outcome = result.unwrap_or_else(|e| {
-                    log::warn!("telling an engine to stop a run failed: {e}");
-                    ReclaimOutcome::Unknown
-                });
-                self.handover.on_reclaim(self.now(), outcome);
+            TaskResult::Reclaim(Ok((from, outcome))) => {
+                self.handover.on_reclaim(self.now(), &from, outcome);
+            }
+            TaskResult::Reclaim(Err(e)) => {
+                log::error!("telling an engine to stop a run failed: {e}");
+            }
+            TaskResult::EndCheck(result) => {
+                self.tasks.end_check = None;
+                let has_outlived = result.unwrap_or(false);
+                if !has_outlived {
+                    self.note_broken_off(UNFRAMED_END);
+                }
+                self.handover.on_end_checked(has_outlived);
             }
             TaskResult::Check(result) => {
                 self.tasks.check = None;
@@ -347,7 +395,7 @@
         self.body = body;
         self.events.discard_partial_event();
         self.handover.on_resume(self.now(), ResumeOutcome::Started);
-        (self.tasks.copy, self.tasks.check, self.tasks.reclaim) = (None, None, None);
+        (self.tasks.copy, self.tasks.check, self.tasks.end_check) = (None, None, None);
         self.tasks.placement = None;
         let backup = self.handover.backup().cloned();
         self.run.set_assignment(Assignment::new(to, backup));
@@ -356,21 +404,25 @@
     /// Handles the end of the body of the engine that writes the stream.
     pub(super) fn end_body(&mut self, end: BodyEnd, cause: &str) {
         if end == BodyEnd::Broken && !self.handover.may_end_early() {
-            let upstream = self.handover.source().name.clone();
-            log::info!(
-                request = self.fwd.info.run.as_str(),
-                upstream = upstream.as_str(),
-                events = self.events.count(),
-                reason = cause;
-                "stream broke off"
-            );
-            drop(self.handler.note_lost_connection(&self.fwd, self.handover.source()));
-            self.handler.shared.tell(Message::UpstreamUnreachable(upstream));
-            self.last_failure = cause.to_owned();
+            self.note_broken_off(cause);
         }
         self.handover.on_end(end);
     }
 
+    fn note_broken_off(&mut self, cause: &str) {
+        let upstream = self.handover.source().name.clone();
+        log::info!(
+            request = self.fwd.info.run.as_str(),
+            upstream = upstream.as_str(),
+            events = self.events.count(),
+            reason = cause;
+            "stream broke off"
+        );
+        drop(self.handler.note_lost_connection(&self.fwd, self.handover.source()));
+        self.handler.shared.tell(Message::UpstreamUnreachable(upstream));
+        self.last_failure = cause.to_owned();
+    }
+
     fn log_copy(&self, verdict: Verdict, problem: &str, took: Duration) {
         let Some((to, is_final)) = self.handover.copying() else {
             return;
--- a/relay/src/wire.rs
+++ b/relay/src/wire.rs
@@ -160,6 +160,9 @@
     /// the run stops first.
     fn copy_request(&self, run: &RunId, to: SocketAddr, is_final: bool) -> Request<Full<Bytes>>;
 
+    /// A request to the engine that made a copy to drop it at both engines.
+    fn drop_copy_request(&self, handle: &str) -> Result<Request<Full<Bytes>>, SendError>;
+
     /// Parses the response to a copy request.
     fn parse_copy_response(&self, status: StatusCode, body: &[u8]) -> Result<RunCopy, CopyRefusal>;
 
