Replace responses with statuses that are none by 502

Cause: only success and 500 to 599 were told apart, the rest was passed on. Change: ResponseClass::Invalid; such a response states nothing and is never forwarded. A stored status that is none is no longer sent as 200.

--- a/core/src/response.rs
+++ b/core/src/response.rs
@@ -25,6 +25,8 @@
     Failure,
     /// Another upstream would respond alike.
     Rejection,
+    /// Its status is not one of a final response: it states nothing.
+    Invalid,
 }
 
 impl ResponseClass {
@@ -32,10 +34,11 @@
     /// the request did not run.
     pub fn new(status: u16, states_not_run: bool) -> Self {
         match status {
+            ..200 | 600.. => Self::Invalid,
             _ if states_not_run => Self::NotRun,
-            200..=299 => Self::Success,
+            ..300 => Self::Success,
             status if PROMISE_STATUSES.contains(&status) => Self::UnprovenRefusal,
-            500..=599 => Self::Failure,
+            500.. => Self::Failure,
             _ => Self::Rejection,
         }
     }
@@ -44,21 +47,21 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::NotRun => Verdict::NotRun,
-            Self::UnprovenRefusal => Verdict::MayHaveRun,
+            Self::UnprovenRefusal | Self::Invalid => Verdict::MayHaveRun,
             Self::Success | Self::Failure | Self::Rejection => Verdict::Ran,
         }
     }
 
     /// Whether another upstream may serve a request that may be repeated.
     pub fn is_failure(self) -> bool {
-        matches!(self, Self::UnprovenRefusal | Self::Failure)
+        matches!(self, Self::UnprovenRefusal | Self::Failure | Self::Invalid)
     }
 
     /// Whether the caller may get the response as it is. A request that did not run gets a response of the
     /// daemon's own.
     pub fn may_be_forwarded(self, delivery: Delivery) -> bool {
         match self {
-            Self::NotRun => false,
+            Self::NotRun | Self::Invalid => false,
             Self::UnprovenRefusal => delivery == Delivery::Idempotent,
             Self::Success | Self::Failure | Self::Rejection => true,
         }
--- a/core/tests/response.rs
+++ b/core/tests/response.rs
@@ -5,13 +5,15 @@
 use std::fmt::Write;
 
 /// Guards against forwarding a status that promises that a request has not run without the upstream's
-/// statement, and against taking a status alone for that statement.
+/// statement, against taking a status alone for that statement, and against forwarding one that is none.
 #[test]
 fn only_a_statement_proves_that_a_request_has_not_run() {
     let mut table = String::new();
-    let statuses = [200, 204, 304, 400, 404, 408, 421, 429, 499, 500, 502, 503, 504];
-    for (status, states_not_run) in
-        statuses.map(|status| (status, false)).into_iter().chain([(421, true), (503, true)])
+    let statuses = [
+        0, 100, 101, 199, 200, 204, 304, 400, 404, 408, 421, 429, 499, 500, 502, 503, 504, 600, 999,
+    ];
+    let stated = [0, 421, 503].map(|status| (status, true));
+    for (status, states_not_run) in statuses.map(|status| (status, false)).into_iter().chain(stated)
     {
         let class = ResponseClass::new(status, states_not_run);
         let forwarded = [Delivery::Idempotent, Delivery::AtMostOnce, Delivery::Stream]
--- a/daemon/src/traffic/calls.rs
+++ b/daemon/src/traffic/calls.rs
@@ -113,7 +113,7 @@
 
 fn response(answer: &Answer) -> Response<Body> {
     let mut response = Response::new(full_body(answer.body.clone()));
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
--- a/relay/src/call.rs
+++ b/relay/src/call.rs
@@ -355,10 +355,9 @@
             ));
         }
         if !class.may_be_forwarded(fwd.route.delivery) {
-            return Attempt::invalid(format!(
-                "{} responded with status {status} and does not state that the request did not run",
-                upstream.name
-            ));
+            let class: &'static str = class.into();
+            let cause = format!("{} responded with status {status}: {class}", upstream.name);
+            return Attempt::invalid(cause);
         }
         let mut headers = response.headers().clone();
         let body = match tokio::time::timeout(timeout, response.bytes(MAX_RESPONSE_BYTES)).await {
--- a/relay/src/carry.rs
+++ b/relay/src/carry.rs
@@ -290,7 +290,7 @@
         // Earlier builds pass on whatever their upstreams respond.
         let class = ResponseClass::new(status.as_u16(), head.not_run);
         if !head.not_run && !class.may_be_forwarded(fwd.route.delivery) {
-            return Err(may_have_run("the upstream does not state that the request did not run"));
+            return Err(may_have_run("the response may not be forwarded"));
         }
         if head.is_stream {
             let mut response = Response::new(());
