--- a/core/src/handover.rs
+++ b/core/src/handover.rs
@@ -29,7 +29,7 @@
 pub const SILENCE: Millis = Millis(600);
 
 /// Time without data after which a source that may have stopped is told to stop once more; longer than
-/// most pauses of a run that goes on.
+/// most pauses of a run in progress.
 pub const DOUBT_SILENCE: Millis = Millis(150);
 
 /// Silence that a sound engine may fall into, health checks included. Its run does not continue
@@ -572,7 +572,7 @@
         }
     }
 
-    /// Keeps the memory of a run that `other` has stopped, unless the run goes on without it.
+    /// Keeps the memory of a run that `other` has stopped, unless the run does not need it.
     fn keep_copy(&mut self, other: OtherEngine<E>, handle: String, copied_to: Option<E>) {
         let OtherEngine { engine, attempt, .. } = other;
         if attempt.is_none() && engine != self.source && self.may_be_written() {
--- a/core/src/handover/others.rs
+++ b/core/src/handover/others.rs
@@ -17,7 +17,7 @@
 const START_LIMIT: Millis = Millis(150);
 
 /// Time after its connection was closed in which an engine that drops such requests has done so. Told to
-/// stop before, it would copy memory that nobody needs.
+/// stop before, it would copy memory that is not needed.
 const DROP_TIME: Millis = Millis(20);
 
 /// Pause before the engine is asked again; it doubles each time.
@@ -54,7 +54,7 @@
     is_unreachable: bool,
 }
 
-/// What is known of the engine after its reply.
+/// What a reply shows about the engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Settled<E> {
     /// It may still work on the run.
@@ -88,7 +88,7 @@
         }
     }
 
-    /// A source whose stream has ended or stands still, or that is left now.
+    /// A source whose stream has ended or stalled, or that is being left.
     pub(super) fn from_source(now: Time, engine: E, last_data_at: Time) -> Self {
         Self {
             engine,
