--- a/review/stand-in-3/stand_in.py
+++ b/review/stand-in-3/stand_in.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import time
 import urllib.parse
 
@@ -226,6 +227,9 @@
         self.file.flush()
 
 
+# Time limit of a case.
+MAX_CASE_S = 115
+
 TAKEN_PORTS = set()
 
 
@@ -246,6 +250,34 @@
     return ports
 
 
+# All processes that were started.
+STARTED = []
+
+
+def run(main):
+    """Runs a case; exits with its result, or with 2 if it could not run or is ended from outside. Ends
+    all processes in any case."""
+
+    def leave(status):
+        for process in STARTED:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+                process.wait()
+        sys.stdout.flush()
+        os._exit(status)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: leave(2))
+    loop = asyncio.new_event_loop()
+    loop.set_exception_handler(lambda *_: None)
+    status = 2
+    try:
+        status = loop.run_until_complete(asyncio.wait_for(main(), MAX_CASE_S))
+    except Exception as e:
+        print(f"the case could not run: {e!r}")
+    leave(status)
+
+
 class Machine:
     """A machine with one process of the system, started with the command of the deploy file."""
 
@@ -275,6 +307,7 @@
             ["target/release/magnoliawinch-edge"], cwd=self.root, stdout=log, stderr=log,
             env={"PATH": os.environ.get("PATH", ""), "MAGNOLIAWINCH_BOOT": settings},
         )
+        STARTED.append(self.process)
 
     def memory_mib(self):
         """Memory of the process's own, without the program and libraries, in MiB."""
